--- /dev/null
+++ b/internal/key/key.go
@@ -0,0 +1,3 @@
+// Package key makes and reads the identifiers that requests, attempts and
+// process incarnations carry.
+package key
