--- /dev/null
+++ b/internal/callerhttp/handler.go
@@ -0,0 +1,204 @@
+// Package callerhttp serves the callers' interface in api/caller.yaml.
+package callerhttp
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/jx"
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/request"
+	"sequoiafork/internal/wire/callerapi"
+)
+
+// Resolver lists the addresses that a caller should use.
+type Resolver interface {
+	Resolve(caller, dataCentre string) (addrs []string, keep time.Duration)
+}
+
+// Handler implements the generated interfaces.
+type Handler struct {
+	service  *request.Service
+	resolver Resolver
+}
+
+// New returns the HTTP handler for callers.
+func New(service *request.Service, resolver Resolver) (http.Handler, error) {
+	h := &Handler{
+		service:  service,
+		resolver: resolver,
+	}
+	return callerapi.NewServer(h, h, callerapi.WithErrorHandler(writeError))
+}
+
+// failure is an outcome that travels as an error through the generated server.
+type failure struct {
+	outcome outcome.Outcome
+}
+
+// Error implements error.
+func (f *failure) Error() string {
+	return outcome.Name(f.outcome) + ": " + string(outcome.CodeOf(f.outcome))
+}
+
+// CallRoute runs a request and returns its whole answer.
+func (h *Handler) CallRoute(ctx context.Context, req *callerapi.Call, params callerapi.CallRouteParams) (*callerapi.Answer, error) {
+	r, bad := newRequest(req, params.Route, params.IdempotencyKey)
+	if bad != nil {
+		return nil, &failure{
+			outcome: *bad,
+		}
+	}
+	o := h.service.Serve(ctx, r)
+	if a, ok := o.(outcome.Answered); ok {
+		return answer(a), nil
+	}
+	return nil, &failure{
+		outcome: o,
+	}
+}
+
+func newRequest(req *callerapi.Call, route string, key callerapi.OptString) (request.Request, *outcome.NotRun) {
+	r := request.Request{
+		Route:     route,
+		Workspace: req.Workspace,
+		Input:     req.Input,
+		Key:       key.Or(""),
+	}
+	at, hasAt := req.DeadlineAt.Get()
+	in, hasIn := req.DeadlineMs.Get()
+	switch {
+	case hasAt && hasIn:
+		return r, badRequest("deadline_ms", "send deadline_ms or deadline_at, not both")
+	case hasIn && in <= 0:
+		return r, badRequest("deadline_ms", "must be a positive number of milliseconds")
+	case hasIn:
+		r.Deadline = time.Now().Add(time.Duration(in) * time.Millisecond)
+	case hasAt && !at.After(time.Now()):
+		refused := badRequest("deadline_at", "the deadline has passed: send a later one")
+		refused.Code = outcome.CodeDeadlinePast
+		return r, refused
+	case hasAt:
+		r.Deadline = at
+	}
+	return r, nil
+}
+
+func badRequest(field, message string) *outcome.NotRun {
+	return &outcome.NotRun{
+		Code:    outcome.CodeBadRequest,
+		Field:   field,
+		Message: field + ": " + message,
+	}
+}
+
+// IssueKey issues an idempotency key that belongs to this process.
+func (h *Handler) IssueKey(context.Context) (*callerapi.IssuedKey, error) {
+	key, valid, refused := h.service.IssueKey()
+	if refused != nil {
+		return nil, &failure{
+			outcome: *refused,
+		}
+	}
+	return &callerapi.IssuedKey{
+		Key:     key,
+		ValidMs: valid.Milliseconds(),
+	}, nil
+}
+
+// Resolve lists the addresses that the caller should use.
+func (h *Handler) Resolve(_ context.Context, params callerapi.ResolveParams) (*callerapi.Resolution, error) {
+	addrs, keep := h.resolver.Resolve(params.Caller, params.DataCentre.Or(""))
+	return &callerapi.Resolution{
+		Addresses: addrs,
+		KeepMs:    keep.Milliseconds(),
+	}, nil
+}
+
+// ShowKey says what became of a key's request.
+func (h *Handler) ShowKey(_ context.Context, params callerapi.ShowKeyParams) (*callerapi.KeyState, error) {
+	st := h.service.Registry().Status(params.Workspace, params.Key)
+	switch o := st.Outcome.(type) {
+	case outcome.Answered:
+		return &callerapi.KeyState{
+			State:  callerapi.KeyStateStateAnswered,
+			Answer: callerapi.NewOptAnswer(*answer(o)),
+		}, nil
+	case nil:
+	default:
+		return &callerapi.KeyState{
+			State:   callerapi.KeyStateState(outcome.Name(o)),
+			Outcome: callerapi.NewOptOutcome(*wireOutcome(o)),
+		}, nil
+	}
+	switch {
+	case st.Running:
+		return &callerapi.KeyState{
+			State: callerapi.KeyStateStateRunning,
+		}, nil
+	case st.Expired, st.Owner != "":
+		// Another process may have run it, or this one before it forgot.
+		return &callerapi.KeyState{
+			State: callerapi.KeyStateStateUnknown,
+		}, nil
+	}
+	return &callerapi.KeyState{
+		State: callerapi.KeyStateStateUnused,
+	}, nil
+}
+
+// NewError implements callerapi.Handler.
+func (h *Handler) NewError(_ context.Context, err error) *callerapi.OutcomeStatusCodeWithHeaders {
+	return wireError(err)
+}
+
+func wireError(err error) *callerapi.OutcomeStatusCodeWithHeaders {
+	var f *failure
+	if !errors.As(err, &f) {
+		f = &failure{
+			outcome: *invalid(err),
+		}
+	}
+	body := wireOutcome(f.outcome)
+	res := &callerapi.OutcomeStatusCodeWithHeaders{
+		StatusCode: status(f.outcome),
+		Response:   *body,
+	}
+	if ms, ok := body.RetryAfterMs.Get(); ok {
+		const second = 1000
+		res.RetryAfter = callerapi.NewOptInt(int((ms + second - 1) / second))
+	}
+	return res
+}
+
+// invalid describes a request that the generated server could not take.
+func invalid(err error) *outcome.NotRun {
+	refused := badRequest("body", err.Error())
+	var tooLarge *http.MaxBytesError
+	var params *ogenerrors.DecodeParamsError
+	switch {
+	case errors.As(err, &tooLarge):
+		refused.Message = "body: larger than this daemon takes: send a shorter input"
+	case errors.As(err, &params):
+		refused.Field = "parameters"
+	}
+	return refused
+}
+
+// writeError answers a request that never reached a method of Handler.
+func writeError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	res := wireError(err)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		res.StatusCode = http.StatusRequestEntityTooLarge
+	}
+	var e jx.Encoder
+	res.Response.Encode(&e)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(res.StatusCode)
+	_, _ = w.Write(e.Bytes())
+}
--- /dev/null
+++ b/internal/callerhttp/stream.go
@@ -0,0 +1,93 @@
+package callerhttp
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/go-faster/jx"
+
+	"sequoiafork/internal/ident"
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/wire/callerapi"
+)
+
+// StreamRoute runs a request and writes its tokens as they come. The last event
+// has done or error set; a stream without one is not whole.
+func (h *Handler) StreamRoute(ctx context.Context, req *callerapi.Call, params callerapi.StreamRouteParams, w http.ResponseWriter) error {
+	r, bad := newRequest(req, params.Route, params.IdempotencyKey)
+	if bad != nil {
+		return &failure{
+			outcome: *bad,
+		}
+	}
+	r.ID = ident.NewRequest()
+	s := &eventStream{
+		w:  w,
+		id: r.ID,
+	}
+	r.OnToken = s.token
+	o := h.service.Serve(ctx, r)
+	return s.end(o)
+}
+
+// eventStream writes StreamEvents. Nothing is written before the first one, so
+// that a request which gives none can still be answered with its status.
+type eventStream struct {
+	w  http.ResponseWriter
+	id string
+
+	mu    sync.Mutex
+	begun bool
+	ended bool
+}
+
+func (s *eventStream) token(index int, text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
+	s.write(&callerapi.StreamEvent{
+		RequestID: s.id,
+		Index:     callerapi.NewOptInt(index),
+		Text:      callerapi.NewOptString(text),
+	})
+}
+
+func (s *eventStream) end(o outcome.Outcome) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	a, answered := o.(outcome.Answered)
+	if !answered && !s.begun {
+		return &failure{
+			outcome: o,
+		}
+	}
+	event := &callerapi.StreamEvent{
+		RequestID: s.id,
+	}
+	if answered {
+		event.Done = callerapi.NewOptAnswer(*answer(a))
+	} else {
+		event.Error = callerapi.NewOptOutcome(*wireOutcome(o))
+	}
+	s.write(event)
+	return nil
+}
+
+func (s *eventStream) write(event *callerapi.StreamEvent) {
+	if !s.begun {
+		s.begun = true
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-store")
+		s.w.Header().Set("X-Request-Id", s.id)
+		s.w.WriteHeader(http.StatusOK)
+	}
+	var e jx.Encoder
+	event.Encode(&e)
+	body := append([]byte("data: "), e.Bytes()...)
+	_, _ = s.w.Write(append(body, '\n', '\n'))
+	_ = http.NewResponseController(s.w).Flush()
+}
--- /dev/null
+++ b/internal/completion/completion.go
@@ -0,0 +1,199 @@
+// Package completion calls model engines over the completions interface in
+// api/upstream.yaml.
+package completion
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/jx"
+	"github.com/ogen-go/ogen/sse"
+
+	"sequoiafork/internal/invoke"
+	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/upstream"
+	"sequoiafork/internal/wire/upstreamapi"
+)
+
+const (
+	endMark         = "[DONE]"
+	maxEventBytes   = 1 << 20
+	cancelTimeout   = time.Second
+	resumesPerCall  = 2
+	defaultMaxToken = 256
+)
+
+// ErrCut is a stream that ended without its end mark.
+var ErrCut = errors.New("stream ended before its end mark")
+
+// Client calls engines. It is safe for concurrent use.
+type Client struct {
+	api *upstreamapi.Client
+}
+
+// New returns a client.
+func New(cfg invoke.Config) (*Client, error) {
+	api, err := upstreamapi.NewClient("http://invalid", upstreamapi.WithClient(&http.Client{
+		Transport: invoke.NewTransport(cfg, false),
+	}))
+	if err != nil {
+		return nil, fmt.Errorf("making the engine client: %w", err)
+	}
+	return &Client{
+		api: api,
+	}, nil
+}
+
+// Invoke runs one completion to its end mark. A stream that breaks is resumed on
+// the same engine. When the call is given up the engine is told to cancel it.
+func (c *Client) Invoke(ctx context.Context, call pipeline.Call) (pipeline.Reply, error) {
+	s := &stream{
+		call: call,
+	}
+	var err error
+	for range resumesPerCall + 1 {
+		if err = c.read(ctx, s); err == nil {
+			return pipeline.Reply{
+				Output: s.text.String(),
+				Load:   s.load,
+			}, nil
+		}
+		if s.next == 0 || ctx.Err() != nil || !errors.Is(err, ErrCut) {
+			break
+		}
+	}
+	if s.sent {
+		c.cancel(ctx, call)
+	}
+	var callErr *pipeline.CallError
+	if errors.As(err, &callErr) {
+		return pipeline.Reply{}, callErr
+	}
+	return pipeline.Reply{}, invoke.Classify(call.Addr, err, s.sent)
+}
+
+// stream is the part of a completion that has arrived.
+type stream struct {
+	call pipeline.Call
+	sent bool
+	next int
+	text strings.Builder
+	load *upstream.Load
+	// finished is set by the chunk that carries a finish reason.
+	finished bool
+}
+
+func (c *Client) read(ctx context.Context, s *stream) error {
+	ctx, sent := invoke.Trace(ctx)
+	res, err := c.api.Complete(ctx, request(s), upstreamapi.WithServerURL(invoke.BaseURL(s.call.Addr)))
+	s.sent = s.sent || sent.Load()
+	if err != nil {
+		return invoke.Classify(s.call.Addr, err, s.sent)
+	}
+	raw, ok := res.(*upstreamapi.CompleteOKRawTextEventStream)
+	if !ok {
+		return fmt.Errorf("engine answered with %T", res)
+	}
+	defer raw.Response.Body.Close()
+	return s.decode(ctx, raw.Response.Body)
+}
+
+func request(s *stream) *upstreamapi.Completion {
+	maxTokens := s.call.Stage.MaxTokens
+	if maxTokens == 0 {
+		maxTokens = defaultMaxToken
+	}
+	req := &upstreamapi.Completion{
+		Model:       s.call.Stage.Model,
+		Prompt:      s.call.Input,
+		MaxTokens:   upstreamapi.NewOptInt(maxTokens),
+		Stream:      true,
+		Priority:    upstreamapi.NewOptInt(s.call.Priority),
+		RequestID:   s.call.AttemptID,
+		RemainingMs: upstreamapi.NewOptInt64(s.call.Remaining.Milliseconds()),
+	}
+	if s.next > 0 {
+		req.ResumeFrom = upstreamapi.NewOptInt(s.next)
+	}
+	return req
+}
+
+func (s *stream) decode(ctx context.Context, body io.Reader) error {
+	dec := sse.NewDecoder(body, 0, maxEventBytes, "", nil)
+	for {
+		event, err := dec.Decode()
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return fmt.Errorf("%w: %w", ErrCut, err)
+		}
+		if event.Data == endMark {
+			return s.end()
+		}
+		if err := s.add(event.Data); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *stream) end() error {
+	if !s.finished {
+		return fmt.Errorf("%w: no finish reason", ErrCut)
+	}
+	return nil
+}
+
+func (s *stream) add(data string) error {
+	var chunk upstreamapi.CompletionChunk
+	if err := chunk.Decode(jx.DecodeStr(data)); err != nil {
+		return fmt.Errorf("%w: reading a chunk: %w", ErrCut, err)
+	}
+	if chunk.ID != s.call.AttemptID {
+		return &invoke.MismatchError{
+			Field: "id",
+			Got:   chunk.ID,
+			Want:  s.call.AttemptID,
+		}
+	}
+	if load, ok := chunk.Load.Get(); ok {
+		s.load = invoke.Load(load)
+	}
+	for _, choice := range chunk.Choices {
+		s.finished = s.finished || choice.FinishReason.Or("") != ""
+		if choice.Text == "" {
+			continue
+		}
+		if chunk.TokenIndex < s.next {
+			continue // sent before the stream broke
+		}
+		if chunk.TokenIndex > s.next {
+			return &invoke.MismatchError{
+				Field: "token_index",
+				Got:   fmt.Sprint(chunk.TokenIndex),
+				Want:  fmt.Sprint(s.next),
+			}
+		}
+		s.text.WriteString(choice.Text)
+		if s.call.OnToken != nil {
+			s.call.OnToken(s.next, choice.Text)
+		}
+		s.next++
+	}
+	return nil
+}
+
+func (c *Client) cancel(ctx context.Context, call pipeline.Call) {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	go func() {
+		defer stop()
+		_ = c.api.CancelCompletion(ctx, upstreamapi.CancelCompletionParams{
+			RequestID: call.AttemptID,
+		}, upstreamapi.WithServerURL(invoke.BaseURL(call.Addr)))
+	}()
+}
--- /dev/null
+++ b/internal/idempotency/claimer.go
@@ -0,0 +1,222 @@
+package idempotency
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"sequoiafork/internal/fold"
+	"sequoiafork/internal/logservice"
+)
+
+const (
+	// maxBatch is the number of claims in one append.
+	maxBatch = 512
+	// appendTimeout bounds one append; past it the append may still happen.
+	appendTimeout = 2 * time.Second
+	// refusedRetry is when to come back if the log does not say.
+	refusedRetry = 2 * time.Second
+)
+
+var (
+	claimsTotal  = metrics.GetOrCreateCounter("sequoiafork_claims_total")
+	claimAppends = metrics.GetOrCreateCounter("sequoiafork_claim_appends_total")
+)
+
+// NotClaimedError means that a claim was certainly not appended.
+type NotClaimedError struct {
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error implements error.
+func (e *NotClaimedError) Error() string {
+	return fmt.Sprintf("claim not appended: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NotClaimedError) Unwrap() error {
+	return e.Err
+}
+
+// Log appends records. See logservice.Client.
+type Log interface {
+	Append(ctx context.Context, data []byte) (uint64, error)
+}
+
+// Machine is the folded log. See fold.Machine.
+type Machine interface {
+	Claim(key [32]byte) (fold.Claim, bool)
+	Wait(ctx context.Context, next uint64) error
+}
+
+// LogClaimer claims keys on the log, all that wait in one append. It is safe for
+// concurrent use.
+type LogClaimer struct {
+	self    string
+	log     Log
+	machine Machine
+
+	mu      sync.Mutex
+	waiting []*pendingClaim
+	wake    chan struct{}
+}
+
+type pendingClaim struct {
+	claim fold.Claim
+	// appended is closed once the append has ended; offset and err are set then.
+	appended chan struct{}
+	offset   uint64
+	err      error
+}
+
+// NewLogClaimer returns a claimer for the incarnation self. Its Run must be running.
+func NewLogClaimer(self string, log Log, machine Machine) *LogClaimer {
+	return &LogClaimer{
+		self:    self,
+		log:     log,
+		machine: machine,
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// Known implements Claimer.
+func (c *LogClaimer) Known(key Key) (Owner, bool) {
+	claim, ok := c.machine.Claim(key)
+	return Owner{
+		Incarnation: claim.Owner,
+		Body:        claim.Body,
+	}, ok
+}
+
+// Claim implements Claimer. The owner is the one that the log names first, also
+// if this process's own append lost its reply.
+func (c *LogClaimer) Claim(ctx context.Context, key Key, body Body) (Owner, error) {
+	p := &pendingClaim{
+		claim: fold.Claim{
+			Key:    key,
+			Body:   body,
+			Owner:  c.self,
+			TimeMs: time.Now().UnixMilli(),
+		},
+		appended: make(chan struct{}),
+	}
+	c.enqueue(p)
+	select {
+	case <-p.appended:
+	case <-ctx.Done():
+		if c.withdraw(p) {
+			return Owner{}, &NotClaimedError{
+				RetryAfter: refusedRetry,
+				Err:        ctx.Err(),
+			}
+		}
+		return Owner{}, fmt.Errorf("waiting for the append of a claim: %w", ctx.Err())
+	}
+	var refused *logservice.RefusedError
+	if errors.As(p.err, &refused) {
+		return Owner{}, &NotClaimedError{
+			RetryAfter: max(refused.RetryAfter, refusedRetry),
+			Err:        p.err,
+		}
+	}
+	return c.readBack(ctx, p)
+}
+
+// readBack waits until the fold has a claim of the key. With an unknown append it
+// waits for each further record until the key appears or ctx ends.
+func (c *LogClaimer) readBack(ctx context.Context, p *pendingClaim) (Owner, error) {
+	const poll = 20 * time.Millisecond
+	if p.err == nil {
+		if err := c.machine.Wait(ctx, p.offset+1); err != nil {
+			return Owner{}, fmt.Errorf("waiting to read a claim back: %w", err)
+		}
+	}
+	for {
+		if owner, ok := c.Known(p.claim.Key); ok {
+			return owner, nil
+		}
+		if p.err == nil {
+			return Owner{}, fmt.Errorf("claim at offset %d is not in the folded log", p.offset)
+		}
+		select {
+		case <-time.After(poll):
+		case <-ctx.Done():
+			return Owner{}, fmt.Errorf("settling a claim whose append has no reply: %w", errors.Join(ctx.Err(), p.err))
+		}
+	}
+}
+
+func (c *LogClaimer) enqueue(p *pendingClaim) {
+	c.mu.Lock()
+	c.waiting = append(c.waiting, p)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// withdraw takes p out of the queue and reports whether it was still in it.
+func (c *LogClaimer) withdraw(p *pendingClaim) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, q := range c.waiting {
+		if q == p {
+			c.waiting = append(c.waiting[:i], c.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Run appends claims until ctx ends. Claims that arrive during one append go into
+// the next one together.
+func (c *LogClaimer) Run(ctx context.Context) error {
+	for {
+		batch := c.take()
+		if len(batch) == 0 {
+			select {
+			case <-c.wake:
+				continue
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		c.append(ctx, batch)
+	}
+}
+
+func (c *LogClaimer) take() []*pendingClaim {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := min(len(c.waiting), maxBatch)
+	batch := c.waiting[:n:n]
+	c.waiting = append([]*pendingClaim(nil), c.waiting[n:]...)
+	return batch
+}
+
+func (c *LogClaimer) append(ctx context.Context, batch []*pendingClaim) {
+	claims := make([]fold.Claim, len(batch))
+	for i, p := range batch {
+		claims[i] = p.claim
+	}
+	data, err := fold.EncodeClaims(claims)
+	var offset uint64
+	if err == nil {
+		appendCtx, stop := context.WithTimeout(ctx, appendTimeout)
+		offset, err = c.log.Append(appendCtx, data)
+		stop()
+		claimAppends.Inc()
+		claimsTotal.Add(len(batch))
+	}
+	for _, p := range batch {
+		p.offset = offset
+		p.err = err
+		close(p.appended)
+	}
+}
--- /dev/null
+++ b/internal/idempotency/do.go
@@ -0,0 +1,236 @@
+package idempotency
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"sequoiafork/internal/ident"
+	"sequoiafork/internal/outcome"
+)
+
+// settleRetry is when a caller may ask again for a request that is in progress.
+const settleRetry = time.Second
+
+// Do returns the outcome of the request with req.Key: it runs the request, joins
+// a run in progress, returns the kept outcome of an earlier one, or passes it on
+// to the owner of the key.
+func (r *Registry) Do(ctx context.Context, req Request) outcome.Outcome {
+	issued := ident.IsIssued(req.Key)
+	if issued {
+		key, err := ident.ParseIssued(req.Key)
+		if err != nil {
+			return outcome.NotRun{
+				RequestID: req.ID,
+				Code:      outcome.CodeBadRequest,
+				Field:     "Idempotency-Key",
+				Message:   err.Error(),
+			}
+		}
+		if key.Owner != r.cfg.Self {
+			return req.Forward(ctx, key.Owner)
+		}
+		if age := time.Since(key.Issued); age > r.cfg.IssuedValid {
+			return expired(req.ID, "the key was issued "+age.Round(time.Second).String()+" ago and is valid for "+r.cfg.IssuedValid.String())
+		}
+	} else if age, ok := ident.UUIDAge(req.Key, time.Now()); ok && age > r.cfg.Window {
+		return expired(req.ID, "the key was made "+age.Round(time.Second).String()+" ago and keys are remembered for "+r.cfg.Window.String())
+	}
+	return r.do(ctx, req, issued)
+}
+
+func (r *Registry) do(ctx context.Context, req Request, issued bool) outcome.Outcome {
+	key := KeyOf(req.Workspace, req.Key)
+	s := r.shard(key)
+	for {
+		e, lead, claimed := s.begin(key, req.Body)
+		if e.body != req.Body {
+			return mismatch(req.ID)
+		}
+		if lead {
+			return r.lead(ctx, s, e, req, issued, claimed)
+		}
+		o := r.join(ctx, s, e, req.ID)
+		if outcome.CodeOf(o) != outcome.CodeCallerGone {
+			return o
+		}
+		if ctx.Err() != nil {
+			return o
+		}
+		if _, settled := r.settledResult(s, e); settled {
+			return o
+		}
+	}
+}
+
+// join waits for the run in progress or returns the settled outcome.
+func (r *Registry) join(ctx context.Context, s *shard, e *entry, id string) outcome.Outcome {
+	select {
+	case <-e.done:
+	case <-ctx.Done():
+		return outcome.Unknown{
+			RequestID:  id,
+			Code:       outcome.CodeKeyRunning,
+			Message:    "a request with this key is running: ask again with the same key",
+			RetryAfter: settleRetry,
+		}
+	}
+	s.mu.Lock()
+	o := e.result
+	s.mu.Unlock()
+	if o == nil {
+		return outcome.Unknown{
+			RequestID: id,
+			Code:      outcome.CodeResultExpired,
+			Message:   "a request with this key has run and its outcome is no longer kept",
+		}
+	}
+	return o
+}
+
+func (r *Registry) settledResult(s *shard, e *entry) (outcome.Outcome, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return e.result, e.state == stateSettled
+}
+
+// lead runs the request of a key that has no run here.
+func (r *Registry) lead(ctx context.Context, s *shard, e *entry, req Request, issued, claimed bool) outcome.Outcome {
+	if !claimed && req.Check != nil {
+		if refused := req.Check(); refused != nil {
+			s.drop(e, *refused)
+			return *refused
+		}
+	}
+	if req.Once && !issued {
+		if o, ok := r.claim(ctx, s, e, req, claimed); !ok {
+			return o
+		}
+	}
+	if req.Once {
+		// The run outlives its caller: the key's outcome has to be known.
+		return r.run(context.WithoutCancel(ctx), ctx, s, e, req)
+	}
+	return r.run(ctx, ctx, s, e, req)
+}
+
+// claim settles who owns the key. It returns true if this process does and has
+// never run it; otherwise the entry has been ended and the outcome is final for
+// this request.
+func (r *Registry) claim(ctx context.Context, s *shard, e *entry, req Request, claimed bool) (outcome.Outcome, bool) {
+	owner, known := r.cfg.Claims.Known(e.key)
+	if known && owner.Incarnation == r.cfg.Self && !claimed {
+		o := outcome.Unknown{
+			RequestID: req.ID,
+			Code:      outcome.CodeResultExpired,
+			Message:   "a request with this key has run and its outcome is no longer kept",
+		}
+		s.drop(e, o)
+		return o, false
+	}
+	if !known {
+		var err error
+		owner, err = r.cfg.Claims.Claim(ctx, e.key, e.body)
+		if err != nil {
+			return r.unclaimed(s, e, req, claimed, err), false
+		}
+	}
+	if owner.Body != req.Body {
+		o := mismatch(req.ID)
+		s.drop(e, o)
+		return o, false
+	}
+	if owner.Incarnation != r.cfg.Self {
+		o := req.Forward(ctx, owner.Incarnation)
+		s.drop(e, o)
+		return o, false
+	}
+	return nil, true
+}
+
+// unclaimed ends an entry whose claim was not read back.
+func (r *Registry) unclaimed(s *shard, e *entry, req Request, claimed bool, err error) outcome.Outcome {
+	var not *NotClaimedError
+	if errors.As(err, &not) && !claimed {
+		o := outcome.NotRun{
+			RequestID:  req.ID,
+			Code:       outcome.CodeLogUnavailable,
+			Message:    "the key can't be claimed now: send the request again with the same key",
+			RetryAfter: not.RetryAfter,
+		}
+		s.drop(e, o)
+		return o
+	}
+	o := outcome.Unknown{
+		RequestID:  req.ID,
+		Code:       outcome.CodeClaimUnsettled,
+		Message:    "the key's claim is not settled yet: ask again with the same key",
+		RetryAfter: settleRetry,
+	}
+	s.idle(e, o)
+	return o
+}
+
+// run runs the request under runCtx and returns its outcome, or Unknown when the
+// caller's context ends first.
+func (r *Registry) run(runCtx, callerCtx context.Context, s *shard, e *entry, req Request) outcome.Outcome {
+	type ended struct {
+		outcome outcome.Outcome
+		late    <-chan outcome.Outcome
+	}
+	ch := make(chan ended, 1)
+	go func() {
+		o, late := req.Run(runCtx)
+		ch <- ended{
+			outcome: o,
+			late:    late,
+		}
+		if late != nil {
+			o = <-late
+		}
+		r.finish(s, e, req, o)
+	}()
+	if runCtx == callerCtx {
+		// The run ends with the caller's context by itself.
+		return (<-ch).outcome
+	}
+	select {
+	case end := <-ch:
+		return end.outcome
+	case <-callerCtx.Done():
+		return outcome.Unknown{
+			RequestID:  req.ID,
+			Code:       outcome.CodeCallerGone,
+			Message:    "the request goes on: ask again with the same key",
+			RetryAfter: settleRetry,
+		}
+	}
+}
+
+// finish ends the entry after its run. The outcome of a request that may not be
+// repeated stays, so that the key never runs again; of any other only an answer.
+func (r *Registry) finish(s *shard, e *entry, req Request, o outcome.Outcome) {
+	_, answered := o.(outcome.Answered)
+	if req.Once || answered {
+		s.settle(e, o, r.cfg.Window, r.cfg.MaxResultBytes/shardCount)
+		return
+	}
+	s.drop(e, o)
+}
+
+func mismatch(id string) outcome.NotRun {
+	return outcome.NotRun{
+		RequestID: id,
+		Code:      outcome.CodeKeyBodyMismatch,
+		Field:     "Idempotency-Key",
+		Message:   "the key was used for a request with another route or input: use a new key",
+	}
+}
+
+func expired(id, why string) outcome.Unknown {
+	return outcome.Unknown{
+		RequestID: id,
+		Code:      outcome.CodeKeyExpired,
+		Message:   why + ": it may have run, check before using a new key",
+	}
+}
--- /dev/null
+++ b/internal/idempotency/query.go
@@ -0,0 +1,78 @@
+package idempotency
+
+import (
+	"time"
+
+	"sequoiafork/internal/ident"
+	"sequoiafork/internal/outcome"
+)
+
+// Status is what this process knows of a key.
+type Status struct {
+	// Owner is the incarnation that may run the key, if one is known.
+	Owner   string
+	Running bool
+	// Outcome is the settled outcome, or nil.
+	Outcome outcome.Outcome
+	// Expired says that the key has run and its outcome is no longer kept.
+	Expired bool
+}
+
+// Status returns what is known of key, running nothing.
+func (r *Registry) Status(workspace, key string) Status {
+	st := Status{
+		Owner: r.owner(workspace, key),
+	}
+	hash := KeyOf(workspace, key)
+	s := r.shard(hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[hash]
+	if !ok {
+		return st
+	}
+	st.Running = e.state == stateRunning
+	if e.state == stateSettled {
+		st.Outcome = e.result
+		st.Expired = e.result == nil
+	}
+	return st
+}
+
+func (r *Registry) owner(workspace, key string) string {
+	if ident.IsIssued(key) {
+		issued, err := ident.ParseIssued(key)
+		if err != nil {
+			return ""
+		}
+		return issued.Owner
+	}
+	owner, _ := r.cfg.Claims.Known(KeyOf(workspace, key))
+	return owner.Incarnation
+}
+
+// Counts is the size of a registry.
+type Counts struct {
+	Keys        int `json:"keys"`
+	Running     int `json:"running"`
+	ResultBytes int `json:"result_bytes"`
+}
+
+// Counts returns the size of r.
+func (r *Registry) Counts() Counts {
+	var c Counts
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		c.Keys += len(s.entries)
+		c.Running += len(s.entries) - s.settled.Len()
+		c.ResultBytes += s.bytes
+		s.mu.Unlock()
+	}
+	return c
+}
+
+// Window returns how long keys are remembered.
+func (r *Registry) Window() time.Duration {
+	return r.cfg.Window
+}
--- /dev/null
+++ b/internal/idempotency/registry.go
@@ -0,0 +1,247 @@
+// Package idempotency runs the request of each key at most once. A key belongs
+// to one process incarnation for ever: a system-issued key names it, and a key
+// that a caller chose is claimed for it on the log. Every other process passes
+// the request on to the owner.
+package idempotency
+
+import (
+	"container/list"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/ident"
+	"sequoiafork/internal/outcome"
+)
+
+// Defaults of Config.
+const (
+	DefaultWindow         = 24 * time.Hour
+	DefaultIssuedValid    = time.Hour
+	DefaultMaxResultBytes = 16 << 20
+
+	shardCount = 16
+)
+
+// Key is the hash of a workspace and a key, and Body that of the request.
+type (
+	Key  [sha256.Size]byte
+	Body [sha256.Size]byte
+)
+
+// KeyOf returns the hash of key in workspace.
+func KeyOf(workspace, key string) Key {
+	return Key(hashStrings(workspace, key))
+}
+
+// BodyOf returns the hash of what a request asks for.
+func BodyOf(route, workspace, input string) Body {
+	return Body(hashStrings(route, workspace, input))
+}
+
+func hashStrings(parts ...string) []byte {
+	h := sha256.New()
+	for _, p := range parts {
+		var n [8]byte
+		binary.LittleEndian.PutUint64(n[:], uint64(len(p)))
+		h.Write(n[:])
+		h.Write([]byte(p))
+	}
+	return h.Sum(nil)
+}
+
+// Config configures a Registry. Zero fields mean the defaults.
+type Config struct {
+	// Self is this process's incarnation.
+	Self   string
+	Claims Claimer
+	// Window is how long a key is remembered.
+	Window time.Duration
+	// IssuedValid is how long a system-issued key may be used.
+	IssuedValid time.Duration
+	// MaxResultBytes bounds the answers kept for repeated requests.
+	MaxResultBytes int
+}
+
+// Claimer settles who owns a key that a caller chose.
+type Claimer interface {
+	// Known returns the owner of a key that has been claimed.
+	Known(key Key) (Owner, bool)
+	// Claim claims key for this process and returns who owns it. The error is a
+	// *NotClaimedError when no claim was appended; with any other error one may
+	// have been.
+	Claim(ctx context.Context, key Key, body Body) (Owner, error)
+}
+
+// Owner is the incarnation that may run a key's request, and the request's hash.
+type Owner struct {
+	Incarnation string
+	Body        Body
+}
+
+// Request is one request with a key.
+type Request struct {
+	ID        string
+	Workspace string
+	Key       string
+	Body      Body
+	// Once says that the request has a stage that may not be repeated.
+	Once bool
+	// Check refuses a request before anything of it is run. It may be nil.
+	Check func() *outcome.NotRun
+	// Run runs the request. See pipeline.Executor.Run.
+	Run func(ctx context.Context) (outcome.Outcome, <-chan outcome.Outcome)
+	// Forward passes the request on to the process that owns its key.
+	Forward func(ctx context.Context, owner string) outcome.Outcome
+}
+
+// Registry holds the keys that this process has run. It is safe for concurrent use.
+type Registry struct {
+	cfg    Config
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu      sync.Mutex
+	entries map[Key]*entry
+	settled *list.List // of *entry, the most recently settled first
+	bytes   int
+}
+
+// entry is one key. Its fields are guarded by the shard's lock, and result may
+// also be read once done is closed.
+type entry struct {
+	key      Key
+	body     Body
+	state    state
+	done     chan struct{}
+	result   outcome.Outcome
+	settled  time.Time
+	position *list.Element
+}
+
+type state int
+
+const (
+	// stateRunning means that a request with the key is in progress here.
+	stateRunning state = iota
+	// stateIdle means that a claim may have been appended and nothing was run.
+	stateIdle
+	// stateSettled means that result is final. A nil result is one no longer kept.
+	stateSettled
+)
+
+// New returns a registry.
+func New(cfg Config) *Registry {
+	if cfg.Window == 0 {
+		cfg.Window = DefaultWindow
+	}
+	if cfg.IssuedValid == 0 {
+		cfg.IssuedValid = DefaultIssuedValid
+	}
+	if cfg.MaxResultBytes == 0 {
+		cfg.MaxResultBytes = DefaultMaxResultBytes
+	}
+	r := &Registry{
+		cfg: cfg,
+	}
+	for i := range r.shards {
+		r.shards[i].entries = make(map[Key]*entry)
+		r.shards[i].settled = list.New()
+	}
+	return r
+}
+
+// Issue returns a new key that this process owns, and how long it may be used.
+func (r *Registry) Issue() (key string, valid time.Duration) {
+	return ident.Issue(r.cfg.Self, time.Now()).String(), r.cfg.IssuedValid
+}
+
+func (r *Registry) shard(key Key) *shard {
+	return &r.shards[key[0]%shardCount]
+}
+
+// begin returns the key's entry. lead says that the caller must run the request
+// and end the entry; claimed that a claim of this process may already stand.
+func (s *shard) begin(key Key, body Body) (e *entry, lead, claimed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	if ok && e.state != stateIdle {
+		return e, false, false
+	}
+	if ok && e.body != body {
+		return e, false, true
+	}
+	if !ok {
+		e = &entry{
+			key:  key,
+			body: body,
+		}
+		s.entries[key] = e
+	}
+	e.state = stateRunning
+	e.done = make(chan struct{})
+	e.result = nil
+	return e, true, ok
+}
+
+// drop ends a run that left nothing behind: the key may be used again.
+func (s *shard) drop(e *entry, o outcome.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.result = o
+	delete(s.entries, e.key)
+	close(e.done)
+}
+
+// idle ends a run that may have left a claim and has run nothing.
+func (s *shard) idle(e *entry, o outcome.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.result = o
+	e.state = stateIdle
+	close(e.done)
+}
+
+// settle ends a run with its final outcome.
+func (s *shard) settle(e *entry, o outcome.Outcome, window time.Duration, maxBytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.result = o
+	e.state = stateSettled
+	e.settled = time.Now()
+	e.position = s.settled.PushFront(e)
+	s.bytes += size(o)
+	close(e.done)
+	s.evict(window, maxBytes)
+}
+
+// evict forgets keys past the window and gives up the oldest answers past the
+// memory limit. It reads entries from the oldest on.
+func (s *shard) evict(window time.Duration, maxBytes int) {
+	for el := s.settled.Back(); el != nil; el = s.settled.Back() {
+		e := el.Value.(*entry)
+		if time.Since(e.settled) < window {
+			break
+		}
+		s.bytes -= size(e.result)
+		s.settled.Remove(el)
+		delete(s.entries, e.key)
+	}
+	for el := s.settled.Back(); el != nil && s.bytes > maxBytes; el = el.Prev() {
+		e := el.Value.(*entry)
+		s.bytes -= size(e.result)
+		e.result = nil
+	}
+}
+
+// size returns the bytes that keeping o costs beyond its entry.
+func size(o outcome.Outcome) int {
+	if a, ok := o.(outcome.Answered); ok {
+		return len(a.Output)
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/ident/ident.go
@@ -0,0 +1,133 @@
+// Package ident makes and reads the identifiers of process incarnations,
+// requests, attempts and system-issued idempotency keys.
+package ident
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const (
+	issuedPrefix   = "sk1."
+	issuedParts    = 4
+	randomIDBytes  = 8
+	base10         = 10
+	int64Bits      = 64
+	incarnationSep = "/"
+)
+
+// NewIncarnation returns the identifier of a process that listens for its peers
+// on peerAddr. No two processes share one, also after a restart.
+func NewIncarnation(peerAddr string) string {
+	return peerAddr + incarnationSep + randomHex()
+}
+
+// PeerAddr returns the peer address inside an incarnation, or "" if it has none.
+func PeerAddr(incarnation string) string {
+	addr, _, ok := strings.Cut(incarnation, incarnationSep)
+	if !ok {
+		return ""
+	}
+	return addr
+}
+
+// NewRequest returns a new request identifier.
+func NewRequest() string {
+	return "r-" + uuid.Must(uuid.NewV7()).String()
+}
+
+// Attempt returns the identifier of one attempt at one stage of a request.
+func Attempt(request string, stage, attempt int) string {
+	return request + "." + strconv.Itoa(stage) + "." + strconv.Itoa(attempt)
+}
+
+// IssuedKey is a system-issued idempotency key: only the process incarnation
+// Owner may run the request that carries it.
+type IssuedKey struct {
+	Owner  string
+	Issued time.Time
+	nonce  string
+}
+
+// KeyError reports a key that has the prefix of a system-issued one and is not
+// well formed.
+type KeyError struct {
+	Key string
+}
+
+// Error implements error.
+func (e *KeyError) Error() string {
+	return fmt.Sprintf("idempotency key %q is not one that was issued: use the key as it was received, or one that does not start with %q", e.Key, issuedPrefix)
+}
+
+// Issue returns a new key that belongs to the incarnation owner.
+func Issue(owner string, now time.Time) IssuedKey {
+	return IssuedKey{
+		Owner:  owner,
+		Issued: now,
+		nonce:  randomHex(),
+	}
+}
+
+// String returns the form of k that callers carry.
+func (k IssuedKey) String() string {
+	owner := base64.RawURLEncoding.EncodeToString([]byte(k.Owner))
+	return issuedPrefix + owner + "." + strconv.FormatInt(k.Issued.UnixMilli(), base10) + "." + k.nonce
+}
+
+// IsIssued reports whether key has the form of a system-issued key.
+func IsIssued(key string) bool {
+	return strings.HasPrefix(key, issuedPrefix)
+}
+
+// ParseIssued reads a system-issued key. The error is a *KeyError.
+func ParseIssued(key string) (IssuedKey, error) {
+	parts := strings.Split(key, ".")
+	if len(parts) != issuedParts || parts[0]+"." != issuedPrefix || parts[3] == "" {
+		return IssuedKey{}, &KeyError{
+			Key: key,
+		}
+	}
+	owner, err := base64.RawURLEncoding.DecodeString(parts[1])
+	if err != nil {
+		return IssuedKey{}, &KeyError{
+			Key: key,
+		}
+	}
+	millis, err := strconv.ParseInt(parts[2], base10, int64Bits)
+	if err != nil {
+		return IssuedKey{}, &KeyError{
+			Key: key,
+		}
+	}
+	return IssuedKey{
+		Owner:  string(owner),
+		Issued: time.UnixMilli(millis),
+		nonce:  parts[3],
+	}, nil
+}
+
+func randomHex() string {
+	var b [randomIDBytes]byte
+	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
+	return hex.EncodeToString(b[:])
+}
+
+// UUIDAge returns how long before now a key was made, if the key is a UUID that
+// tells its time (version 7).
+func UUIDAge(key string, now time.Time) (time.Duration, bool) {
+	const timeOrdered = 7
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != timeOrdered {
+		return 0, false
+	}
+	sec, nsec := id.Time().UnixTime()
+	return now.Sub(time.Unix(sec, nsec)), true
+}
--- /dev/null
+++ b/internal/invoke/invoke.go
@@ -0,0 +1,212 @@
+// Package invoke calls encoders, retrievers, rerankers and plain services over
+// the interface in api/upstream.yaml.
+package invoke
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/upstream"
+	"sequoiafork/internal/wire/upstreamapi"
+)
+
+// Defaults of Config.
+const (
+	DefaultDialTimeout  = 500 * time.Millisecond
+	DefaultIdlePerHost  = 256
+	DefaultMaxReplySize = 16 << 20
+	idleTimeout         = 90 * time.Second
+)
+
+// Config configures a Client. Zero fields mean the defaults.
+type Config struct {
+	DialTimeout  time.Duration
+	IdlePerHost  int
+	MaxReplySize int64
+}
+
+// Client calls upstreams. It is safe for concurrent use.
+type Client struct {
+	repeatable    *upstreamapi.Client
+	notRepeatable *upstreamapi.Client
+}
+
+// New returns a client.
+func New(cfg Config) (*Client, error) {
+	repeatable, err := newAPI(cfg, false)
+	if err != nil {
+		return nil, err
+	}
+	notRepeatable, err := newAPI(cfg, true)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{
+		repeatable:    repeatable,
+		notRepeatable: notRepeatable,
+	}, nil
+}
+
+// newAPI returns a generated client. With fresh each call has a connection of its
+// own, so that a call which may not be repeated never meets one that the upstream
+// has just closed.
+func newAPI(cfg Config, fresh bool) (*upstreamapi.Client, error) {
+	api, err := upstreamapi.NewClient("http://invalid", upstreamapi.WithClient(&http.Client{
+		Transport: NewTransport(cfg, fresh),
+	}))
+	if err != nil {
+		return nil, fmt.Errorf("making the upstream client: %w", err)
+	}
+	return api, nil
+}
+
+// NewTransport returns a transport that uses no proxy and, with fresh, no
+// connection twice.
+func NewTransport(cfg Config, fresh bool) *http.Transport {
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = DefaultDialTimeout
+	}
+	if cfg.IdlePerHost == 0 {
+		cfg.IdlePerHost = DefaultIdlePerHost
+	}
+	dialer := &net.Dialer{
+		Timeout: cfg.DialTimeout,
+	}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		DisableKeepAlives:   fresh,
+		MaxIdleConnsPerHost: cfg.IdlePerHost,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// Invoke runs one attempt. The reply is returned only when it carries the id of
+// this attempt and its stated length.
+func (c *Client) Invoke(ctx context.Context, call pipeline.Call) (pipeline.Reply, error) {
+	api := c.repeatable
+	if call.Stage.NotRepeatable {
+		api = c.notRepeatable
+	}
+	ctx, sent := Trace(ctx)
+	res, err := api.Invoke(ctx, request(call), upstreamapi.WithServerURL(BaseURL(call.Addr)))
+	if err != nil {
+		return pipeline.Reply{}, Classify(call.Addr, err, sent.Load())
+	}
+	if err := check(call, res); err != nil {
+		return pipeline.Reply{}, &pipeline.CallError{
+			Addr:  call.Addr,
+			Reach: pipeline.MayHaveRun,
+			Err:   err,
+		}
+	}
+	return pipeline.Reply{
+		Output: res.Output,
+		Load:   Load(res.Load),
+	}, nil
+}
+
+func request(call pipeline.Call) *upstreamapi.Invocation {
+	return &upstreamapi.Invocation{
+		AttemptID:   call.AttemptID,
+		RequestID:   call.RequestID,
+		Workspace:   upstreamapi.NewOptString(call.Workspace),
+		Stage:       call.Stage.Name,
+		Input:       call.Input,
+		Repeatable:  upstreamapi.NewOptBool(!call.Stage.NotRepeatable),
+		RemainingMs: upstreamapi.NewOptInt64(call.Remaining.Milliseconds()),
+	}
+}
+
+// MismatchError is an answer that belongs to another attempt, or is not whole.
+type MismatchError struct {
+	Field     string
+	Got, Want string
+}
+
+// Error implements error.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("answer has %s %q, want %q", e.Field, e.Got, e.Want)
+}
+
+func check(call pipeline.Call, res *upstreamapi.InvocationResult) error {
+	if res.AttemptID != call.AttemptID {
+		return &MismatchError{
+			Field: "attempt_id",
+			Got:   res.AttemptID,
+			Want:  call.AttemptID,
+		}
+	}
+	if res.OutputBytes != len(res.Output) {
+		return &MismatchError{
+			Field: "output_bytes",
+			Got:   fmt.Sprint(res.OutputBytes),
+			Want:  fmt.Sprint(len(res.Output)),
+		}
+	}
+	return nil
+}
+
+// BaseURL returns the URL of the upstream at addr.
+func BaseURL(addr string) *url.URL {
+	return &url.URL{
+		Scheme: "http",
+		Host:   addr,
+	}
+}
+
+// Trace returns a context for one call and a flag that is set once bytes of the
+// call may leave this process.
+func Trace(ctx context.Context) (context.Context, *atomic.Bool) {
+	var sent atomic.Bool
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}), &sent
+}
+
+// Load converts a load report.
+func Load(l upstreamapi.Load) *upstream.Load {
+	return &upstream.Load{
+		InFlight: l.InFlight,
+		Queued:   l.Queued,
+		Capacity: l.Capacity,
+		Age:      time.Duration(l.AgeMs) * time.Millisecond,
+	}
+}
+
+// Classify turns an error of a generated client into a *pipeline.CallError.
+func Classify(addr string, err error, sent bool) *pipeline.CallError {
+	e := &pipeline.CallError{
+		Addr:  addr,
+		Reach: pipeline.MayHaveRun,
+		Err:   err,
+	}
+	var timeout interface{ Timeout() bool }
+	e.TimedOut = errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &timeout) && timeout.Timeout())
+	var status *upstreamapi.ErrorStatusCode
+	switch {
+	case errors.As(err, &status):
+		e.Reach = reach(status.Response)
+	case !sent:
+		e.Reach = pipeline.NotSent
+	}
+	return e
+}
+
+func reach(e upstreamapi.Error) pipeline.Reach {
+	switch {
+	case e.Ran.Or(false) || e.Code == "failed":
+		return pipeline.RanAndFailed
+	case e.Code == "leaving":
+		return pipeline.RefusedLeaving
+	}
+	return pipeline.Refused
+}
--- /dev/null
+++ b/internal/pipeline/execution.go
@@ -0,0 +1,208 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sequoiafork/internal/admission"
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/upstream"
+)
+
+// execution is one run of one request.
+type execution struct {
+	executor *Executor
+	req      Request
+	cancel   context.CancelFunc
+
+	// executed counts attempts that an upstream may have acted on.
+	executed   atomic.Int64
+	attempts   atomic.Int64
+	callerGone atomic.Bool
+	reports    []outcome.StageReport
+
+	mu    sync.Mutex
+	phase phase
+}
+
+// phase decides the race between the deadline and the first call that may not be
+// repeated.
+type phase int
+
+const (
+	phaseOpen phase = iota
+	phaseCommitted
+	phaseAbandoned
+)
+
+// commit allows calls that may not be repeated. It fails once the request has
+// been given up, also if this process stood still past the deadline.
+func (x *execution) commit() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.phase == phaseCommitted {
+		return true
+	}
+	if x.phase == phaseAbandoned || !time.Now().Before(x.req.Deadline) {
+		x.phase = phaseAbandoned
+		return false
+	}
+	x.phase = phaseCommitted
+	time.AfterFunc(time.Until(x.req.Deadline)+x.executor.cfg.LateLimit, x.cancel)
+	return true
+}
+
+// abandon gives the request up. It fails once a call that may not be repeated
+// may have been sent.
+func (x *execution) abandon() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.phase == phaseCommitted {
+		return false
+	}
+	x.phase = phaseAbandoned
+	return true
+}
+
+func (x *execution) run(ctx context.Context) outcome.Outcome {
+	input := x.req.Input
+	for i, st := range x.req.Route.Stages {
+		pool, ok := x.req.Tables.Pool(st.Pool)
+		if !ok {
+			return x.stopped(st, outcome.CodeNoUpstream, fmt.Sprintf("pool %s does not exist", st.Pool), 0)
+		}
+		output, err := x.stage(ctx, i, st, &pool.Value, input)
+		if err != nil {
+			return x.explain(ctx, st, err)
+		}
+		input = output
+	}
+	return outcome.Answered{
+		RequestID: x.req.ID,
+		Output:    input,
+		Stages:    x.reports,
+	}
+}
+
+// stage returns the output of one stage, from an earlier request where the stage
+// allows that.
+func (x *execution) stage(ctx context.Context, index int, st table.Stage, pool *table.Pool, input string) (string, error) {
+	began := time.Now()
+	report := outcome.StageReport{
+		Stage: st.Name,
+	}
+	run := func() (string, error) { return x.runStage(ctx, index, st, pool, input, &report) }
+	var output string
+	var err error
+	if st.Reusable && !st.NotRepeatable {
+		output, report.Reused, err = x.executor.reuse.do(ctx, reuseKeyOf(x.req.Workspace, st, input), run)
+	} else {
+		output, err = run()
+	}
+	if err != nil {
+		return "", err
+	}
+	report.Duration = time.Since(began)
+	x.reports = append(x.reports, report)
+	observeStage(st.Pool, report.Reused)
+	return output, nil
+}
+
+func (x *execution) runStage(ctx context.Context, index int, st table.Stage, pool *table.Pool, input string, report *outcome.StageReport) (string, error) {
+	rest := x.executor.cfg.Times.Need(stageKeys(x.req.Route.Stages[index+1:]))
+	slot, err := x.executor.cfg.Admission.Acquire(ctx, admission.Request{
+		Pool:      pool,
+		Slots:     x.executor.slots(pool),
+		Workspace: x.req.Workspace,
+		Deadline:  x.req.Deadline.Add(-rest),
+	})
+	if err != nil {
+		return "", err
+	}
+	defer slot.Release()
+	if st.NotRepeatable && !x.commit() {
+		return "", context.DeadlineExceeded
+	}
+	run := &stageRun{
+		execution: x,
+		index:     index,
+		stage:     st,
+		pool:      pool,
+		input:     input,
+		rest:      rest,
+	}
+	if x.req.OnToken != nil && pool.Kind == table.Engine && index == len(x.req.Route.Stages)-1 {
+		run.splicer = &splicer{
+			emit: x.req.OnToken,
+		}
+	}
+	reply, err := run.do(ctx)
+	report.Upstream = run.winner
+	report.Attempts = run.attempts
+	return reply.Output, err
+}
+
+// explain turns the error that ended a stage into an outcome.
+func (x *execution) explain(ctx context.Context, st table.Stage, err error) outcome.Outcome {
+	var refused *admission.RefusedError
+	var none *upstream.NoneError
+	var call *CallError
+	var diverged *DivergedError
+	switch {
+	case errors.As(err, &refused):
+		return x.stopped(st, outcome.CodeOverloaded, refused.Message, refused.RetryAfter)
+	case errors.As(err, &diverged):
+		return x.stopped(st, outcome.CodeStreamDiverged, diverged.Error(), 0)
+	case st.NotRepeatable && errors.As(err, &call) && call.Reach == MayHaveRun:
+		return outcome.Unknown{
+			RequestID: x.req.ID,
+			Code:      outcome.CodeUpstreamBroken,
+			Message:   "the call may have run: " + call.Error(),
+			Stage:     st.Name,
+		}
+	case ctx.Err() != nil && x.callerGone.Load():
+		return x.stopped(st, outcome.CodeCallerGone, "the caller went away", 0)
+	case ctx.Err() != nil, errors.Is(err, context.DeadlineExceeded):
+		return x.stopped(st, outcome.CodeDeadline, "the deadline passed", time.Second)
+	case errors.As(err, &none):
+		return x.stopped(st, outcome.CodeNoUpstream, none.Error(), time.Second)
+	case errors.As(err, &call) && call.Reach < MayHaveRun:
+		return x.stopped(st, outcome.CodeNoUpstream, call.Error(), time.Second)
+	case errors.As(err, &call) && call.Reach == RanAndFailed:
+		return x.stopped(st, outcome.CodeUpstreamFailed, call.Error(), 0)
+	}
+	return x.stopped(st, outcome.CodeUpstreamBroken, err.Error(), time.Second)
+}
+
+// stopped is the one place where a request that had been started becomes NotRun.
+// It does so only if no attempt may have been acted on.
+func (x *execution) stopped(st table.Stage, code outcome.Code, message string, retryAfter time.Duration) outcome.Outcome {
+	if x.executed.Load() == 0 && x.abandonedOrUnsent() {
+		return outcome.NotRun{
+			RequestID:  x.req.ID,
+			Code:       code,
+			Message:    message,
+			RetryAfter: retryAfter,
+		}
+	}
+	return outcome.Failed{
+		RequestID:  x.req.ID,
+		Code:       code,
+		Message:    message,
+		Stage:      st.Name,
+		RetryAfter: retryAfter,
+	}
+}
+
+// abandonedOrUnsent closes the door on further calls before NotRun is said.
+func (x *execution) abandonedOrUnsent() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.phase = phaseAbandoned
+	return x.executed.Load() == 0
+}
--- /dev/null
+++ b/internal/pipeline/executor.go
@@ -0,0 +1,209 @@
+// Package pipeline runs a request through the stages of its route: it admits it,
+// chooses upstreams, retries and hedges within a budget, keeps to the deadline,
+// and says truthfully what became of the request. It does no I/O of its own.
+package pipeline
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/admission"
+	"sequoiafork/internal/budget"
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/stagetime"
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/upstream"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxAttempts   = 4
+	DefaultHedgeQuantile = 0.95
+	DefaultLateLimit     = 30 * time.Second
+	DefaultReuseEntries  = 4096
+	DefaultReuseFor      = 2 * time.Minute
+)
+
+// Config configures an Executor. Zero fields mean the defaults; Engines,
+// Services, Upstreams, Admission and Times are required.
+type Config struct {
+	// Engines calls the upstreams of engine pools, Services those of all others.
+	Engines  Invoker
+	Services Invoker
+
+	Upstreams *upstream.Set
+	Admission *admission.Controller
+	Times     *stagetime.Tracker
+	// Budget configures the retry and hedge budget of each pool.
+	Budget budget.Config
+	// Daemons returns how many daemons share the pools. Nil means one.
+	Daemons func() int
+
+	MaxAttempts   int
+	HedgeQuantile float64
+	// NoHedge switches hedging off.
+	NoHedge bool
+	// LateLimit is how long a call that may not be repeated may go on after its
+	// request's deadline.
+	LateLimit    time.Duration
+	ReuseEntries int
+	ReuseFor     time.Duration
+	Seed         uint64
+}
+
+// Executor runs requests. It is safe for concurrent use.
+type Executor struct {
+	cfg     Config
+	budgets sync.Map // pool name to *budget.Budget
+	reuse   *reuseCache
+
+	randMu sync.Mutex
+	rand   *rand.Rand
+}
+
+// New returns an executor.
+func New(cfg Config) *Executor {
+	if cfg.MaxAttempts == 0 {
+		cfg.MaxAttempts = DefaultMaxAttempts
+	}
+	if cfg.HedgeQuantile == 0 {
+		cfg.HedgeQuantile = DefaultHedgeQuantile
+	}
+	if cfg.LateLimit == 0 {
+		cfg.LateLimit = DefaultLateLimit
+	}
+	if cfg.ReuseEntries == 0 {
+		cfg.ReuseEntries = DefaultReuseEntries
+	}
+	if cfg.ReuseFor == 0 {
+		cfg.ReuseFor = DefaultReuseFor
+	}
+	if cfg.Daemons == nil {
+		cfg.Daemons = func() int { return 1 }
+	}
+	return &Executor{
+		cfg:   cfg,
+		reuse: newReuseCache(cfg.ReuseEntries, cfg.ReuseFor),
+		rand:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1)),
+	}
+}
+
+// Request is one request to run.
+type Request struct {
+	ID        string
+	Workspace string
+	Input     string
+	Route     table.Route
+	Tables    *table.Tables
+	Deadline  time.Time
+	// OnToken receives the tokens of the last stage if its pool is of engines.
+	OnToken func(index int, text string)
+}
+
+// Check reports, without running anything, whether req can be expected to finish
+// by its deadline. It returns nil if so.
+func (e *Executor) Check(req Request) *outcome.NotRun {
+	remaining := time.Until(req.Deadline)
+	if remaining <= 0 {
+		return &outcome.NotRun{
+			RequestID: req.ID,
+			Code:      outcome.CodeDeadlinePast,
+			Message:   "the deadline has passed: send a later one",
+			Field:     "deadline_ms",
+		}
+	}
+	need := e.cfg.Times.Need(stageKeys(req.Route.Stages))
+	if need <= remaining {
+		return nil
+	}
+	return &outcome.NotRun{
+		RequestID:  req.ID,
+		Code:       outcome.CodeDeadlineShort,
+		Message:    "the stages take " + need.Round(time.Millisecond).String() + " now: allow more time, or come back later",
+		Field:      "deadline_ms",
+		RetryAfter: need,
+	}
+}
+
+// Run runs req and returns its outcome by its deadline, or when ctx ends. If a
+// call that may not be repeated is still in flight then, the outcome is Unknown
+// and the channel delivers the final one; otherwise the channel is nil.
+func (e *Executor) Run(ctx context.Context, req Request) (outcome.Outcome, <-chan outcome.Outcome) {
+	if refused := e.Check(req); refused != nil {
+		return *refused, nil
+	}
+	waitCtx, stopWait := context.WithDeadline(ctx, req.Deadline)
+	defer stopWait()
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	x := &execution{
+		executor: e,
+		req:      req,
+		cancel:   cancel,
+	}
+	done := make(chan outcome.Outcome, 1)
+	go func() {
+		defer cancel()
+		done <- x.run(runCtx)
+	}()
+	select {
+	case o := <-done:
+		return o, nil
+	case <-waitCtx.Done():
+	}
+	x.callerGone.Store(ctx.Err() != nil)
+	if x.abandon() {
+		cancel()
+		return <-done, nil
+	}
+	return outcome.Unknown{
+		RequestID:  req.ID,
+		Code:       outcome.CodeDeadline,
+		Message:    "a call that may not be repeated is still running: ask for the key again",
+		RetryAfter: time.Second,
+	}, done
+}
+
+func (e *Executor) budget(pool string) *budget.Budget {
+	if b, ok := e.budgets.Load(pool); ok {
+		return b.(*budget.Budget)
+	}
+	b, _ := e.budgets.LoadOrStore(pool, budget.New(e.cfg.Budget))
+	return b.(*budget.Budget)
+}
+
+func (e *Executor) invoker(kind table.Kind) Invoker {
+	if kind == table.Engine {
+		return e.cfg.Engines
+	}
+	return e.cfg.Services
+}
+
+// slots returns this daemon's part of the pool's capacity. It is twice an equal
+// share, because callers are not spread equally over daemons.
+func (e *Executor) slots(pool *table.Pool) int {
+	const skewAllowance = 2
+	capacity := e.cfg.Upstreams.Capacity(pool)
+	daemons := max(e.cfg.Daemons(), 1)
+	if daemons <= skewAllowance {
+		return max(capacity, 1)
+	}
+	return max((skewAllowance*capacity+daemons-1)/daemons, 1)
+}
+
+func stageKeys(stages []table.Stage) []string {
+	keys := make([]string, len(stages))
+	for i, s := range stages {
+		keys[i] = timeKey(s)
+	}
+	return keys
+}
+
+// timeKey names the series of recent times that a stage belongs to.
+func timeKey(s table.Stage) string {
+	if s.Model == "" {
+		return s.Pool
+	}
+	return s.Pool + "/" + s.Model
+}
--- /dev/null
+++ b/internal/request/record.go
@@ -0,0 +1,71 @@
+package request
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/outcome"
+)
+
+var (
+	requestSeconds = metrics.GetOrCreateHistogram("sequoiafork_request_seconds")
+	counters       sync.Map // counterKey to *metrics.Counter
+)
+
+type counterKey struct {
+	route, outcome string
+	code           outcome.Code
+}
+
+func counter(route string, o outcome.Outcome) *metrics.Counter {
+	key := counterKey{
+		route:   route,
+		outcome: outcome.Name(o),
+		code:    outcome.CodeOf(o),
+	}
+	if key.code == outcome.CodeRouteUnknown {
+		key.route = "" // a caller's free text is no label
+	}
+	c, ok := counters.Load(key)
+	if !ok {
+		name := fmt.Sprintf("sequoiafork_requests_total{route=%q,outcome=%q,code=%q}", key.route, key.outcome, key.code)
+		c, _ = counters.LoadOrStore(key, metrics.GetOrCreateCounter(name))
+	}
+	return c.(*metrics.Counter)
+}
+
+// record counts o and logs it unless it is an answer.
+func (s *Service) record(r Request, o outcome.Outcome, took time.Duration) {
+	counter(r.Route, o).Inc()
+	requestSeconds.Update(took.Seconds())
+	if _, answered := o.(outcome.Answered); answered {
+		return
+	}
+	stage, message := detail(o)
+	s.cfg.Logger.Info("request not answered",
+		zap.String("request_id", r.ID),
+		zap.String("route", r.Route),
+		zap.String("workspace", r.Workspace),
+		zap.String("outcome", outcome.Name(o)),
+		zap.String("code", string(outcome.CodeOf(o))),
+		zap.String("stage", stage),
+		zap.String("cause", message),
+		zap.Bool("forwarded", r.Forwarded),
+		zap.Duration("took", took))
+}
+
+func detail(o outcome.Outcome) (stage, message string) {
+	switch o := o.(type) {
+	case outcome.NotRun:
+		return "", o.Message
+	case outcome.Failed:
+		return o.Stage, o.Message
+	case outcome.Unknown:
+		return o.Stage, o.Message
+	}
+	return "", ""
+}
--- /dev/null
+++ b/internal/request/service.go
@@ -0,0 +1,233 @@
+// Package request takes requests in: it checks them, finds their route, gives
+// those with a key to the idempotency registry and runs the others, and counts
+// and logs what became of them.
+package request
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/idempotency"
+	"sequoiafork/internal/ident"
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/table"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxInFlight = 4096
+	// refusedRetry is when to come back to a daemon that takes no work now.
+	refusedRetry = time.Second
+)
+
+// Config configures a Service. Executor, Registry, Tables and Forward are required.
+type Config struct {
+	Self     string
+	Executor *pipeline.Executor
+	Registry *idempotency.Registry
+	// Tables returns the tables in force, or nil while there are none.
+	Tables func() *table.Tables
+	// Forward passes a request on to the incarnation that owns its key.
+	Forward     func(ctx context.Context, owner string, r Request) outcome.Outcome
+	MaxInFlight int
+	Logger      *zap.Logger
+}
+
+// Request is one request as a caller or a peer sent it.
+type Request struct {
+	ID        string
+	Route     string
+	Workspace string
+	Input     string
+	// Key is the idempotency key, or "".
+	Key string
+	// Deadline is the caller's; zero means that of the route.
+	Deadline time.Time
+	// Forwarded says that a peer passed the request on because this process owns
+	// its key.
+	Forwarded bool
+	OnToken   func(index int, text string)
+}
+
+// Service runs requests. It is safe for concurrent use.
+type Service struct {
+	cfg      Config
+	inFlight atomic.Int64
+	// accepting turns false when a drain no longer takes new requests.
+	refusing   atomic.Bool
+	lastIssued atomic.Int64 // Unix milliseconds
+	issuedFor  atomic.Int64 // milliseconds that an issued key is valid
+}
+
+// New returns a service that takes requests.
+func New(cfg Config) *Service {
+	if cfg.MaxInFlight == 0 {
+		cfg.MaxInFlight = DefaultMaxInFlight
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	return &Service{
+		cfg: cfg,
+	}
+}
+
+// Serve runs r and returns its outcome.
+func (s *Service) Serve(ctx context.Context, r Request) outcome.Outcome {
+	began := time.Now()
+	if r.ID == "" {
+		r.ID = ident.NewRequest()
+	}
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	o := s.serve(ctx, r)
+	s.record(r, o, time.Since(began))
+	return o
+}
+
+func (s *Service) serve(ctx context.Context, r Request) outcome.Outcome {
+	tables := s.cfg.Tables()
+	if refused := s.refuse(r, tables); refused != nil {
+		return *refused
+	}
+	row, ok := tables.Route(r.Route)
+	if !ok {
+		return outcome.NotRun{
+			RequestID: r.ID,
+			Code:      outcome.CodeRouteUnknown,
+			Field:     "route",
+			Message:   fmt.Sprintf("route %q does not exist: ask the operator for its name", r.Route),
+		}
+	}
+	p := pipeline.Request{
+		ID:        r.ID,
+		Workspace: r.Workspace,
+		Input:     r.Input,
+		Route:     row.Value,
+		Tables:    tables,
+		Deadline:  deadline(r.Deadline, row.Value.Deadline),
+		OnToken:   r.OnToken,
+	}
+	if !time.Now().Before(p.Deadline) {
+		return *s.cfg.Executor.Check(p)
+	}
+	if r.Key == "" {
+		o, _ := s.cfg.Executor.Run(ctx, p)
+		return o
+	}
+	return s.serveKey(ctx, r, p)
+}
+
+func (s *Service) serveKey(ctx context.Context, r Request, p pipeline.Request) outcome.Outcome {
+	ctx, stop := context.WithDeadline(ctx, p.Deadline)
+	defer stop()
+	return s.cfg.Registry.Do(ctx, idempotency.Request{
+		ID:        r.ID,
+		Workspace: r.Workspace,
+		Key:       r.Key,
+		Body:      idempotency.BodyOf(r.Route, r.Workspace, r.Input),
+		Once:      once(p.Route),
+		Check:     func() *outcome.NotRun { return s.cfg.Executor.Check(p) },
+		Run: func(ctx context.Context) (outcome.Outcome, <-chan outcome.Outcome) {
+			return s.cfg.Executor.Run(ctx, p)
+		},
+		Forward: func(ctx context.Context, owner string) outcome.Outcome {
+			if r.Forwarded {
+				return ownerGone(r.ID)
+			}
+			return s.cfg.Forward(ctx, owner, r)
+		},
+	})
+}
+
+// refuse returns a refusal that depends on the state of the process only.
+func (s *Service) refuse(r Request, tables *table.Tables) *outcome.NotRun {
+	code, message := outcome.Code(""), ""
+	switch {
+	case r.Forwarded:
+		if tables != nil {
+			return nil
+		}
+		code, message = outcome.CodeNotReady, "this daemon has no tables yet"
+	case s.refusing.Load():
+		code, message = outcome.CodeDraining, "this daemon is stopping: use another address"
+	case tables == nil:
+		code, message = outcome.CodeNotReady, "this daemon has no tables yet: use another address"
+	case s.inFlight.Load() > int64(s.cfg.MaxInFlight):
+		code, message = outcome.CodeOverloaded, "this daemon has too many requests in flight"
+	default:
+		return nil
+	}
+	return &outcome.NotRun{
+		RequestID:  r.ID,
+		Code:       code,
+		Message:    message,
+		RetryAfter: refusedRetry,
+	}
+}
+
+// IssueKey returns a new key that this process owns, or a refusal.
+func (s *Service) IssueKey() (string, time.Duration, *outcome.NotRun) {
+	if refused := s.refuse(Request{}, s.cfg.Tables()); refused != nil {
+		return "", 0, refused
+	}
+	key, valid := s.cfg.Registry.Issue()
+	s.lastIssued.Store(time.Now().UnixMilli())
+	s.issuedFor.Store(valid.Milliseconds())
+	return key, valid, nil
+}
+
+// KeysValidUntil returns when the last key that was issued runs out, or the zero time.
+func (s *Service) KeysValidUntil() time.Time {
+	last := s.lastIssued.Load()
+	if last == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(last + s.issuedFor.Load())
+}
+
+// RefuseNew makes s refuse requests that it has not taken yet.
+func (s *Service) RefuseNew() {
+	s.refusing.Store(true)
+}
+
+// InFlight returns the number of requests in progress.
+func (s *Service) InFlight() int {
+	return int(s.inFlight.Load())
+}
+
+// Registry returns the registry of keys.
+func (s *Service) Registry() *idempotency.Registry {
+	return s.cfg.Registry
+}
+
+func ownerGone(id string) outcome.Outcome {
+	return outcome.Unknown{
+		RequestID: id,
+		Code:      outcome.CodeOwnerGone,
+		Message:   "the process that owned the key has ended: the request may have run",
+	}
+}
+
+func once(route table.Route) bool {
+	for _, st := range route.Stages {
+		if st.NotRepeatable {
+			return true
+		}
+	}
+	return false
+}
+
+// deadline returns the earlier of the caller's deadline and the route's.
+func deadline(asked time.Time, limit time.Duration) time.Time {
+	latest := time.Now().Add(limit)
+	if asked.IsZero() || asked.After(latest) {
+		return latest
+	}
+	return asked
+}
