Add the tables and the fold of the log

Cause: nothing turned the log's records into routes, pools, leases and claims.

Offset zero is never folded, as revision zero means that a row does not exist. Conclusion: thin version, rules without tests yet.

--- /dev/null
+++ b/internal/fold/claims.go
@@ -0,0 +1,114 @@
+package fold
+
+import "sync"
+
+const claimShards = 16
+
+// claimSet holds claims by key, in shards that each have a lock of their own.
+type claimSet struct {
+	shards [claimShards]claimShard
+	// order holds the keys by offset. The machine's lock guards it.
+	order []Key
+	// owners holds one copy of each owner's name. The machine's lock guards it.
+	owners map[string]string
+}
+
+type claimShard struct {
+	mu    sync.RWMutex
+	byKey map[Key]claimValue
+}
+
+type claimValue struct {
+	body   [32]byte
+	owner  string
+	offset uint64
+	timeMs int64
+}
+
+func (s *claimSet) shard(key *Key) *claimShard {
+	return &s.shards[key[0]%claimShards]
+}
+
+func (s *claimSet) get(key Key) (Claim, bool) {
+	sh := s.shard(&key)
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	v, ok := sh.byKey[key]
+	return Claim{
+		Key:    key,
+		Body:   v.body,
+		Owner:  v.owner,
+		Offset: v.offset,
+		TimeMs: v.timeMs,
+	}, ok
+}
+
+// add stores a claim unless the key has one.
+func (s *claimSet) add(c Claim) bool {
+	sh := s.shard(&c.Key)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if _, taken := sh.byKey[c.Key]; taken {
+		return false
+	}
+	if sh.byKey == nil {
+		sh.byKey = make(map[Key]claimValue)
+	}
+	sh.byKey[c.Key] = claimValue{
+		body:   c.Body,
+		owner:  s.intern(c.Owner),
+		offset: c.Offset,
+		timeMs: c.TimeMs,
+	}
+	s.order = append(s.order, c.Key)
+	return true
+}
+
+func (s *claimSet) intern(owner string) string {
+	if kept, ok := s.owners[owner]; ok {
+		return kept
+	}
+	if s.owners == nil {
+		s.owners = make(map[string]string)
+	}
+	s.owners[owner] = owner
+	return owner
+}
+
+// oldest returns the first claim in offset order.
+func (s *claimSet) oldest() (Claim, bool) {
+	if len(s.order) == 0 {
+		return Claim{}, false
+	}
+	return s.get(s.order[0])
+}
+
+func (s *claimSet) removeOldest() {
+	key := s.order[0]
+	s.order = s.order[1:]
+	sh := s.shard(&key)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	delete(sh.byKey, key)
+}
+
+func (s *claimSet) clear() {
+	s.order = nil
+	s.owners = nil
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.mu.Lock()
+		sh.byKey = nil
+		sh.mu.Unlock()
+	}
+}
+
+// all returns the claims in offset order.
+func (s *claimSet) all() []Claim {
+	claims := make([]Claim, 0, len(s.order))
+	for _, key := range s.order {
+		c, _ := s.get(key)
+		claims = append(claims, c)
+	}
+	return claims
+}
--- /dev/null
+++ b/internal/fold/convert.go
@@ -0,0 +1,211 @@
+package fold
+
+import (
+	"fmt"
+	"time"
+
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/wire/recordpb"
+)
+
+func routeToProto(r table.Route) *recordpb.Route {
+	stages := make([]*recordpb.Stage, 0, len(r.Stages))
+	for _, s := range r.Stages {
+		stages = append(stages, &recordpb.Stage{
+			Name:          s.Name,
+			Pool:          s.Pool,
+			NotRepeatable: s.NotRepeatable,
+			Reusable:      s.Reusable,
+			TimeoutMs:     s.Timeout.Milliseconds(),
+			Model:         s.Model,
+			MaxTokens:     int64(s.MaxTokens),
+		})
+	}
+	return &recordpb.Route{
+		Name:       r.Name,
+		Stages:     stages,
+		DeadlineMs: r.Deadline.Milliseconds(),
+	}
+}
+
+func routeFromProto(name string, r *recordpb.Route) table.Route {
+	stages := make([]table.Stage, 0, len(r.GetStages()))
+	for _, s := range r.GetStages() {
+		stages = append(stages, table.Stage{
+			Name:          s.GetName(),
+			Pool:          s.GetPool(),
+			NotRepeatable: s.GetNotRepeatable(),
+			Reusable:      s.GetReusable(),
+			Timeout:       milliseconds(s.GetTimeoutMs()),
+			Model:         s.GetModel(),
+			MaxTokens:     int(s.GetMaxTokens()),
+		})
+	}
+	return table.Route{
+		Name:     name,
+		Stages:   stages,
+		Deadline: milliseconds(r.GetDeadlineMs()),
+	}
+}
+
+func poolToProto(p table.Pool) *recordpb.Pool {
+	shares := make([]*recordpb.Share, 0, len(p.Shares))
+	for _, s := range p.Shares {
+		shares = append(shares, &recordpb.Share{
+			Workspace: s.Workspace,
+			Weight:    int64(s.Weight),
+		})
+	}
+	return &recordpb.Pool{
+		Name:          p.Name,
+		Kind:          recordpb.PoolKind(p.Kind),
+		Service:       p.Service,
+		Concurrency:   int64(p.Concurrency),
+		Shares:        shares,
+		Models:        p.Models,
+		ChecksFencing: p.ChecksFencing,
+	}
+}
+
+func poolFromProto(name string, p *recordpb.Pool) table.Pool {
+	var shares []table.Share
+	for _, s := range p.GetShares() {
+		shares = append(shares, table.Share{
+			Workspace: s.GetWorkspace(),
+			Weight:    int(s.GetWeight()),
+		})
+	}
+	return table.Pool{
+		Name:          name,
+		Kind:          table.Kind(p.GetKind()),
+		Service:       p.GetService(),
+		Concurrency:   int(p.GetConcurrency()),
+		Shares:        shares,
+		Models:        p.GetModels(),
+		ChecksFencing: p.GetChecksFencing(),
+	}
+}
+
+// maxMilliseconds keeps a duration within its type.
+const maxMilliseconds = int64(24 * time.Hour / time.Millisecond)
+
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(min(max(ms, -maxMilliseconds), maxMilliseconds)) * time.Millisecond
+}
+
+func editFromProto(e *recordpb.Edit) (table.Edit, error) {
+	edit := table.Edit{
+		ID:           e.GetEditId(),
+		Author:       e.GetAuthor(),
+		BaseRevision: e.GetBaseRevision(),
+	}
+	switch e.GetTable() {
+	case recordpb.Table_TABLE_ROUTES:
+		edit.Change = table.SetRoute{
+			Route: routeFromProto(e.GetName(), e.GetRoute()),
+		}
+		if e.GetDelete() {
+			edit.Change = table.DeleteRoute{
+				Name: e.GetName(),
+			}
+		}
+	case recordpb.Table_TABLE_POOLS:
+		edit.Change = table.SetPool{
+			Pool: poolFromProto(e.GetName(), e.GetPool()),
+		}
+		if e.GetDelete() {
+			edit.Change = table.DeletePool{
+				Name: e.GetName(),
+			}
+		}
+	default:
+		return table.Edit{}, fmt.Errorf("edit %q has unknown table %d", e.GetEditId(), e.GetTable())
+	}
+	return edit, nil
+}
+
+func outcomeToProto(o EditOutcome) *recordpb.EditOutcome {
+	return &recordpb.EditOutcome{
+		EditId:   o.ID,
+		Offset:   o.Offset,
+		Accepted: o.Accepted,
+		Conflict: o.Conflict,
+		Reason:   o.Reason,
+		Table:    tableOf(o.Pool),
+		Name:     o.Name,
+		TimeMs:   o.TimeMs,
+	}
+}
+
+func outcomeFromProto(o *recordpb.EditOutcome) EditOutcome {
+	return EditOutcome{
+		ID:       o.GetEditId(),
+		Offset:   o.GetOffset(),
+		Accepted: o.GetAccepted(),
+		Conflict: o.GetConflict(),
+		Reason:   o.GetReason(),
+		Name:     o.GetName(),
+		Pool:     o.GetTable() == recordpb.Table_TABLE_POOLS,
+		TimeMs:   o.GetTimeMs(),
+	}
+}
+
+func tableOf(pool bool) recordpb.Table {
+	if pool {
+		return recordpb.Table_TABLE_POOLS
+	}
+	return recordpb.Table_TABLE_ROUTES
+}
+
+func leaseToProto(l Lease) *recordpb.Lease {
+	return &recordpb.Lease{
+		Name:      l.Name,
+		Holder:    l.Holder,
+		Fencing:   l.Fencing,
+		ExpiresMs: l.Expires.UnixMilli(),
+	}
+}
+
+func leaseFromProto(l *recordpb.Lease) Lease {
+	return Lease{
+		Name:    l.GetName(),
+		Holder:  l.GetHolder(),
+		Fencing: l.GetFencing(),
+		Expires: time.UnixMilli(l.GetExpiresMs()),
+	}
+}
+
+func claimToProto(c *Claim) *recordpb.Claim {
+	return &recordpb.Claim{
+		Key:    c.Key[:],
+		Body:   c.Body[:],
+		Owner:  c.Owner,
+		TimeMs: c.TimeMs,
+		Offset: c.Offset,
+	}
+}
+
+func claimFromProto(c *recordpb.Claim) (Claim, bool) {
+	claim := Claim{
+		Owner:  c.GetOwner(),
+		TimeMs: c.GetTimeMs(),
+		Offset: c.GetOffset(),
+	}
+	valid := len(c.GetKey()) == len(claim.Key) && len(c.GetBody()) == len(claim.Body) && claim.Owner != ""
+	copy(claim.Key[:], c.GetKey())
+	copy(claim.Body[:], c.GetBody())
+	return claim, valid
+}
+
+func rowToProto[T any](row table.Row[T]) *recordpb.Row {
+	p := &recordpb.Row{
+		Revision: row.Revision,
+	}
+	switch v := any(row.Value).(type) {
+	case table.Route:
+		p.Table, p.Name, p.Route = recordpb.Table_TABLE_ROUTES, v.Name, routeToProto(v)
+	case table.Pool:
+		p.Table, p.Name, p.Pool = recordpb.Table_TABLE_POOLS, v.Name, poolToProto(v)
+	}
+	return p
+}
--- /dev/null
+++ b/internal/fold/edits.go
@@ -0,0 +1,31 @@
+package fold
+
+// editWindow remembers the outcomes of the latest edits.
+type editWindow struct {
+	byID  map[string]EditOutcome
+	order []string
+}
+
+func (w *editWindow) add(o EditOutcome) {
+	if w.byID == nil {
+		w.byID = make(map[string]EditOutcome)
+	}
+	w.byID[o.ID] = o
+	w.order = append(w.order, o.ID)
+}
+
+// expire removes outcomes past the limit or older than the given time, and returns
+// them.
+func (w *editWindow) expire(limit int, beforeMs int64) []EditOutcome {
+	var removed []EditOutcome
+	for len(w.order) > 0 {
+		oldest := w.byID[w.order[0]]
+		if len(w.order) <= limit && oldest.TimeMs >= beforeMs {
+			break
+		}
+		removed = append(removed, oldest)
+		delete(w.byID, oldest.ID)
+		w.order = w.order[1:]
+	}
+	return removed
+}
--- /dev/null
+++ b/internal/fold/lease.go
@@ -0,0 +1,48 @@
+package fold
+
+import (
+	"time"
+
+	"sequoiafork/internal/wire/recordpb"
+)
+
+// MaxLeaseTTL bounds how long one grant lasts.
+const MaxLeaseTTL = 10 * time.Minute
+
+// applyLease folds a grant. It takes effect if the lease is free or expired, or is
+// held by the same holder in the tenure that the grant renews.
+func (m *Machine) applyLease(offset uint64, p *recordpb.LeaseGrant) {
+	ttl := milliseconds(p.GetTtlMs())
+	if p.GetName() == "" || p.GetHolder() == "" || !p.GetRelease() && (ttl <= 0 || ttl > MaxLeaseTTL) {
+		m.counters.Undecodable++
+		return
+	}
+	old, exists := m.leases[p.GetName()]
+	renews := exists && p.GetFencing() == old.Fencing && p.GetHolder() == old.Holder
+	now := time.UnixMilli(m.clockMs)
+	switch {
+	case p.GetRelease() && renews:
+		m.sums.leases.toggle(leaseToProto(old))
+		delete(m.leases, old.Name)
+	case p.GetRelease():
+	case renews:
+		m.setLease(old, old.Fencing, p.GetHolder(), now.Add(ttl))
+	case p.GetFencing() == 0 && (!exists || !old.Expires.After(now)):
+		old.Name = p.GetName()
+		m.setLease(old, offset, p.GetHolder(), now.Add(ttl))
+	}
+}
+
+func (m *Machine) setLease(old Lease, fencing uint64, holder string, expires time.Time) {
+	if old.Fencing != 0 {
+		m.sums.leases.toggle(leaseToProto(old))
+	}
+	lease := Lease{
+		Name:    old.Name,
+		Holder:  holder,
+		Fencing: fencing,
+		Expires: expires,
+	}
+	m.leases[lease.Name] = lease
+	m.sums.leases.toggle(leaseToProto(lease))
+}
--- /dev/null
+++ b/internal/fold/machine.go
@@ -0,0 +1,90 @@
+package fold
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/table"
+)
+
+// Defaults of Config.
+const (
+	DefaultKeyWindow    = 24 * time.Hour
+	DefaultEditWindow   = 24 * time.Hour
+	DefaultEditLimit    = 10_000
+	DefaultDigestWindow = 4096
+)
+
+// Config configures a Machine. The windows and the limit are rules of the fold: all
+// daemons on one stream must have the same ones.
+type Config struct {
+	// KeyWindow is how long a claim is remembered, in the log's time. Zero means
+	// DefaultKeyWindow.
+	KeyWindow time.Duration
+	// EditWindow is how long the outcome of an edit is remembered, in the log's
+	// time. Zero means DefaultEditWindow.
+	EditWindow time.Duration
+	// EditLimit is how many outcomes are remembered. Zero means DefaultEditLimit.
+	EditLimit int
+	// DigestWindow is how many offsets back a snapshot can be compared. Zero means
+	// DefaultDigestWindow.
+	DigestWindow int
+	// Logger gets an error for each snapshot that differs. Nil means none.
+	Logger *zap.Logger
+}
+
+func (c Config) withDefaults() Config {
+	if c.KeyWindow == 0 {
+		c.KeyWindow = DefaultKeyWindow
+	}
+	if c.EditWindow == 0 {
+		c.EditWindow = DefaultEditWindow
+	}
+	if c.EditLimit == 0 {
+		c.EditLimit = DefaultEditLimit
+	}
+	if c.DigestWindow == 0 {
+		c.DigestWindow = DefaultDigestWindow
+	}
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	return c
+}
+
+// Machine is the folded state of the log. All methods are safe for concurrent use;
+// queries don't wait for a record that is being applied, except for Snapshot.
+type Machine struct {
+	config Config
+
+	tables   atomic.Pointer[table.Tables]
+	next     atomic.Uint64
+	complete atomic.Bool
+	claims   claimSet
+
+	// mu is held by every change, and guards the fields below.
+	mu       sync.RWMutex
+	clockMs  int64
+	sums     sums
+	digests  digestLog
+	edits    editWindow
+	leases   map[string]Lease
+	lastSnap uint64
+	counters Counters
+	changed  chan struct{}
+}
+
+// New returns a machine with empty tables that has folded nothing.
+func New(c Config) *Machine {
+	m := &Machine{
+		config:  c.withDefaults(),
+		leases:  make(map[string]Lease),
+		changed: make(chan struct{}),
+	}
+	m.tables.Store(table.New())
+	m.next.Store(1)
+	return m
+}
--- /dev/null
+++ b/internal/fold/reason.go
@@ -0,0 +1,33 @@
+package fold
+
+import (
+	"fmt"
+	"strings"
+
+	"sequoiafork/internal/table"
+)
+
+// maxReasonBytes bounds what an outcome keeps of the problems of an edit.
+const maxReasonBytes = 512
+
+func conflictReason(base, now uint64) string {
+	if now == 0 {
+		return fmt.Sprintf("made against revision %d, but the row does not exist", base)
+	}
+	if base == 0 {
+		return fmt.Sprintf("made for a new row, but the row exists with revision %d", now)
+	}
+	return fmt.Sprintf("made against revision %d, but the row has revision %d", base, now)
+}
+
+func joinProblems(problems []table.Problem) string {
+	texts := make([]string, 0, len(problems))
+	for _, p := range problems {
+		texts = append(texts, p.String())
+	}
+	reason := strings.Join(texts, "; ")
+	if len(reason) > maxReasonBytes {
+		reason = strings.ToValidUTF8(reason[:maxReasonBytes], "")
+	}
+	return reason
+}
--- /dev/null
+++ b/internal/fold/state.go
@@ -0,0 +1,61 @@
+package fold
+
+import "time"
+
+// Key is the hash of a workspace and a key that a caller chose.
+type Key = [32]byte
+
+// Claim is the right of one process incarnation to run the request of a key.
+type Claim struct {
+	Key Key
+	// Body is the hash of the request that the key stands for.
+	Body   [32]byte
+	Owner  string
+	Offset uint64
+	// TimeMs is the log's time when the claim was folded.
+	TimeMs int64
+}
+
+// Lease is the state of a named lease.
+type Lease struct {
+	Name   string
+	Holder string
+	// Fencing is the offset of the grant that began the tenure.
+	Fencing uint64
+	// Expires is in the log's time.
+	Expires time.Time
+}
+
+// LeaseRequest asks for, renews or releases a lease.
+type LeaseRequest struct {
+	Name   string
+	Holder string
+	TTL    time.Duration
+	// Fencing is the tenure that is renewed or released, or zero for a new one.
+	Fencing uint64
+	Release bool
+}
+
+// EditOutcome says how an edit was settled.
+type EditOutcome struct {
+	ID       string
+	Offset   uint64
+	Accepted bool
+	// Conflict says that the base revision was stale.
+	Conflict bool
+	Reason   string
+	// Name and Pool name the row.
+	Name   string
+	Pool   bool
+	TimeMs int64
+}
+
+// Counters count what a machine met since it began. They aren't part of the state.
+type Counters struct {
+	Applied            uint64
+	Undecodable        uint64
+	DuplicateEdits     uint64
+	SnapshotMatches    uint64
+	SnapshotMismatches uint64
+	SnapshotsDamaged   uint64
+}
--- /dev/null
+++ b/internal/table/check.go
@@ -0,0 +1,92 @@
+package table
+
+import (
+	"fmt"
+	"time"
+)
+
+// Bounds of the fields of routes and pools.
+const (
+	MaxNameBytes   = 64
+	MaxStages      = 16
+	MinDeadline    = 10 * time.Millisecond
+	MaxDeadline    = 10 * time.Minute
+	MaxConcurrency = 10_000
+	MaxTokens      = 1 << 20
+	MaxShares      = 10_000
+	MaxWeight      = 1_000
+	MaxModels      = 256
+)
+
+// problems collects what is wrong with an edit.
+type problems []Problem
+
+func (p *problems) add(field, format string, args ...any) {
+	*p = append(*p, Problem{
+		Field:   field,
+		Message: fmt.Sprintf(format, args...),
+	})
+}
+
+// Check returns everything that is wrong with an edit on these tables, or nil. It
+// doesn't compare the base revision. The result depends on nothing but the tables
+// and the edit, so all daemons refuse alike.
+func (t *Tables) Check(e Edit) []Problem {
+	var p problems
+	p.checkName("edit_id", e.ID)
+	if len(e.Author) > MaxNameBytes {
+		p.add("author", "is %d bytes long: use at most %d", len(e.Author), MaxNameBytes)
+	}
+	switch c := e.Change.(type) {
+	case SetRoute:
+		t.checkRoute(&p, c.Route)
+	case DeleteRoute:
+		p.checkName("name", c.Name)
+	case SetPool:
+		t.checkPool(&p, c.Pool)
+	case DeletePool:
+		p.checkName("name", c.Name)
+		t.checkUnused(&p, c.Name)
+	default:
+		p.add("change", "is missing: set or delete one route or pool")
+	}
+	return p
+}
+
+func (p *problems) checkName(field, name string) {
+	switch {
+	case name == "":
+		p.add(field, "is empty: give a name")
+	case len(name) > MaxNameBytes:
+		p.add(field, "is %d bytes long: use at most %d", len(name), MaxNameBytes)
+	case !isName(name):
+		p.add(field, "%q has other signs than letters, digits, '.', '_' and '-', or starts with one of the last three", name)
+	}
+}
+
+func isName(name string) bool {
+	for i, r := range []byte(name) {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if letter {
+			continue
+		}
+		if i == 0 || r != '.' && r != '_' && r != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *problems) checkRange(field string, n, low, high int) {
+	if n < low || n > high {
+		p.add(field, "is %d: use %d to %d", n, low, high)
+	}
+}
+
+func (p *problems) checkDuration(field string, d, low, high time.Duration) {
+	if d < low || d > high {
+		p.add(field, "is %v: use %v to %v", d, low, high)
+	} else if d%time.Millisecond != 0 {
+		p.add(field, "is %v: use whole milliseconds", d)
+	}
+}
--- /dev/null
+++ b/internal/table/check_pool.go
@@ -0,0 +1,87 @@
+package table
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+func (t *Tables) checkPool(p *problems, pool Pool) {
+	p.checkName("name", pool.Name)
+	p.checkName("service", pool.Service)
+	p.checkRange("concurrency", pool.Concurrency, 1, MaxConcurrency)
+	if !pool.Kind.valid() {
+		p.add("kind", "is unknown: use encoder, retriever, reranker, engine or service")
+	}
+	checkShares(p, pool.Shares)
+	checkModels(p, pool)
+	t.checkUsers(p, pool)
+}
+
+func checkShares(p *problems, shares []Share) {
+	if len(shares) > MaxShares {
+		p.add("shares", "has %d shares: use at most %d", len(shares), MaxShares)
+		return
+	}
+	seen := make(map[string]bool, len(shares))
+	for i, s := range shares {
+		field := fmt.Sprintf("shares[%d]", i)
+		p.checkName(field+".workspace", s.Workspace)
+		p.checkRange(field+".weight", s.Weight, 1, MaxWeight)
+		if seen[s.Workspace] {
+			p.add(field+".workspace", "%q is listed twice: keep one share", s.Workspace)
+		}
+		seen[s.Workspace] = true
+	}
+}
+
+func checkModels(p *problems, pool Pool) {
+	if pool.Kind == Engine && len(pool.Models) == 0 {
+		p.add("models", "is empty: a pool of engines needs at least one model")
+	}
+	if len(pool.Models) > MaxModels {
+		p.add("models", "has %d models: use at most %d", len(pool.Models), MaxModels)
+		return
+	}
+	for i, m := range pool.Models {
+		field := fmt.Sprintf("models[%d]", i)
+		p.checkName(field, m)
+		if slices.Contains(pool.Models[:i], m) {
+			p.add(field, "%q is listed twice: keep one", m)
+		}
+	}
+}
+
+// checkUsers refuses a pool that no longer fits a stage that uses it.
+func (t *Tables) checkUsers(p *problems, pool Pool) {
+	for _, r := range t.routesOn(pool.Name) {
+		for _, s := range r.Stages {
+			if s.Pool != pool.Name {
+				continue
+			}
+			var bad problems
+			checkModel(&bad, "", s, pool)
+			if len(bad) > 0 {
+				p.add("models", "route %q stage %q needs model %q: edit that route first", r.Name, s.Name, s.Model)
+			}
+		}
+	}
+}
+
+func (t *Tables) checkUnused(p *problems, pool string) {
+	for _, r := range t.routesOn(pool) {
+		p.add("name", "pool %q is used by route %q: edit or delete that route first", pool, r.Name)
+	}
+}
+
+// routesOn returns the routes with a stage on a pool, sorted by name.
+func (t *Tables) routesOn(pool string) []Route {
+	var routes []Route
+	for _, row := range t.routes {
+		if slices.ContainsFunc(row.Value.Stages, func(s Stage) bool { return s.Pool == pool }) {
+			routes = append(routes, row.Value)
+		}
+	}
+	slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
+	return routes
+}
--- /dev/null
+++ b/internal/table/check_route.go
@@ -0,0 +1,54 @@
+package table
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+func (t *Tables) checkRoute(p *problems, r Route) {
+	p.checkName("name", r.Name)
+	p.checkDuration("deadline_ms", r.Deadline, MinDeadline, MaxDeadline)
+	if len(r.Stages) == 0 || len(r.Stages) > MaxStages {
+		p.add("stages", "has %d stages: use 1 to %d", len(r.Stages), MaxStages)
+		return
+	}
+	seen := make(map[string]bool, len(r.Stages))
+	for i, s := range r.Stages {
+		field := fmt.Sprintf("stages[%d]", i)
+		if seen[s.Name] {
+			p.add(field+".name", "%q is used twice: give each stage its own name", s.Name)
+		}
+		seen[s.Name] = true
+		t.checkStage(p, field, s, r.Deadline)
+	}
+}
+
+func (t *Tables) checkStage(p *problems, field string, s Stage, deadline time.Duration) {
+	p.checkName(field+".name", s.Name)
+	if s.NotRepeatable && s.Reusable {
+		p.add(field+".reusable", "can't be set on a stage that is not repeatable: clear one of the two")
+	}
+	if s.Timeout != 0 {
+		p.checkDuration(field+".timeout_ms", s.Timeout, time.Millisecond, max(deadline, time.Millisecond))
+	}
+	p.checkRange(field+".max_tokens", s.MaxTokens, 0, MaxTokens)
+	row, ok := t.pools[s.Pool]
+	if !ok {
+		p.add(field+".pool", "%q is no pool: create the pool first", s.Pool)
+		return
+	}
+	checkModel(p, field, s, row.Value)
+}
+
+func checkModel(p *problems, field string, s Stage, pool Pool) {
+	if s.Model == "" {
+		if pool.Kind == Engine {
+			p.add(field+".model", "is empty: pool %q has engines, so name one of its models", pool.Name)
+		}
+		return
+	}
+	if !slices.Contains(pool.Models, s.Model) {
+		p.add(field+".model", "%q is not served by pool %q: add it to the pool's models first", s.Model, pool.Name)
+	}
+}
