Add the client of the log service

Cause: nothing called the platform's log. Ruled out: telling a refused append from a lost reply by the kind of network error, because a reset looks alike before and after the request was sent. Change: an append is refused only when no connection was had, or when the service answered with a code that promises no effect; all else is unknown. Conclusion: thin version without tests yet.

--- /dev/null
+++ b/internal/logservice/append.go
@@ -0,0 +1,82 @@
+package logservice
+
+import (
+	"context"
+	"errors"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"sequoiafork/internal/wire/platformapi"
+)
+
+// retryAfter is the wait that a refusal by the service asks for.
+const retryAfter = time.Second
+
+// Append appends a record of the system's own, within its budget. It returns a
+// *RefusedError if the record was certainly not appended and an *UnknownError if it
+// may have been.
+func (c *Client) Append(ctx context.Context, data []byte) (uint64, error) {
+	if err := c.limiter.Wait(ctx); err != nil {
+		return 0, c.refuse(CodeOverBudget, err.Error())
+	}
+	return c.append(ctx, data, c.counters.system)
+}
+
+// AppendEdit appends an operator's edit. It is counted, but doesn't wait for the
+// budget. Its errors are those of Append.
+func (c *Client) AppendEdit(ctx context.Context, data []byte) (uint64, error) {
+	return c.append(ctx, data, c.counters.operator)
+}
+
+func (c *Client) append(ctx context.Context, data []byte, appends *metrics.Counter) (uint64, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, c.refuse(CodeCancelled, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	appends.Inc()
+	res, err := c.api.AppendRecord(ctx, &platformapi.AppendRequest{
+		Data: data,
+	}, platformapi.AppendRecordParams{
+		Stream: c.stream,
+	})
+	if err == nil {
+		return uint64(res.Offset), nil
+	}
+	if !connected.Load() {
+		return 0, c.refuse(CodeUnreachable, err.Error())
+	}
+	if refusal, ok := errors.AsType[*platformapi.ErrorStatusCode](err); ok && hadNoEffect(refusal.Response.Code) {
+		return 0, c.refuse(refusal.Response.Code, refusal.Response.Message)
+	}
+	c.counters.unknown.Inc()
+	return 0, &UnknownError{
+		Err: err,
+	}
+}
+
+func (c *Client) refuse(code, message string) error {
+	c.counters.refused.Inc()
+	return &RefusedError{
+		Code:       code,
+		Message:    message,
+		RetryAfter: retryAfter,
+	}
+}
+
+// hadNoEffect reports whether the service promises that a call with this error
+// appended nothing.
+func hadNoEffect(code string) bool {
+	switch code {
+	case "unavailable", "rate_limited", "bad_request", "not_found":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/logservice/errors.go
@@ -0,0 +1,50 @@
+package logservice
+
+import (
+	"fmt"
+	"time"
+)
+
+// Codes of RefusedError that the client itself gives. Others are the service's.
+const (
+	CodeOverBudget  = "over_budget"
+	CodeUnreachable = "unreachable"
+	CodeCancelled   = "cancelled"
+)
+
+// RefusedError says that a record was certainly not appended.
+type RefusedError struct {
+	Code    string
+	Message string
+	// RetryAfter is how long to wait before the next try.
+	RetryAfter time.Duration
+}
+
+// Error returns the code and the message.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("append to log: %s: %s", e.Code, e.Message)
+}
+
+// UnknownError says that a record may have been appended.
+type UnknownError struct {
+	Err error
+}
+
+// Error returns the cause.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("append to log: no answer, the record may have been appended: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// ExpiredError says that records that were asked for are no longer kept.
+type ExpiredError struct {
+	// First is the oldest offset that is kept.
+	First uint64
+}
+
+// Error returns the first offset.
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("read log: the records have expired, the first that is kept is %d", e.First)
+}
--- /dev/null
+++ b/internal/logservice/read.go
@@ -0,0 +1,69 @@
+package logservice
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"sequoiafork/internal/wire/platformapi"
+)
+
+// Record is one record of the log.
+type Record struct {
+	Offset uint64
+	TimeMs int64
+	Data   []byte
+}
+
+// Batch is the result of one read.
+type Batch struct {
+	Records []Record
+	// First is the oldest offset that the log keeps.
+	First uint64
+	// End is the offset that the next append gets.
+	End uint64
+}
+
+// Read returns records from an offset on, at most max (zero means
+// DefaultMaxRecords). If there is none, it waits for one. It returns an
+// *ExpiredError if the log no longer keeps the offset.
+func (c *Client) Read(ctx context.Context, from uint64, maxRecords int, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	if maxRecords == 0 {
+		maxRecords = DefaultMaxRecords
+	}
+	c.counters.reads.Inc()
+	res, err := c.api.ReadRecords(ctx, platformapi.ReadRecordsParams{
+		Stream: c.stream,
+		From:   int64(from),
+		Max:    platformapi.NewOptInt(maxRecords),
+		WaitMs: platformapi.NewOptInt64(wait.Milliseconds()),
+	})
+	if err != nil {
+		return Batch{}, readError(from, err)
+	}
+	batch := Batch{
+		Records: make([]Record, 0, len(res.Records)),
+		First:   uint64(res.FirstOffset),
+		End:     uint64(res.EndOffset),
+	}
+	for _, r := range res.Records {
+		batch.Records = append(batch.Records, Record{
+			Offset: uint64(r.Offset),
+			TimeMs: r.TimeMs,
+			Data:   r.Data,
+		})
+	}
+	return batch, nil
+}
+
+func readError(from uint64, err error) error {
+	if refusal, ok := errors.AsType[*platformapi.ErrorStatusCode](err); ok && refusal.Response.Code == "offset_expired" {
+		return &ExpiredError{
+			First: uint64(refusal.Response.FirstOffset.Or(0)),
+		}
+	}
+	return fmt.Errorf("read log from offset %d: %w", from, err)
+}
