--- /dev/null
+++ b/internal/admission/controller.go
@@ -0,0 +1,78 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Controller hands out slots. It is safe for concurrent use; each pool has its
+// own lock.
+type Controller struct {
+	cfg    Config
+	queues sync.Map // pool name to *queue
+}
+
+// New returns a controller without requests.
+func New(cfg Config) *Controller {
+	return &Controller{
+		cfg: cfg.withDefaults(),
+	}
+}
+
+// Slot is the right to use one slot of a pool. All slots of one workspace in
+// one pool share a value.
+type Slot struct {
+	queue   *queue
+	account *account
+}
+
+// Release gives the slot back. It must be called once for each Acquire.
+func (s *Slot) Release() {
+	s.queue.release(s.account, time.Now())
+}
+
+// Acquire waits for a slot. It returns a *RefusedError when the request can't
+// get one in time, and the context's error when ctx is done first.
+func (c *Controller) Acquire(ctx context.Context, r Request) (*Slot, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("admission: %w", err)
+	}
+	q := c.queue(r.Pool.Name)
+	w, slot, err := q.enter(r, time.Now())
+	if err != nil || slot != nil {
+		return slot, err
+	}
+	return q.wait(ctx, w)
+}
+
+func (c *Controller) queue(name string) *queue {
+	if v, ok := c.queues.Load(name); ok {
+		return v.(*queue)
+	}
+	v, _ := c.queues.LoadOrStore(name, newQueue(c.cfg))
+	return v.(*queue)
+}
+
+// wait blocks until w is settled, its latest start passes or ctx is done.
+func (q *queue) wait(ctx context.Context, w *waiter) (*Slot, error) {
+	var late <-chan time.Time
+	if !w.latest.IsZero() {
+		t := time.NewTimer(time.Until(w.latest))
+		defer t.Stop()
+		late = t.C
+	}
+	select {
+	case <-w.settled:
+	case <-late:
+		q.abandon(w, q.refusal(w.account, CodeDeadline, "no slot before the deadline"))
+	case <-ctx.Done():
+		q.abandon(w, fmt.Errorf("admission: %w", ctx.Err()))
+	}
+	<-w.settled
+	if w.err != nil {
+		return nil, w.err
+	}
+	return &w.account.slot, nil
+}
--- /dev/null
+++ b/internal/admission/refusal.go
@@ -0,0 +1,105 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+)
+
+// checkPassed refuses a request whose latest start has passed.
+func (q *queue) checkPassed(a *account, latest, now time.Time) error {
+	if !latest.IsZero() && now.After(latest) {
+		return q.refusalLocked(a, CodeDeadline, "too little time is left")
+	}
+	return nil
+}
+
+// checkQueue refuses a request that has to wait and can't, and makes room in a
+// full queue when another workspace fills more than its share of it.
+func (q *queue) checkQueue(a *account, latest, now time.Time) error {
+	if q.slots <= 0 {
+		return q.refusalLocked(a, CodeNoCapacity, "no upstream of the pool takes work")
+	}
+	if _, fair := q.cfg.Discipline.(Fair); fair && !latest.IsZero() {
+		wait := q.estimate(a, latest)
+		if now.Add(wait).After(latest) {
+			return q.refusalLocked(a, CodeDeadline, fmt.Sprintf("the wait is about %v", wait.Round(time.Millisecond)))
+		}
+	}
+	if q.waiting < q.cfg.MaxQueue {
+		return nil
+	}
+	longest := q.longest()
+	if longest == a || len(longest.waiters)*a.weight <= (len(a.waiters)+1)*longest.weight {
+		return q.refusalLocked(a, CodeQueueFull, "too many requests wait")
+	}
+	last := longest.waiters.last()
+	q.settle(last, q.refusalLocked(longest, CodeQueueFull, "too many requests wait"))
+	return nil
+}
+
+// estimate returns how long a request of a with the given latest start would
+// wait: the work of its workspace that goes first, served at its share.
+func (q *queue) estimate(a *account, latest time.Time) time.Duration {
+	ahead := 0
+	for _, w := range a.waiters {
+		if w.latest.IsZero() || w.latest.After(latest) {
+			continue
+		}
+		ahead++
+	}
+	rate := q.share(a)
+	// The slots that a already has are released within one hold time.
+	return time.Duration(float64(ahead+1) / rate * float64(q.hold))
+}
+
+// share returns the number of slots that a would have if every workspace with
+// waiters and a itself used its share.
+func (q *queue) share(a *account) float64 {
+	total := a.weight
+	for _, other := range q.active {
+		if other != a {
+			total += other.weight
+		}
+	}
+	return float64(max(q.slots, 1)) * float64(a.weight) / float64(total)
+}
+
+// longest returns the account that has the most waiters for its weight.
+func (q *queue) longest() *account {
+	best := q.active[0]
+	for _, a := range q.active[1:] {
+		if len(a.waiters)*best.weight > len(best.waiters)*a.weight {
+			best = a
+		}
+	}
+	return best
+}
+
+// last returns the waiter that would be served last.
+func (h waiterHeap) last() *waiter {
+	i := 0
+	for j := range h {
+		if h.Less(i, j) {
+			i = j
+		}
+	}
+	return h[i]
+}
+
+// refusal is refusalLocked for callers without the lock.
+func (q *queue) refusal(a *account, code, message string) *RefusedError {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.refusalLocked(a, code, message)
+}
+
+// refusalLocked names the time that the waiters of a take at its share as the
+// time to come back.
+func (q *queue) refusalLocked(a *account, code, message string) *RefusedError {
+	after := time.Duration(float64(len(a.waiters)+1) / q.share(a) * float64(q.hold))
+	return &RefusedError{
+		Code:       code,
+		Message:    message,
+		RetryAfter: min(max(after, q.cfg.MinRetryAfter), q.cfg.MaxRetryAfter),
+	}
+}
--- /dev/null
+++ b/internal/admission/waiter.go
@@ -0,0 +1,101 @@
+package admission
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	account  *account
+	deadline time.Time
+	latest   time.Time
+	sequence uint64
+	index    int
+	err      error
+	// settled is closed once err is final; a nil err means a granted slot.
+	settled chan struct{}
+}
+
+// enqueue adds a waiter for a.
+func (q *queue) enqueue(a *account, deadline, latest time.Time) *waiter {
+	q.sequence++
+	w := &waiter{
+		account:  a,
+		deadline: deadline,
+		latest:   latest,
+		sequence: q.sequence,
+		settled:  make(chan struct{}),
+	}
+	if _, ok := q.cfg.Discipline.(FirstCome); ok {
+		w.deadline = time.Time{}
+	}
+	if len(a.waiters) == 0 {
+		q.active = append(q.active, a)
+	}
+	heap.Push(&a.waiters, w)
+	q.waiting++
+	return w
+}
+
+// settle removes w from the queue and makes its outcome final.
+func (q *queue) settle(w *waiter, err error) {
+	a := w.account
+	heap.Remove(&a.waiters, w.index)
+	if len(a.waiters) == 0 {
+		i := slices.Index(q.active, a)
+		q.active = slices.Delete(q.active, i, i+1)
+	}
+	q.waiting--
+	w.err = err
+	close(w.settled)
+}
+
+// abandon settles w with err, unless it is settled already.
+func (q *queue) abandon(w *waiter, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	select {
+	case <-w.settled:
+	default:
+		q.settle(w, err)
+	}
+}
+
+// waiterHeap orders waiters by deadline, those without one last.
+type waiterHeap []*waiter
+
+func (h waiterHeap) Len() int { return len(h) }
+
+func (h waiterHeap) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if a.deadline.Equal(b.deadline) {
+		return a.sequence < b.sequence
+	}
+	if a.deadline.IsZero() || b.deadline.IsZero() {
+		return b.deadline.IsZero()
+	}
+	return a.deadline.Before(b.deadline)
+}
+
+func (h waiterHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push adds a *waiter; it is called by container/heap.
+func (h *waiterHeap) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+
+// Pop removes the last waiter; it is called by container/heap.
+func (h *waiterHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return w
+}
--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,93 @@
+// Package budget limits retries and hedges to a share of recent traffic, so
+// that a bad upstream can't multiply the load on the others.
+//
+//	b := budget.New(budget.Config{})
+//	b.Deposit()          // once for each first attempt
+//	if b.Withdraw() { /* send one more attempt */ }
+package budget
+
+import "sync/atomic"
+
+const (
+	defaultRatio = 0.1
+	defaultBurst = 10
+	// unit is one token; the balance counts in thousandths of a token.
+	unit = 1000
+)
+
+// Config configures a Budget.
+type Config struct {
+	// Ratio is the number of extra attempts earned by one first attempt.
+	// Zero means 0.1; a negative ratio earns none.
+	Ratio float64
+	// Burst is the largest number of extra attempts that can be saved up, and
+	// the balance at the start. Zero means 10; a negative burst means none.
+	Burst int
+	// Unlimited turns the limit off.
+	Unlimited bool
+}
+
+func (c Config) withDefaults() Config {
+	if c.Ratio == 0 {
+		c.Ratio = defaultRatio
+	}
+	if c.Burst == 0 {
+		c.Burst = defaultBurst
+	}
+	c.Ratio = max(c.Ratio, 0)
+	c.Burst = max(c.Burst, 0)
+	return c
+}
+
+// Budget is a bucket of tokens, each of which pays for one extra attempt. It
+// is safe for concurrent use.
+type Budget struct {
+	unlimited bool
+	earn      int64
+	limit     int64
+	balance   atomic.Int64
+}
+
+// New returns a full budget.
+func New(cfg Config) *Budget {
+	cfg = cfg.withDefaults()
+	b := &Budget{
+		unlimited: cfg.Unlimited,
+		earn:      int64(cfg.Ratio * unit),
+		limit:     int64(cfg.Burst) * unit,
+	}
+	b.balance.Store(b.limit)
+	return b
+}
+
+// Deposit earns the share of one first attempt.
+func (b *Budget) Deposit() {
+	for {
+		old := b.balance.Load()
+		next := min(old+b.earn, b.limit)
+		if next == old || b.balance.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// Withdraw takes one token and reports whether there was one.
+func (b *Budget) Withdraw() bool {
+	if b.unlimited {
+		return true
+	}
+	for {
+		old := b.balance.Load()
+		if old < unit {
+			return false
+		}
+		if b.balance.CompareAndSwap(old, old-unit) {
+			return true
+		}
+	}
+}
+
+// Balance returns the number of whole tokens left.
+func (b *Budget) Balance() int {
+	return int(b.balance.Load() / unit)
+}
--- /dev/null
+++ b/internal/upstream/config.go
@@ -0,0 +1,120 @@
+// Package upstream chooses the upstream that gets the next attempt.
+//
+// A Set joins the host list with what this daemon and its peers saw
+// themselves, and with the work and the load of each upstream. It has no
+// network: callers report each attempt's result to the Choice that it went to.
+//
+//	s := upstream.New(upstream.Config{DataCentre: "a", Self: addr})
+//	s.Replace(hosts)
+//	c, err := s.Pick(upstream.Request{Pool: pool})
+//	// call c.Addr
+//	c.Done(upstream.Result{Outcome: upstream.OK, Latency: took})
+package upstream
+
+import "time"
+
+const (
+	defaultSubsetSize    = 32
+	defaultDeadTTL       = 30 * time.Second
+	defaultLeavingTTL    = 5 * time.Minute
+	defaultProbeMin      = 250 * time.Millisecond
+	defaultProbeMax      = 8 * time.Second
+	defaultEjectMin      = 5 * time.Second
+	defaultEjectMax      = time.Minute
+	defaultReturnTime    = 10 * time.Second
+	defaultLoadHalfLife  = 2 * time.Second
+	defaultAffinityBound = 1.25
+	defaultRemotePenalty = 1.1
+)
+
+// Policy is the way in which Pick chooses. It is one of TwoChoices,
+// RoundRobin, Random and LeastInFlight.
+type Policy interface{ policy() }
+
+// TwoChoices compares two random upstreams by load, speed and distance, and
+// keeps requests with the same affinity together.
+type TwoChoices struct{}
+
+// RoundRobin takes the upstreams in turn.
+type RoundRobin struct{}
+
+// Random takes any upstream.
+type Random struct{}
+
+// LeastInFlight takes the upstream with the least work of this daemon.
+type LeastInFlight struct{}
+
+func (TwoChoices) policy()    {}
+func (RoundRobin) policy()    {}
+func (Random) policy()        {}
+func (LeastInFlight) policy() {}
+
+// Config configures a Set.
+type Config struct {
+	// DataCentre is the data centre of this daemon; upstreams in it are
+	// preferred a little.
+	DataCentre string
+	// Seed seeds the random choices.
+	Seed uint64
+	// Self names this daemon; it decides which subset of a large pool it uses.
+	Self string
+	// Policy is the way to choose. Nil means TwoChoices.
+	Policy Policy
+	// SubsetSize is the number of upstreams of one service that this daemon
+	// uses. Zero means 32.
+	SubsetSize int
+	// DeadTTL and LeavingTTL are how long a mark goes before the host list.
+	// Zero means 30 s and 5 minutes.
+	DeadTTL    time.Duration
+	LeavingTTL time.Duration
+	// ProbeMin and ProbeMax bound the time after which a request tries a dead
+	// upstream again. Zero means 250 ms and 8 s.
+	ProbeMin time.Duration
+	ProbeMax time.Duration
+	// EjectMin and EjectMax bound how long a failing or slow upstream gets no
+	// work. Zero means 5 s and a minute.
+	EjectMin time.Duration
+	EjectMax time.Duration
+	// NoEjection turns ejection off.
+	NoEjection bool
+	// ReturnTime is how long an upstream takes to get its full share again
+	// after an ejection. Zero means 10 s.
+	ReturnTime time.Duration
+	// LoadHalfLife is the age at which a reported load counts for half. Zero
+	// means 2 s.
+	LoadHalfLife time.Duration
+	// AffinityBound is the load, as a multiple of the mean, above which an
+	// upstream gets no work for its affinity. Zero means 1.25.
+	AffinityBound float64
+	// RemotePenalty multiplies the score of upstreams in other data centres.
+	// Zero means 1.1.
+	RemotePenalty float64
+	// OnMark is called when this daemon itself saw that an upstream is
+	// leaving, dead, or live again after it was dead. It must not block.
+	OnMark func(addr string, st State)
+}
+
+func (c Config) withDefaults() Config {
+	if c.Policy == nil {
+		c.Policy = TwoChoices{}
+	}
+	setDefault(&c.SubsetSize, defaultSubsetSize)
+	setDefault(&c.DeadTTL, defaultDeadTTL)
+	setDefault(&c.LeavingTTL, defaultLeavingTTL)
+	setDefault(&c.ProbeMin, defaultProbeMin)
+	setDefault(&c.ProbeMax, defaultProbeMax)
+	setDefault(&c.EjectMin, defaultEjectMin)
+	setDefault(&c.EjectMax, defaultEjectMax)
+	setDefault(&c.ReturnTime, defaultReturnTime)
+	setDefault(&c.LoadHalfLife, defaultLoadHalfLife)
+	setDefault(&c.AffinityBound, defaultAffinityBound)
+	setDefault(&c.RemotePenalty, defaultRemotePenalty)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/upstream/done.go
@@ -0,0 +1,88 @@
+package upstream
+
+import "time"
+
+// Done reports the end of the attempt that the choice was made for. It must
+// be called once.
+func (c Choice) Done(r Result) {
+	if c.member == nil {
+		return
+	}
+	st, changed := c.group.done(c.member, r, time.Now())
+	if changed && c.group.cfg.OnMark != nil {
+		c.group.cfg.OnMark(c.Addr, st)
+	}
+}
+
+// done returns the new state of m and whether this attempt changed it.
+func (g *group) done(m *member, r Result, now time.Time) (State, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.inFlight = max(m.inFlight-1, 0)
+	m.probing = false
+	if r.Load != nil {
+		m.observeLoad(r.Load, now)
+	}
+	before := m.state(now)
+	switch r.Outcome {
+	case OK:
+		g.succeeded(m, r, now)
+	case Refused:
+		g.setMark(m, g.own(Dead, "refused a connection", now), now)
+	case Failed:
+		g.failed(m, now)
+	case TimedOut:
+		g.observe(m, r.Latency)
+		g.failed(m, now)
+	case LeftPool:
+		g.setMark(m, g.own(Leaving, "answered that it leaves", now), now)
+	case Cancelled:
+		// The attempt ran at least this long.
+		if float64(r.Latency) > m.latency {
+			g.observe(m, r.Latency)
+			g.ejectIfSlow(m, now)
+		}
+	case Overloaded:
+		m.others = float64(m.slots(0))
+		m.reported = now
+	}
+	after := m.state(now)
+	if after != before {
+		g.refill(now)
+	}
+	return after, after != before
+}
+
+func (g *group) own(st State, reason string, now time.Time) mark {
+	return mark{
+		state:  st,
+		reason: reason,
+		until:  now.Add(g.cfg.ttl(st)),
+	}
+}
+
+func (g *group) succeeded(m *member, r Result, now time.Time) {
+	m.lastOK = now
+	if m.state(now) == Dead {
+		m.mark = mark{}
+		m.backoff = 0
+	}
+	m.observeFailure(0)
+	g.observe(m, r.Latency)
+	g.ejectIfSlow(m, now)
+}
+
+func (g *group) failed(m *member, now time.Time) {
+	m.observeFailure(1)
+	g.ejectIfFailing(m, now)
+}
+
+// observe adds a time to the means of m and of the group.
+func (g *group) observe(m *member, d time.Duration) {
+	m.observeLatency(d)
+	if g.latency == 0 {
+		g.latency = float64(d)
+		return
+	}
+	g.latency += latencyWeight / float64(max(len(g.subset), 1)) * (float64(d) - g.latency)
+}
--- /dev/null
+++ b/internal/upstream/group.go
@@ -0,0 +1,136 @@
+package upstream
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// refillEvery is how often a subset takes in upstreams whose marks expired.
+const refillEvery = time.Second
+
+// group is one service. It is the shard of a Set, with a lock of its own.
+type group struct {
+	mu      sync.Mutex
+	cfg     *Config
+	service string
+	rng     *rand.Rand
+	members map[string]*member
+	// order is every member, in the order in which this daemon takes them
+	// into its subset.
+	order []*member
+	// subset is the members that this daemon uses.
+	subset   []*member
+	refillAt time.Time
+	turn     int
+	daemons  int
+	// latency is the mean time of the group in nanoseconds.
+	latency  float64
+	capacity cachedCapacity
+}
+
+func newGroup(cfg *Config, service string, daemons int) *group {
+	return &group{
+		cfg:     cfg,
+		service: service,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, xxhash.Sum64String(service))),
+		members: make(map[string]*member),
+		daemons: daemons,
+	}
+}
+
+// replace takes over the hosts of the service from a new host list.
+func (g *group) replace(hosts []Host, marks map[string]mark, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	members := make(map[string]*member, len(hosts))
+	for _, h := range hosts {
+		m, ok := g.members[h.Addr]
+		if !ok {
+			m = &member{
+				hash: xxhash.Sum64String(h.Addr),
+			}
+			if mk, marked := marks[h.Addr]; marked {
+				g.setMark(m, mk, now)
+			}
+		}
+		if ok && m.host.State != Live && h.State == Live {
+			m.mark = mark{}
+		}
+		m.host = h
+		members[h.Addr] = m
+	}
+	g.members = members
+	g.reorder()
+	g.refill(now)
+}
+
+// reorder ranks the members for this daemon: its own order in each data
+// centre, and the data centres in turn.
+func (g *group) reorder() {
+	self := xxhash.Sum64String(g.cfg.Self)
+	byCentre := make(map[string][]*member)
+	for _, m := range g.members {
+		byCentre[m.host.DataCentre] = append(byCentre[m.host.DataCentre], m)
+	}
+	centres := make([]string, 0, len(byCentre))
+	for name, list := range byCentre {
+		centres = append(centres, name)
+		slices.SortFunc(list, func(a, b *member) int {
+			return cmp.Or(
+				cmp.Compare(mix(a.hash^self), mix(b.hash^self)),
+				cmp.Compare(a.host.Addr, b.host.Addr),
+			)
+		})
+	}
+	slices.Sort(centres)
+	g.order = make([]*member, 0, len(g.members))
+	for i := 0; len(g.order) < len(g.members); i++ {
+		for _, name := range centres {
+			if list := byCentre[name]; i < len(list) {
+				g.order = append(g.order, list[i])
+			}
+		}
+	}
+}
+
+// refill takes the first members in order that do not leave, so many that
+// enough of them live.
+func (g *group) refill(now time.Time) {
+	g.refillAt = now.Add(refillEvery)
+	g.subset = g.subset[:0]
+	live := 0
+	for _, m := range g.order {
+		if live == g.size() {
+			return
+		}
+		switch m.state(now) {
+		case Leaving:
+			continue
+		case Live:
+			live++
+		}
+		g.subset = append(g.subset, m)
+	}
+}
+
+// size returns the number of live members of a full subset. The subsets of
+// all daemons together cover every upstream several times.
+func (g *group) size() int {
+	const coverage = 4
+	return max(g.cfg.SubsetSize, (coverage*len(g.order)+g.daemons-1)/g.daemons)
+}
+
+// mix spreads the bits of x (the finalizer of MurmurHash3).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/internal/upstream/host.go
@@ -0,0 +1,116 @@
+package upstream
+
+import (
+	"fmt"
+	"time"
+
+	"sequoiafork/internal/table"
+)
+
+// State says whether an upstream takes new work.
+type State int
+
+// The states of an upstream.
+const (
+	// Live upstreams take new work.
+	Live State = iota
+	// Leaving upstreams finish what they have and get nothing new.
+	Leaving
+	// Dead upstreams refuse connections.
+	Dead
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Live:
+		return "live"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	}
+	return fmt.Sprintf("State(%d)", int(s))
+}
+
+// Host is one entry of the host list.
+type Host struct {
+	Addr       string
+	DataCentre string
+	Service    string
+	State      State
+}
+
+// Request asks for an upstream.
+type Request struct {
+	// Pool names the service and the concurrency of its upstreams.
+	Pool *table.Pool
+	// Affinity keeps requests with the same value on the same upstream as
+	// long as its load allows. Zero means none.
+	Affinity uint64
+	// Exclude lists addresses that must not be chosen, such as those that
+	// were tried already.
+	Exclude []string
+}
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// OK means that the whole answer arrived.
+	OK Outcome = iota
+	// Refused means that no connection could be made; nothing was sent.
+	Refused
+	// Failed means that the upstream answered with an error or broke off.
+	Failed
+	// TimedOut means that the answer did not arrive in the attempt's time.
+	TimedOut
+	// LeftPool means that the upstream answered that it takes no new work.
+	LeftPool
+	// Cancelled means that the caller gave the attempt up for its own reasons.
+	Cancelled
+	// Overloaded means that the upstream answered at once that it is full.
+	Overloaded
+)
+
+// Load is the load that an upstream reported.
+type Load struct {
+	InFlight int
+	Queued   int
+	Capacity int
+	// Age is the time since the load was sampled.
+	Age time.Duration
+}
+
+// Result is the end of an attempt.
+type Result struct {
+	Outcome Outcome
+	// Latency is the time from the start to the end of the attempt.
+	Latency time.Duration
+	// Load is the upstream's load, where the answer carried one.
+	Load *Load
+}
+
+// NoneError reports that no upstream can take a request.
+type NoneError struct {
+	Pool   string
+	Reason string
+	// RetryAfter is when an upstream is tried again. Zero means unknown.
+	RetryAfter time.Duration
+}
+
+// Error describes why there is no upstream.
+func (e *NoneError) Error() string {
+	return fmt.Sprintf("no upstream for pool %q: %s", e.Pool, e.Reason)
+}
+
+// Status is the state of one upstream.
+type Status struct {
+	Addr       string
+	Service    string
+	DataCentre string
+	State      State
+	Reason     string
+	InFlight   int
+}
--- /dev/null
+++ b/internal/upstream/mark.go
@@ -0,0 +1,50 @@
+package upstream
+
+import "time"
+
+// freshOK is how long an own success outweighs a peer's word of a death.
+const freshOK = time.Second
+
+// markAddr applies mk to the member at addr and reports whether there is one.
+func (g *group) markAddr(addr string, mk mark, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.members[addr]
+	if !ok {
+		return false
+	}
+	if mk.state == Dead && now.Sub(m.lastOK) < freshOK && !m.lastOK.IsZero() {
+		return true
+	}
+	g.setMark(m, mk, now)
+	g.refill(now)
+	return true
+}
+
+// setMark changes m's mark. A leaving upstream stays so: it may refuse
+// connections next, but will not take work again.
+func (g *group) setMark(m *member, mk mark, now time.Time) {
+	current := m.state(now)
+	marked := now.Before(m.mark.until)
+	if current == Leaving && marked {
+		return
+	}
+	switch mk.state {
+	case Live:
+		m.mark = mark{}
+		m.backoff = 0
+	case Dead:
+		m.mark = mk
+		m.backoff = min(max(2*m.backoff, g.cfg.ProbeMin), g.cfg.ProbeMax)
+		m.probeAt = now.Add(m.backoff)
+	case Leaving:
+		m.mark = mk
+	}
+}
+
+func (g *group) setDaemons(n int, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.daemons = n
+	g.refill(now)
+}
--- /dev/null
+++ b/internal/upstream/member.go
@@ -0,0 +1,125 @@
+package upstream
+
+import "time"
+
+const (
+	// latencyWeight is the weight of the newest time in an upstream's mean.
+	latencyWeight = 0.1
+	// failureWeight is the weight of the newest outcome in its failure rate.
+	failureWeight = 0.2
+	// fastest and slowest bound the relative speed in the score.
+	fastest = 0.5
+	slowest = 10.0
+	// failurePenalty is how much the score grows at a failure rate of one.
+	failurePenalty = 4.0
+	// firstShare is the share of work right after an ejection.
+	firstShare = 0.1
+	// defaultConcurrency stands in where neither pool nor report has one.
+	defaultConcurrency = 8
+)
+
+// member is one upstream of a service. The group's lock guards it.
+type member struct {
+	host Host
+	hash uint64
+	mark mark
+
+	inFlight int
+	// others is the reported work of other daemons at reported.
+	others   float64
+	capacity int
+	reported time.Time
+
+	// latency is the mean time in nanoseconds over samples attempts.
+	latency float64
+	samples int
+	// failures is the recent rate of failed attempts, from 0 to 1.
+	failures float64
+	lastOK   time.Time
+
+	ejected   time.Time // until when; zero: never ejected
+	why       string
+	ejections int
+
+	// backoff is the time between probes while dead.
+	backoff time.Duration
+	probeAt time.Time
+	probing bool
+}
+
+// mark is a state that goes before that of the host list.
+type mark struct {
+	state  State
+	reason string
+	until  time.Time
+}
+
+func (m *member) state(now time.Time) State {
+	if now.Before(m.mark.until) {
+		return m.mark.state
+	}
+	return m.host.State
+}
+
+// usable reports whether m may be chosen now.
+func (m *member) usable(now time.Time) bool {
+	switch m.state(now) {
+	case Live:
+		return now.After(m.ejected)
+	case Dead:
+		return !m.probing && !m.probeAt.IsZero() && now.After(m.probeAt)
+	}
+	return false
+}
+
+// otherWork returns the work of other daemons, discounted by its age.
+func (m *member) otherWork(halfLife time.Duration, now time.Time) float64 {
+	if m.others == 0 {
+		return 0
+	}
+	age := max(now.Sub(m.reported), 0)
+	return m.others * float64(halfLife) / float64(halfLife+age)
+}
+
+// slots returns the number of attempts that m runs side by side.
+func (m *member) slots(concurrency int) int {
+	if m.capacity > 0 {
+		return m.capacity
+	}
+	if concurrency > 0 {
+		return concurrency
+	}
+	return defaultConcurrency
+}
+
+// returnShare is the share of work that m gets on its way back from an
+// ejection.
+func (m *member) returnShare(returnTime time.Duration, now time.Time) float64 {
+	if m.ejected.IsZero() {
+		return 1
+	}
+	since := now.Sub(m.ejected)
+	if since >= returnTime {
+		return 1
+	}
+	return max(firstShare, float64(since)/float64(returnTime))
+}
+
+func (m *member) observeLatency(d time.Duration) {
+	m.samples++
+	if m.samples == 1 && m.latency == 0 {
+		m.latency = float64(d)
+		return
+	}
+	m.latency += latencyWeight * (float64(d) - m.latency)
+}
+
+func (m *member) observeFailure(failed float64) {
+	m.failures += failureWeight * (failed - m.failures)
+}
+
+func (m *member) observeLoad(l *Load, now time.Time) {
+	m.others = float64(max(l.InFlight+l.Queued-m.inFlight, 0))
+	m.capacity = l.Capacity
+	m.reported = now.Add(-l.Age)
+}
--- /dev/null
+++ b/internal/upstream/pick.go
@@ -0,0 +1,186 @@
+package upstream
+
+import (
+	"slices"
+	"time"
+)
+
+// draws is the number of random draws before the subset is searched in order.
+const draws = 3
+
+// Choice is the upstream for one attempt.
+type Choice struct {
+	Addr       string
+	DataCentre string
+	group      *group
+	member     *member
+}
+
+// Pick chooses the upstream for one attempt and counts it as in flight until
+// Done is called on the choice. It returns a *NoneError when no upstream can
+// take the request.
+func (s *Set) Pick(r Request) (Choice, error) {
+	g := s.group(r.Pool.Service)
+	if g == nil {
+		return Choice{}, &NoneError{
+			Pool:   r.Pool.Name,
+			Reason: "the host list has no upstream of service " + r.Pool.Service,
+		}
+	}
+	return g.pick(&r, time.Now())
+}
+
+func (g *group) pick(r *Request, now time.Time) (Choice, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.After(g.refillAt) {
+		g.refill(now)
+	}
+	m := g.choose(r, now)
+	if m == nil {
+		return Choice{}, g.none(r, now)
+	}
+	if m.state(now) == Dead {
+		m.probing = true
+	}
+	m.inFlight++
+	return Choice{
+		Addr:       m.host.Addr,
+		DataCentre: m.host.DataCentre,
+		group:      g,
+		member:     m,
+	}, nil
+}
+
+func (g *group) choose(r *Request, now time.Time) *member {
+	if len(g.subset) == 0 {
+		return nil
+	}
+	switch g.cfg.Policy.(type) {
+	case RoundRobin:
+		g.turn = (g.turn + 1) % len(g.subset)
+		return g.from(g.turn, r, nil, now)
+	case Random:
+		return g.draw(r, nil, now)
+	case LeastInFlight:
+		return g.leastInFlight(r, now)
+	}
+	if r.Affinity != 0 {
+		if m := g.affine(r, now); m != nil {
+			return m
+		}
+	}
+	return g.twoChoices(r, now)
+}
+
+func (g *group) twoChoices(r *Request, now time.Time) *member {
+	a := g.draw(r, nil, now)
+	if a == nil {
+		return nil
+	}
+	b := g.draw(r, a, now)
+	if b == nil || g.score(a, r, now) <= g.score(b, r, now) {
+		return a
+	}
+	return b
+}
+
+// draw returns a random usable member other than not, or nil.
+func (g *group) draw(r *Request, not *member, now time.Time) *member {
+	for range draws {
+		m := g.subset[g.rng.IntN(len(g.subset))]
+		if m != not && g.eligible(m, r, now) {
+			return m
+		}
+	}
+	return g.from(g.rng.IntN(len(g.subset)), r, not, now)
+}
+
+// from returns the first usable member other than not from index start on.
+func (g *group) from(start int, r *Request, not *member, now time.Time) *member {
+	for i := range g.subset {
+		m := g.subset[(start+i)%len(g.subset)]
+		if m != not && g.eligible(m, r, now) {
+			return m
+		}
+	}
+	return nil
+}
+
+func (g *group) leastInFlight(r *Request, now time.Time) *member {
+	var best *member
+	start := g.rng.IntN(len(g.subset))
+	for i := range g.subset {
+		m := g.subset[(start+i)%len(g.subset)]
+		if g.eligible(m, r, now) && (best == nil || m.inFlight < best.inFlight) {
+			best = m
+		}
+	}
+	return best
+}
+
+// affine returns the member that the affinity hashes to among those whose
+// load is within the bound.
+func (g *group) affine(r *Request, now time.Time) *member {
+	sum, n := 0.0, 0
+	for _, m := range g.subset {
+		if g.eligible(m, r, now) {
+			sum += g.load(m, r, now)
+			n++
+		}
+	}
+	bound := g.cfg.AffinityBound * (sum/float64(max(n, 1)) + 1)
+	var best *member
+	var rank uint64
+	for _, m := range g.subset {
+		h := mix(m.hash ^ r.Affinity)
+		if (best == nil || h > rank) && g.eligible(m, r, now) && g.load(m, r, now) <= bound {
+			best, rank = m, h
+		}
+	}
+	return best
+}
+
+func (g *group) eligible(m *member, r *Request, now time.Time) bool {
+	return m.usable(now) && !slices.Contains(r.Exclude, m.host.Addr)
+}
+
+// load returns the work on m for a request of r, with that request.
+func (g *group) load(m *member, r *Request, now time.Time) float64 {
+	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now)
+	return work / m.returnShare(g.cfg.ReturnTime, now)
+}
+
+// score is lower for the better upstream: its load for its size, scaled by
+// its relative speed, its failures and its distance.
+func (g *group) score(m *member, r *Request, now time.Time) float64 {
+	share := m.returnShare(g.cfg.ReturnTime, now)
+	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now)
+	score := (work + 1) / (share * float64(m.slots(r.Pool.Concurrency)))
+	if g.latency > 0 && m.latency > 0 {
+		score *= min(max(m.latency/g.latency, fastest), slowest)
+	}
+	score *= 1 + failurePenalty*m.failures
+	if m.host.DataCentre != g.cfg.DataCentre {
+		score *= g.cfg.RemotePenalty
+	}
+	return score
+}
+
+// none explains why no member can be chosen.
+func (g *group) none(r *Request, now time.Time) *NoneError {
+	e := &NoneError{
+		Pool:   r.Pool.Name,
+		Reason: "no upstream of service " + g.service + " takes work",
+	}
+	for _, m := range g.subset {
+		at := m.ejected
+		if m.state(now) == Dead {
+			at = m.probeAt
+		}
+		if wait := at.Sub(now); wait > 0 && (e.RetryAfter == 0 || wait < e.RetryAfter) {
+			e.RetryAfter = wait
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/upstream/set.go
@@ -0,0 +1,99 @@
+package upstream
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// Set is the upstreams of all services. It is safe for concurrent use; each
+// service has its own lock.
+type Set struct {
+	cfg Config
+
+	mu      sync.RWMutex
+	groups  map[string]*group
+	daemons int
+	// early holds marks of upstreams that are not on the host list yet.
+	early map[string]mark
+}
+
+// New returns a set without upstreams.
+func New(cfg Config) *Set {
+	return &Set{
+		cfg:     cfg.withDefaults(),
+		groups:  make(map[string]*group),
+		daemons: 1,
+		early:   make(map[string]mark),
+	}
+}
+
+// Replace takes over a new host list.
+func (s *Set) Replace(hosts []Host) {
+	now := time.Now()
+	byService := make(map[string][]Host)
+	for _, h := range hosts {
+		byService[h.Service] = append(byService[h.Service], h)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.early, func(_ string, m mark) bool { return now.After(m.until) })
+	for service := range byService {
+		if _, ok := s.groups[service]; !ok {
+			s.groups[service] = newGroup(&s.cfg, service, s.daemons)
+		}
+	}
+	for service, g := range s.groups {
+		g.replace(byService[service], s.early, now)
+	}
+	for _, h := range hosts {
+		delete(s.early, h.Addr)
+	}
+}
+
+// Mark records the state of an upstream as this daemon or a peer saw it. It
+// goes before the host list until it expires, until the host list shows the
+// upstream come back, or until an attempt succeeds. Live takes back Dead but
+// not Leaving. Dead is ignored for an upstream that has just answered.
+func (s *Set) Mark(addr string, st State, reason string) {
+	now := time.Now()
+	mk := mark{
+		state:  st,
+		reason: reason,
+		until:  now.Add(s.cfg.ttl(st)),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := false
+	for _, g := range s.groups {
+		found = g.markAddr(addr, mk, now) || found
+	}
+	if !found && st != Live {
+		s.early[addr] = mk
+	}
+}
+
+// SetDaemons tells how many daemons share the upstreams; it sizes subsets and
+// this daemon's part of their concurrency.
+func (s *Set) SetDaemons(n int) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.daemons = max(n, 1)
+	for _, g := range s.groups {
+		g.setDaemons(s.daemons, now)
+	}
+}
+
+func (c *Config) ttl(st State) time.Duration {
+	if st == Leaving {
+		return c.LeavingTTL
+	}
+	return c.DeadTTL
+}
+
+func (s *Set) group(service string) *group {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.groups[service]
+}
