Add the stand-ins for the platform and the upstreams

One program with a subcommand for each, an own process each: log service, host list, weight store, model engine, pools and plain service. Faults and the ledger of what was really executed sit behind /control/ on the listener of the stand-in. Faults gain cut_cleanly and short_outputs; duplicate_answers now sends one answer twice on a connection, as HTTP can cross answers so.

--- /dev/null
+++ b/internal/standin/control/faulty.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// faulty serves next under the faults that all stand-ins share.
+func (c *Control) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		faults := c.Faults.Current()
+		if faults.Reset.Or(false) {
+			closeConnection(w, true)
+			return
+		}
+		if faults.Hang.Or(false) {
+			c.hang(r.Context())
+			closeConnection(w, false)
+			return
+		}
+		if !sleep(r.Context(), milliseconds(faults.DelayMs)) {
+			return
+		}
+		if c.Faults.Current().Down.Or(false) {
+			refuseDown(w)
+			return
+		}
+		if hasEffect(r) && c.Faults.TakeLostReply() {
+			next.ServeHTTP(newBuffer(), r)
+			closeConnection(w, false)
+			return
+		}
+		if hasEffect(r) && c.Faults.TakeDuplicateAnswer() {
+			answerTwice(w, r, next)
+			return
+		}
+		if n := int(faults.CutAfterBytes.Or(0)); n > 0 {
+			next.ServeHTTP(newCutWriter(w, n, faults.CutCleanly.Or(false)), r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// hang waits until the caller gives up or the fault is lifted.
+func (c *Control) hang(ctx context.Context) {
+	for {
+		changed := c.Faults.Changed()
+		if !c.Faults.Current().Hang.Or(false) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// hasEffect reports whether the call is one whose reply can be lost after its
+// effect.
+func hasEffect(r *http.Request) bool {
+	return r.Method == http.MethodPost && !strings.HasSuffix(r.URL.Path, "/cancel")
+}
+
+func refuseDown(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = w.Write([]byte(`{"code":"unavailable","message":"the stand-in is down","ran":false}`))
+}
+
+// closeConnection closes the connection of w without an answer; a reset one
+// discards what is still in the socket.
+func closeConnection(w http.ResponseWriter, reset bool) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok && reset {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// sleep waits for d and reports whether ctx still lives.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// cutWriter lets so many bytes of a body through and then cuts the connection,
+// or ends the body there.
+type cutWriter struct {
+	http.ResponseWriter
+
+	left    int
+	cleanly bool
+}
+
+func newCutWriter(w http.ResponseWriter, left int, cleanly bool) *cutWriter {
+	return &cutWriter{
+		ResponseWriter: w,
+		left:           left,
+		cleanly:        cleanly,
+	}
+}
+
+// WriteHeader drops the length, which the cut would belie.
+func (w *cutWriter) WriteHeader(status int) {
+	w.Header().Del("Content-Length")
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write passes on what is left to be sent.
+func (w *cutWriter) Write(p []byte) (int, error) {
+	if len(p) <= w.left {
+		w.left -= len(p)
+		return w.ResponseWriter.Write(p)
+	}
+	_, _ = w.ResponseWriter.Write(bytes.Clone(p[:w.left]))
+	w.left = 0
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+	if !w.cleanly {
+		panic(http.ErrAbortHandler)
+	}
+	return len(p), nil
+}
+
+// Unwrap gives http.ResponseController the writer below.
+func (w *cutWriter) Unwrap() http.ResponseWriter {
+	return w.ResponseWriter
+}
--- /dev/null
+++ b/internal/standin/engine/batch.go
@@ -0,0 +1,112 @@
+package engine
+
+import (
+	"container/heap"
+	"context"
+	"time"
+)
+
+// Run steps the batch until ctx ends. One step gives every running sequence
+// one token; it takes longer the more sequences run and the more of their
+// prompts is not cached.
+func (e *Engine) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		d, work := e.admit()
+		if !work {
+			select {
+			case <-ctx.Done():
+				return
+			case <-e.wake:
+				continue
+			}
+		}
+		timer.Reset(d)
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			e.step()
+		}
+	}
+}
+
+// admit fills the batch from the queue and returns the time of the next step.
+func (e *Engine) admit() (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire()
+	prefill := time.Duration(0)
+	for len(e.batch) < e.capacity && len(e.queue) > 0 {
+		s := heap.Pop(&e.queue).(*sequence)
+		s.queued = false
+		if s.gone || s.attached == 0 {
+			continue
+		}
+		prefill += e.begin(s)
+	}
+	if len(e.batch) == 0 {
+		return 0, false
+	}
+	share := float64(len(e.batch)-1) / float64(e.capacity)
+	token := time.Duration(float64(e.tokenTime) * (1 + batchSlope*share))
+	return e.control.Faults.Slow(token + prefill), true
+}
+
+// begin puts a sequence into the batch and returns the time of its prefill.
+func (e *Engine) begin(s *sequence) time.Duration {
+	s.running = true
+	e.batch = append(e.batch, s)
+	dropShare := e.control.Faults.Current().DropCacheEvents.Or(0)
+	s.cached = e.cache.use(s.prompt, dropShare)
+	if s.run == nil {
+		s.run = e.beginEntry(s)
+	}
+	return time.Duration(len(s.prompt)-s.cached) * e.prefillByte
+}
+
+// step gives each running sequence its next token.
+func (e *Engine) step() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	kept := e.batch[:0]
+	for _, s := range e.batch {
+		if s.gone || s.attached == 0 {
+			s.running = false
+			s.notify()
+			continue
+		}
+		s.produced++
+		if s.finished() {
+			s.running = false
+			e.completeEntry(s)
+		} else {
+			kept = append(kept, s)
+		}
+		s.notify()
+	}
+	clear(e.batch[len(kept):])
+	e.batch = kept
+}
+
+// expire forgets sequences that no reader has come back for.
+func (e *Engine) expire() {
+	for id, s := range e.held {
+		if s.attached == 0 && time.Since(s.detached) > e.hold {
+			e.forget(id, s)
+		}
+	}
+}
+
+func (e *Engine) forget(id string, s *sequence) {
+	delete(e.held, id)
+	if s.gone {
+		return
+	}
+	s.gone = true
+	if s.run != nil && !s.finished() {
+		s.run.Abandon()
+	}
+	s.notify()
+}
--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,114 @@
+package engine
+
+import (
+	"container/list"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sequoiafork/internal/wire/upstreamapi"
+)
+
+// blockBytes is the part of a prompt that one cache block covers.
+const blockBytes = 64
+
+// prefixCache keeps the most recently used prompt prefixes in a bounded number
+// of blocks. It is not safe for concurrent use.
+type prefixCache struct {
+	capacity int
+	order    *list.List // Of uint64 prefix hashes, the most recently used first.
+	blocks   map[uint64]*list.Element
+	events   eventLog
+}
+
+func newPrefixCache(capacity int, r *rand.Rand) *prefixCache {
+	return &prefixCache{
+		capacity: capacity,
+		order:    list.New(),
+		blocks:   make(map[uint64]*list.Element),
+		events: eventLog{
+			rand: r,
+		},
+	}
+}
+
+// use returns how many bytes of prompt were cached, and caches all its blocks.
+func (c *prefixCache) use(prompt string, dropShare float64) int {
+	cached := 0
+	missed := false
+	for end := blockBytes; end <= len(prompt); end += blockBytes {
+		hash := xxhash.Sum64String(prompt[:end])
+		if c.touch(hash, dropShare) && !missed {
+			cached = end
+			continue
+		}
+		missed = true
+	}
+	return cached
+}
+
+// touch makes the block the most recently used and reports whether it was
+// cached.
+func (c *prefixCache) touch(hash uint64, dropShare float64) bool {
+	if e, ok := c.blocks[hash]; ok {
+		c.order.MoveToFront(e)
+		return true
+	}
+	c.blocks[hash] = c.order.PushFront(hash)
+	c.events.add(upstreamapi.CacheEventKindStored, hash, dropShare)
+	if c.order.Len() > c.capacity {
+		oldest := c.order.Remove(c.order.Back()).(uint64)
+		delete(c.blocks, oldest)
+		c.events.add(upstreamapi.CacheEventKindEvicted, oldest, dropShare)
+	}
+	return false
+}
+
+// eventLog keeps cache events, some of which never appear.
+type eventLog struct {
+	rand     *rand.Rand
+	sequence int64
+	events   []timedEvent
+}
+
+type timedEvent struct {
+	at    time.Time
+	event upstreamapi.CacheEvent
+}
+
+func (l *eventLog) add(kind upstreamapi.CacheEventKind, hash uint64, dropShare float64) {
+	l.sequence++
+	if l.rand.Float64() < dropShare {
+		return
+	}
+	l.events = append(l.events, timedEvent{
+		at: time.Now(),
+		event: upstreamapi.CacheEvent{
+			Sequence:   l.sequence,
+			Kind:       kind,
+			PrefixHash: fmt.Sprintf("%016x", hash),
+		},
+	})
+}
+
+// since returns the events after a sequence that are older than lag.
+func (l *eventLog) since(sequence int64, lag time.Duration) *upstreamapi.CacheEvents {
+	seen := time.Now().Add(-lag)
+	result := &upstreamapi.CacheEvents{
+		Events: []upstreamapi.CacheEvent{},
+		Next:   sequence,
+	}
+	for _, e := range l.events {
+		if e.at.After(seen) {
+			break
+		}
+		if e.event.Sequence <= sequence {
+			continue
+		}
+		result.Events = append(result.Events, e.event)
+		result.Next = e.event.Sequence
+	}
+	return result
+}
--- /dev/null
+++ b/internal/standin/engine/completion.go
@@ -0,0 +1,182 @@
+package engine
+
+import (
+	"container/heap"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"sequoiafork/internal/standin/oracle"
+	"sequoiafork/internal/standin/unserved"
+	"sequoiafork/internal/wire/upstreamapi"
+)
+
+// Complete streams the tokens of a completion as server-sent events.
+func (e *Engine) Complete(ctx context.Context, req *upstreamapi.Completion, w http.ResponseWriter) error {
+	s, err := e.attach(req)
+	if err != nil {
+		return err
+	}
+	defer e.detach(s)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(http.StatusOK)
+	stream := &eventStream{
+		writer: w,
+		id:     req.RequestID,
+	}
+	if e.control.Faults.TakeWrongAttemptID() {
+		stream.id = "r-00000000-0000-7000-8000-000000000000.0.0"
+	}
+	return e.send(ctx, s, req.ResumeFrom.Or(0), stream)
+}
+
+// send writes the tokens from an index on as they are produced.
+func (e *Engine) send(ctx context.Context, s *sequence, next int, stream *eventStream) error {
+	for {
+		produced, gone, progress := e.look(s)
+		for ; next < produced; next++ {
+			if err := stream.token(e, s, next); err != nil {
+				return nil
+			}
+		}
+		if produced == len(s.tokens) {
+			return stream.end()
+		}
+		if gone {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-progress:
+		}
+	}
+}
+
+func (e *Engine) look(s *sequence) (produced int, gone bool, progress <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.produced, s.gone, s.progress
+}
+
+// attach queues a new completion, or takes up one that is still held.
+func (e *Engine) attach(req *upstreamapi.Completion) (*sequence, error) {
+	if e.control.Faults.Current().Leaving.Or(false) {
+		return nil, unserved.UpstreamError(http.StatusServiceUnavailable, "leaving", "this engine is leaving")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	defer e.signal()
+	if s, ok := e.held[req.RequestID]; ok {
+		return e.resume(s, req)
+	}
+	if _, resumes := req.ResumeFrom.Get(); resumes {
+		return nil, unserved.UpstreamError(http.StatusNotFound, "not_found", "request_id: this engine does not hold the completion")
+	}
+	if !slices.Contains(e.models, req.Model) {
+		return nil, unserved.UpstreamError(http.StatusNotFound, "not_found", fmt.Sprintf("model: %q is not loaded", req.Model))
+	}
+	if len(e.queue) >= e.maxQueue {
+		return nil, unserved.UpstreamError(http.StatusServiceUnavailable, "overloaded", "the queue is full")
+	}
+	s := &sequence{
+		id:       req.RequestID,
+		priority: req.Priority.Or(0),
+		prompt:   req.Prompt,
+		tokens:   oracle.Tokens(req.Model, req.Prompt, req.MaxTokens.Or(0)),
+		progress: make(chan struct{}),
+	}
+	e.held[s.id] = s
+	e.enqueue(s)
+	return s, nil
+}
+
+func (e *Engine) resume(s *sequence, req *upstreamapi.Completion) (*sequence, error) {
+	if req.Prompt != s.prompt || req.ResumeFrom.Or(0) > len(s.tokens) {
+		return nil, unserved.UpstreamError(http.StatusBadRequest, "bad_request", "request_id: held for another completion")
+	}
+	e.enqueue(s)
+	return s, nil
+}
+
+func (e *Engine) enqueue(s *sequence) {
+	s.attached++
+	if s.running || s.queued || s.finished() {
+		return
+	}
+	e.arrival++
+	s.arrival = e.arrival
+	s.queued = true
+	heap.Push(&e.queue, s)
+}
+
+func (e *Engine) detach(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.attached--
+	s.detached = time.Now()
+}
+
+// CancelCompletion stops a completion and forgets it.
+func (e *Engine) CancelCompletion(_ context.Context, params upstreamapi.CancelCompletionParams) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s, ok := e.held[params.RequestID]; ok {
+		e.forget(params.RequestID, s)
+	}
+	return nil
+}
+
+// eventStream writes chunks as server-sent events.
+type eventStream struct {
+	writer http.ResponseWriter
+	id     string
+}
+
+func (s *eventStream) token(e *Engine, seq *sequence, index int) error {
+	chunk := upstreamapi.CompletionChunk{
+		ID:         s.id,
+		TokenIndex: index,
+		Choices: []upstreamapi.CompletionChoice{
+			{
+				Index: 0,
+				Text:  seq.tokens[index],
+			},
+		},
+	}
+	if index == len(seq.tokens)-1 {
+		chunk.Choices[0].FinishReason = upstreamapi.NewOptString("length")
+		chunk.Usage = upstreamapi.NewOptCompletionUsage(upstreamapi.CompletionUsage{
+			PromptTokens:     len(seq.prompt),
+			CompletionTokens: len(seq.tokens),
+			CachedTokens:     e.cachedBytes(seq),
+		})
+		chunk.Load = upstreamapi.NewOptLoad(e.currentLoad())
+	}
+	data, err := json.Marshal(&chunk)
+	if err != nil {
+		return fmt.Errorf("encode chunk %d: %w", index, err)
+	}
+	return s.event(data)
+}
+
+func (s *eventStream) end() error {
+	return s.event([]byte("[DONE]"))
+}
+
+func (s *eventStream) event(data []byte) error {
+	if _, err := fmt.Fprintf(s.writer, "data: %s\n\n", data); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.writer).Flush()
+}
+
+func (e *Engine) cachedBytes(s *sequence) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.cached
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,157 @@
+// Package engine stands in for a model engine: it batches continuously, caches
+// prompt prefixes, honours priorities, resumes and cancels streams, and takes
+// orders to load models.
+package engine
+
+import (
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/standin/control"
+	"sequoiafork/internal/standin/loadreport"
+	"sequoiafork/internal/standin/unserved"
+	"sequoiafork/internal/wire/platformapi"
+	"sequoiafork/internal/wire/standinapi"
+	"sequoiafork/internal/wire/upstreamapi"
+)
+
+// Defaults of a Config.
+const (
+	DefaultCapacity    = 8
+	DefaultTokenTime   = 2 * time.Millisecond
+	DefaultPrefillByte = 2 * time.Microsecond
+	DefaultCacheBlocks = 256
+	DefaultHold        = 5 * time.Second
+	DefaultMaxQueue    = 256
+)
+
+// batchSlope is the share by which a step of a full batch is slower than one of
+// a single sequence.
+const batchSlope = 1.0
+
+// Config holds the settings of an Engine.
+type Config struct {
+	// Control is the endpoint that sets faults; it is required.
+	Control *control.Control
+	// Capacity is the largest batch, DefaultCapacity when zero.
+	Capacity int
+	// MaxQueue is the number of completions that wait, DefaultMaxQueue when
+	// zero.
+	MaxQueue int
+	// TokenTime is the time of a step with one sequence, DefaultTokenTime when
+	// zero.
+	TokenTime time.Duration
+	// PrefillByte is the time to take in one byte of a prompt that is not
+	// cached, DefaultPrefillByte when zero.
+	PrefillByte time.Duration
+	// CacheBlocks bounds the prefix cache, DefaultCacheBlocks when zero.
+	CacheBlocks int
+	// Hold is how long a completion without a reader can be resumed,
+	// DefaultHold when zero.
+	Hold time.Duration
+	// Models are those held at the start.
+	Models []string
+	// ChecksFencing makes the engine refuse orders with an old fencing number.
+	ChecksFencing bool
+	// Weights is the weight store; without it models load at once.
+	Weights *platformapi.Client
+	// Seed is the seed of the gaps in cache events.
+	Seed uint64
+}
+
+// Engine completes prompts. It is safe for concurrent use; Run must be called
+// for completions to make progress.
+type Engine struct {
+	unserved.Upstream
+
+	control       *control.Control
+	capacity      int
+	maxQueue      int
+	tokenTime     time.Duration
+	prefillByte   time.Duration
+	hold          time.Duration
+	checksFencing bool
+	weights       *platformapi.Client
+	wake          chan struct{}
+	report        loadreport.Report
+
+	mu      sync.Mutex
+	arrival uint64
+	queue   queue
+	batch   []*sequence
+	held    map[string]*sequence
+	cache   *prefixCache
+	models  []string
+	role    string
+	fencing int64
+}
+
+var (
+	_ upstreamapi.Handler    = (*Engine)(nil)
+	_ upstreamapi.RawHandler = (*Engine)(nil)
+)
+
+// New returns an idle Engine.
+func New(c Config) *Engine {
+	c = c.withDefaults()
+	return &Engine{
+		control:       c.Control,
+		capacity:      c.Capacity,
+		maxQueue:      c.MaxQueue,
+		tokenTime:     c.TokenTime,
+		prefillByte:   c.PrefillByte,
+		hold:          c.Hold,
+		checksFencing: c.ChecksFencing,
+		weights:       c.Weights,
+		wake:          make(chan struct{}, 1),
+		held:          make(map[string]*sequence),
+		cache:         newPrefixCache(c.CacheBlocks, rand.New(rand.NewPCG(c.Seed, 0))),
+		models:        c.Models,
+	}
+}
+
+func (c Config) withDefaults() Config {
+	if c.Capacity == 0 {
+		c.Capacity = DefaultCapacity
+	}
+	if c.MaxQueue == 0 {
+		c.MaxQueue = DefaultMaxQueue
+	}
+	if c.TokenTime == 0 {
+		c.TokenTime = DefaultTokenTime
+	}
+	if c.PrefillByte == 0 {
+		c.PrefillByte = DefaultPrefillByte
+	}
+	if c.CacheBlocks == 0 {
+		c.CacheBlocks = DefaultCacheBlocks
+	}
+	if c.Hold == 0 {
+		c.Hold = DefaultHold
+	}
+	return c
+}
+
+func (e *Engine) beginEntry(s *sequence) *control.Execution {
+	request, _, _ := strings.Cut(s.id, ".")
+	return e.control.Ledger.Begin(standinapi.Entry{
+		RequestID:  request,
+		AttemptID:  s.id,
+		Stage:      "completion",
+		Input:      s.prompt,
+		Repeatable: standinapi.NewOptBool(true),
+	})
+}
+
+func (e *Engine) completeEntry(s *sequence) {
+	s.run.Complete(strings.Join(s.tokens, ""))
+}
+
+func (e *Engine) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/sequence.go
@@ -0,0 +1,66 @@
+package engine
+
+import (
+	"container/heap"
+	"time"
+
+	"sequoiafork/internal/standin/control"
+)
+
+// sequence is one completion. The engine's lock guards it.
+type sequence struct {
+	id       string
+	priority int
+	arrival  uint64
+	prompt   string
+	tokens   []string
+	produced int
+	cached   int
+
+	run      *control.Execution
+	attached int
+	detached time.Time // When the last reader left; it matters while none is attached.
+	queued   bool
+	running  bool
+	gone     bool          // Cancelled or no longer held.
+	progress chan struct{} // Closed and replaced when something changes.
+}
+
+func (s *sequence) finished() bool {
+	return s.produced == len(s.tokens)
+}
+
+func (s *sequence) notify() {
+	close(s.progress)
+	s.progress = make(chan struct{})
+}
+
+// queue orders waiting sequences by priority, then by arrival.
+type queue []*sequence
+
+var _ heap.Interface = (*queue)(nil)
+
+// Len returns the number of sequences that wait.
+func (q queue) Len() int { return len(q) }
+
+// Less reports whether sequence i runs before j.
+func (q queue) Less(i, j int) bool {
+	if q[i].priority != q[j].priority {
+		return q[i].priority < q[j].priority
+	}
+	return q[i].arrival < q[j].arrival
+}
+
+// Swap exchanges two sequences.
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push adds a sequence.
+func (q *queue) Push(x any) { *q = append(*q, x.(*sequence)) }
+
+// Pop removes the last sequence.
+func (q *queue) Pop() any {
+	old := *q
+	s := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return s
+}
--- /dev/null
+++ b/internal/standin/engine/state.go
@@ -0,0 +1,141 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"sequoiafork/internal/standin/unserved"
+	"sequoiafork/internal/wire/platformapi"
+	"sequoiafork/internal/wire/standinapi"
+	"sequoiafork/internal/wire/upstreamapi"
+)
+
+// fetchRetry is the time between tries to fetch weights.
+const fetchRetry = 200 * time.Millisecond
+
+// ShowLoad returns the load as last sampled.
+func (e *Engine) ShowLoad(context.Context) (*upstreamapi.Load, error) {
+	load := e.currentLoad()
+	return &load, nil
+}
+
+func (e *Engine) currentLoad() upstreamapi.Load {
+	load := e.report.Load(e.control.Faults.Lag(), func() upstreamapi.Load {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return upstreamapi.Load{
+			InFlight: len(e.batch),
+			Queued:   len(e.queue),
+			Capacity: e.capacity,
+		}
+	})
+	if e.control.Faults.Current().Leaving.Or(false) {
+		load.Leaving = upstreamapi.NewOptBool(true)
+	}
+	return load
+}
+
+// ListCacheEvents returns cache events, late and with gaps.
+func (e *Engine) ListCacheEvents(_ context.Context, params upstreamapi.ListCacheEventsParams) (*upstreamapi.CacheEvents, error) {
+	lag := e.control.Faults.Lag()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.events.since(params.Since, lag), nil
+}
+
+// ShowState returns the models that the engine holds.
+func (e *Engine) ShowState(context.Context) (*upstreamapi.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state(), nil
+}
+
+func (e *Engine) state() *upstreamapi.EngineState {
+	models := slices.Clone(e.models)
+	if models == nil {
+		models = []string{}
+	}
+	return &upstreamapi.EngineState{
+		Models:  models,
+		Role:    upstreamapi.NewOptString(e.role),
+		Fencing: e.fencing,
+	}
+}
+
+// OrderState loads and drops models until the engine holds those of the order.
+func (e *Engine) OrderState(ctx context.Context, order *upstreamapi.EngineOrder) (*upstreamapi.EngineState, error) {
+	missing, err := e.accept(order)
+	if err != nil {
+		return nil, err
+	}
+	run := e.control.Ledger.Begin(standinapi.Entry{
+		RequestID: order.Holder.Or(""),
+		Stage:     "order",
+		Input:     strings.Join(order.Models, ","),
+		Fencing:   standinapi.NewOptInt64(order.Fencing),
+	})
+	for _, model := range missing {
+		if err := e.fetch(ctx, model); err != nil {
+			run.Abandon()
+			return nil, err
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.checkFencing(order.Fencing); err != nil {
+		run.Abandon()
+		return nil, err
+	}
+	e.models = slices.Clone(order.Models)
+	e.role = order.Role.Or(e.role)
+	run.Complete(strings.Join(e.models, ","))
+	return e.state(), nil
+}
+
+// accept takes note of the fencing number and returns the models to load.
+func (e *Engine) accept(order *upstreamapi.EngineOrder) ([]string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.checkFencing(order.Fencing); err != nil {
+		return nil, err
+	}
+	e.fencing = order.Fencing
+	var missing []string
+	for _, model := range order.Models {
+		if !slices.Contains(e.models, model) {
+			missing = append(missing, model)
+		}
+	}
+	return missing, nil
+}
+
+func (e *Engine) checkFencing(fencing int64) error {
+	if !e.checksFencing || fencing >= e.fencing {
+		return nil
+	}
+	return unserved.UpstreamError(http.StatusConflict, "fenced", fmt.Sprintf("fencing: %d is older than %d", fencing, e.fencing))
+}
+
+// fetch loads the weights of a model and waits out the store's rate limit.
+func (e *Engine) fetch(ctx context.Context, model string) error {
+	if e.weights == nil {
+		return nil
+	}
+	for {
+		_, err := e.weights.FetchWeights(ctx, platformapi.FetchWeightsParams{
+			Model: model,
+		})
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("fetch weights of %q: %w", model, err)
+		case <-time.After(fetchRetry):
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/hostlist/hostlist.go
@@ -0,0 +1,71 @@
+// Package hostlist stands in for the platform's lagging list of hosts.
+package hostlist
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/standin/control"
+	"sequoiafork/internal/standin/unserved"
+	"sequoiafork/internal/wire/platformapi"
+	"sequoiafork/internal/wire/standinapi"
+)
+
+// List serves the hosts as they were so long ago as the lag in force says. It
+// is safe for concurrent use; Control must be set before use.
+type List struct {
+	unserved.Platform
+
+	// Control is the endpoint that sets the hosts and the lag.
+	Control *control.Control
+
+	mu       sync.Mutex
+	versions []version
+}
+
+type version struct {
+	set   time.Time
+	hosts []platformapi.Host
+}
+
+var _ platformapi.Handler = (*List)(nil)
+
+// Set replaces the true hosts.
+func (l *List) Set(hosts []standinapi.Host) {
+	v := version{
+		set:   time.Now(),
+		hosts: make([]platformapi.Host, 0, len(hosts)),
+	}
+	for _, h := range hosts {
+		v.hosts = append(v.hosts, platformapi.Host{
+			Addr:       h.Addr,
+			DataCentre: h.DataCentre,
+			Service:    h.Service,
+			State:      platformapi.HostState(h.State),
+		})
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, v)
+}
+
+// ReadHosts returns the hosts as readers see them.
+func (l *List) ReadHosts(context.Context) (*platformapi.HostList, error) {
+	l.Control.Ledger.CountRead()
+	seen := time.Now().Add(-l.Control.Faults.Lag())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := &platformapi.HostList{
+		Version: 0,
+		Hosts:   []platformapi.Host{},
+	}
+	for i, v := range l.versions {
+		if v.set.After(seen) {
+			break
+		}
+		list.Version = int64(i + 1)
+		list.Hosts = v.hosts
+	}
+	return list, nil
+}
--- /dev/null
+++ b/internal/standin/invoke/invoke.go
@@ -0,0 +1,179 @@
+// Package invoke stands in for encoders, retrievers, rerankers and plain
+// services.
+package invoke
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/standin/control"
+	"sequoiafork/internal/standin/loadreport"
+	"sequoiafork/internal/standin/oracle"
+	"sequoiafork/internal/standin/unserved"
+	"sequoiafork/internal/wire/standinapi"
+	"sequoiafork/internal/wire/upstreamapi"
+)
+
+// Defaults of a Config.
+const (
+	DefaultCapacity = 16
+	DefaultService  = 5 * time.Millisecond
+	DefaultMaxQueue = 256
+)
+
+const (
+	loadSlope = 0.5 // Share by which a full upstream is slower than an idle one.
+	jitter    = 0.1 // Largest share by which a service time is off.
+)
+
+// Config holds the settings of an Upstream.
+type Config struct {
+	// Control is the endpoint that sets faults; it is required.
+	Control *control.Control
+	// Kind names what stands here, such as encoder.
+	Kind string
+	// Capacity is the number of calls that run at once, DefaultCapacity when
+	// zero.
+	Capacity int
+	// MaxQueue is the number of calls that wait, DefaultMaxQueue when zero.
+	MaxQueue int
+	// Service is the time of one call when idle, DefaultService when zero.
+	Service time.Duration
+	// Seed is the seed of the service times.
+	Seed uint64
+}
+
+// Upstream runs calls. It is safe for concurrent use.
+type Upstream struct {
+	unserved.Upstream
+
+	control *control.Control
+	kind    string
+	service time.Duration
+	slots   *slots
+	swapper swapper
+	report  loadreport.Report
+
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+var _ upstreamapi.Handler = (*Upstream)(nil)
+
+// New returns an idle Upstream.
+func New(c Config) *Upstream {
+	if c.Capacity == 0 {
+		c.Capacity = DefaultCapacity
+	}
+	if c.MaxQueue == 0 {
+		c.MaxQueue = DefaultMaxQueue
+	}
+	if c.Service == 0 {
+		c.Service = DefaultService
+	}
+	return &Upstream{
+		control: c.Control,
+		kind:    c.Kind,
+		service: c.Service,
+		slots:   newSlots(c.Capacity, c.MaxQueue),
+		rand:    rand.New(rand.NewPCG(c.Seed, 0)),
+	}
+}
+
+// Invoke runs one call. A call that may not be repeated runs to its end once it
+// has begun, also when its caller has gone.
+func (u *Upstream) Invoke(ctx context.Context, req *upstreamapi.Invocation) (*upstreamapi.InvocationResult, error) {
+	if u.control.Faults.Current().Leaving.Or(false) {
+		return nil, unserved.UpstreamError(http.StatusServiceUnavailable, "leaving", "this upstream is leaving")
+	}
+	ok, err := u.slots.acquire(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		return nil, unserved.UpstreamError(http.StatusServiceUnavailable, "overloaded", "the queue is full")
+	}
+	defer u.slots.release()
+	output, err := u.execute(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	return u.answer(req, output), nil
+}
+
+func (u *Upstream) execute(ctx context.Context, req *upstreamapi.Invocation) (string, error) {
+	run := u.control.Ledger.Begin(standinapi.Entry{
+		RequestID:  req.RequestID,
+		AttemptID:  req.AttemptID,
+		Workspace:  standinapi.OptString(req.Workspace),
+		Stage:      req.Stage,
+		Input:      req.Input,
+		Repeatable: standinapi.NewOptBool(req.Repeatable.Or(false)),
+	})
+	var cancelled <-chan struct{}
+	if req.Repeatable.Or(false) {
+		cancelled = ctx.Done()
+	}
+	select {
+	case <-time.After(u.serviceTime()):
+	case <-cancelled:
+		run.Abandon()
+		return "", ctx.Err()
+	}
+	output := oracle.Output(u.kind, req.Stage, req.Input)
+	run.Complete(output)
+	return output, nil
+}
+
+// serviceTime grows with the calls in flight.
+func (u *Upstream) serviceTime() time.Duration {
+	inFlight, _ := u.slots.count()
+	u.mu.Lock()
+	noise := 1 + jitter*(2*u.rand.Float64()-1)
+	u.mu.Unlock()
+	share := float64(inFlight-1) / float64(cap(u.slots.free))
+	return u.control.Faults.Slow(time.Duration(float64(u.service) * noise * (1 + loadSlope*share)))
+}
+
+func (u *Upstream) answer(req *upstreamapi.Invocation, output string) *upstreamapi.InvocationResult {
+	result := &upstreamapi.InvocationResult{
+		AttemptID:   req.AttemptID,
+		Output:      output,
+		OutputBytes: len(output),
+		Load:        u.currentLoad(),
+	}
+	if u.control.Faults.TakeWrongAttemptID() {
+		result.AttemptID = "r-00000000-0000-7000-8000-000000000000.0.0"
+	}
+	if u.control.Faults.TakeShortOutput() {
+		result.Output = output[:len(output)-1]
+	}
+	if u.control.Faults.Current().SwapAnswers.Or(false) {
+		return u.swapper.swap(result)
+	}
+	return result
+}
+
+// ShowLoad returns the load as last sampled.
+func (u *Upstream) ShowLoad(context.Context) (*upstreamapi.Load, error) {
+	load := u.currentLoad()
+	return &load, nil
+}
+
+func (u *Upstream) currentLoad() upstreamapi.Load {
+	load := u.report.Load(u.control.Faults.Lag(), func() upstreamapi.Load {
+		inFlight, queued := u.slots.count()
+		return upstreamapi.Load{
+			InFlight: inFlight,
+			Queued:   queued,
+			Capacity: cap(u.slots.free),
+		}
+	})
+	if u.control.Faults.Current().Leaving.Or(false) {
+		load.Leaving = upstreamapi.NewOptBool(true)
+	}
+	return load
+}
--- /dev/null
+++ b/internal/standin/invoke/slots.go
@@ -0,0 +1,75 @@
+package invoke
+
+import (
+	"context"
+	"sync"
+)
+
+// slots bounds the calls that run at once and those that wait.
+type slots struct {
+	free     chan struct{}
+	maxQueue int
+
+	mu       sync.Mutex
+	inFlight int
+	queued   int
+}
+
+func newSlots(capacity, maxQueue int) *slots {
+	return &slots{
+		free:     make(chan struct{}, capacity),
+		maxQueue: maxQueue,
+	}
+}
+
+// acquire waits for a slot. It reports false with a nil error when the queue
+// is full.
+func (s *slots) acquire(ctx context.Context) (bool, error) {
+	if !s.enqueue() {
+		return false, nil
+	}
+	select {
+	case s.free <- struct{}{}:
+		s.begin()
+		return true, nil
+	case <-ctx.Done():
+		s.dequeue()
+		return false, ctx.Err()
+	}
+}
+
+func (s *slots) enqueue() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.queued >= s.maxQueue {
+		return false
+	}
+	s.queued++
+	return true
+}
+
+func (s *slots) dequeue() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queued--
+}
+
+func (s *slots) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queued--
+	s.inFlight++
+}
+
+func (s *slots) release() {
+	s.mu.Lock()
+	s.inFlight--
+	s.mu.Unlock()
+	<-s.free
+}
+
+func (s *slots) count() (inFlight, queued int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight, s.queued
+}
--- /dev/null
+++ b/internal/standin/unserved/unserved.go
@@ -0,0 +1,124 @@
+// Package unserved answers the operations that a stand-in does not have. A
+// stand-in embeds one of its types and overrides the operations it serves.
+package unserved
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"sequoiafork/internal/wire/platformapi"
+	"sequoiafork/internal/wire/upstreamapi"
+)
+
+const message = "this stand-in does not serve the operation"
+
+// Platform refuses every operation of the platform's services.
+type Platform struct{}
+
+var _ platformapi.Handler = Platform{}
+
+// AppendRecord refuses the call.
+func (Platform) AppendRecord(context.Context, *platformapi.AppendRequest, platformapi.AppendRecordParams) (*platformapi.AppendResult, error) {
+	return nil, PlatformError(http.StatusNotFound, "not_found", message)
+}
+
+// FetchWeights refuses the call.
+func (Platform) FetchWeights(context.Context, platformapi.FetchWeightsParams) (*platformapi.Weights, error) {
+	return nil, PlatformError(http.StatusNotFound, "not_found", message)
+}
+
+// ReadHosts refuses the call.
+func (Platform) ReadHosts(context.Context) (*platformapi.HostList, error) {
+	return nil, PlatformError(http.StatusNotFound, "not_found", message)
+}
+
+// ReadRecords refuses the call.
+func (Platform) ReadRecords(context.Context, platformapi.ReadRecordsParams) (*platformapi.ReadResult, error) {
+	return nil, PlatformError(http.StatusNotFound, "not_found", message)
+}
+
+// NewError wraps an error that a handler returned.
+func (Platform) NewError(_ context.Context, err error) *platformapi.ErrorStatusCode {
+	var status *platformapi.ErrorStatusCode
+	if errors.As(err, &status) {
+		return status
+	}
+	return PlatformError(http.StatusServiceUnavailable, "unavailable", err.Error())
+}
+
+// PlatformError returns an error answer of a platform service.
+func PlatformError(status int, code, message string) *platformapi.ErrorStatusCode {
+	return &platformapi.ErrorStatusCode{
+		StatusCode: status,
+		Response: platformapi.Error{
+			Code:    code,
+			Message: message,
+		},
+	}
+}
+
+// Upstream refuses every operation of upstreams.
+type Upstream struct{}
+
+var (
+	_ upstreamapi.Handler    = Upstream{}
+	_ upstreamapi.RawHandler = Upstream{}
+)
+
+// CancelCompletion refuses the call.
+func (Upstream) CancelCompletion(context.Context, upstreamapi.CancelCompletionParams) error {
+	return UpstreamError(http.StatusNotFound, "not_found", message)
+}
+
+// Complete refuses the call.
+func (Upstream) Complete(context.Context, *upstreamapi.Completion, http.ResponseWriter) error {
+	return UpstreamError(http.StatusNotFound, "not_found", message)
+}
+
+// Invoke refuses the call.
+func (Upstream) Invoke(context.Context, *upstreamapi.Invocation) (*upstreamapi.InvocationResult, error) {
+	return nil, UpstreamError(http.StatusNotFound, "not_found", message)
+}
+
+// ListCacheEvents refuses the call.
+func (Upstream) ListCacheEvents(context.Context, upstreamapi.ListCacheEventsParams) (*upstreamapi.CacheEvents, error) {
+	return nil, UpstreamError(http.StatusNotFound, "not_found", message)
+}
+
+// OrderState refuses the call.
+func (Upstream) OrderState(context.Context, *upstreamapi.EngineOrder) (*upstreamapi.EngineState, error) {
+	return nil, UpstreamError(http.StatusNotFound, "not_found", message)
+}
+
+// ShowLoad refuses the call.
+func (Upstream) ShowLoad(context.Context) (*upstreamapi.Load, error) {
+	return nil, UpstreamError(http.StatusNotFound, "not_found", message)
+}
+
+// ShowState refuses the call.
+func (Upstream) ShowState(context.Context) (*upstreamapi.EngineState, error) {
+	return nil, UpstreamError(http.StatusNotFound, "not_found", message)
+}
+
+// NewError wraps an error that a handler returned.
+func (Upstream) NewError(_ context.Context, err error) *upstreamapi.ErrorStatusCode {
+	var status *upstreamapi.ErrorStatusCode
+	if errors.As(err, &status) {
+		return status
+	}
+	return UpstreamError(http.StatusServiceUnavailable, "unavailable", err.Error())
+}
+
+// UpstreamError returns an error answer of an upstream that says that the call
+// was not run.
+func UpstreamError(status int, code, message string) *upstreamapi.ErrorStatusCode {
+	return &upstreamapi.ErrorStatusCode{
+		StatusCode: status,
+		Response: upstreamapi.Error{
+			Code:    code,
+			Message: message,
+			Ran:     upstreamapi.NewOptBool(false),
+		},
+	}
+}
--- /dev/null
+++ b/internal/standin/weightstore/weightstore.go
@@ -0,0 +1,80 @@
+// Package weightstore stands in for the platform's rate-limited weight store.
+package weightstore
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"sequoiafork/internal/standin/control"
+	"sequoiafork/internal/standin/unserved"
+	"sequoiafork/internal/wire/platformapi"
+	"sequoiafork/internal/wire/standinapi"
+)
+
+// Defaults of a Config.
+const (
+	DefaultFetchesPerSecond = 2
+	DefaultService          = 50 * time.Millisecond
+	weightBytes             = 1 << 30
+)
+
+// Config holds the settings of a Store.
+type Config struct {
+	// Control is the endpoint that sets faults; it is required.
+	Control *control.Control
+	// FetchesPerSecond is DefaultFetchesPerSecond when zero.
+	FetchesPerSecond float64
+	// Service is the time that one fetch takes, DefaultService when zero.
+	Service time.Duration
+}
+
+// Store serves weights. It is safe for concurrent use.
+type Store struct {
+	unserved.Platform
+
+	control *control.Control
+	limiter *rate.Limiter
+	service time.Duration
+}
+
+var _ platformapi.Handler = (*Store)(nil)
+
+// New returns a Store.
+func New(c Config) *Store {
+	if c.FetchesPerSecond == 0 {
+		c.FetchesPerSecond = DefaultFetchesPerSecond
+	}
+	if c.Service == 0 {
+		c.Service = DefaultService
+	}
+	return &Store{
+		control: c.Control,
+		limiter: rate.NewLimiter(rate.Limit(c.FetchesPerSecond), 1),
+		service: c.Service,
+	}
+}
+
+// FetchWeights sends the weights of a model.
+func (s *Store) FetchWeights(ctx context.Context, params platformapi.FetchWeightsParams) (*platformapi.Weights, error) {
+	if !s.limiter.Allow() {
+		return nil, unserved.PlatformError(http.StatusTooManyRequests, "rate_limited", "too many fetches a second")
+	}
+	run := s.control.Ledger.Begin(standinapi.Entry{
+		Stage: "fetch",
+		Input: params.Model,
+	})
+	select {
+	case <-ctx.Done():
+		run.Abandon()
+		return nil, ctx.Err()
+	case <-time.After(s.control.Faults.Slow(s.service)):
+	}
+	run.Complete("")
+	return &platformapi.Weights{
+		Model: params.Model,
+		Bytes: weightBytes,
+	}, nil
+}
--- a/internal/wire/standinapi/oas_json_gen.go
+++ b/internal/wire/standinapi/oas_json_gen.go
@@ -442,6 +442,18 @@
 			s.CutAfterBytes.Encode(e)
 		}
 	}
+	{
+		if s.CutCleanly.Set {
+			e.FieldStart("cut_cleanly")
+			s.CutCleanly.Encode(e)
+		}
+	}
+	{
+		if s.ShortOutputs.Set {
+			e.FieldStart("short_outputs")
+			s.ShortOutputs.Encode(e)
+		}
+	}
 	{
 		if s.WrongAttemptIds.Set {
 			e.FieldStart("wrong_attempt_ids")
@@ -486,7 +498,7 @@
 	}
 }
 
-var jsonFieldsNameOfFaults = [14]string{
+var jsonFieldsNameOfFaults = [16]string{
 	0:  "down",
 	1:  "delay_ms",
 	2:  "hang",
@@ -494,13 +506,15 @@
 	4:  "leaving",
 	5:  "lose_replies",
 	6:  "cut_after_bytes",
-	7:  "wrong_attempt_ids",
-	8:  "swap_answers",
-	9:  "duplicate_answers",
-	10: "slow_factor",
-	11: "lag_ms",
-	12: "retain_records",
-	13: "drop_cache_events",
+	7:  "cut_cleanly",
+	8:  "short_outputs",
+	9:  "wrong_attempt_ids",
+	10: "swap_answers",
+	11: "duplicate_answers",
+	12: "slow_factor",
+	13: "lag_ms",
+	14: "retain_records",
+	15: "drop_cache_events",
 }
 
 // Decode decodes Faults from json.
@@ -581,6 +595,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"cut_after_bytes\"")
 			}
+		case "cut_cleanly":
+			if err := func() error {
+				s.CutCleanly.Reset()
+				if err := s.CutCleanly.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cut_cleanly\"")
+			}
+		case "short_outputs":
+			if err := func() error {
+				s.ShortOutputs.Reset()
+				if err := s.ShortOutputs.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"short_outputs\"")
+			}
 		case "wrong_attempt_ids":
 			if err := func() error {
 				s.WrongAttemptIds.Reset()
--- a/internal/wire/standinapi/oas_schemas_gen.go
+++ b/internal/wire/standinapi/oas_schemas_gen.go
@@ -205,11 +205,15 @@
 	LoseReplies OptInt `json:"lose_replies"`
 	// Send so many bytes of each answer and cut the connection; zero is off.
 	CutAfterBytes OptInt `json:"cut_after_bytes"`
+	// End a cut answer so that HTTP takes it for whole.
+	CutCleanly OptBool `json:"cut_cleanly"`
+	// The next answers whose output lacks its last byte.
+	ShortOutputs OptInt `json:"short_outputs"`
 	// The next answers that carry another attempt's id.
 	WrongAttemptIds OptInt `json:"wrong_attempt_ids"`
 	// Hold answers in pairs and swap them.
 	SwapAnswers OptBool `json:"swap_answers"`
-	// The next calls that run twice on their own.
+	// The next answers that are sent twice on their connection, the second in place of the next call's.
 	DuplicateAnswers OptInt `json:"duplicate_answers"`
 	// Multiplies the service time; zero means one.
 	SlowFactor OptFloat64 `json:"slow_factor"`
@@ -256,6 +260,16 @@
 	return s.CutAfterBytes
 }
 
+// GetCutCleanly returns the value of CutCleanly.
+func (s *Faults) GetCutCleanly() OptBool {
+	return s.CutCleanly
+}
+
+// GetShortOutputs returns the value of ShortOutputs.
+func (s *Faults) GetShortOutputs() OptInt {
+	return s.ShortOutputs
+}
+
 // GetWrongAttemptIds returns the value of WrongAttemptIds.
 func (s *Faults) GetWrongAttemptIds() OptInt {
 	return s.WrongAttemptIds
@@ -326,6 +340,16 @@
 	s.CutAfterBytes = val
 }
 
+// SetCutCleanly sets the value of CutCleanly.
+func (s *Faults) SetCutCleanly(val OptBool) {
+	s.CutCleanly = val
+}
+
+// SetShortOutputs sets the value of ShortOutputs.
+func (s *Faults) SetShortOutputs(val OptInt) {
+	s.ShortOutputs = val
+}
+
 // SetWrongAttemptIds sets the value of WrongAttemptIds.
 func (s *Faults) SetWrongAttemptIds(val OptInt) {
 	s.WrongAttemptIds = val
