--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -157,7 +156,7 @@
 		})
 		chunk.Load = upstreamapi.NewOptLoad(e.currentLoad())
 	}
-	data, err := json.Marshal(&chunk)
+	data, err := chunk.MarshalJSON()
 	if err != nil {
 		return fmt.Errorf("encode chunk %d: %w", index, err)
 	}
