--- /dev/null
+++ b/internal/settings/example.go
@@ -0,0 +1,34 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+const exampleHead = `# Settings of sequoiaforkd: every key with its unit and its default.
+# A key marked "required" has no default; its value here is an example.
+# Each key is also a flag (-limits.max_in_flight 100) and an environment
+# variable (SEQUOIAFORKD_LIMITS_MAX_IN_FLIGHT=100). A flag goes before the
+# environment, which goes before this file.
+# Check a file without starting anything: sequoiaforkd -config FILE -check
+`
+
+// Example returns a settings file with every key, its unit and its default.
+func Example() string {
+	var b strings.Builder
+	b.WriteString(exampleHead)
+	section := ""
+	for _, f := range schema() {
+		if f.section != section {
+			section = f.section
+			fmt.Fprintf(&b, "\n[%s]\n", section)
+		}
+		mark := ""
+		if f.required {
+			mark = " Required."
+		}
+		fmt.Fprintf(&b, "# %s%s\n# Unit: %s. Allowed: %s.\n", f.about, mark, f.unit, f.allowed)
+		b.WriteString(strings.TrimSpace(f.key+" = "+f.text) + "\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/settings/problem.go
@@ -0,0 +1,44 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one field that can't be used and what would be allowed.
+type Problem struct {
+	Section string
+	Key     string
+	Value   string
+	// Reason says what is wrong, such as "unknown key".
+	Reason string
+	// Allowed says what to write instead.
+	Allowed string
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	place := "[" + p.Section + "]"
+	if p.Key != "" {
+		place += " " + p.Key
+	}
+	if p.Value != "" {
+		place += fmt.Sprintf(" = %q", p.Value)
+	}
+	return fmt.Sprintf("%s: %s; allowed: %s", place, p.Reason, p.Allowed)
+}
+
+// ProblemsError holds every problem of the settings, in the order of the fields.
+type ProblemsError struct {
+	Problems []Problem
+}
+
+// Error returns one line for each problem.
+func (e *ProblemsError) Error() string {
+	lines := make([]string, 0, len(e.Problems)+1)
+	lines = append(lines, fmt.Sprintf("settings: %d problems", len(e.Problems)))
+	for _, p := range e.Problems {
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/settings/schema.go
@@ -0,0 +1,167 @@
+package settings
+
+import "time"
+
+const (
+	kibibyte = 1 << 10
+	mebibyte = 1 << 20
+)
+
+// schema lists every field in the order of the example file.
+func schema() []field {
+	var all []field
+	for _, fields := range [][]field{
+		daemonFields(),
+		peersFields(),
+		platformFields(),
+		limitsFields(),
+		drainFields(),
+		keysFields(),
+		retryFields(),
+		logFields(),
+	} {
+		all = append(all, fields...)
+	}
+	return all
+}
+
+func daemonFields() []field {
+	g := &group{
+		section: "daemon",
+	}
+	g.add(field{
+		key:      "data_centre",
+		about:    "Data centre in which this host stands, as on the host list.",
+		unit:     "name",
+		allowed:  allowedName,
+		text:     "dc-1",
+		required: true,
+		set:      target(parseName, func(s *Settings) *string { return &s.Daemon.DataCentre }),
+	})
+	g.listenAddr("caller_addr", "Address for callers. Callers are told it, so it must be reachable by them.", "192.0.2.10:7001",
+		func(s *Settings) *string { return &s.Daemon.CallerAddr })
+	g.listenAddr("operator_addr", "Address for operators, metrics, health and the dump.", "192.0.2.10:7002",
+		func(s *Settings) *string { return &s.Daemon.OperatorAddr })
+	g.listenAddr("peer_addr", "Address for the other daemons.", "192.0.2.10:7003",
+		func(s *Settings) *string { return &s.Daemon.PeerAddr })
+	return g.fields
+}
+
+func peersFields() []field {
+	g := &group{
+		section: "peers",
+	}
+	g.add(field{
+		key:     "seeds",
+		about:   "Peer addresses of some other daemons; the rest are learnt from them.",
+		unit:    "IP:port list",
+		allowed: allowedAddrs,
+		set:     target(parseAddrs, func(s *Settings) *[]string { return &s.Peers.Seeds }),
+	})
+	return g.fields
+}
+
+func platformFields() []field {
+	g := &group{
+		section: "platform",
+	}
+	g.requiredAddr("log_addr", "Address of the log service.", "192.0.2.20:7100",
+		func(s *Settings) *string { return &s.Platform.LogAddr })
+	g.add(field{
+		key:     "log_stream",
+		about:   "Stream of the log on which the tables, leases and claims are kept; the same for all daemons.",
+		unit:    "name",
+		allowed: allowedName,
+		text:    "sequoiafork",
+		set:     target(parseName, func(s *Settings) *string { return &s.Platform.LogStream }),
+	})
+	g.duration("log_timeout", "Longest wait for one answer of the log service.", 2*time.Second, 10*time.Millisecond, time.Minute,
+		func(s *Settings) *time.Duration { return &s.Platform.LogTimeout })
+	g.number("log_appends_per_second", "Appends that this daemon allows itself.", "appends a second", 8, 0.1, 1000,
+		func(s *Settings) *float64 { return &s.Platform.LogAppendsPerSecond })
+	g.integer("snapshot_every_records", "Records on the log between two snapshots. Keep it under half of what the log retains.", "records", 2000, 10, 1_000_000,
+		func(s *Settings) *int64 { return &s.Platform.SnapshotEveryRecords })
+	g.requiredAddr("host_list_addr", "Address of the host list.", "192.0.2.20:7101",
+		func(s *Settings) *string { return &s.Platform.HostListAddr })
+	g.duration("host_list_interval", "Time between two reads of the host list.", 2*time.Second, 100*time.Millisecond, 10*time.Minute,
+		func(s *Settings) *time.Duration { return &s.Platform.HostListInterval })
+	g.add(field{
+		key:     "weight_store_addr",
+		about:   "Address of the weight store. Empty: this daemon places no models.",
+		unit:    "IP:port",
+		allowed: allowedAddr + "; or empty",
+		set:     target(parseOptionalAddr, func(s *Settings) *string { return &s.Platform.WeightStoreAddr }),
+	})
+	return g.fields
+}
+
+func limitsFields() []field {
+	g := &group{
+		section: "limits",
+	}
+	g.integer("max_body_bytes", "Largest body of a request.", "bytes", mebibyte, kibibyte, 64*mebibyte,
+		func(s *Settings) *int64 { return &s.Limits.MaxBodyBytes })
+	g.integer("max_header_bytes", "Largest header of a request.", "bytes", 16*kibibyte, kibibyte, mebibyte,
+		func(s *Settings) *int64 { return &s.Limits.MaxHeaderBytes })
+	g.integer("max_connections", "Open connections of callers; more wait to be accepted.", "connections", 4096, 1, 1_000_000,
+		func(s *Settings) *int64 { return &s.Limits.MaxConnections })
+	g.integer("max_in_flight", "Requests in flight; more are refused as not run.", "requests", 2048, 1, 1_000_000,
+		func(s *Settings) *int64 { return &s.Limits.MaxInFlight })
+	g.duration("read_header_timeout", "Longest time in which a request's header must arrive.", 5*time.Second, 100*time.Millisecond, 5*time.Minute,
+		func(s *Settings) *time.Duration { return &s.Limits.ReadHeaderTimeout })
+	g.duration("read_timeout", "Longest time in which a whole request must arrive.", 10*time.Second, 100*time.Millisecond, 10*time.Minute,
+		func(s *Settings) *time.Duration { return &s.Limits.ReadTimeout })
+	g.duration("write_timeout", "Longest time from a request's header to the end of its answer, streams included.", 5*time.Minute, time.Second, 24*time.Hour,
+		func(s *Settings) *time.Duration { return &s.Limits.WriteTimeout })
+	g.duration("idle_timeout", "Longest time that a connection stays open between requests.", 2*time.Minute, time.Second, 24*time.Hour,
+		func(s *Settings) *time.Duration { return &s.Limits.IdleTimeout })
+	return g.fields
+}
+
+func drainFields() []field {
+	g := &group{
+		section: "drain",
+	}
+	g.duration("keep_answers", "How long callers may keep an answer about addresses. A drain serves on for as long.", 10*time.Second, 100*time.Millisecond, time.Hour,
+		func(s *Settings) *time.Duration { return &s.Drain.KeepAnswers })
+	g.duration("grace", "Longest wait for requests in flight after that.", time.Minute, 100*time.Millisecond, 24*time.Hour,
+		func(s *Settings) *time.Duration { return &s.Drain.Grace })
+	return g.fields
+}
+
+func keysFields() []field {
+	g := &group{
+		section: "keys",
+	}
+	g.duration("window", "How long an idempotency key and its answer are remembered.", time.Hour, time.Second, 7*24*time.Hour,
+		func(s *Settings) *time.Duration { return &s.Keys.Window })
+	return g.fields
+}
+
+func retryFields() []field {
+	g := &group{
+		section: "retry",
+	}
+	g.number("ratio", "Retries and hedges as a share of recent calls.", "share", 0.1, 0, 1,
+		func(s *Settings) *float64 { return &s.Retry.Ratio })
+	g.integer("burst", "Retries and hedges that may be sent at once.", "calls", 10, 1, 10_000,
+		func(s *Settings) *int64 { return &s.Retry.Burst })
+	return g.fields
+}
+
+func logFields() []field {
+	g := &group{
+		section: "log",
+	}
+	g.word("level", "Least level that is logged.", "info", []string{
+		"debug",
+		"info",
+		"warn",
+		"error",
+	}, func(s *Settings) *string { return &s.Log.Level })
+	g.word("format", "Form of a log line.", "json", []string{
+		"json",
+		"console",
+	}, func(s *Settings) *string { return &s.Log.Format })
+	return g.fields
+}
