Add the operators' HTTP interface over small interfaces

Cause: phones, scripts and the page need the same commands and queries. An edit id that is known already is answered with its settlement, so a repeated request isn't taken for a conflict; a daemon behind the base revision leaves the judgement to the fold.

--- /dev/null
+++ b/internal/operatorhttp/command.go
@@ -0,0 +1,160 @@
+package operatorhttp
+
+import (
+	"context"
+
+	"sequoiafork/internal/editid"
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+// SetRoute creates or replaces a route.
+func (h *Handler) SetRoute(ctx context.Context, req *operatorapi.RouteSpec, params operatorapi.SetRouteParams) (*operatorapi.EditResult, error) {
+	return h.edit(ctx, editRequest{
+		edit: table.Edit{
+			ID:           params.EditID.Or(""),
+			Author:       params.Author.Or(""),
+			BaseRevision: uint64(params.BaseRevision),
+			Change: table.SetRoute{
+				Route: routeValue(params.Name, req),
+			},
+		},
+		dryRun: params.DryRun.Or(false),
+	})
+}
+
+// DeleteRoute removes a route.
+func (h *Handler) DeleteRoute(ctx context.Context, params operatorapi.DeleteRouteParams) (*operatorapi.EditResult, error) {
+	return h.edit(ctx, editRequest{
+		edit: table.Edit{
+			ID:           params.EditID.Or(""),
+			Author:       params.Author.Or(""),
+			BaseRevision: uint64(params.BaseRevision),
+			Change: table.DeleteRoute{
+				Name: params.Name,
+			},
+		},
+		dryRun: params.DryRun.Or(false),
+	})
+}
+
+// SetPool creates or replaces a pool.
+func (h *Handler) SetPool(ctx context.Context, req *operatorapi.PoolSpec, params operatorapi.SetPoolParams) (*operatorapi.EditResult, error) {
+	return h.edit(ctx, editRequest{
+		edit: table.Edit{
+			ID:           params.EditID.Or(""),
+			Author:       params.Author.Or(""),
+			BaseRevision: uint64(params.BaseRevision),
+			Change: table.SetPool{
+				Pool: poolValue(params.Name, req),
+			},
+		},
+		dryRun: params.DryRun.Or(false),
+	})
+}
+
+// DeletePool removes a pool.
+func (h *Handler) DeletePool(ctx context.Context, params operatorapi.DeletePoolParams) (*operatorapi.EditResult, error) {
+	return h.edit(ctx, editRequest{
+		edit: table.Edit{
+			ID:           params.EditID.Or(""),
+			Author:       params.Author.Or(""),
+			BaseRevision: uint64(params.BaseRevision),
+			Change: table.DeletePool{
+				Name: params.Name,
+			},
+		},
+		dryRun: params.DryRun.Or(false),
+	})
+}
+
+// Drain starts the graceful stop of this daemon.
+func (h *Handler) Drain(context.Context) (*operatorapi.DrainState, error) {
+	state := h.config.Drainer.Drain()
+	return &state, nil
+}
+
+// editRequest is one edit as it was asked for.
+type editRequest struct {
+	edit   table.Edit
+	dryRun bool
+}
+
+func (h *Handler) edit(ctx context.Context, req editRequest) (*operatorapi.EditResult, error) {
+	tables, err := h.tables()
+	if err != nil {
+		return nil, err
+	}
+	if req.edit.ID == "" {
+		req.edit.ID = editid.New()
+	} else if earlier, ok := h.earlier(ctx, req); ok {
+		return earlier, nil
+	}
+	if refused := h.refusal(tables, req); refused != nil {
+		return refused, nil
+	}
+	if req.dryRun {
+		return &operatorapi.EditResult{
+			EditID:  req.edit.ID,
+			State:   operatorapi.EditResultStateDryRun,
+			Message: tables.Describe(req.edit),
+		}, nil
+	}
+	settled, err := h.config.Editor.Submit(ctx, req.edit)
+	if err != nil {
+		return nil, err
+	}
+	settled.Name, settled.Pool = req.edit.Target()
+	return h.editResult(req.edit.ID, settled), nil
+}
+
+// earlier returns the result of an edit that was sent before with the same ID.
+func (h *Handler) earlier(ctx context.Context, req editRequest) (*operatorapi.EditResult, bool) {
+	settled, err := h.config.Editor.Settled(ctx, req.edit.ID)
+	if err != nil || settled.State == NotFound {
+		return nil, false
+	}
+	return h.editResult(req.edit.ID, settled), true
+}
+
+// refusal returns a result for an edit that can't be accepted on these tables.
+// Nothing is appended for it.
+func (h *Handler) refusal(tables *table.Tables, req editRequest) *operatorapi.EditResult {
+	name, pool := req.edit.Target()
+	settled := Settlement{
+		Name: name,
+		Pool: pool,
+	}
+	// A daemon that lags behind the base revision can't judge it.
+	revision := tables.RevisionOf(req.edit)
+	stale := revision != req.edit.BaseRevision && req.edit.BaseRevision <= tables.Revision()
+	problems := append(checkPresent(tables, req.edit), tables.Check(req.edit)...)
+	switch {
+	case stale:
+		settled.State = Conflict
+	case len(problems) > 0:
+		settled.State = Refused
+		settled.Problems = problems
+	default:
+		return nil
+	}
+	return h.editResult(req.edit.ID, settled)
+}
+
+// checkPresent refuses to delete a row that doesn't exist.
+func checkPresent(tables *table.Tables, e table.Edit) []table.Problem {
+	switch e.Change.(type) {
+	case table.DeleteRoute, table.DeletePool:
+	default:
+		return nil
+	}
+	if tables.RevisionOf(e) != 0 || e.BaseRevision != 0 {
+		return nil
+	}
+	return []table.Problem{
+		{
+			Field:   "name",
+			Message: "there is no such row: see the list",
+		},
+	}
+}
--- /dev/null
+++ b/internal/operatorhttp/handler.go
@@ -0,0 +1,111 @@
+// Package operatorhttp serves the operators' HTTP interface: the two tables,
+// their edits, the hosts, the dump and the drain.
+//
+//	server, err := operatorhttp.New(operatorhttp.Config{
+//		Editor: editor,
+//		Tables: machine,
+//		Hosts:  hosts,
+//		Dumper: dumper,
+//		Drainer: drainer,
+//	})
+package operatorhttp
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+// Settlement is what is known of an edit.
+type Settlement struct {
+	State State
+	// Name of the row and whether it is a pool; empty when not known.
+	Name string
+	Pool bool
+	// Revision of the row after an accepted edit.
+	Revision uint64
+	// Reason says why the edit was refused or is unknown.
+	Reason   string
+	Problems []table.Problem
+}
+
+// State is how an edit was settled.
+type State int
+
+// The states of an edit. NotFound says that no record of it was read so far.
+const (
+	NotFound State = iota
+	Accepted
+	Conflict
+	Refused
+	Unknown
+)
+
+// Editor changes the tables.
+type Editor interface {
+	// Submit appends an edit and returns how it was settled. Unknown means that
+	// it may have been appended. An error means that it certainly wasn't.
+	Submit(ctx context.Context, e table.Edit) (Settlement, error)
+	// Settled returns what is known of an earlier edit.
+	Settled(ctx context.Context, id string) (Settlement, error)
+}
+
+// Tables reads the tables.
+type Tables interface {
+	Tables() *table.Tables
+	// Ready says whether the daemon has a revision of the tables.
+	Ready() bool
+}
+
+// Hosts lists daemons and upstreams as this daemon sees them.
+type Hosts interface {
+	Daemons() []operatorapi.Daemon
+	Upstreams() []operatorapi.Upstream
+}
+
+// Dumper returns the state of the process as JSON.
+type Dumper interface {
+	Dump() ([]byte, error)
+}
+
+// Drainer starts the graceful stop. A second call changes nothing.
+type Drainer interface {
+	Drain() operatorapi.DrainState
+}
+
+// Config holds what the handler calls. Every field is required.
+type Config struct {
+	Editor  Editor
+	Tables  Tables
+	Hosts   Hosts
+	Dumper  Dumper
+	Drainer Drainer
+}
+
+// Handler implements operatorapi.Handler.
+type Handler struct {
+	config Config
+}
+
+// NewHandler returns a handler without its HTTP server, for the phone page.
+func NewHandler(config Config) *Handler {
+	return &Handler{
+		config: config,
+	}
+}
+
+// New returns the HTTP handler of the operators' interface.
+func New(config Config) (http.Handler, error) {
+	server, err := operatorapi.NewServer(NewHandler(config),
+		operatorapi.WithErrorHandler(writeError),
+		operatorapi.WithNotFound(notFound),
+		operatorapi.WithMethodNotAllowed(methodNotAllowed),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("operators' interface: %w", err)
+	}
+	return server, nil
+}
--- /dev/null
+++ b/internal/operatorhttp/query.go
@@ -0,0 +1,112 @@
+package operatorhttp
+
+import (
+	"context"
+
+	"github.com/go-faster/jx"
+
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+// ListRoutes returns all routes.
+func (h *Handler) ListRoutes(context.Context) (*operatorapi.RouteList, error) {
+	tables, err := h.tables()
+	if err != nil {
+		return nil, err
+	}
+	list := &operatorapi.RouteList{
+		Revision: int64(tables.Revision()),
+		Rows:     []operatorapi.RouteRow{},
+	}
+	for _, row := range tables.Routes() {
+		list.Rows = append(list.Rows, routeRow(row))
+	}
+	return list, nil
+}
+
+// ListPools returns all pools.
+func (h *Handler) ListPools(context.Context) (*operatorapi.PoolList, error) {
+	tables, err := h.tables()
+	if err != nil {
+		return nil, err
+	}
+	list := &operatorapi.PoolList{
+		Revision: int64(tables.Revision()),
+		Rows:     []operatorapi.PoolRow{},
+	}
+	for _, row := range tables.Pools() {
+		list.Rows = append(list.Rows, poolRow(row))
+	}
+	return list, nil
+}
+
+// ShowRoute returns one route.
+func (h *Handler) ShowRoute(_ context.Context, params operatorapi.ShowRouteParams) (*operatorapi.RouteRow, error) {
+	tables, err := h.tables()
+	if err != nil {
+		return nil, err
+	}
+	row, ok := tables.Route(params.Name)
+	if !ok {
+		return nil, &NotFoundError{
+			Kind: "route",
+			Name: params.Name,
+		}
+	}
+	shown := routeRow(row)
+	return &shown, nil
+}
+
+// ShowPool returns one pool.
+func (h *Handler) ShowPool(_ context.Context, params operatorapi.ShowPoolParams) (*operatorapi.PoolRow, error) {
+	tables, err := h.tables()
+	if err != nil {
+		return nil, err
+	}
+	row, ok := tables.Pool(params.Name)
+	if !ok {
+		return nil, &NotFoundError{
+			Kind: "pool",
+			Name: params.Name,
+		}
+	}
+	shown := poolRow(row)
+	return &shown, nil
+}
+
+// ShowEdit returns how an edit was settled, as far as this daemon has read.
+func (h *Handler) ShowEdit(ctx context.Context, params operatorapi.ShowEditParams) (*operatorapi.EditResult, error) {
+	settled, err := h.config.Editor.Settled(ctx, params.EditID)
+	if err != nil {
+		return nil, err
+	}
+	return h.editResult(params.EditID, settled), nil
+}
+
+// ListHosts returns daemons and upstreams as this daemon sees them.
+func (h *Handler) ListHosts(context.Context) (*operatorapi.HostList, error) {
+	list := &operatorapi.HostList{
+		Daemons:   h.config.Hosts.Daemons(),
+		Upstreams: h.config.Hosts.Upstreams(),
+	}
+	if list.Daemons == nil {
+		list.Daemons = []operatorapi.Daemon{}
+	}
+	if list.Upstreams == nil {
+		list.Upstreams = []operatorapi.Upstream{}
+	}
+	return list, nil
+}
+
+// DumpState returns the state of this process.
+func (h *Handler) DumpState(context.Context) (jx.Raw, error) {
+	return h.config.Dumper.Dump()
+}
+
+func (h *Handler) tables() (*table.Tables, error) {
+	if !h.config.Tables.Ready() {
+		return nil, &NotReadyError{}
+	}
+	return h.config.Tables.Tables(), nil
+}
--- /dev/null
+++ b/internal/operatorhttp/result.go
@@ -0,0 +1,86 @@
+package operatorhttp
+
+import (
+	"fmt"
+
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+// deadState is the state of a daemon that is no longer counted.
+const deadState = "dead"
+
+var wireStates = map[State]operatorapi.EditResultState{
+	NotFound: operatorapi.EditResultStateNotFound,
+	Accepted: operatorapi.EditResultStateAccepted,
+	Conflict: operatorapi.EditResultStateConflict,
+	Refused:  operatorapi.EditResultStateRefused,
+	Unknown:  operatorapi.EditResultStateUnknown,
+}
+
+// editResult says how an edit was settled, with the row now where that helps.
+func (h *Handler) editResult(id string, s Settlement) *operatorapi.EditResult {
+	result := &operatorapi.EditResult{
+		EditID:   id,
+		State:    wireStates[s.State],
+		Problems: wireProblems(s.Problems),
+	}
+	switch s.State {
+	case Accepted:
+		inForce, daemons := h.inForce(s.Revision)
+		result.Revision = operatorapi.NewOptInt64(int64(s.Revision))
+		result.InForce = operatorapi.NewOptInt(inForce)
+		result.Daemons = operatorapi.NewOptInt(daemons)
+		result.Message = fmt.Sprintf("in force on %d of %d daemons", inForce, daemons)
+	case Conflict:
+		result.Message = h.conflictMessage(result, s)
+	case Refused:
+		result.Message = refusedMessage(s)
+	case Unknown:
+		result.Message = "may be accepted: check edit " + id
+	case NotFound:
+		result.Message = "not read so far: ask again later"
+	}
+	return result
+}
+
+// conflictMessage also attaches the row as it is now.
+func (h *Handler) conflictMessage(result *operatorapi.EditResult, s Settlement) string {
+	tables := h.config.Tables.Tables()
+	if s.Pool {
+		if row, ok := tables.Pool(s.Name); ok {
+			result.PoolNow = operatorapi.NewOptPoolRow(poolRow(row))
+			return fmt.Sprintf("pool %s is now at revision %d", s.Name, row.Revision)
+		}
+		return fmt.Sprintf("there is no pool %s now", s.Name)
+	}
+	if row, ok := tables.Route(s.Name); ok {
+		result.RouteNow = operatorapi.NewOptRouteRow(routeRow(row))
+		return fmt.Sprintf("route %s is now at revision %d", s.Name, row.Revision)
+	}
+	return fmt.Sprintf("there is no route %s now", s.Name)
+}
+
+func refusedMessage(s Settlement) string {
+	switch {
+	case s.Reason != "":
+		return s.Reason
+	case len(s.Problems) == 1:
+		return s.Problems[0].String()
+	default:
+		return fmt.Sprintf("%d problems", len(s.Problems))
+	}
+}
+
+// inForce counts the daemons that have folded the revision, and all that live.
+func (h *Handler) inForce(revision uint64) (inForce, daemons int) {
+	for _, d := range h.config.Hosts.Daemons() {
+		if d.State == deadState {
+			continue
+		}
+		daemons++
+		if uint64(d.Revision) >= revision {
+			inForce++
+		}
+	}
+	return inForce, daemons
+}
