--- a/internal/pipeline/stagerun.go
+++ b/internal/pipeline/stagerun.go
@@ -241,9 +241,11 @@
 	case call.TimedOut:
 		res.Outcome = upstream.TimedOut
 	case call.Reach == RefusedLeaving:
-		res.Outcome = upstream.Leaving
-	case call.Reach == NotSent, call.Reach == Refused:
+		res.Outcome = upstream.LeftPool
+	case call.Reach == NotSent:
 		res.Outcome = upstream.Refused
+	case call.Reach == Refused:
+		res.Outcome = upstream.Overloaded
 	}
 	t.choice.Done(res)
 	observeAttempt(r.pool.Name, outcomeLabel(call), took)
