--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -156,11 +156,7 @@
 		})
 		chunk.Load = upstreamapi.NewOptLoad(e.currentLoad())
 	}
-	data, err := chunk.MarshalJSON()
-	if err != nil {
-		return fmt.Errorf("encode chunk %d: %w", index, err)
-	}
-	return s.event(data)
+	return s.event(encodeChunk(&chunk))
 }
 
 func (s *eventStream) end() error {
