Generate the codecs of both stream events and show a held completion

Cause: ogen makes no JSON code for a type that only a raw response uses. Ruled out: hand-written encoders beside the schema (drift), a second generation (twice the code). Change: both event types also appear in a JSON response, so the generated codecs serve the streams.

--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/go-faster/jx"
+
 	"sequoiafork/internal/standin/oracle"
 	"sequoiafork/internal/standin/unserved"
 	"sequoiafork/internal/wire/upstreamapi"
@@ -156,7 +159,29 @@
 		})
 		chunk.Load = upstreamapi.NewOptLoad(e.currentLoad())
 	}
-	return s.event(encodeChunk(&chunk))
+	var enc jx.Encoder
+	chunk.Encode(&enc)
+	return s.event(enc.Bytes())
+}
+
+// ShowCompletion returns the text that a held completion has so far.
+func (e *Engine) ShowCompletion(_ context.Context, params upstreamapi.ShowCompletionParams) (*upstreamapi.CompletionChunk, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.held[params.RequestID]
+	if !ok {
+		return nil, unserved.UpstreamError(http.StatusNotFound, "not_found", "request_id: this engine does not hold the completion")
+	}
+	choice := upstreamapi.CompletionChoice{
+		Text: strings.Join(s.tokens[:s.produced], ""),
+	}
+	if s.finished() {
+		choice.FinishReason = upstreamapi.NewOptString("length")
+	}
+	return &upstreamapi.CompletionChunk{
+		ID:      s.id,
+		Choices: []upstreamapi.CompletionChoice{choice},
+	}, nil
 }
 
 func (s *eventStream) end() error {
--- a/internal/standin/unserved/unserved.go
+++ b/internal/standin/unserved/unserved.go
@@ -91,6 +91,11 @@
 	return nil, UpstreamError(http.StatusNotFound, "not_found", message)
 }
 
+// ShowCompletion refuses the call.
+func (Upstream) ShowCompletion(context.Context, upstreamapi.ShowCompletionParams) (*upstreamapi.CompletionChunk, error) {
+	return nil, UpstreamError(http.StatusNotFound, "not_found", message)
+}
+
 // ShowLoad refuses the call.
 func (Upstream) ShowLoad(context.Context) (*upstreamapi.Load, error) {
 	return nil, UpstreamError(http.StatusNotFound, "not_found", message)
--- a/internal/wire/callerapi/oas_json_gen.go
+++ b/internal/wire/callerapi/oas_json_gen.go
@@ -508,12 +508,19 @@
 			s.Outcome.Encode(e)
 		}
 	}
+	{
+		if s.LastEvent.Set {
+			e.FieldStart("last_event")
+			s.LastEvent.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfKeyState = [3]string{
+var jsonFieldsNameOfKeyState = [4]string{
 	0: "state",
 	1: "answer",
 	2: "outcome",
+	3: "last_event",
 }
 
 // Decode decodes KeyState from json.
@@ -555,6 +562,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"outcome\"")
 			}
+		case "last_event":
+			if err := func() error {
+				s.LastEvent.Reset()
+				if err := s.LastEvent.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"last_event\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -727,6 +744,41 @@
 	return s.Decode(d, json.DecodeDateTime)
 }
 
+// Encode encodes int as json.
+func (o OptInt) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int(int(o.Value))
+}
+
+// Decode decodes int from json.
+func (o *OptInt) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt to nil")
+	}
+	o.Set = true
+	v, err := d.Int()
+	if err != nil {
+		return err
+	}
+	o.Value = int(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int64 as json.
 func (o OptInt64) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -795,6 +847,39 @@
 	return s.Decode(d)
 }
 
+// Encode encodes StreamEvent as json.
+func (o OptStreamEvent) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes StreamEvent from json.
+func (o *OptStreamEvent) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptStreamEvent to nil")
+	}
+	o.Set = true
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptStreamEvent) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptStreamEvent) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes string as json.
 func (o OptString) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1356,3 +1441,167 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *StreamEvent) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *StreamEvent) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("request_id")
+		e.Str(s.RequestID)
+	}
+	{
+		if s.Index.Set {
+			e.FieldStart("index")
+			s.Index.Encode(e)
+		}
+	}
+	{
+		if s.Text.Set {
+			e.FieldStart("text")
+			s.Text.Encode(e)
+		}
+	}
+	{
+		if s.Done.Set {
+			e.FieldStart("done")
+			s.Done.Encode(e)
+		}
+	}
+	{
+		if s.Error.Set {
+			e.FieldStart("error")
+			s.Error.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfStreamEvent = [5]string{
+	0: "request_id",
+	1: "index",
+	2: "text",
+	3: "done",
+	4: "error",
+}
+
+// Decode decodes StreamEvent from json.
+func (s *StreamEvent) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode StreamEvent to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "request_id":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.RequestID = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"request_id\"")
+			}
+		case "index":
+			if err := func() error {
+				s.Index.Reset()
+				if err := s.Index.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"index\"")
+			}
+		case "text":
+			if err := func() error {
+				s.Text.Reset()
+				if err := s.Text.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"text\"")
+			}
+		case "done":
+			if err := func() error {
+				s.Done.Reset()
+				if err := s.Done.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"done\"")
+			}
+		case "error":
+			if err := func() error {
+				s.Error.Reset()
+				if err := s.Error.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"error\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode StreamEvent")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfStreamEvent) {
+					name = jsonFieldsNameOfStreamEvent[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *StreamEvent) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *StreamEvent) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/internal/wire/callerapi/oas_schemas_gen.go
+++ b/internal/wire/callerapi/oas_schemas_gen.go
@@ -185,9 +185,10 @@
 
 // Ref: #/components/schemas/KeyState
 type KeyState struct {
-	State   KeyStateState `json:"state"`
-	Answer  OptAnswer     `json:"answer"`
-	Outcome OptOutcome    `json:"outcome"`
+	State     KeyStateState  `json:"state"`
+	Answer    OptAnswer      `json:"answer"`
+	Outcome   OptOutcome     `json:"outcome"`
+	LastEvent OptStreamEvent `json:"last_event"`
 }
 
 // GetState returns the value of State.
@@ -205,6 +206,11 @@
 	return s.Outcome
 }
 
+// GetLastEvent returns the value of LastEvent.
+func (s *KeyState) GetLastEvent() OptStreamEvent {
+	return s.LastEvent
+}
+
 // SetState sets the value of State.
 func (s *KeyState) SetState(val KeyStateState) {
 	s.State = val
@@ -220,6 +226,11 @@
 	s.Outcome = val
 }
 
+// SetLastEvent sets the value of LastEvent.
+func (s *KeyState) SetLastEvent(val OptStreamEvent) {
+	s.LastEvent = val
+}
+
 type KeyStateState string
 
 const (
@@ -519,6 +530,52 @@
 	return d
 }
 
+// NewOptStreamEvent returns new OptStreamEvent with value set to v.
+func NewOptStreamEvent(v StreamEvent) OptStreamEvent {
+	return OptStreamEvent{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptStreamEvent is optional StreamEvent.
+type OptStreamEvent struct {
+	Value StreamEvent
+	Set   bool
+}
+
+// IsSet returns true if OptStreamEvent was set.
+func (o OptStreamEvent) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptStreamEvent) Reset() {
+	var v StreamEvent
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptStreamEvent) SetTo(v StreamEvent) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptStreamEvent) Get() (v StreamEvent, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptStreamEvent) Or(d StreamEvent) StreamEvent {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptString returns new OptString with value set to v.
 func NewOptString(v string) OptString {
 	return OptString{
--- a/internal/wire/callerapi/oas_validators_gen.go
+++ b/internal/wire/callerapi/oas_validators_gen.go
@@ -187,6 +187,24 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.LastEvent.Get(); ok {
+			if err := func() error {
+				if err := value.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "last_event",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
--- a/internal/wire/upstreamapi/oas_client_gen.go
+++ b/internal/wire/upstreamapi/oas_client_gen.go
@@ -106,6 +106,12 @@
 	//
 	// PUT /v1/state
 	OrderState(ctx context.Context, request *EngineOrder, options ...RequestOption) (*EngineState, error)
+	// ShowCompletion invokes showCompletion operation.
+	//
+	// Shows a completion that the engine still holds, as one chunk with all its text.
+	//
+	// GET /v1/completions/{request_id}
+	ShowCompletion(ctx context.Context, params ShowCompletionParams, options ...RequestOption) (*CompletionChunk, error)
 	// ShowLoad invokes showLoad operation.
 	//
 	// GET /v1/load
@@ -478,6 +484,85 @@
 	return result, nil
 }
 
+// ShowCompletion invokes showCompletion operation.
+//
+// Shows a completion that the engine still holds, as one chunk with all its text.
+//
+// GET /v1/completions/{request_id}
+func (c *Client) ShowCompletion(ctx context.Context, params ShowCompletionParams, options ...RequestOption) (*CompletionChunk, error) {
+	res, err := c.sendShowCompletion(ctx, params, options...)
+	return res, err
+}
+
+func (c *Client) sendShowCompletion(ctx context.Context, params ShowCompletionParams, requestOptions ...RequestOption) (res *CompletionChunk, err error) {
+
+	var reqCfg requestConfig
+	reqCfg.setDefaults(c.baseClient)
+	for _, o := range requestOptions {
+		o(&reqCfg)
+	}
+
+	u := c.serverURL
+	if override := reqCfg.ServerURL; override != nil {
+		u = override
+	}
+	u = uri.Clone(u)
+	var pathParts [2]string
+	pathParts[0] = "/v1/completions/"
+	{
+		// Encode "request_id" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "request_id",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.RequestID))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	if err := reqCfg.onRequest(r); err != nil {
+		return res, errors.Wrap(err, "edit request")
+	}
+
+	resp, err := reqCfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	if err := reqCfg.onResponse(resp); err != nil {
+		return res, errors.Wrap(err, "edit response")
+	}
+
+	result, err := decodeShowCompletionResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ShowLoad invokes showLoad operation.
 //
 // GET /v1/load
--- a/internal/wire/upstreamapi/oas_handlers_gen.go
+++ b/internal/wire/upstreamapi/oas_handlers_gen.go
@@ -489,6 +489,101 @@
 	}
 }
 
+// handleShowCompletionRequest handles showCompletion operation.
+//
+// Shows a completion that the engine still holds, as one chunk with all its text.
+//
+// GET /v1/completions/{request_id}
+func (s *Server) handleShowCompletionRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ShowCompletionOperation,
+			ID:   "showCompletion",
+		}
+	)
+	params, err := decodeShowCompletionParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *CompletionChunk
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ShowCompletionOperation,
+			OperationSummary: "Shows a completion that the engine still holds, as one chunk with all its text.",
+			OperationID:      "showCompletion",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "request_id",
+					In:   "path",
+				}: params.RequestID,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = ShowCompletionParams
+			Response = *CompletionChunk
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackShowCompletionParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ShowCompletion(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ShowCompletion(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ErrorStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeShowCompletionResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleShowLoadRequest handles showLoad operation.
 //
 // GET /v1/load
--- a/internal/wire/upstreamapi/oas_json_gen.go
+++ b/internal/wire/upstreamapi/oas_json_gen.go
@@ -517,6 +517,440 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *CompletionChoice) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *CompletionChoice) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("index")
+		e.Int(s.Index)
+	}
+	{
+		e.FieldStart("text")
+		e.Str(s.Text)
+	}
+	{
+		if s.FinishReason.Set {
+			e.FieldStart("finish_reason")
+			s.FinishReason.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfCompletionChoice = [3]string{
+	0: "index",
+	1: "text",
+	2: "finish_reason",
+}
+
+// Decode decodes CompletionChoice from json.
+func (s *CompletionChoice) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode CompletionChoice to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "index":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int()
+				s.Index = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"index\"")
+			}
+		case "text":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Text = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"text\"")
+			}
+		case "finish_reason":
+			if err := func() error {
+				s.FinishReason.Reset()
+				if err := s.FinishReason.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"finish_reason\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode CompletionChoice")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfCompletionChoice) {
+					name = jsonFieldsNameOfCompletionChoice[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *CompletionChoice) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *CompletionChoice) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *CompletionChunk) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *CompletionChunk) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("id")
+		e.Str(s.ID)
+	}
+	{
+		e.FieldStart("token_index")
+		e.Int(s.TokenIndex)
+	}
+	{
+		e.FieldStart("choices")
+		e.ArrStart()
+		for _, elem := range s.Choices {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		if s.Usage.Set {
+			e.FieldStart("usage")
+			s.Usage.Encode(e)
+		}
+	}
+	{
+		if s.Load.Set {
+			e.FieldStart("load")
+			s.Load.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfCompletionChunk = [5]string{
+	0: "id",
+	1: "token_index",
+	2: "choices",
+	3: "usage",
+	4: "load",
+}
+
+// Decode decodes CompletionChunk from json.
+func (s *CompletionChunk) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode CompletionChunk to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "id":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.ID = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"id\"")
+			}
+		case "token_index":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.TokenIndex = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"token_index\"")
+			}
+		case "choices":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				s.Choices = make([]CompletionChoice, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem CompletionChoice
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Choices = append(s.Choices, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"choices\"")
+			}
+		case "usage":
+			if err := func() error {
+				s.Usage.Reset()
+				if err := s.Usage.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"usage\"")
+			}
+		case "load":
+			if err := func() error {
+				s.Load.Reset()
+				if err := s.Load.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"load\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode CompletionChunk")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfCompletionChunk) {
+					name = jsonFieldsNameOfCompletionChunk[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *CompletionChunk) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *CompletionChunk) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *CompletionUsage) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *CompletionUsage) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("prompt_tokens")
+		e.Int(s.PromptTokens)
+	}
+	{
+		e.FieldStart("completion_tokens")
+		e.Int(s.CompletionTokens)
+	}
+	{
+		e.FieldStart("cached_tokens")
+		e.Int(s.CachedTokens)
+	}
+}
+
+var jsonFieldsNameOfCompletionUsage = [3]string{
+	0: "prompt_tokens",
+	1: "completion_tokens",
+	2: "cached_tokens",
+}
+
+// Decode decodes CompletionUsage from json.
+func (s *CompletionUsage) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode CompletionUsage to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "prompt_tokens":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int()
+				s.PromptTokens = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"prompt_tokens\"")
+			}
+		case "completion_tokens":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.CompletionTokens = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"completion_tokens\"")
+			}
+		case "cached_tokens":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.CachedTokens = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cached_tokens\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode CompletionUsage")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfCompletionUsage) {
+					name = jsonFieldsNameOfCompletionUsage[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *CompletionUsage) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *CompletionUsage) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *EngineOrder) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1490,6 +1924,39 @@
 	return s.Decode(d)
 }
 
+// Encode encodes CompletionUsage as json.
+func (o OptCompletionUsage) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes CompletionUsage from json.
+func (o *OptCompletionUsage) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptCompletionUsage to nil")
+	}
+	o.Set = true
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptCompletionUsage) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptCompletionUsage) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int as json.
 func (o OptInt) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1560,6 +2027,39 @@
 	return s.Decode(d)
 }
 
+// Encode encodes Load as json.
+func (o OptLoad) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes Load from json.
+func (o *OptLoad) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptLoad to nil")
+	}
+	o.Set = true
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptLoad) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptLoad) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes string as json.
 func (o OptString) Encode(e *jx.Encoder) {
 	if !o.Set {
--- a/internal/wire/upstreamapi/oas_operations_gen.go
+++ b/internal/wire/upstreamapi/oas_operations_gen.go
@@ -11,6 +11,7 @@
 	InvokeOperation           OperationName = "Invoke"
 	ListCacheEventsOperation  OperationName = "ListCacheEvents"
 	OrderStateOperation       OperationName = "OrderState"
+	ShowCompletionOperation   OperationName = "ShowCompletion"
 	ShowLoadOperation         OperationName = "ShowLoad"
 	ShowStateOperation        OperationName = "ShowState"
 )
--- a/internal/wire/upstreamapi/oas_parameters_gen.go
+++ b/internal/wire/upstreamapi/oas_parameters_gen.go
@@ -135,3 +135,68 @@
 	}
 	return params, nil
 }
+
+// ShowCompletionParams is parameters of showCompletion operation.
+type ShowCompletionParams struct {
+	RequestID string
+}
+
+func unpackShowCompletionParams(packed middleware.Parameters) (params ShowCompletionParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "request_id",
+			In:   "path",
+		}
+		params.RequestID = packed[key].(string)
+	}
+	return params
+}
+
+func decodeShowCompletionParams(args [1]string, argsEscaped bool, r *http.Request) (params ShowCompletionParams, _ error) {
+	// Decode path: request_id.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "request_id",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.RequestID = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "request_id",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
--- a/internal/wire/upstreamapi/oas_response_encoders_gen.go
+++ b/internal/wire/upstreamapi/oas_response_encoders_gen.go
@@ -78,6 +78,27 @@
 	return nil
 }
 
+func encodeShowCompletionResponse(response *CompletionChunk, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeShowLoadResponse(response *Load, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/internal/wire/upstreamapi/oas_router_gen.go
+++ b/internal/wire/upstreamapi/oas_router_gen.go
@@ -152,7 +152,21 @@
 						elem = elem[idx:]
 
 						if len(elem) == 0 {
-							break
+							switch r.Method {
+							case "GET":
+								s.handleShowCompletionRequest([1]string{
+									args[0],
+								}, elemIsEscaped, w, r)
+							default:
+								s.notAllowed(w, r, notAllowedParams{
+									allowedMethods: "GET",
+									allowedHeaders: nil,
+									acceptPost:     "",
+									acceptPatch:    "",
+								})
+							}
+
+							return
 						}
 						switch elem[0] {
 						case '/': // Prefix: "/cancel"
@@ -444,7 +458,19 @@
 						elem = elem[idx:]
 
 						if len(elem) == 0 {
-							break
+							switch method {
+							case "GET":
+								r.name = ShowCompletionOperation
+								r.summary = "Shows a completion that the engine still holds, as one chunk with all its text."
+								r.operationID = "showCompletion"
+								r.operationGroup = ""
+								r.pathPattern = "/v1/completions/{request_id}"
+								r.args = args
+								r.count = 1
+								return r, true
+							default:
+								return
+							}
 						}
 						switch elem[0] {
 						case '/': // Prefix: "/cancel"
--- a/internal/wire/upstreamapi/oas_server_gen.go
+++ b/internal/wire/upstreamapi/oas_server_gen.go
@@ -29,6 +29,12 @@
 	//
 	// PUT /v1/state
 	OrderState(ctx context.Context, req *EngineOrder) (*EngineState, error)
+	// ShowCompletion implements showCompletion operation.
+	//
+	// Shows a completion that the engine still holds, as one chunk with all its text.
+	//
+	// GET /v1/completions/{request_id}
+	ShowCompletion(ctx context.Context, params ShowCompletionParams) (*CompletionChunk, error)
 	// ShowLoad implements showLoad operation.
 	//
 	// GET /v1/load
