Add membership, peer links and the host list reader

Thin form for the daemon to build on; no tests yet. - membership: bounded neighbours by rendezvous hash of pairs, heartbeats, flooded rumors, refutation by version, exchange of differing buckets, progress bits, upstream rumors with expiry, Resolve. - peer: gRPC links, Forward, CatchUp, records pushed only to neighbours whose heartbeats say that they are behind. Flooding every record over every link was ruled out on paper: claims at a tenth of the log's rate would alone pass the control budget of 4 KB/s a daemon. - hostlist: polls the list, keeps the last one when a poll fails.

--- /dev/null
+++ b/internal/hostlist/hostlist.go
@@ -0,0 +1,192 @@
+// Package hostlist polls the platform's host list and hands its hosts on.
+//
+//	l, err := hostlist.New(hostlist.Config{Addr: addr, OnHosts: set.Replace})
+//	err = l.Run(ctx)
+package hostlist
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/upstream"
+	"sequoiafork/internal/wire/platformapi"
+)
+
+// Service is the service under which the host list names daemons of this system, by
+// their peer addresses.
+const Service = "sequoiafork"
+
+// Defaults of Config.
+const (
+	DefaultInterval = 2 * time.Second
+	DefaultTimeout  = 5 * time.Second
+)
+
+// Config configures a List. Zero durations mean the defaults above.
+type Config struct {
+	// Addr is the IP:port of the host list.
+	Addr string
+	// Interval is the time between two polls.
+	Interval time.Duration
+	// Timeout bounds one poll.
+	Timeout time.Duration
+	// OnHosts is called with the whole list when its version has changed.
+	OnHosts func(hosts []upstream.Host)
+	// Logger may be nil.
+	Logger *zap.Logger
+}
+
+// AddrError is an address that is not IP:port.
+type AddrError struct {
+	Addr string
+}
+
+// Error names the address and what is allowed.
+func (e *AddrError) Error() string {
+	return fmt.Sprintf("hostlist: address %q is not IP:port, use one like 127.0.0.1:8070", e.Addr)
+}
+
+// Status is what a List last saw.
+type Status struct {
+	Version int64     `json:"version"`
+	Hosts   int       `json:"hosts"`
+	At      time.Time `json:"at"`
+	Problem string    `json:"problem,omitempty"`
+}
+
+// List follows the host list. A poll that fails leaves the last list in place.
+type List struct {
+	cfg    Config
+	client *platformapi.Client
+
+	mu     sync.Mutex
+	status Status
+}
+
+// New returns a list that is not polled before Run. The error is an *AddrError when
+// the address is wrong.
+func New(cfg Config) (*List, error) {
+	if _, err := netip.ParseAddrPort(cfg.Addr); err != nil {
+		return nil, &AddrError{
+			Addr: cfg.Addr,
+		}
+	}
+	if cfg.Interval == 0 {
+		cfg.Interval = DefaultInterval
+	}
+	if cfg.Timeout == 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	client, err := platformapi.NewClient("http://"+cfg.Addr, platformapi.WithClient(&http.Client{
+		Timeout: cfg.Timeout,
+	}))
+	if err != nil {
+		return nil, fmt.Errorf("hostlist: client for %s: %w", cfg.Addr, err)
+	}
+	return &List{
+		cfg:    cfg,
+		client: client,
+		status: Status{
+			Version: -1,
+		},
+	}, nil
+}
+
+// Run polls until ctx is done.
+func (l *List) Run(ctx context.Context) error {
+	ticker := time.NewTicker(l.cfg.Interval)
+	defer ticker.Stop()
+	for {
+		l.poll(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *List) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.Timeout)
+	defer cancel()
+	list, err := l.client.ReadHosts(ctx)
+	if err != nil {
+		l.failed(err)
+		return
+	}
+	hosts := hostsOf(list)
+	if l.changed(list.Version, len(hosts)) && l.cfg.OnHosts != nil {
+		l.cfg.OnHosts(hosts)
+	}
+}
+
+// failed notes a problem, and logs it when it is a new one.
+func (l *List) failed(err error) {
+	l.mu.Lock()
+	fresh := l.status.Problem == ""
+	l.status.Problem = err.Error()
+	l.mu.Unlock()
+	if fresh {
+		l.cfg.Logger.Warn("host list can't be read, keeping the last one", zap.Error(err))
+	}
+}
+
+func (l *List) changed(version int64, hosts int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := version != l.status.Version
+	l.status = Status{
+		Version: version,
+		Hosts:   hosts,
+		At:      time.Now(),
+	}
+	return changed
+}
+
+// Status returns what was last seen.
+func (l *List) Status() Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.status
+}
+
+// hostsOf leaves out entries whose address is not IP:port.
+func hostsOf(list *platformapi.HostList) []upstream.Host {
+	hosts := make([]upstream.Host, 0, len(list.Hosts))
+	for _, h := range list.Hosts {
+		if _, err := netip.ParseAddrPort(h.Addr); err != nil {
+			continue
+		}
+		st := upstream.Live
+		if h.State == platformapi.HostStateLeaving {
+			st = upstream.Leaving
+		}
+		hosts = append(hosts, upstream.Host{
+			Addr:       h.Addr,
+			DataCentre: h.DataCentre,
+			Service:    h.Service,
+			State:      st,
+		})
+	}
+	return hosts
+}
+
+// Seeds returns the peer addresses of the daemons on the list.
+func Seeds(hosts []upstream.Host) []string {
+	var addrs []string
+	for _, h := range hosts {
+		if h.Service == Service {
+			addrs = append(addrs, h.Addr)
+		}
+	}
+	return addrs
+}
--- /dev/null
+++ b/internal/membership/commands.go
@@ -0,0 +1,57 @@
+package membership
+
+import (
+	"time"
+
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// AddSeeds adds peer addresses (IP:port) to find members by. Others are ignored.
+func (t *Table) AddSeeds(addrs []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	self := t.selfMember().PeerAddr
+	for _, addr := range addrs {
+		if addr != self && validAddr(addr) {
+			t.seeds[addr] = struct{}{}
+		}
+	}
+}
+
+// SetLeaving tells the others that this process takes no new callers.
+func (t *Table) SetLeaving() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	self := t.selfMember()
+	if self.State == Leaving {
+		return
+	}
+	self = self.WithState(Leaving).WithVersion(self.Version + 1)
+	t.put(self)
+	t.flood([]*peerpb.Rumor{memberRumor(self)}, nil)
+}
+
+// SetProgress sets the next offset and the revision that this process has folded.
+// A lower value than before is ignored.
+func (t *Table) SetProgress(next, rev uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.members[t.self]
+	if rev > e.Revision {
+		t.beatSoon = true
+	}
+	e.Member = e.WithProgress(max(e.NextOffset, next), max(e.Revision, rev))
+}
+
+// ReportUpstream tells the others what this process itself saw of an upstream. What
+// they know already is not told again, and the rate of rumors is bounded.
+func (t *Table) ReportUpstream(addr string, st UpstreamState) {
+	if st < UpstreamLive || st > UpstreamDead {
+		return
+	}
+	t.mu.Lock()
+	t.upstreams.pending[addr] = st
+	t.flushUpstreams(time.Now())
+	t.mu.Unlock()
+	t.notify()
+}
--- /dev/null
+++ b/internal/membership/config.go
@@ -0,0 +1,105 @@
+package membership
+
+import (
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultHeartbeat        = time.Second
+	DefaultSilentAfter      = 3 * time.Second
+	DefaultUnreachableAfter = 10 * time.Second
+	DefaultForgetAfter      = 10 * time.Minute
+	DefaultReconnectFor     = 24 * time.Hour
+	DefaultProbeEvery       = 10 * time.Second
+	DefaultUnwantedAfter    = 10 * time.Second
+	DefaultExchangeEvery    = 5 * time.Second
+	DefaultUpstreamExpiry   = 30 * time.Second
+	DefaultResolveKeep      = 10 * time.Second
+	DefaultNeighbours       = 5
+	DefaultResolveMax       = 8
+	DefaultUpstreamRate     = 20
+	DefaultUpstreamBurst    = 200
+)
+
+// Config configures a Table. Zero fields mean the defaults above.
+type Config struct {
+	// Self is this process. A zero Version means the start time in milliseconds.
+	Self Member
+	// Seeds are peer addresses (IP:port) to find the first members by.
+	Seeds []string
+	// Seed seeds the random choice of the address that is probed next.
+	Seed uint64
+	// OnUpstream is called, one call at a time, when what the daemons know of an
+	// upstream changes. UpstreamUnknown says that the last rumor has expired.
+	OnUpstream func(addr string, st UpstreamState)
+
+	// Heartbeat is the time between two heartbeats on a link.
+	Heartbeat time.Duration
+	// SilentAfter is the silence after which a linked neighbour is declared dead.
+	SilentAfter time.Duration
+	// UnreachableAfter is the time after which a chosen neighbour that no link was
+	// ever made to is declared dead.
+	UnreachableAfter time.Duration
+	// ForgetAfter is how long a dead incarnation is remembered.
+	ForgetAfter time.Duration
+	// ReconnectFor is how long the address of a dead member is still probed.
+	ReconnectFor time.Duration
+	// ProbeEvery is the time between two probes of addresses without a live member.
+	ProbeEvery time.Duration
+	// UnwantedAfter is how long a link lives that neither end has chosen.
+	UnwantedAfter time.Duration
+	// ExchangeEvery is the least time between two table exchanges on a link.
+	ExchangeEvery time.Duration
+	// UpstreamExpiry is how long a rumor about an upstream holds after it was seen.
+	UpstreamExpiry time.Duration
+	// ResolveKeep is how long callers may keep an answer of Resolve.
+	ResolveKeep time.Duration
+	// Neighbours is how many neighbours a daemon chooses. Up to that many other
+	// members form a full mesh.
+	Neighbours int
+	// ResolveMax is the greatest number of addresses in an answer of Resolve.
+	ResolveMax int
+	// UpstreamRate and UpstreamBurst bound the rumors a second that this process
+	// starts about upstreams. Those over it wait and are merged by address.
+	UpstreamRate  float64
+	UpstreamBurst int
+}
+
+func (c Config) withDefaults() Config {
+	setDuration(&c.Heartbeat, DefaultHeartbeat)
+	setDuration(&c.SilentAfter, DefaultSilentAfter)
+	setDuration(&c.UnreachableAfter, DefaultUnreachableAfter)
+	setDuration(&c.ForgetAfter, DefaultForgetAfter)
+	setDuration(&c.ReconnectFor, DefaultReconnectFor)
+	setDuration(&c.ProbeEvery, DefaultProbeEvery)
+	setDuration(&c.UnwantedAfter, DefaultUnwantedAfter)
+	setDuration(&c.ExchangeEvery, DefaultExchangeEvery)
+	setDuration(&c.UpstreamExpiry, DefaultUpstreamExpiry)
+	setDuration(&c.ResolveKeep, DefaultResolveKeep)
+	if c.Neighbours == 0 {
+		c.Neighbours = DefaultNeighbours
+	}
+	if c.ResolveMax == 0 {
+		c.ResolveMax = DefaultResolveMax
+	}
+	if c.UpstreamRate == 0 {
+		c.UpstreamRate = DefaultUpstreamRate
+	}
+	if c.UpstreamBurst == 0 {
+		c.UpstreamBurst = DefaultUpstreamBurst
+	}
+	if c.Self.State == 0 {
+		c.Self.State = Alive
+	}
+	if c.Self.Version == 0 {
+		c.Self.Version = uint64(time.Now().UnixMilli())
+	}
+	return c
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
--- /dev/null
+++ b/internal/membership/heartbeat.go
@@ -0,0 +1,94 @@
+package membership
+
+import (
+	"time"
+
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// beat sends a heartbeat on every link.
+func (t *Table) beat(now time.Time) {
+	t.lastBeat = now
+	t.beatSoon = false
+	shared := t.heartbeatFields()
+	for l := range t.links {
+		l.send(&peerpb.LinkMessage{
+			Heartbeat: l.addressed(shared),
+		})
+	}
+}
+
+func (t *Table) heartbeat(l *Link) *peerpb.Heartbeat {
+	return l.addressed(t.heartbeatFields())
+}
+
+// addressed completes a heartbeat for one link. The incarnation goes out only once.
+func (l *Link) addressed(shared *peerpb.Heartbeat) *peerpb.Heartbeat {
+	hb := &peerpb.Heartbeat{
+		NextOffset:    shared.GetNextOffset(),
+		Revision:      shared.GetRevision(),
+		MembersDigest: shared.GetMembersDigest(),
+		InForce:       shared.GetInForce(),
+		Wanted:        l.t.chosen[l.peer],
+	}
+	if !l.sentIdentity {
+		hb.Incarnation = l.t.self
+		l.sentIdentity = true
+	}
+	return hb
+}
+
+func (t *Table) heartbeatFields() *peerpb.Heartbeat {
+	self := t.selfMember()
+	return &peerpb.Heartbeat{
+		NextOffset:    self.NextOffset,
+		Revision:      self.Revision,
+		MembersDigest: t.digest(),
+		InForce:       t.inForceBits(self.Revision),
+	}
+}
+
+// inForceBits has a bit for each living member known to have the revision.
+func (t *Table) inForceBits(revision uint64) []byte {
+	if revision == 0 {
+		return nil
+	}
+	living := t.livingMembers()
+	bits := make([]byte, (len(living)+7)/8)
+	for i, e := range living {
+		if e.Revision >= revision {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	return bits
+}
+
+// mergeProgress takes in how far the peer is, and how far it knows others to be.
+func (t *Table) mergeProgress(peer string, hb *peerpb.Heartbeat) {
+	news := false
+	if e, ok := t.members[peer]; ok {
+		news = hb.GetRevision() > e.Revision
+		e.Member = e.WithProgress(max(e.NextOffset, hb.GetNextOffset()), max(e.Revision, hb.GetRevision()))
+	}
+	if hb.GetMembersDigest() == t.digest() {
+		news = t.mergeBits(hb.GetRevision(), hb.GetInForce()) || news
+	}
+	if news {
+		t.beatSoon = true
+	}
+}
+
+func (t *Table) mergeBits(revision uint64, bits []byte) bool {
+	news := false
+	for i, e := range t.livingMembers() {
+		if i/8 >= len(bits) {
+			break
+		}
+		if bits[i/8]&(1<<(i%8)) == 0 || e.Revision >= revision || e.Incarnation == t.self {
+			continue
+		}
+		e.Revision = revision
+		news = true
+	}
+	return news
+}
--- /dev/null
+++ b/internal/membership/link.go
@@ -0,0 +1,245 @@
+package membership
+
+import (
+	"time"
+
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// Conn carries messages to the other end of a link. Send must not block; it
+// returns false when the connection can't take the message, and is then closed.
+// Close must not block and must not call back into the link.
+type Conn interface {
+	Send(msg *peerpb.LinkMessage) bool
+	Close()
+}
+
+// Link is one connection to another daemon, from its opening to its close.
+type Link struct {
+	t      *Table
+	conn   Conn
+	dialed bool
+	closed bool
+	opened time.Time
+	heard  time.Time
+
+	// peer is the incarnation at the other end, empty until its first heartbeat.
+	peer         string
+	nextOffset   uint64
+	progressAt   time.Time
+	wanted       bool // the other end has chosen this process
+	wantedAt     time.Time
+	differs      int // heartbeats in a row with another digest
+	exchangedAt  time.Time
+	deadToldAt   time.Time
+	sentIdentity bool
+}
+
+// OpenLink starts a link over conn and greets the other end. dialed says that this
+// process made the connection.
+func (t *Table) OpenLink(conn Conn, dialed bool) *Link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	l := &Link{
+		t:        t,
+		conn:     conn,
+		dialed:   dialed,
+		opened:   now,
+		heard:    now,
+		wantedAt: now,
+	}
+	t.links[l] = struct{}{}
+	l.send(&peerpb.LinkMessage{
+		Heartbeat: t.heartbeat(l),
+		Rumors:    append([]*peerpb.Rumor{memberRumor(t.selfMember())}, t.upstreamRumors(now)...),
+	})
+	return l
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.t.mu.Lock()
+	defer l.t.mu.Unlock()
+	l.close()
+}
+
+// Peer returns the incarnation at the other end, or "" before its first heartbeat.
+func (l *Link) Peer() string {
+	l.t.mu.Lock()
+	defer l.t.mu.Unlock()
+	return l.peer
+}
+
+// Progress returns the other end's next offset and when its last heartbeat said so.
+// The time is zero before the first heartbeat.
+func (l *Link) Progress() (next uint64, at time.Time) {
+	l.t.mu.Lock()
+	defer l.t.mu.Unlock()
+	return l.nextOffset, l.progressAt
+}
+
+// Receive takes in one message from the other end.
+func (l *Link) Receive(msg *peerpb.LinkMessage) {
+	t := l.t
+	t.mu.Lock()
+	l.receive(msg, time.Now())
+	t.mu.Unlock()
+	t.notify()
+}
+
+func (l *Link) receive(msg *peerpb.LinkMessage, now time.Time) {
+	t := l.t
+	if l.closed || !l.identify(msg.GetHeartbeat(), now) {
+		return
+	}
+	l.heard = now
+	if w, ok := t.watches[l.peer]; ok {
+		w.heard = now
+		w.linked = true
+	}
+	t.flood(t.take(msg.GetRumors(), now), l)
+	if hb := msg.GetHeartbeat(); hb != nil {
+		l.heartbeat(hb, now)
+	}
+	if s := msg.GetSummary(); s != nil {
+		l.exchange(s, now)
+	}
+}
+
+// take merges rumors and returns those to pass on.
+func (t *Table) take(rumors []*peerpb.Rumor, now time.Time) []*peerpb.Rumor {
+	var pass []*peerpb.Rumor
+	for _, r := range rumors {
+		if m := r.GetMember(); m != nil {
+			pass = append(pass, t.merge(m)...)
+		}
+		if u := r.GetUpstream(); u != nil && t.mergeUpstream(u, now) {
+			pass = append(pass, r)
+		}
+	}
+	return pass
+}
+
+// identify learns who is at the other end from its first heartbeat.
+func (l *Link) identify(hb *peerpb.Heartbeat, now time.Time) bool {
+	if l.peer != "" {
+		return true
+	}
+	t := l.t
+	inc := hb.GetIncarnation()
+	if inc == "" || inc == t.self {
+		l.close()
+		return false
+	}
+	l.peer = inc
+	if other, ok := t.linked[inc]; ok {
+		if !l.preferred(other, now) {
+			l.close()
+			return false
+		}
+		other.close()
+	}
+	t.linked[inc] = l
+	if _, ok := t.watches[inc]; !ok {
+		t.watches[inc] = &watch{
+			heard: now,
+		}
+	}
+	return true
+}
+
+// preferred says which of two links to the same peer stays. Both ends decide alike:
+// the one dialed by the smaller incarnation, unless the older one has gone silent.
+func (l *Link) preferred(old *Link, now time.Time) bool {
+	if l.dialed == old.dialed || now.Sub(old.heard) > l.t.cfg.SilentAfter/2 {
+		return true
+	}
+	return l.dialed == (l.t.self < l.peer)
+}
+
+func (l *Link) heartbeat(hb *peerpb.Heartbeat, now time.Time) {
+	t := l.t
+	l.nextOffset = max(l.nextOffset, hb.GetNextOffset())
+	l.progressAt = now
+	l.wanted = hb.GetWanted()
+	if l.wanted || t.chosen[l.peer] {
+		l.wantedAt = now
+	}
+	e, ok := t.members[l.peer]
+	if ok && e.State == Dead {
+		l.tellDead(e.Member, now)
+	}
+	t.mergeProgress(l.peer, hb)
+	l.compare(hb.GetMembersDigest(), now)
+}
+
+// tellDead lets a peer that is held dead here know, so that it refutes that.
+func (l *Link) tellDead(m Member, now time.Time) {
+	if now.Sub(l.deadToldAt) < l.t.cfg.Heartbeat/2 {
+		return
+	}
+	l.deadToldAt = now
+	l.send(&peerpb.LinkMessage{
+		Rumors: []*peerpb.Rumor{memberRumor(m)},
+	})
+}
+
+// compare starts an exchange when the tables differ: at once on a new link, else
+// when they differ for two heartbeats, which leaves out rumors on their way.
+func (l *Link) compare(digest uint64, now time.Time) {
+	t := l.t
+	if digest == t.digest() {
+		l.differs = 0
+		return
+	}
+	l.differs++
+	first := l.exchangedAt.IsZero()
+	if !first && (l.differs < 2 || now.Sub(l.exchangedAt) < t.cfg.ExchangeEvery) {
+		return
+	}
+	if first && !l.dialed {
+		return // the end that dialed asks first
+	}
+	l.exchangedAt = now
+	l.send(&peerpb.LinkMessage{
+		Summary: t.summary(false),
+	})
+}
+
+func (l *Link) exchange(s *peerpb.Summary, now time.Time) {
+	t := l.t
+	l.exchangedAt = now
+	msg := &peerpb.LinkMessage{
+		Rumors: t.differing(s),
+	}
+	if !s.GetReply() {
+		msg.Summary = t.summary(true)
+	}
+	if len(msg.GetRumors()) > 0 || msg.GetSummary() != nil {
+		l.send(msg)
+	}
+}
+
+func (l *Link) send(msg *peerpb.LinkMessage) {
+	if !l.closed && !l.conn.Send(msg) {
+		l.close()
+	}
+}
+
+func (l *Link) close() {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	l.conn.Close()
+	t := l.t
+	delete(t.links, l)
+	if t.linked[l.peer] != l {
+		return
+	}
+	delete(t.linked, l.peer)
+	if !l.wanted && !t.chosen[l.peer] {
+		delete(t.watches, l.peer)
+	}
+}
--- /dev/null
+++ b/internal/membership/member.go
@@ -0,0 +1,131 @@
+package membership
+
+import (
+	"net/netip"
+	"strings"
+
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// State is what is known of a process incarnation.
+type State int
+
+// States of a member. At equal versions the later one in this list wins.
+const (
+	Alive State = iota + 1
+	Leaving
+	Dead
+)
+
+// String returns the state in lower case.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	}
+	return "unknown"
+}
+
+// MarshalText returns String, for dumps.
+func (s State) MarshalText() ([]byte, error) {
+	return []byte(s.String()), nil
+}
+
+// Member describes one process incarnation. It is an immutable value.
+type Member struct {
+	// Incarnation is "<peer IP:port>/<random hex>".
+	Incarnation  string `json:"incarnation"`
+	PeerAddr     string `json:"peer_addr"`
+	CallerAddr   string `json:"caller_addr"`
+	OperatorAddr string `json:"operator_addr"`
+	DataCentre   string `json:"data_centre"`
+	State        State  `json:"state"`
+	// Version grows with each change that the incarnation makes to its own entry.
+	Version uint64 `json:"version"`
+	// NextOffset and Revision are the last known progress of the member.
+	NextOffset uint64 `json:"next_offset"`
+	Revision   uint64 `json:"revision"`
+}
+
+// WithState returns a copy of m with another state.
+func (m Member) WithState(s State) Member {
+	m.State = s
+	return m
+}
+
+// WithVersion returns a copy of m with another version.
+func (m Member) WithVersion(v uint64) Member {
+	m.Version = v
+	return m
+}
+
+// WithProgress returns a copy of m with another progress.
+func (m Member) WithProgress(next, revision uint64) Member {
+	m.NextOffset = next
+	m.Revision = revision
+	return m
+}
+
+// replaces says whether m is newer news about the same incarnation than old.
+func (m Member) replaces(old Member) bool {
+	if m.Version != old.Version {
+		return m.Version > old.Version
+	}
+	return m.State > old.State
+}
+
+// outlives says which of two living incarnations at one address is the newer.
+func (m Member) outlives(other Member) bool {
+	if m.Version != other.Version {
+		return m.Version > other.Version
+	}
+	return m.Incarnation > other.Incarnation
+}
+
+func (m Member) rumor() *peerpb.MemberRumor {
+	r := &peerpb.MemberRumor{
+		Incarnation: m.Incarnation,
+		State:       peerpb.MemberState(m.State),
+		Version:     m.Version,
+	}
+	if m.State == Dead {
+		return r
+	}
+	r.CallerAddr = m.CallerAddr
+	r.OperatorAddr = m.OperatorAddr
+	r.DataCentre = m.DataCentre
+	r.Revision = m.Revision
+	return r
+}
+
+// memberOf reads a rumor. It reports false when the rumor is not well formed.
+func memberOf(r *peerpb.MemberRumor) (Member, bool) {
+	addr, _, ok := strings.Cut(r.GetIncarnation(), "/")
+	if !ok || !validAddr(addr) {
+		return Member{}, false
+	}
+	st := State(r.GetState())
+	if st < Alive || st > Dead {
+		return Member{}, false
+	}
+	return Member{
+		Incarnation:  r.GetIncarnation(),
+		PeerAddr:     addr,
+		CallerAddr:   r.GetCallerAddr(),
+		OperatorAddr: r.GetOperatorAddr(),
+		DataCentre:   r.GetDataCentre(),
+		State:        st,
+		Version:      r.GetVersion(),
+		NextOffset:   r.GetNextOffset(),
+		Revision:     r.GetRevision(),
+	}, true
+}
+
+func validAddr(addr string) bool {
+	_, err := netip.ParseAddrPort(addr)
+	return err == nil
+}
--- /dev/null
+++ b/internal/membership/queries.go
@@ -0,0 +1,143 @@
+package membership
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// Members returns every known incarnation, dead ones too, sorted by incarnation.
+func (t *Table) Members() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	members := make([]Member, 0, len(t.members))
+	for _, e := range t.members {
+		members = append(members, e.Member)
+	}
+	sort.Slice(members, func(i, j int) bool {
+		return members[i].Incarnation < members[j].Incarnation
+	})
+	return members
+}
+
+// Self returns the entry of this process.
+func (t *Table) Self() Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.selfMember()
+}
+
+// Lookup returns what is known of an incarnation.
+func (t *Table) Lookup(incarnation string) (Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.members[incarnation]
+	if !ok {
+		return Member{}, false
+	}
+	return e.Member, true
+}
+
+// Neighbours returns the living members that this process has a link to, sorted by
+// incarnation.
+func (t *Table) Neighbours() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var members []Member
+	for _, e := range t.livingMembers() {
+		if t.linked[e.Incarnation] != nil {
+			members = append(members, e.Member)
+		}
+	}
+	return members
+}
+
+// InForce returns on how many of the living daemons a revision is known to be in
+// force, this one included.
+func (t *Table) InForce(revision uint64) (have, of int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.livingMembers() {
+		of++
+		if e.Revision >= revision {
+			have++
+		}
+	}
+	return have, of
+}
+
+// Resolve returns the caller addresses that a caller should use, best first, and for
+// how long it may keep them. Members that are leaving or dead are left out. The order
+// is by rendezvous hash of the caller, so a lost host moves only its own callers:
+// first the caller's data centre, then its region (the part of the data centre's name
+// before the last '/'), then the rest. Long answers keep places for other data centres.
+func (t *Table) Resolve(caller, dataCentre string) ([]string, time.Duration) {
+	t.mu.Lock()
+	candidates := make([]candidate, 0, len(t.members))
+	for _, e := range t.livingMembers() {
+		if e.State == Alive && e.CallerAddr != "" {
+			candidates = append(candidates, candidate{
+				addr:     e.CallerAddr,
+				distance: distance(dataCentre, e.DataCentre),
+				score:    pairScore(caller, e.CallerAddr),
+			})
+		}
+	}
+	t.mu.Unlock()
+	sort.Slice(candidates, func(i, j int) bool {
+		return candidates[i].before(candidates[j])
+	})
+	return shorten(candidates, t.cfg.ResolveMax), t.cfg.ResolveKeep
+}
+
+// remotePlaces is how many places of a shortened answer go to other data centres.
+const remotePlaces = 2
+
+type candidate struct {
+	addr     string
+	distance int
+	score    uint64
+}
+
+func (c candidate) before(other candidate) bool {
+	if c.distance != other.distance {
+		return c.distance < other.distance
+	}
+	return c.score > other.score
+}
+
+func distance(a, b string) int {
+	if a == b {
+		return 0
+	}
+	if r := region(a); r != "" && r == region(b) {
+		return 1
+	}
+	return 2
+}
+
+func region(dataCentre string) string {
+	i := strings.LastIndexByte(dataCentre, '/')
+	if i < 0 {
+		return ""
+	}
+	return dataCentre[:i]
+}
+
+// shorten takes the best candidates and keeps the last places for the best ones of
+// other data centres.
+func shorten(candidates []candidate, limit int) []string {
+	near := 0
+	for near < len(candidates) && candidates[near].distance == 0 {
+		near++
+	}
+	if remote := min(remotePlaces, len(candidates)-near, limit/2); near > limit-remote {
+		near = limit - remote + copy(candidates[limit-remote:], candidates[near:near+remote])
+		candidates = candidates[:near]
+	}
+	addrs := make([]string, 0, limit)
+	for _, c := range candidates[:min(limit, len(candidates))] {
+		addrs = append(addrs, c.addr)
+	}
+	return addrs
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,190 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// ticksPerHeartbeat is how often the table looks at its clock in one heartbeat.
+const ticksPerHeartbeat = 4
+
+// entry is one incarnation in the table.
+type entry struct {
+	Member
+	// score ranks the incarnation as a neighbour of this process.
+	score  uint64
+	deadAt time.Time
+}
+
+// Table is the member table of one daemon. Its methods are safe for concurrent use.
+type Table struct {
+	cfg Config
+
+	mu      sync.Mutex
+	self    string
+	members map[string]*entry
+	byAddr  map[string]string // peer address -> newest incarnation that was not superseded
+	digests [bucketCount]uint64
+	living  []*entry // sorted by incarnation; nil when it has to be made again
+	chosen  map[string]bool
+
+	links    map[*Link]struct{}
+	linked   map[string]*Link
+	watches  map[string]*watch
+	strikes  map[string]strike
+	seeds    map[string]struct{}
+	lost     map[string]time.Time
+	probeAt  time.Time
+	rand     *rand.Rand
+	lastTick time.Time
+	lastBeat time.Time
+	beatSoon bool
+
+	upstreams upstreamTable
+	limiter   *rate.Limiter
+	events    []upstreamEvent
+
+	notifyMu sync.Mutex
+}
+
+// New returns a table that knows only this process and its seeds.
+func New(cfg Config) *Table {
+	cfg = cfg.withDefaults()
+	t := &Table{
+		cfg:       cfg,
+		self:      cfg.Self.Incarnation,
+		members:   map[string]*entry{},
+		byAddr:    map[string]string{},
+		links:     map[*Link]struct{}{},
+		linked:    map[string]*Link{},
+		watches:   map[string]*watch{},
+		strikes:   map[string]strike{},
+		seeds:     map[string]struct{}{},
+		lost:      map[string]time.Time{},
+		rand:      rand.New(rand.NewPCG(cfg.Seed, hashString(cfg.Self.Incarnation))),
+		upstreams: newUpstreamTable(),
+		limiter:   rate.NewLimiter(rate.Limit(cfg.UpstreamRate), cfg.UpstreamBurst),
+	}
+	t.put(cfg.Self)
+	t.AddSeeds(cfg.Seeds)
+	return t
+}
+
+// Run sends heartbeats and watches neighbours until ctx is done.
+func (t *Table) Run(ctx context.Context) error {
+	ticker := time.NewTicker(t.cfg.Heartbeat / ticksPerHeartbeat)
+	defer ticker.Stop()
+	for {
+		t.tick(time.Now())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *Table) tick(now time.Time) {
+	t.mu.Lock()
+	t.forgivePause(now)
+	t.choose()
+	t.watchNeighbours(now)
+	t.flushUpstreams(now)
+	if now.Sub(t.lastBeat) >= t.cfg.Heartbeat-t.cfg.Heartbeat/(2*ticksPerHeartbeat) {
+		t.dropUnwanted(now)
+		t.expire(now)
+		t.beat(now)
+	} else if t.beatSoon {
+		t.beat(now)
+	}
+	t.mu.Unlock()
+	t.notify()
+}
+
+// forgivePause restarts every watch after this process itself stood still: it
+// can't tell then who was silent.
+func (t *Table) forgivePause(now time.Time) {
+	paused := !t.lastTick.IsZero() && now.Sub(t.lastTick) > t.cfg.Heartbeat
+	t.lastTick = now
+	if !paused {
+		return
+	}
+	for _, w := range t.watches {
+		w.heard = now
+	}
+}
+
+// put stores a member and keeps the digests and the index by address.
+func (t *Table) put(m Member) {
+	e, ok := t.members[m.Incarnation]
+	if !ok {
+		e = &entry{
+			score: pairScore(t.self, m.Incarnation),
+		}
+		t.members[m.Incarnation] = e
+	} else {
+		t.toggleDigest(e.Member)
+	}
+	wasLiving := ok && e.State != Dead
+	e.Member = m
+	t.toggleDigest(m)
+	if wasLiving != (m.State != Dead) {
+		t.living = nil
+		t.chosen = nil
+	}
+	if m.State != Dead {
+		t.byAddr[m.PeerAddr] = m.Incarnation
+		delete(t.lost, m.PeerAddr)
+		e.deadAt = time.Time{}
+		return
+	}
+	e.deadAt = time.Now()
+	if t.byAddr[m.PeerAddr] == m.Incarnation {
+		t.lost[m.PeerAddr] = e.deadAt
+	}
+}
+
+// expire forgets dead incarnations, lost addresses and rumors that are too old.
+func (t *Table) expire(now time.Time) {
+	for inc, e := range t.members {
+		if e.State == Dead && now.Sub(e.deadAt) >= t.cfg.ForgetAfter {
+			delete(t.members, inc)
+			delete(t.strikes, inc)
+			if t.byAddr[e.PeerAddr] == inc {
+				delete(t.byAddr, e.PeerAddr)
+			}
+		}
+	}
+	for addr, at := range t.lost {
+		if now.Sub(at) >= t.cfg.ReconnectFor {
+			delete(t.lost, addr)
+		}
+	}
+	t.expireUpstreams(now)
+}
+
+// flood sends rumors to every established link but the one they came from.
+func (t *Table) flood(rumors []*peerpb.Rumor, from *Link) {
+	if len(rumors) == 0 {
+		return
+	}
+	msg := &peerpb.LinkMessage{
+		Rumors: rumors,
+	}
+	for _, l := range t.linked {
+		if l != from {
+			l.send(msg)
+		}
+	}
+}
+
+// selfMember returns the entry of this process.
+func (t *Table) selfMember() Member {
+	return t.members[t.self].Member
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,210 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"sequoiafork/internal/membership"
+	"sequoiafork/internal/wire/peerpb"
+)
+
+const (
+	// queueLength is how many messages wait for a slow peer before its link is closed.
+	queueLength = 256
+	// dialAgainMin and dialAgainMax bound the pause between two tries of an address.
+	dialAgainMin = 250 * time.Millisecond
+	dialAgainMax = 2 * time.Second
+)
+
+// stream is what the two ends of a Link call have in common.
+type stream interface {
+	Send(*peerpb.LinkMessage) error
+	Recv() (*peerpb.LinkMessage, error)
+}
+
+// link is one open stream. It is the membership.Conn of its member link.
+type link struct {
+	member *membership.Link
+	queue  chan *peerpb.LinkMessage
+	once   sync.Once
+	done   chan struct{}
+
+	// pushedNext and pushedAt say which records went out last, and when.
+	pushedNext uint64
+	pushedAt   time.Time
+}
+
+// Send queues a message. It reports false when the peer takes none.
+func (l *link) Send(msg *peerpb.LinkMessage) bool {
+	select {
+	case l.queue <- msg:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close ends the stream.
+func (l *link) Close() {
+	l.once.Do(func() {
+		close(l.done)
+	})
+}
+
+// runLink speaks on a stream until it breaks, the table closes it or ctx is done.
+// Returning from it must break the stream.
+func (n *Node) runLink(ctx context.Context, s stream, dialed bool) {
+	l := &link{
+		queue: make(chan *peerpb.LinkMessage, queueLength),
+		done:  make(chan struct{}),
+	}
+	l.member = n.cfg.Table.OpenLink(l, dialed)
+	n.mu.Lock()
+	n.links[l] = struct{}{}
+	n.mu.Unlock()
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		n.receive(l, s)
+	}()
+	l.transmit(ctx, s)
+	l.member.Close()
+	n.mu.Lock()
+	delete(n.links, l)
+	n.mu.Unlock()
+}
+
+func (l *link) transmit(ctx context.Context, s stream) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.done:
+			return
+		case msg := <-l.queue:
+			if s.Send(msg) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (n *Node) receive(l *link, s stream) {
+	defer l.member.Close()
+	for {
+		msg, err := s.Recv()
+		if err != nil {
+			return
+		}
+		if len(msg.GetRecords()) > 0 && n.cfg.Records != nil {
+			n.cfg.Records.Deliver(msg.GetRecords())
+		}
+		l.member.Receive(msg)
+	}
+}
+
+func (n *Node) openLinks() []*link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	links := make([]*link, 0, len(n.links))
+	for l := range n.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+// dial is the state of the tries to reach one address.
+type dial struct {
+	open  bool
+	pause time.Duration
+	next  time.Time
+}
+
+// dialLink starts a try to link to an address unless one is open or was just made.
+func (n *Node) dialLink(ctx context.Context, addr string) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d, ok := n.dialing[addr]
+	if !ok {
+		d = &dial{}
+		n.dialing[addr] = d
+	}
+	if d.open || now.Before(d.next) {
+		return
+	}
+	d.open = true
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		linked := n.linkTo(ctx, addr)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		d.ended(linked, time.Now())
+	}()
+}
+
+func (d *dial) ended(linked bool, now time.Time) {
+	d.open = false
+	d.pause = min(max(2*d.pause, dialAgainMin), dialAgainMax)
+	if linked {
+		d.pause = dialAgainMin
+	}
+	d.next = now.Add(d.pause)
+}
+
+// linkTo makes one connection and speaks on it until it ends.
+func (n *Node) linkTo(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := n.connect(ctx, addr)
+	if err != nil {
+		n.cfg.Logger.Debug("no link to peer", zap.String("peer_addr", addr), zap.Error(err))
+		return false
+	}
+	defer conn.Close()
+	s, err := peerpb.NewPeerClient(conn).Link(ctx)
+	if err != nil {
+		return false
+	}
+	n.runLink(ctx, s, true)
+	return true
+}
+
+// connect returns a connection that is up.
+func (n *Node) connect(ctx context.Context, addr string) (*grpc.ClientConn, error) {
+	conn, err := n.newConn(addr)
+	if err != nil {
+		return nil, err
+	}
+	if err := n.await(ctx, conn, addr); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (n *Node) newConn(addr string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(n.traffic.dial),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time:    keepaliveTime,
+			Timeout: keepaliveTimeout,
+		}),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithSharedWriteBuffer(true),
+		grpc.WithDisableRetry(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(n.cfg.MaxMessageBytes)),
+	)
+}
--- /dev/null
+++ b/internal/peer/records.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/wire/peerpb"
+)
+
+const (
+	// pushAfter is how long after a record was published a peer's heartbeat must
+	// still be behind before the record is pushed to it. Peers that read the log
+	// themselves are ahead by then and cost nothing.
+	pushAfter = 300 * time.Millisecond
+	// pushAgain is when records are pushed again to a peer that is still behind.
+	pushAgain = 3 * time.Second
+	// maxPushBytes bounds the records in one message.
+	maxPushBytes = 256 << 10
+)
+
+// recent holds the newest records of the log in offset order.
+type recent struct {
+	limit int
+
+	mu      sync.Mutex
+	records []recentRecord
+	bytes   int
+}
+
+type recentRecord struct {
+	record *peerpb.LogRecord
+	at     time.Time
+}
+
+// Publish makes records of the log, in any order, available to neighbours that turn
+// out to be behind.
+func (n *Node) Publish(records []*peerpb.LogRecord) {
+	n.recent.add(records, time.Now())
+}
+
+func (r *recent) add(records []*peerpb.LogRecord, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rec := range records {
+		i := r.search(rec.GetOffset())
+		if i < len(r.records) && r.records[i].record.GetOffset() == rec.GetOffset() {
+			continue
+		}
+		r.records = append(r.records, recentRecord{})
+		copy(r.records[i+1:], r.records[i:])
+		r.records[i] = recentRecord{
+			record: rec,
+			at:     now,
+		}
+		r.bytes += len(rec.GetData())
+	}
+	r.trim()
+}
+
+func (r *recent) trim() {
+	drop := 0
+	for r.bytes > r.limit && drop < len(r.records) {
+		r.bytes -= len(r.records[drop].record.GetData())
+		drop++
+	}
+	if drop > 0 {
+		r.records = append([]recentRecord(nil), r.records[drop:]...)
+	}
+}
+
+// search returns the index of the first record at or after an offset.
+func (r *recent) search(offset uint64) int {
+	return sort.Search(len(r.records), func(i int) bool {
+		return r.records[i].record.GetOffset() >= offset
+	})
+}
+
+// from returns records from an offset on that were published before a time. It
+// returns none when the record at the offset is not held.
+func (r *recent) from(offset uint64, before time.Time) []*peerpb.LogRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := r.search(offset)
+	if i == len(r.records) || r.records[i].record.GetOffset() != offset {
+		return nil
+	}
+	var records []*peerpb.LogRecord
+	bytes := 0
+	for ; i < len(r.records) && r.records[i].at.Before(before) && bytes < maxPushBytes; i++ {
+		records = append(records, r.records[i].record)
+		bytes += len(r.records[i].record.GetData())
+	}
+	return records
+}
+
+// push sends records to the neighbours whose heartbeats say that they are behind.
+func (n *Node) push(now time.Time) {
+	for _, l := range n.openLinks() {
+		next, heard := l.member.Progress()
+		if next >= l.pushedNext || now.Sub(l.pushedAt) >= pushAgain {
+			n.pushTo(l, next, heard.Add(-pushAfter), now)
+		}
+	}
+}
+
+func (n *Node) pushTo(l *link, next uint64, before, now time.Time) {
+	records := n.recent.from(next, before)
+	if len(records) == 0 {
+		return
+	}
+	l.pushedNext = records[len(records)-1].GetOffset() + 1
+	l.pushedAt = now
+	msg := &peerpb.LinkMessage{
+		Records: records,
+	}
+	if !l.Send(msg) {
+		l.member.Close()
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,47 @@
+package peer
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// server answers the calls of peers.
+type server struct {
+	peerpb.UnimplementedPeerServer
+	node *Node
+}
+
+// Link speaks with a neighbour that dialed.
+func (s *server) Link(st grpc.BidiStreamingServer[peerpb.LinkMessage, peerpb.LinkMessage]) error {
+	s.node.runLink(st.Context(), st, false)
+	return nil
+}
+
+// CatchUp answers a peer that is behind, within the rate.
+func (s *server) CatchUp(ctx context.Context, req *peerpb.CatchUpRequest) (*peerpb.CatchUpResponse, error) {
+	if s.node.cfg.Records == nil {
+		return nil, status.Error(codes.Unavailable, "no records here")
+	}
+	if !s.node.catchUp.Allow() {
+		return nil, status.Error(codes.ResourceExhausted, "too many catch-ups, try another peer")
+	}
+	return s.node.cfg.Records.CatchUp(ctx, req.GetFromOffset())
+}
+
+// Forward runs a request whose key this incarnation owns.
+func (s *server) Forward(ctx context.Context, req *peerpb.ForwardRequest) (*peerpb.ForwardResponse, error) {
+	if req.GetOwner() != s.node.cfg.Table.Self().Incarnation {
+		return &peerpb.ForwardResponse{
+			WrongOwner: true,
+		}, nil
+	}
+	if s.node.cfg.Forwarder == nil {
+		return nil, status.Error(codes.Unavailable, "no forwarder here")
+	}
+	return s.node.cfg.Forwarder.Forward(ctx, req)
+}
