--- /dev/null
+++ b/cmd/sequoiaforkd/main.go
@@ -0,0 +1,94 @@
+// Command sequoiaforkd is the daemon of an entry host.
+//
+//	sequoiaforkd -config sequoiaforkd.ini
+//	sequoiaforkd -config sequoiaforkd.ini -check
+//
+// SIGTERM and SIGINT begin a graceful stop, and a second one changes nothing.
+// SIGUSR1 writes a state dump to the standard error.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/daemon"
+	"sequoiafork/internal/logging"
+	"sequoiafork/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	cmd, err := settings.ParseCommand(os.Args[1:], settings.EnvPrefix, os.Stderr)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return 0
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	case cmd.Example:
+		fmt.Print(settings.Example())
+		return 0
+	case cmd.Check:
+		fmt.Println("settings are valid")
+		return 0
+	}
+	if err := serve(cmd.Settings); err != nil {
+		fmt.Fprintln(os.Stderr, "sequoiaforkd:", err)
+		return exitFailed
+	}
+	return 0
+}
+
+func serve(s settings.Settings) error {
+	logger, err := logging.New(logging.Config{
+		Level:  s.Log.Level,
+		Format: s.Log.Format,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = logger.Sync() }()
+	d, err := daemon.New(daemon.Config{
+		Settings: s,
+		Logger:   logger,
+	})
+	if err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	dump := make(chan os.Signal, 1)
+	signal.Notify(dump, syscall.SIGUSR1)
+	go watch(d, logger, stop, dump)
+	return d.Run(context.Background())
+}
+
+func watch(d *daemon.Daemon, logger *zap.Logger, stop, dump <-chan os.Signal) {
+	for {
+		select {
+		case sig := <-stop:
+			logger.Info("signal received", zap.String("signal", sig.String()))
+			d.Drain()
+		case <-dump:
+			if err := d.WriteDump(os.Stderr); err != nil {
+				logger.Error("state dump failed", zap.Error(err))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,321 @@
+// Package daemon puts the parts of sequoiaforkd together.
+//
+//	d, err := daemon.New(daemon.Config{Settings: s, Logger: logger})
+//	err = d.Run(ctx)
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"sequoiafork/internal/admission"
+	"sequoiafork/internal/budget"
+	"sequoiafork/internal/callerhttp"
+	"sequoiafork/internal/completion"
+	"sequoiafork/internal/confsync"
+	"sequoiafork/internal/fold"
+	"sequoiafork/internal/hostlist"
+	"sequoiafork/internal/idempotency"
+	"sequoiafork/internal/ident"
+	"sequoiafork/internal/invoke"
+	"sequoiafork/internal/logservice"
+	"sequoiafork/internal/membership"
+	"sequoiafork/internal/peer"
+	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/request"
+	"sequoiafork/internal/settings"
+	"sequoiafork/internal/stagetime"
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/upstream"
+)
+
+// Config configures a Daemon.
+type Config struct {
+	Settings settings.Settings
+	Logger   *zap.Logger
+}
+
+// Daemon is one process of the system.
+type Daemon struct {
+	settings    settings.Settings
+	logger      *zap.Logger
+	incarnation string
+	started     time.Time
+
+	machine   *fold.Machine
+	log       *logservice.Client
+	reader    *confsync.Reader
+	editor    *confsync.Editor
+	members   *membership.Table
+	node      *peer.Node
+	hosts     *hostlist.List
+	upstreams *upstream.Set
+	claimer   *idempotency.LogClaimer
+	executor  *pipeline.Executor
+	service   *request.Service
+
+	callers   net.Listener
+	operators net.Listener
+	peers     net.Listener
+
+	daemons    atomic.Int64
+	state      atomic.Int32
+	drainOnce  sync.Once
+	drainBegun chan struct{}
+}
+
+// New builds a daemon and binds its addresses. It contacts nobody before Run.
+func New(cfg Config) (*Daemon, error) {
+	d := &Daemon{
+		settings:   cfg.Settings,
+		logger:     cfg.Logger,
+		started:    time.Now(),
+		drainBegun: make(chan struct{}),
+	}
+	if err := d.bind(); err != nil {
+		return nil, err
+	}
+	if err := d.build(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) bind() error {
+	var err error
+	for _, l := range []struct {
+		listener *net.Listener
+		addr     string
+		key      string
+	}{
+		{listener: &d.callers, addr: d.settings.Daemon.CallerAddr, key: "caller_addr"},
+		{listener: &d.operators, addr: d.settings.Daemon.OperatorAddr, key: "operator_addr"},
+		{listener: &d.peers, addr: d.settings.Daemon.PeerAddr, key: "peer_addr"},
+	} {
+		*l.listener, err = net.Listen("tcp", l.addr)
+		if err != nil {
+			d.closeListeners()
+			return fmt.Errorf("[daemon] %s: %w", l.key, err)
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.callers, d.operators, d.peers} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+func (d *Daemon) build() error {
+	d.incarnation = ident.NewIncarnation(d.peers.Addr().String())
+	d.logger = d.logger.With(zap.String("incarnation", d.incarnation))
+	if err := d.buildState(); err != nil {
+		return err
+	}
+	d.buildPeers()
+	return d.buildService()
+}
+
+// buildState makes the parts that follow the platform's log.
+func (d *Daemon) buildState() error {
+	p := d.settings.Platform
+	var err error
+	d.log, err = logservice.New(logservice.Config{
+		Addr:             p.LogAddr,
+		Stream:           p.LogStream,
+		Timeout:          p.LogTimeout,
+		AppendsPerSecond: p.LogAppendsPerSecond,
+	})
+	if err != nil {
+		return err
+	}
+	d.machine = fold.New(fold.Config{
+		Logger: d.logger,
+	})
+	d.reader = confsync.NewReader(confsync.ReaderConfig{
+		Log:           d.log,
+		Machine:       d.machine,
+		Peers:         peerCatchUp{daemon: d},
+		OnRecords:     d.publish,
+		Logger:        d.logger,
+		Writer:        d.incarnation,
+		Seed:          d.seed(),
+		SnapshotEvery: int(p.SnapshotEveryRecords),
+	})
+	d.editor = confsync.NewEditor(confsync.EditorConfig{
+		Log:     d.log,
+		Machine: d.machine,
+	})
+	d.hosts, err = hostlist.New(hostlist.Config{
+		Addr:     p.HostListAddr,
+		Interval: p.HostListInterval,
+		OnHosts:  d.onHosts,
+		Logger:   d.logger,
+	})
+	return err
+}
+
+func (d *Daemon) buildPeers() {
+	d.members = membership.New(membership.Config{
+		Self: membership.Member{
+			Incarnation:  d.incarnation,
+			PeerAddr:     d.peers.Addr().String(),
+			CallerAddr:   d.callers.Addr().String(),
+			OperatorAddr: d.operators.Addr().String(),
+			DataCentre:   d.settings.Daemon.DataCentre,
+		},
+		Seeds:       d.settings.Peers.Seeds,
+		Seed:        d.seed(),
+		OnUpstream:  d.onUpstreamRumor,
+		ResolveKeep: d.settings.Drain.KeepAnswers,
+	})
+	d.upstreams = upstream.New(upstream.Config{
+		DataCentre: d.settings.Daemon.DataCentre,
+		Seed:       d.seed(),
+		Self:       d.incarnation,
+		OnMark:     d.onUpstreamMark,
+	})
+	d.node = peer.New(peer.Config{
+		Listener:  d.peers,
+		Table:     d.members,
+		Records:   peerRecords{reader: d.reader},
+		Forwarder: forwarder{daemon: d},
+		Logger:    d.logger,
+	})
+}
+
+func (d *Daemon) buildService() error {
+	services, err := invoke.New(invoke.Config{})
+	if err != nil {
+		return err
+	}
+	engines, err := completion.New(invoke.Config{})
+	if err != nil {
+		return err
+	}
+	d.executor = pipeline.New(pipeline.Config{
+		Engines:   engines,
+		Services:  services,
+		Upstreams: d.upstreams,
+		Admission: admission.New(admission.Config{}),
+		Times:     stagetime.New(stagetime.Config{}),
+		Budget: budget.Config{
+			Ratio: d.settings.Retry.Ratio,
+			Burst: int(d.settings.Retry.Burst),
+		},
+		Daemons: func() int { return int(d.daemons.Load()) },
+	})
+	d.claimer = idempotency.NewLogClaimer(d.incarnation, d.log, d.machine)
+	registry := idempotency.New(idempotency.Config{
+		Self:   d.incarnation,
+		Claims: d.claimer,
+		Window: d.settings.Keys.Window,
+	})
+	d.service = request.New(request.Config{
+		Executor:    d.executor,
+		Registry:    registry,
+		Tables:      d.tables,
+		Forward:     d.forward,
+		MaxInFlight: int(d.settings.Limits.MaxInFlight),
+		Logger:      d.logger,
+	})
+	return nil
+}
+
+// Run serves until ctx ends, which begins a drain, and returns once that is over.
+func (d *Daemon) Run(ctx context.Context) error {
+	callers, err := callerhttp.New(d.service, d.members)
+	if err != nil {
+		return err
+	}
+	operators, err := d.operatorHandler()
+	if err != nil {
+		return err
+	}
+	callerServer := d.newServer(callers)
+	operatorServer := d.newServer(operators)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, background := errgroup.WithContext(background)
+	for _, run := range []func(context.Context) error{d.reader.Run, d.node.Serve, d.hosts.Run, d.claimer.Run, d.follow} {
+		g.Go(func() error { return ignoreStop(run(background)) })
+	}
+	g.Go(func() error { return ignoreStop(callerServer.Serve(d.limit(d.callers))) })
+	g.Go(func() error { return ignoreStop(operatorServer.Serve(d.operators)) })
+	g.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+		case <-d.drainBegun:
+		case <-background.Done():
+		}
+		d.drain(background, callerServer)
+		_ = operatorServer.Close()
+		return nil
+	})
+	d.logger.Info("serving",
+		zap.String("caller_addr", d.callers.Addr().String()),
+		zap.String("operator_addr", d.operators.Addr().String()),
+		zap.String("peer_addr", d.peers.Addr().String()))
+	return g.Wait()
+}
+
+// follow keeps the figures up to date that parts take from each other.
+func (d *Daemon) follow(ctx context.Context) error {
+	const every = 100 * time.Millisecond
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		d.members.SetProgress(d.machine.NextOffset(), d.machine.Revision())
+		n := 0
+		for _, m := range d.members.Members() {
+			if m.State == membership.Alive {
+				n++
+			}
+		}
+		if int64(n) != d.daemons.Swap(int64(n)) {
+			d.upstreams.SetDaemons(n)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// tables returns the tables in force, or nil before the first are known.
+func (d *Daemon) tables() *table.Tables {
+	if !d.machine.Ready() {
+		return nil
+	}
+	return d.machine.Tables()
+}
+
+// seed returns a seed that differs between processes.
+func (d *Daemon) seed() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(d.incarnation))
+	return h.Sum64()
+}
+
+func ignoreStop(err error) error {
+	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/daemon/dump.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"sequoiafork/internal/idempotency"
+)
+
+// dump is the state of one process as operators see it.
+type dump struct {
+	Incarnation string             `json:"incarnation"`
+	DataCentre  string             `json:"data_centre"`
+	State       string             `json:"state"`
+	UptimeMs    int64              `json:"uptime_ms"`
+	Ready       bool               `json:"ready"`
+	InFlight    int                `json:"in_flight"`
+	Revision    uint64             `json:"revision"`
+	NextOffset  uint64             `json:"next_offset"`
+	Digest      string             `json:"digest"`
+	Keys        idempotency.Counts `json:"keys"`
+	Log         any                `json:"log"`
+	Fold        any                `json:"fold"`
+	HostList    any                `json:"host_list"`
+	Membership  any                `json:"membership"`
+	Upstreams   any                `json:"upstreams"`
+	Goroutines  int                `json:"goroutines"`
+	HeapBytes   uint64             `json:"heap_bytes"`
+}
+
+// WriteDump writes the state of d to w as JSON.
+func (d *Daemon) WriteDump(w io.Writer) error {
+	body, err := dumper{daemon: d}.Dump()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "%s\n", body)
+	return err
+}
+
+// dumper serves the operators' dump.
+type dumper struct {
+	daemon *Daemon
+}
+
+// Dump implements operatorhttp.Dumper.
+func (p dumper) Dump() ([]byte, error) {
+	d := p.daemon
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	next, digest := d.machine.Digest()
+	body, err := json.Marshal(dump{
+		Incarnation: d.incarnation,
+		DataCentre:  d.settings.Daemon.DataCentre,
+		State:       d.lifeState().String(),
+		UptimeMs:    time.Since(d.started).Milliseconds(),
+		Ready:       d.machine.Ready(),
+		InFlight:    d.service.InFlight(),
+		Revision:    d.machine.Revision(),
+		NextOffset:  next,
+		Digest:      fmt.Sprintf("%x", digest),
+		Keys:        d.service.Registry().Counts(),
+		Log:         d.reader.Status(),
+		Fold:        d.machine.Counters(),
+		HostList:    d.hosts.Status(),
+		Membership:  d.members.Dump(),
+		Upstreams:   hosts{daemon: d}.Upstreams(),
+		Goroutines:  runtime.NumGoroutine(),
+		HeapBytes:   mem.HeapAlloc,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encoding the state dump: %w", err)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/daemon/forward.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"sequoiafork/internal/callerhttp"
+	"sequoiafork/internal/ident"
+	"sequoiafork/internal/membership"
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/peer"
+	"sequoiafork/internal/request"
+	"sequoiafork/internal/wire/callerapi"
+	"sequoiafork/internal/wire/peerpb"
+)
+
+const (
+	// forwardRetry is when a caller may ask again for a request whose owner could
+	// not be reached.
+	forwardRetry = time.Second
+	// forwardMargin is taken off the time that the owner gets.
+	forwardMargin = 5 * time.Millisecond
+)
+
+// forward passes r on to the process that owns its key. Whatever goes wrong on
+// the way, the owner may have run the request now or before, so the outcome is
+// never NotRun unless the owner itself says so.
+func (d *Daemon) forward(ctx context.Context, owner string, r request.Request) outcome.Outcome {
+	m := membership.Member{
+		Incarnation: owner,
+		PeerAddr:    ident.PeerAddr(owner),
+	}
+	var e jx.Encoder
+	(&callerapi.Call{
+		Workspace: r.Workspace,
+		Input:     r.Input,
+	}).Encode(&e)
+	deadline, _ := ctx.Deadline()
+	res, err := d.node.Forward(ctx, m, &peerpb.ForwardRequest{
+		Owner:       owner,
+		Key:         r.Key,
+		Route:       r.Route,
+		Workspace:   r.Workspace,
+		RequestId:   r.ID,
+		Body:        e.Bytes(),
+		RemainingMs: (time.Until(deadline) - forwardMargin).Milliseconds(),
+		Issued:      ident.IsIssued(r.Key),
+	})
+	if err != nil {
+		return unreached(r.ID, err)
+	}
+	if res.GetWrongOwner() {
+		return outcome.Unknown{
+			RequestID: r.ID,
+			Code:      outcome.CodeOwnerGone,
+			Message:   "the process that owned the key has ended: the request may have run",
+		}
+	}
+	o, err := callerhttp.Decode(int(res.GetStatus()), res.GetOutcome())
+	if err != nil {
+		return unreached(r.ID, err)
+	}
+	return o
+}
+
+func unreached(id string, err error) outcome.Outcome {
+	message := "the process that owns the key did not answer: ask again with the same key"
+	var call *peer.CallError
+	if errors.As(err, &call) && !call.Sent {
+		message = "the process that owns the key can't be reached and may have run the request before: ask again with the same key"
+	}
+	return outcome.Unknown{
+		RequestID:  id,
+		Code:       outcome.CodeOwnerUnreached,
+		Message:    message,
+		RetryAfter: forwardRetry,
+	}
+}
+
+// forwarder runs requests that peers pass on.
+type forwarder struct {
+	daemon *Daemon
+}
+
+// Forward implements peer.Forwarder.
+func (f forwarder) Forward(ctx context.Context, req *peerpb.ForwardRequest) (*peerpb.ForwardResponse, error) {
+	if req.GetOwner() != f.daemon.incarnation {
+		return &peerpb.ForwardResponse{
+			WrongOwner: true,
+		}, nil
+	}
+	var call callerapi.Call
+	if err := call.Decode(jx.DecodeBytes(req.GetBody())); err != nil {
+		return nil, err
+	}
+	o := f.daemon.service.Serve(ctx, request.Request{
+		ID:        req.GetRequestId(),
+		Route:     req.GetRoute(),
+		Workspace: req.GetWorkspace(),
+		Input:     call.Input,
+		Key:       req.GetKey(),
+		Deadline:  time.Now().Add(time.Duration(req.GetRemainingMs()) * time.Millisecond),
+		Forwarded: true,
+	})
+	status, body := callerhttp.Encode(o)
+	return &peerpb.ForwardResponse{
+		Status:  int32(status),
+		Outcome: body,
+	}, nil
+}
--- /dev/null
+++ b/internal/daemon/hosts.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"context"
+
+	"sequoiafork/internal/confsync"
+	"sequoiafork/internal/hostlist"
+	"sequoiafork/internal/membership"
+	"sequoiafork/internal/upstream"
+	"sequoiafork/internal/wire/operatorapi"
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// onHosts takes a new host list: upstreams, and peers to find the others by.
+func (d *Daemon) onHosts(list []upstream.Host) {
+	var upstreams []upstream.Host
+	var seeds []string
+	for _, h := range list {
+		if h.Service == hostlist.Service {
+			seeds = append(seeds, h.Addr)
+			continue
+		}
+		upstreams = append(upstreams, h)
+	}
+	d.members.AddSeeds(seeds)
+	d.upstreams.Replace(upstreams)
+}
+
+// onUpstreamMark tells the peers what this daemon saw of an upstream.
+func (d *Daemon) onUpstreamMark(addr string, st upstream.State) {
+	switch st {
+	case upstream.Leaving:
+		d.members.ReportUpstream(addr, membership.UpstreamLeaving)
+	case upstream.Dead:
+		d.members.ReportUpstream(addr, membership.UpstreamDead)
+	case upstream.Live:
+		d.members.ReportUpstream(addr, membership.UpstreamLive)
+	}
+}
+
+// onUpstreamRumor takes what a peer saw of an upstream.
+func (d *Daemon) onUpstreamRumor(addr string, st membership.UpstreamState) {
+	const reason = "seen by a peer"
+	switch st {
+	case membership.UpstreamLeaving:
+		d.upstreams.Mark(addr, upstream.Leaving, reason)
+	case membership.UpstreamDead:
+		d.upstreams.Mark(addr, upstream.Dead, reason)
+	case membership.UpstreamLive, membership.UpstreamUnknown:
+		d.upstreams.Mark(addr, upstream.Live, reason)
+	}
+}
+
+// publish makes records that were read available to peers.
+func (d *Daemon) publish(records []*peerpb.LogRecord) {
+	d.node.Publish(records)
+}
+
+// peerCatchUp asks the peers for records that this daemon lacks.
+type peerCatchUp struct {
+	daemon *Daemon
+}
+
+// CatchUp implements confsync.Peers.
+func (p peerCatchUp) CatchUp(ctx context.Context, from uint64) (*peerpb.CatchUpResponse, error) {
+	return p.daemon.node.CatchUp(ctx, from)
+}
+
+// peerRecords serves the folded log to peers.
+type peerRecords struct {
+	reader *confsync.Reader
+}
+
+// NextOffset implements peer.Records.
+func (p peerRecords) NextOffset() uint64 {
+	return p.reader.NextOffset()
+}
+
+// CatchUp implements peer.Records.
+func (p peerRecords) CatchUp(_ context.Context, from uint64) (*peerpb.CatchUpResponse, error) {
+	return p.reader.CatchUp(from)
+}
+
+// Deliver implements peer.Records.
+func (p peerRecords) Deliver(records []*peerpb.LogRecord) {
+	p.reader.Deliver(records)
+}
+
+// hosts lists daemons and upstreams for operators.
+type hosts struct {
+	daemon *Daemon
+}
+
+// Daemons implements operatorhttp.Hosts.
+func (h hosts) Daemons() []operatorapi.Daemon {
+	members := h.daemon.members.Members()
+	list := make([]operatorapi.Daemon, len(members))
+	for i, m := range members {
+		list[i] = operatorapi.Daemon{
+			Incarnation:  m.Incarnation,
+			DataCentre:   m.DataCentre,
+			CallerAddr:   m.CallerAddr,
+			OperatorAddr: operatorapi.NewOptString(m.OperatorAddr),
+			State:        m.State.String(),
+			Revision:     int64(m.Revision),
+		}
+	}
+	return list
+}
+
+// Upstreams implements operatorhttp.Hosts.
+func (h hosts) Upstreams() []operatorapi.Upstream {
+	all := h.daemon.upstreams.Upstreams()
+	list := make([]operatorapi.Upstream, len(all))
+	for i, u := range all {
+		list[i] = operatorapi.Upstream{
+			Addr:       u.Addr,
+			Service:    u.Service,
+			DataCentre: u.DataCentre,
+			State:      u.State.String(),
+			InFlight:   operatorapi.NewOptInt(u.InFlight),
+			Reason:     operatorapi.NewOptString(u.Reason),
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/net/netutil"
+
+	"sequoiafork/internal/operatorhttp"
+)
+
+func (d *Daemon) newServer(h http.Handler) *http.Server {
+	l := d.settings.Limits
+	return &http.Server{
+		Handler:           http.MaxBytesHandler(h, l.MaxBodyBytes),
+		ReadHeaderTimeout: l.ReadHeaderTimeout,
+		ReadTimeout:       l.ReadTimeout,
+		WriteTimeout:      l.WriteTimeout,
+		IdleTimeout:       l.IdleTimeout,
+		MaxHeaderBytes:    int(l.MaxHeaderBytes),
+	}
+}
+
+func (d *Daemon) limit(l net.Listener) net.Listener {
+	return netutil.LimitListener(l, int(d.settings.Limits.MaxConnections))
+}
+
+// operatorHandler returns what the operators' address serves: the interface,
+// metrics and health.
+func (d *Daemon) operatorHandler() (http.Handler, error) {
+	api, err := operatorhttp.New(operatorhttp.Config{
+		Editor:  edits{daemon: d},
+		Tables:  d.machine,
+		Hosts:   hosts{daemon: d},
+		Dumper:  dumper{daemon: d},
+		Drainer: drainer{daemon: d},
+	})
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", api)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", d.readyz)
+	return mux, nil
+}
+
+// readyz answers 200 while this daemon takes new requests.
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case d.lifeState() != stateServing:
+		http.Error(w, d.lifeState().String(), http.StatusServiceUnavailable)
+	case !d.machine.Ready():
+		http.Error(w, "no tables yet", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ready\n"))
+	}
+}
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -18,8 +18,9 @@
 
 // Defaults of Config.
 const (
-	DefaultWindow         = 24 * time.Hour
-	DefaultIssuedValid    = time.Hour
+	DefaultWindow         = time.Hour
+	DefaultClaimWindow    = 24 * time.Hour
+	DefaultIssuedValid    = 30 * time.Second
 	DefaultMaxResultBytes = 16 << 20
 
 	shardCount = 16
@@ -57,8 +58,10 @@
 	// Self is this process's incarnation.
 	Self   string
 	Claims Claimer
-	// Window is how long a key is remembered.
+	// Window is how long the outcome of a key is kept.
 	Window time.Duration
+	// ClaimWindow is how long a claim is remembered on the log.
+	ClaimWindow time.Duration
 	// IssuedValid is how long a system-issued key may be used.
 	IssuedValid time.Duration
 	// MaxResultBytes bounds the answers kept for repeated requests.
@@ -138,9 +141,14 @@
 	if cfg.Window == 0 {
 		cfg.Window = DefaultWindow
 	}
+	if cfg.ClaimWindow == 0 {
+		cfg.ClaimWindow = DefaultClaimWindow
+	}
 	if cfg.IssuedValid == 0 {
 		cfg.IssuedValid = DefaultIssuedValid
 	}
+	// An issued key must be remembered for longer than it may be used.
+	cfg.Window = max(cfg.Window, 2*cfg.IssuedValid)
 	if cfg.MaxResultBytes == 0 {
 		cfg.MaxResultBytes = DefaultMaxResultBytes
 	}
--- a/internal/pipeline/executor.go
+++ b/internal/pipeline/executor.go
@@ -5,8 +5,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sequoiafork/internal/admission"
@@ -50,7 +50,6 @@
 	LateLimit    time.Duration
 	ReuseEntries int
 	ReuseFor     time.Duration
-	Seed         uint64
 }
 
 // Executor runs requests. It is safe for concurrent use.
@@ -58,9 +57,7 @@
 	cfg     Config
 	budgets sync.Map // pool name to *budget.Budget
 	reuse   *reuseCache
-
-	randMu sync.Mutex
-	rand   *rand.Rand
+	active  atomic.Int64
 }
 
 // New returns an executor.
@@ -86,7 +83,6 @@
 	return &Executor{
 		cfg:   cfg,
 		reuse: newReuseCache(cfg.ReuseEntries, cfg.ReuseFor),
-		rand:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1)),
 	}
 }
 
@@ -143,7 +139,9 @@
 		cancel:   cancel,
 	}
 	done := make(chan outcome.Outcome, 1)
+	e.active.Add(1)
 	go func() {
+		defer e.active.Add(-1)
 		defer cancel()
 		done <- x.run(runCtx)
 	}()
@@ -165,6 +163,12 @@
 	}, done
 }
 
+// Active returns the number of requests that are being run, also those whose
+// callers have gone.
+func (e *Executor) Active() int {
+	return int(e.active.Load())
+}
+
 func (e *Executor) budget(pool string) *budget.Budget {
 	if b, ok := e.budgets.Load(pool); ok {
 		return b.(*budget.Budget)
