--- /dev/null
+++ b/internal/confsync/ingest.go
@@ -0,0 +1,93 @@
+package confsync
+
+import (
+	"maps"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/logservice"
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// Deliver takes records that a peer passed on. Records that come before earlier
+// ones wait for these.
+func (r *Reader) Deliver(records []*peerpb.LogRecord) {
+	r.ingest(records)
+}
+
+func (r *Reader) ingest(records []*peerpb.LogRecord) {
+	applied, gap := r.applyInOrder(records)
+	if len(applied) > 0 && r.config.OnRecords != nil {
+		r.config.OnRecords(applied)
+	}
+	if gap {
+		select {
+		case r.gap <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// applyInOrder applies what is next, and returns it. It reports whether records
+// remain that wait for earlier ones.
+func (r *Reader) applyInOrder(records []*peerpb.LogRecord) (applied []*peerpb.LogRecord, gap bool) {
+	r.ingestMu.Lock()
+	defer r.ingestMu.Unlock()
+	for _, rec := range records {
+		if r.applyNext(rec) {
+			applied = append(applied, rec)
+		} else if rec.GetOffset() > r.machine.NextOffset() {
+			r.hold(rec)
+		}
+	}
+	for {
+		rec, ok := r.pending[r.machine.NextOffset()]
+		if !ok || !r.applyNext(rec) {
+			break
+		}
+		applied = append(applied, rec)
+	}
+	next := r.machine.NextOffset()
+	maps.DeleteFunc(r.pending, func(offset uint64, _ *peerpb.LogRecord) bool { return offset < next })
+	return applied, len(r.pending) > 0
+}
+
+func (r *Reader) applyNext(rec *peerpb.LogRecord) bool {
+	if rec.GetOffset() != r.machine.NextOffset() {
+		return false
+	}
+	if err := r.machine.Apply(rec.GetOffset(), rec.GetTimeMs(), rec.GetData()); err != nil {
+		r.config.Logger.Error("record not applied", zap.Error(err))
+		return false
+	}
+	r.recent.add(rec)
+	return true
+}
+
+// hold keeps a record that came early. At the bound the latest one is dropped.
+func (r *Reader) hold(rec *peerpb.LogRecord) {
+	r.pending[rec.GetOffset()] = rec
+	if len(r.pending) > r.config.MaxPending {
+		delete(r.pending, slices.Max(slices.Collect(maps.Keys(r.pending))))
+	}
+}
+
+// restore replaces the state by a snapshot.
+func (r *Reader) restore(snapshot []byte) error {
+	r.ingestMu.Lock()
+	defer r.ingestMu.Unlock()
+	return r.machine.Restore(snapshot)
+}
+
+func toPeerRecords(records []logservice.Record) []*peerpb.LogRecord {
+	out := make([]*peerpb.LogRecord, 0, len(records))
+	for _, rec := range records {
+		out = append(out, &peerpb.LogRecord{
+			Offset: rec.Offset,
+			TimeMs: rec.TimeMs,
+			Data:   rec.Data,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/confsync/leaser.go
@@ -0,0 +1,206 @@
+package confsync
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/fold"
+	"sequoiafork/internal/logservice"
+)
+
+// Defaults of LeaserConfig.
+const (
+	DefaultLeaseTTL = 10 * time.Second
+	// defaultMarginShare is the part of the TTL that is the default margin.
+	defaultMarginShare = 5
+	// renewShare is the part of the TTL after which a lease is renewed.
+	renewShare = 3
+	// releaseTimeout bounds the append of a release.
+	releaseTimeout = 2 * time.Second
+)
+
+// LeaserConfig configures a Leaser.
+type LeaserConfig struct {
+	Log     Log
+	Machine *fold.Machine
+	// Name is the lease's name, and Holder this process incarnation.
+	Name   string
+	Holder string
+	// TTL is how long one grant lasts. Zero means DefaultLeaseTTL.
+	TTL time.Duration
+	// Margin is how long before the end of a grant the holder stops relying on it,
+	// for clocks that run at different rates. Zero means a fifth of TTL.
+	Margin time.Duration
+	Logger *zap.Logger
+}
+
+// Leaser acquires, renews and releases a named lease. It is safe for concurrent
+// use.
+type Leaser struct {
+	config  LeaserConfig
+	machine *fold.Machine
+
+	// opMu orders Acquire, Renew and Release.
+	opMu sync.Mutex
+
+	mu     sync.Mutex
+	tenure tenure
+	// pendingSince is when the earliest grant was appended whose effect isn't
+	// known, or zero.
+	pendingSince time.Time
+	// seen and seenAt tell how long the present tenure of another was watched.
+	seen   fold.Lease
+	seenAt time.Time
+}
+
+// tenure is a lease that is held until a time of the local monotonic clock.
+type tenure struct {
+	fencing    uint64
+	validUntil time.Time
+}
+
+// NewLeaser returns a leaser that holds nothing.
+func NewLeaser(c LeaserConfig) *Leaser {
+	setDefault(&c.TTL, DefaultLeaseTTL)
+	setDefault(&c.Margin, c.TTL/defaultMarginShare)
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	return &Leaser{
+		config:  c,
+		machine: c.Machine,
+	}
+}
+
+// Held returns the fencing number of the lease, and whether it is held for sure
+// now. The validity is counted from before the grant was appended.
+func (l *Leaser) Held() (fencing uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tenure.fencing == 0 || !time.Now().Before(l.tenure.validUntil) {
+		return 0, false
+	}
+	return l.tenure.fencing, true
+}
+
+// Acquire tries once to get the lease, and reports whether it is held. An error
+// means that it is not known to be.
+func (l *Leaser) Acquire(ctx context.Context) (bool, error) {
+	l.opMu.Lock()
+	defer l.opMu.Unlock()
+	l.observe()
+	if _, ok := l.Held(); ok {
+		return true, nil
+	}
+	if l.heldByOther() {
+		return false, nil
+	}
+	if err := l.grant(ctx, 0); err != nil {
+		return false, err
+	}
+	_, ok := l.Held()
+	return ok, nil
+}
+
+// Renew extends the lease, and reports whether it is held. An error means that the
+// renewal isn't known to have taken effect; Held tells what remains.
+func (l *Leaser) Renew(ctx context.Context) (bool, error) {
+	l.opMu.Lock()
+	defer l.opMu.Unlock()
+	l.mu.Lock()
+	fencing := l.tenure.fencing
+	l.mu.Unlock()
+	if fencing == 0 {
+		return false, nil
+	}
+	if err := l.grant(ctx, fencing); err != nil {
+		return false, err
+	}
+	_, ok := l.Held()
+	return ok, nil
+}
+
+// Release gives the lease up. The holder stops relying on it at once, also if the
+// append fails.
+func (l *Leaser) Release(ctx context.Context) error {
+	l.opMu.Lock()
+	defer l.opMu.Unlock()
+	l.mu.Lock()
+	fencing := l.tenure.fencing
+	l.tenure = tenure{}
+	l.mu.Unlock()
+	if fencing == 0 {
+		return nil
+	}
+	data, err := fold.EncodeLease(fold.LeaseRequest{
+		Name:    l.config.Name,
+		Holder:  l.config.Holder,
+		Fencing: fencing,
+		Release: true,
+	})
+	if err != nil {
+		return err
+	}
+	_, err = l.config.Log.Append(ctx, data)
+	return err
+}
+
+// grant appends a grant and waits to read it back.
+func (l *Leaser) grant(ctx context.Context, fencing uint64) error {
+	data, err := fold.EncodeLease(fold.LeaseRequest{
+		Name:    l.config.Name,
+		Holder:  l.config.Holder,
+		TTL:     l.config.TTL,
+		Fencing: fencing,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.config.TTL)
+	defer cancel()
+	start := time.Now()
+	if fencing == 0 {
+		l.setPending(start)
+	}
+	offset, err := l.config.Log.Append(ctx, data)
+	if _, refused := errors.AsType[*logservice.RefusedError](err); refused {
+		l.clearPending(start)
+	}
+	if err != nil {
+		return err
+	}
+	if err := l.machine.Wait(ctx, offset+1); err != nil {
+		return err
+	}
+	l.confirm(offset, fencing, start)
+	return nil
+}
+
+// Run acquires and renews the lease until ctx ends, and releases it then.
+func (l *Leaser) Run(ctx context.Context) error {
+	for {
+		if err := l.turn(ctx); err != nil && ctx.Err() == nil {
+			l.config.Logger.Warn("lease not renewed", zap.String("lease", l.config.Name), zap.Error(err))
+		}
+		if err := sleep(ctx, l.config.TTL/renewShare); err != nil {
+			releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+			defer cancel()
+			return errors.Join(err, l.Release(releaseCtx))
+		}
+	}
+}
+
+func (l *Leaser) turn(ctx context.Context) error {
+	if !l.machine.Ready() {
+		return nil
+	}
+	if held, err := l.Renew(ctx); held || err != nil {
+		return err
+	}
+	_, err := l.Acquire(ctx)
+	return err
+}
--- /dev/null
+++ b/internal/confsync/reader.go
@@ -0,0 +1,144 @@
+package confsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"sequoiafork/internal/fold"
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// Defaults of ReaderConfig.
+const (
+	DefaultPollWait       = 2 * time.Second
+	DefaultPeerInterval   = time.Second
+	DefaultSnapshotEvery  = 1000
+	DefaultSnapshotMaxAge = time.Hour
+	DefaultSnapshotDelay  = 10 * time.Second
+	DefaultRecentRecords  = 4096
+	DefaultMaxPending     = 4096
+)
+
+// ReaderConfig configures a Reader.
+type ReaderConfig struct {
+	Log     Log
+	Machine *fold.Machine
+	// Peers may be nil.
+	Peers Peers
+	// OnRecords receives records that are new here, to pass them to peers. It may
+	// be nil, must not block, and may be called out of order.
+	OnRecords func([]*peerpb.LogRecord)
+	Logger    *zap.Logger
+	// Writer names this daemon in the snapshots that it appends.
+	Writer string
+	Seed   uint64
+	// PollWait is how long one read of the log waits for records. Zero means
+	// DefaultPollWait.
+	PollWait time.Duration
+	// PeerInterval is how often peers are asked while the log can't be read. Zero
+	// means DefaultPeerInterval.
+	PeerInterval time.Duration
+	// SnapshotEvery is how many records may follow a snapshot before the next one
+	// is due. Zero means DefaultSnapshotEvery.
+	SnapshotEvery int
+	// SnapshotMaxAge is the age at which the next snapshot is due. It must be well
+	// under the log's retention. Zero means DefaultSnapshotMaxAge.
+	SnapshotMaxAge time.Duration
+	// SnapshotDelay bounds the random wait before a snapshot, in which another
+	// daemon may write it. Zero means DefaultSnapshotDelay.
+	SnapshotDelay time.Duration
+	// RecentRecords is how many records are kept for peers. Zero means
+	// DefaultRecentRecords.
+	RecentRecords int
+	// MaxPending bounds the records from peers that wait for earlier ones. Zero
+	// means DefaultMaxPending.
+	MaxPending int
+}
+
+func (c ReaderConfig) withDefaults() ReaderConfig {
+	setDefault(&c.PollWait, DefaultPollWait)
+	setDefault(&c.PeerInterval, DefaultPeerInterval)
+	setDefault(&c.SnapshotEvery, DefaultSnapshotEvery)
+	setDefault(&c.SnapshotMaxAge, DefaultSnapshotMaxAge)
+	setDefault(&c.SnapshotDelay, DefaultSnapshotDelay)
+	setDefault(&c.RecentRecords, DefaultRecentRecords)
+	setDefault(&c.MaxPending, DefaultMaxPending)
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Reader keeps a machine in step with the log and with peers. Its methods are safe
+// for concurrent use.
+type Reader struct {
+	config  ReaderConfig
+	machine *fold.Machine
+	gap     chan struct{}
+
+	// ingestMu orders what is applied, and guards recent and pending.
+	ingestMu sync.Mutex
+	recent   recentRecords
+	pending  map[uint64]*peerpb.LogRecord
+
+	statusMu sync.Mutex
+	status   Status
+
+	randMu sync.Mutex
+	random *rand.Rand
+}
+
+// NewReader returns a reader that does nothing until Run.
+func NewReader(c ReaderConfig) *Reader {
+	c = c.withDefaults()
+	return &Reader{
+		config:  c,
+		machine: c.Machine,
+		gap:     make(chan struct{}, 1),
+		recent: recentRecords{
+			limit: c.RecentRecords,
+		},
+		pending: make(map[uint64]*peerpb.LogRecord),
+		random:  rand.New(rand.NewPCG(c.Seed, 0)),
+	}
+}
+
+// Run reads until ctx ends, and returns its error.
+func (r *Reader) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return r.tail(ctx) })
+	g.Go(func() error { return r.followPeers(ctx) })
+	g.Go(func() error { return r.writeSnapshots(ctx) })
+	return g.Wait()
+}
+
+// randomDuration returns a duration in [0, limit).
+func (r *Reader) randomDuration(limit time.Duration) time.Duration {
+	r.randMu.Lock()
+	defer r.randMu.Unlock()
+	return time.Duration(r.random.Int64N(int64(max(limit, 1))))
+}
+
+// sleep waits for d, or returns the error of ctx.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/confsync/recover.go
@@ -0,0 +1,67 @@
+package confsync
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/fold"
+	"sequoiafork/internal/logservice"
+)
+
+// recover finds a newer state after the records from next on have expired: from a
+// peer, else from the newest snapshot on the log.
+func (r *Reader) recover(ctx context.Context, next, first uint64) error {
+	r.config.Logger.Warn("records have expired before they were read", zap.Uint64("next_offset", next), zap.Uint64("first_offset", first))
+	if err := r.catchUp(ctx); err == nil && r.machine.NextOffset() >= first {
+		return nil
+	}
+	snapshot, err := r.findSnapshot(ctx, first)
+	if err != nil {
+		return err
+	}
+	if snapshot == nil {
+		return &NoStateError{
+			Next:  next,
+			First: first,
+		}
+	}
+	return r.restore(snapshot)
+}
+
+// findSnapshot scans the log and returns the newest snapshot that is whole and
+// whose following records are kept, or nil.
+func (r *Reader) findSnapshot(ctx context.Context, first uint64) ([]byte, error) {
+	var newest []byte
+	var newestCovered uint64
+	for from := first; ; {
+		batch, err := r.read(ctx, from, 0)
+		if expired, ok := errors.AsType[*logservice.ExpiredError](err); ok && expired.First > from {
+			from, first = expired.First, expired.First
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		for _, rec := range batch.Records {
+			if covered, ok := r.usable(rec, first); ok && covered >= newestCovered {
+				newest, newestCovered = rec.Data, covered
+			}
+			from = rec.Offset + 1
+		}
+		if from >= batch.End || len(batch.Records) == 0 {
+			return newest, nil
+		}
+	}
+}
+
+// usable reports whether a record is a whole snapshot with all records after it
+// on the log.
+func (r *Reader) usable(rec logservice.Record, first uint64) (covered uint64, ok bool) {
+	covered, err := fold.Covers(rec.Data)
+	if _, damaged := errors.AsType[*fold.DigestError](err); damaged {
+		r.config.Logger.Error("damaged snapshot on the log", zap.Uint64("offset", rec.Offset), zap.Error(err))
+	}
+	return covered, err == nil && covered+1 >= first && covered < rec.Offset
+}
--- /dev/null
+++ b/internal/confsync/result.go
@@ -0,0 +1,62 @@
+package confsync
+
+import "sequoiafork/internal/table"
+
+// State says how an edit stands.
+type State int
+
+// States of an edit.
+const (
+	// Unknown means that the edit may yet come into force or be rejected.
+	Unknown State = iota
+	Accepted
+	// Conflict means that the row changed since the operator saw it.
+	Conflict
+	Refused
+	// DryRun means that the edit would be accepted, and nothing was done.
+	DryRun
+	// NotFound means that this daemon knows no edit with the ID.
+	NotFound
+)
+
+var stateNames = [...]string{
+	Unknown:  "unknown",
+	Accepted: "accepted",
+	Conflict: "conflict",
+	Refused:  "refused",
+	DryRun:   "dry_run",
+	NotFound: "not_found",
+}
+
+// String returns the state's name in snake case.
+func (s State) String() string {
+	return stateNames[s]
+}
+
+// Result is the answer to an edit.
+type Result struct {
+	EditID string
+	State  State
+	// Message is short enough for a phone.
+	Message string
+	// Revision is the row's revision if the edit was accepted.
+	Revision uint64
+	// RouteNow or PoolNow is the row as it is now, if it exists.
+	RouteNow *table.RouteRow
+	PoolNow  *table.PoolRow
+	Problems []table.Problem
+}
+
+// withRow returns the result with the row as it is now.
+func (r Result) withRow(t *table.Tables, name string, pool bool) Result {
+	if pool {
+		if row, ok := t.Pool(name); ok {
+			r.PoolNow = &row
+		}
+		return r
+	}
+	if row, ok := t.Route(name); ok {
+		r.RouteNow = &row
+	}
+	return r
+}
--- /dev/null
+++ b/internal/confsync/snapshots.go
@@ -0,0 +1,88 @@
+package confsync
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	snapshotCheckInterval = time.Second
+	// urgentSnapshotDelay bounds the wait when retention is close.
+	urgentSnapshotDelay = time.Second
+	// snapshotReadBack is how long a writer waits to meet its own snapshot.
+	snapshotReadBack = 10 * time.Second
+)
+
+// urgency says how soon a snapshot is due.
+type urgency int
+
+const (
+	notDue urgency = iota
+	due
+	urgent
+)
+
+// writeSnapshots appends a snapshot when one is due and no other daemon has written
+// it within a random delay.
+func (r *Reader) writeSnapshots(ctx context.Context) error {
+	for {
+		if err := sleep(ctx, snapshotCheckInterval); err != nil {
+			return err
+		}
+		u := r.snapshotUrgency()
+		if u == notDue {
+			continue
+		}
+		if err := sleep(ctx, r.snapshotDelay(u)); err != nil {
+			return err
+		}
+		if r.snapshotUrgency() == notDue {
+			continue
+		}
+		if err := r.writeSnapshot(ctx); err != nil && ctx.Err() == nil {
+			r.config.Logger.Warn("snapshot not written", zap.Error(err))
+		}
+	}
+}
+
+func (r *Reader) snapshotDelay(u urgency) time.Duration {
+	if u == urgent {
+		return r.randomDuration(min(urgentSnapshotDelay, r.config.SnapshotDelay))
+	}
+	return r.randomDuration(r.config.SnapshotDelay)
+}
+
+func (r *Reader) snapshotUrgency() urgency {
+	s := r.Status()
+	next := r.machine.NextOffset()
+	if !r.machine.Ready() || !r.logHealthy() || next < s.End {
+		return notDue
+	}
+	last := r.machine.LastSnapshot()
+	if s.First > 1 && last.Covered+1 < s.First+(s.End-s.First)/2 {
+		return urgent
+	}
+	tooMany := next-1-last.Covered >= uint64(r.config.SnapshotEvery)
+	tooOld := time.Since(time.UnixMilli(last.TimeMs)) >= r.config.SnapshotMaxAge
+	if tooMany || tooOld {
+		return due
+	}
+	return notDue
+}
+
+func (r *Reader) writeSnapshot(ctx context.Context) error {
+	data, err := r.machine.Snapshot(r.config.Writer)
+	if err != nil {
+		return err
+	}
+	offset, err := r.config.Log.Append(ctx, data)
+	if err != nil {
+		return err
+	}
+	r.config.Logger.Info("snapshot written", zap.Uint64("offset", offset), zap.Int("bytes", len(data)))
+	ctx, cancel := context.WithTimeout(ctx, snapshotReadBack)
+	defer cancel()
+	return r.machine.Wait(ctx, offset+1)
+}
--- /dev/null
+++ b/internal/confsync/tail.go
@@ -0,0 +1,112 @@
+package confsync
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/logservice"
+)
+
+const (
+	maxBatchRecords = 500
+	// readGrace is how much longer than its wait a read may take.
+	readGrace  = time.Second
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 2 * time.Second
+)
+
+func (r *Reader) readTimeout() time.Duration {
+	return r.config.PollWait + readGrace
+}
+
+// tail follows the log until ctx ends.
+func (r *Reader) tail(ctx context.Context) error {
+	if r.machine.NextOffset() == 1 {
+		_ = r.catchUp(ctx)
+	}
+	backoff := minBackoff
+	for {
+		err := r.step(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err == nil {
+			backoff = minBackoff
+			continue
+		}
+		r.config.Logger.Warn("log not read", zap.Error(err), zap.Uint64("next_offset", r.machine.NextOffset()))
+		if err := sleep(ctx, backoff/2+r.randomDuration(backoff)); err != nil {
+			return err
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// step reads the log once and applies what it got.
+func (r *Reader) step(ctx context.Context) error {
+	next := r.machine.NextOffset()
+	batch, err := r.read(ctx, next, r.wait())
+	if expired, ok := errors.AsType[*logservice.ExpiredError](err); ok {
+		return r.recover(ctx, next, expired.First)
+	}
+	if err != nil {
+		return err
+	}
+	r.ingest(toPeerRecords(batch.Records))
+	if batch.End == 0 {
+		return r.begin(ctx)
+	}
+	if r.machine.NextOffset() >= batch.End && !r.machine.Ready() {
+		r.machine.MarkComplete()
+		r.config.Logger.Info("state is complete", zap.Uint64("next_offset", r.machine.NextOffset()), zap.Uint64("revision", r.machine.Revision()))
+	}
+	return nil
+}
+
+// wait returns how long a read waits. Until the state is complete it doesn't, to
+// learn where the log ends.
+func (r *Reader) wait() time.Duration {
+	if !r.machine.Ready() {
+		return 0
+	}
+	return r.config.PollWait
+}
+
+// read reads the log, and notes whether it answered.
+func (r *Reader) read(ctx context.Context, from uint64, wait time.Duration) (logservice.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.readTimeout())
+	defer cancel()
+	batch, err := r.config.Log.Read(ctx, from, maxBatchRecords, wait)
+	if err == nil && batch.End != 0 && batch.End < from {
+		err = &LogBehindError{
+			Next: from,
+			End:  batch.End,
+		}
+	}
+	expired, answered := errors.AsType[*logservice.ExpiredError](err)
+	r.setStatus(func(s *Status) {
+		switch {
+		case answered:
+			s.First, s.LastRead, s.LogError = expired.First, time.Now(), nil
+		case err != nil:
+			s.LogError = err
+		default:
+			s.First, s.End, s.LastRead, s.LogError = batch.First, batch.End, time.Now(), nil
+		}
+	})
+	return batch, err
+}
+
+// begin appends a snapshot of the empty state to a log that counts from zero,
+// because offset zero is never folded.
+func (r *Reader) begin(ctx context.Context) error {
+	data, err := r.machine.Snapshot(r.config.Writer)
+	if err != nil {
+		return err
+	}
+	_, err = r.config.Log.Append(ctx, data)
+	return err
+}
--- a/internal/fold/machine.go
+++ b/internal/fold/machine.go
@@ -66,13 +66,14 @@
 	claims   claimSet
 
 	// mu is held by every change, and guards the fields below.
-	mu       sync.RWMutex
-	clockMs  int64
-	sums     sums
-	digests  digestLog
-	edits    editWindow
-	leases   map[string]Lease
-	lastSnap uint64
+	mu      sync.RWMutex
+	clockMs int64
+	sums    sums
+	digests digestLog
+	edits   editWindow
+	leases  map[string]Lease
+	// lastSnap describes the newest snapshot that agrees with the state.
+	lastSnap SnapshotMark
 	counters Counters
 	changed  chan struct{}
 }
--- a/internal/fold/query.go
+++ b/internal/fold/query.go
@@ -68,9 +68,9 @@
 	return m.sums.digest(covered, m.tables.Load().Revision(), m.clockMs)
 }
 
-// LastSnapshot returns the covered offset of the newest snapshot that the machine
-// has met or restored, or zero.
-func (m *Machine) LastSnapshot() uint64 {
+// LastSnapshot returns how far the newest snapshot reaches that the machine has met
+// or restored. Zero means none.
+func (m *Machine) LastSnapshot() SnapshotMark {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.lastSnap
--- a/internal/fold/restore.go
+++ b/internal/fold/restore.go
@@ -60,11 +60,21 @@
 		m.claims.add(c)
 	}
 	m.tables.Store(img.tables)
-	m.lastSnap = max(m.lastSnap, img.covered)
+	m.markSnapshot(img.covered)
 	m.digests.add(img.covered, m.digestLocked(img.covered), m.config.DigestWindow)
 	m.advance(img.covered + 1)
 }
 
+func (m *Machine) markSnapshot(covered uint64) {
+	if covered < m.lastSnap.Covered {
+		return
+	}
+	m.lastSnap = SnapshotMark{
+		Covered: covered,
+		TimeMs:  m.clockMs,
+	}
+}
+
 func (m *Machine) countDamaged(err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -86,7 +96,7 @@
 		return
 	}
 	if err := m.compare(s.GetCoveredOffset(), s.GetWriter(), Digest(s.GetDigest())); err == nil {
-		m.lastSnap = max(m.lastSnap, s.GetCoveredOffset())
+		m.markSnapshot(s.GetCoveredOffset())
 	}
 }
 
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -59,3 +59,11 @@
 	SnapshotMismatches uint64
 	SnapshotsDamaged   uint64
 }
+
+// SnapshotMark says how far the newest snapshot reaches.
+type SnapshotMark struct {
+	// Covered is the offset of the last record that it covers.
+	Covered uint64
+	// TimeMs is the log's time when it was met.
+	TimeMs int64
+}
