Tell how long a lease lasts only from a grant that was read back

Cause: after a lost reply the leaser counted a tenure from the earliest open attempt; an attempt that landed late, or an old tenure that was still on the log, would have been relied on past its end. Change: a tenure that is on the log but was not confirmed is renewed first, and counts from before that renewal.

--- a/internal/confsync/leaser.go
+++ b/internal/confsync/leaser.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"sequoiafork/internal/fold"
-	"sequoiafork/internal/logservice"
 )
 
 // Defaults of LeaserConfig.
@@ -49,18 +48,9 @@
 
 	mu     sync.Mutex
 	tenure tenure
-	// pendingSince is when the earliest grant was appended whose effect isn't
-	// known, or zero.
-	pendingSince time.Time
-	// seen and seenAt tell how long the present tenure of another was watched.
-	seen   fold.Lease
-	seenAt time.Time
-}
-
-// tenure is a lease that is held until a time of the local monotonic clock.
-type tenure struct {
-	fencing    uint64
-	validUntil time.Time
+	// other is the latest tenure of another holder, which may last to otherUntil.
+	other      fold.Lease
+	otherUntil time.Time
 }
 
 // NewLeaser returns a leaser that holds nothing.
@@ -77,7 +67,7 @@
 }
 
 // Held returns the fencing number of the lease, and whether it is held for sure
-// now. The validity is counted from before the grant was appended.
+// now.
 func (l *Leaser) Held() (fencing uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -87,37 +77,17 @@
 	return l.tenure.fencing, true
 }
 
-// Acquire tries once to get the lease, and reports whether it is held. An error
-// means that it is not known to be.
+// Acquire tries once to get the lease, or to renew it if this holder has it on the
+// log, and reports whether it is held. An error means that the append isn't known
+// to have taken effect; Held tells what remains.
 func (l *Leaser) Acquire(ctx context.Context) (bool, error) {
 	l.opMu.Lock()
 	defer l.opMu.Unlock()
-	l.observe()
-	if _, ok := l.Held(); ok {
-		return true, nil
-	}
 	if l.heldByOther() {
 		return false, nil
 	}
-	if err := l.grant(ctx, 0); err != nil {
-		return false, err
-	}
-	_, ok := l.Held()
-	return ok, nil
-}
-
-// Renew extends the lease, and reports whether it is held. An error means that the
-// renewal isn't known to have taken effect; Held tells what remains.
-func (l *Leaser) Renew(ctx context.Context) (bool, error) {
-	l.opMu.Lock()
-	defer l.opMu.Unlock()
-	l.mu.Lock()
-	fencing := l.tenure.fencing
-	l.mu.Unlock()
-	if fencing == 0 {
-		return false, nil
-	}
-	if err := l.grant(ctx, fencing); err != nil {
+	own, _ := l.ownLease()
+	if err := l.grant(ctx, own.Fencing); err != nil {
 		return false, err
 	}
 	_, ok := l.Held()
@@ -130,16 +100,16 @@
 	l.opMu.Lock()
 	defer l.opMu.Unlock()
 	l.mu.Lock()
-	fencing := l.tenure.fencing
 	l.tenure = tenure{}
 	l.mu.Unlock()
-	if fencing == 0 {
+	own, ok := l.ownLease()
+	if !ok {
 		return nil
 	}
 	data, err := fold.EncodeLease(fold.LeaseRequest{
 		Name:    l.config.Name,
 		Holder:  l.config.Holder,
-		Fencing: fencing,
+		Fencing: own.Fencing,
 		Release: true,
 	})
 	if err != nil {
@@ -149,7 +119,8 @@
 	return err
 }
 
-// grant appends a grant and waits to read it back.
+// grant appends a grant and waits to read it back. A fencing number of zero asks
+// for a new tenure.
 func (l *Leaser) grant(ctx context.Context, fencing uint64) error {
 	data, err := fold.EncodeLease(fold.LeaseRequest{
 		Name:    l.config.Name,
@@ -163,13 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, l.config.TTL)
 	defer cancel()
 	start := time.Now()
-	if fencing == 0 {
-		l.setPending(start)
-	}
 	offset, err := l.config.Log.Append(ctx, data)
-	if _, refused := errors.AsType[*logservice.RefusedError](err); refused {
-		l.clearPending(start)
-	}
 	if err != nil {
 		return err
 	}
@@ -198,9 +163,6 @@
 	if !l.machine.Ready() {
 		return nil
 	}
-	if held, err := l.Renew(ctx); held || err != nil {
-		return err
-	}
 	_, err := l.Acquire(ctx)
 	return err
 }
