--- /dev/null
+++ b/internal/upstream/bench_test.go
@@ -0,0 +1,54 @@
+package upstream
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sequoiafork/internal/table"
+)
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{5, 50, 630} {
+		for _, affinity := range []uint64{0, 7} {
+			b.Run(fmt.Sprintf("upstreams=%d/affinity=%d", n, affinity), func(b *testing.B) {
+				s := New(Config{
+					DataCentre: "a",
+				})
+				s.Replace(hosts(n))
+				p := &table.Pool{
+					Name:        "p",
+					Service:     "s",
+					Concurrency: 4,
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					s.Capacity(p)
+					c, err := s.Pick(Request{
+						Pool:     p,
+						Affinity: affinity,
+					})
+					if err != nil {
+						b.Fatal(err)
+					}
+					c.Done(Result{
+						Outcome: OK,
+						Latency: time.Millisecond,
+					})
+				}
+			})
+		}
+	}
+}
+
+func hosts(n int) []Host {
+	list := make([]Host, n)
+	for i := range list {
+		list[i] = Host{
+			Addr:       fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
+			DataCentre: string(rune('a' + i%3)),
+			Service:    "s",
+		}
+	}
+	return list
+}
--- a/internal/upstream/done.go
+++ b/internal/upstream/done.go
@@ -20,6 +20,7 @@
 	defer g.mu.Unlock()
 	m.inFlight = max(m.inFlight-1, 0)
 	m.probing = false
+	m.lastDone = now
 	if r.Load != nil {
 		m.observeLoad(r.Load, now)
 	}
--- a/internal/upstream/eject.go
+++ b/internal/upstream/eject.go
@@ -10,6 +10,8 @@
 	failingFactor = 2
 	// slowFactor is how much slower than the others an ejected one is.
 	slowFactor = 3
+	// suspectFactor is how much slower than the group's mean one is looked at.
+	suspectFactor = 1.2
 	// slowSamples is the number of times that must tell so, and
 	// returnSamples the number soon after an ejection.
 	slowSamples   = 8
@@ -42,7 +44,8 @@
 	if m.ejections > 0 {
 		needed = returnSamples
 	}
-	if m.samples < needed {
+	// The group's mean includes m, so this spares the scan in most cases.
+	if m.samples < needed || m.latency <= suspectFactor*g.latency {
 		return
 	}
 	sum, n := 0.0, 0
@@ -76,6 +79,20 @@
 	m.latency = returnLatency * g.latency
 }
 
+// pardon takes back ejections, the longest first, while so many upstreams died
+// or left that more than the allowed part of the rest is ejected.
+func (g *group) pardon(now time.Time) {
+	for g.ejectedCount(now) > g.liveCount(now)/ejectablePart {
+		var last *member
+		for _, m := range g.subset {
+			if m.state(now) == Live && now.Before(m.ejected) && (last == nil || m.ejected.After(last.ejected)) {
+				last = m
+			}
+		}
+		last.ejected = now
+	}
+}
+
 // ejectedCount returns the number of members that are live but ejected.
 func (g *group) ejectedCount(now time.Time) int {
 	n := 0
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -24,13 +24,16 @@
 	// into its subset.
 	order []*member
 	// subset is the members that this daemon uses.
-	subset   []*member
+	subset []*member
+	// hashes are those of subset, side by side for a fast search.
+	hashes   []uint64
 	refillAt time.Time
 	turn     int
 	daemons  int
 	// latency is the mean time of the group in nanoseconds.
 	latency  float64
 	capacity cachedCapacity
+	mean     cachedMean
 }
 
 func newGroup(cfg *Config, service string, daemons int) *group {
@@ -103,19 +106,20 @@
 func (g *group) refill(now time.Time) {
 	g.refillAt = now.Add(refillEvery)
 	g.subset = g.subset[:0]
+	g.hashes = g.hashes[:0]
 	live := 0
 	for _, m := range g.order {
-		if live == g.size() {
-			return
-		}
-		switch m.state(now) {
-		case Leaving:
+		st := m.state(now)
+		if st == Leaving || live == g.size() {
 			continue
-		case Live:
+		}
+		if st == Live {
 			live++
 		}
 		g.subset = append(g.subset, m)
+		g.hashes = append(g.hashes, m.hash)
 	}
+	g.pardon(now)
 }
 
 // size returns the number of live members of a full subset. The subsets of
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -14,6 +14,9 @@
 	failurePenalty = 4.0
 	// firstShare is the share of work right after an ejection.
 	firstShare = 0.1
+	// forgetHalfLife is the age at which what is known of an upstream's speed
+	// and failures counts for half, so that an idle one is tried again.
+	forgetHalfLife = 5 * time.Second
 	// defaultConcurrency stands in where neither pool nor report has one.
 	defaultConcurrency = 8
 )
@@ -35,6 +38,7 @@
 	samples int
 	// failures is the recent rate of failed attempts, from 0 to 1.
 	failures float64
+	lastDone time.Time
 	lastOK   time.Time
 
 	ejected   time.Time // until when; zero: never ejected
@@ -65,7 +69,7 @@
 func (m *member) usable(now time.Time) bool {
 	switch m.state(now) {
 	case Live:
-		return now.After(m.ejected)
+		return !now.Before(m.ejected)
 	case Dead:
 		return !m.probing && !m.probeAt.IsZero() && now.After(m.probeAt)
 	}
@@ -77,8 +81,22 @@
 	if m.others == 0 {
 		return 0
 	}
-	age := max(now.Sub(m.reported), 0)
-	return m.others * float64(halfLife) / float64(halfLife+age)
+	return m.others * discount(now.Sub(m.reported), halfLife)
+}
+
+// discount is one for what is new, a half at the half-life, and falls on.
+func discount(age, halfLife time.Duration) float64 {
+	return float64(halfLife) / float64(halfLife+max(age, 0))
+}
+
+// slowness is the factor by which m's recent speed and failures raise its
+// score, given the mean time of its group.
+func (m *member) slowness(groupLatency float64, now time.Time) float64 {
+	factor := 1 + failurePenalty*m.failures
+	if groupLatency > 0 && m.latency > 0 {
+		factor *= min(max(m.latency/groupLatency, fastest), slowest)
+	}
+	return 1 + (factor-1)*discount(now.Sub(m.lastDone), forgetHalfLife)
 }
 
 // slots returns the number of attempts that m runs side by side.
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -5,8 +5,18 @@
 	"time"
 )
 
-// draws is the number of random draws before the subset is searched in order.
-const draws = 3
+const (
+	// draws is the number of random draws before the subset is searched in
+	// order.
+	draws = 3
+	// meanFor is how long a computed mean load is used.
+	meanFor = 5 * time.Millisecond
+)
+
+type cachedMean struct {
+	load   float64
+	expiry time.Time
+}
 
 // Choice is the upstream for one attempt.
 type Choice struct {
@@ -122,31 +132,46 @@
 // affine returns the member that the affinity hashes to among those whose
 // load is within the bound.
 func (g *group) affine(r *Request, now time.Time) *member {
-	sum, n := 0.0, 0
-	for _, m := range g.subset {
-		if g.eligible(m, r, now) {
-			sum += g.load(m, r, now)
-			n++
-		}
-	}
-	bound := g.cfg.AffinityBound * (sum/float64(max(n, 1)) + 1)
+	bound := g.cfg.AffinityBound * (g.meanLoad(now) + 1)
 	var best *member
 	var rank uint64
-	for _, m := range g.subset {
-		h := mix(m.hash ^ r.Affinity)
-		if (best == nil || h > rank) && g.eligible(m, r, now) && g.load(m, r, now) <= bound {
+	for i, hash := range g.hashes {
+		h := mix(hash ^ r.Affinity)
+		if best != nil && h <= rank {
+			continue
+		}
+		if m := g.subset[i]; g.eligible(m, r, now) && g.load(m, now) <= bound {
 			best, rank = m, h
 		}
 	}
 	return best
 }
 
+// meanLoad returns the mean load of the usable members, as of a moment ago.
+func (g *group) meanLoad(now time.Time) float64 {
+	if now.Before(g.mean.expiry) {
+		return g.mean.load
+	}
+	sum, n := 0.0, 0
+	for _, m := range g.subset {
+		if m.usable(now) {
+			sum += g.load(m, now)
+			n++
+		}
+	}
+	g.mean = cachedMean{
+		load:   sum / float64(max(n, 1)),
+		expiry: now.Add(meanFor),
+	}
+	return g.mean.load
+}
+
 func (g *group) eligible(m *member, r *Request, now time.Time) bool {
 	return m.usable(now) && !slices.Contains(r.Exclude, m.host.Addr)
 }
 
-// load returns the work on m for a request of r, with that request.
-func (g *group) load(m *member, r *Request, now time.Time) float64 {
+// load returns the work on m, scaled up while m returns from an ejection.
+func (g *group) load(m *member, now time.Time) float64 {
 	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now)
 	return work / m.returnShare(g.cfg.ReturnTime, now)
 }
@@ -157,10 +182,7 @@
 	share := m.returnShare(g.cfg.ReturnTime, now)
 	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now)
 	score := (work + 1) / (share * float64(m.slots(r.Pool.Concurrency)))
-	if g.latency > 0 && m.latency > 0 {
-		score *= min(max(m.latency/g.latency, fastest), slowest)
-	}
-	score *= 1 + failurePenalty*m.failures
+	score *= m.slowness(g.latency, now)
 	if m.host.DataCentre != g.cfg.DataCentre {
 		score *= g.cfg.RemotePenalty
 	}
--- /dev/null
+++ b/internal/upstream/script_test.go
@@ -0,0 +1,170 @@
+package upstream
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/table"
+)
+
+var outcomes = map[string]Outcome{
+	"ok":         OK,
+	"refused":    Refused,
+	"failed":     Failed,
+	"timed_out":  TimedOut,
+	"left_pool":  LeftPool,
+	"cancelled":  Cancelled,
+	"overloaded": Overloaded,
+}
+
+var states = map[string]State{
+	"live":    Live,
+	"leaving": Leaving,
+	"dead":    Dead,
+}
+
+// script runs the commands of one data file against a set.
+type script struct {
+	t     *testing.T
+	set   *Set
+	marks []string
+}
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &script{
+				t: t,
+			}
+			datadriven.RunTest(t, path, s.run)
+		})
+	})
+}
+
+func (s *script) run(_ *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "new":
+		cfg := Config{
+			DataCentre: "a",
+			Seed:       1,
+			OnMark: func(addr string, st State) {
+				s.marks = append(s.marks, fmt.Sprintf("marked %s %s", addr, st))
+			},
+		}
+		d.MaybeScanArgs(s.t, "subset", &cfg.SubsetSize)
+		s.set = New(cfg)
+	case "daemons":
+		n := 0
+		d.ScanArgs(s.t, "n", &n)
+		s.set.SetDaemons(n)
+	case "hosts":
+		s.set.Replace(parseHosts(d.Input))
+	case "mark":
+		s.set.Mark(d.CmdArgs[0].Key, states[d.CmdArgs[1].Key], "told")
+	case "advance":
+		wait, err := time.ParseDuration(d.CmdArgs[0].Key)
+		require.NoError(s.t, err)
+		time.Sleep(wait)
+	case "attempts":
+		return s.attempts(d)
+	case "capacity":
+		return fmt.Sprintln(s.set.Capacity(pool()))
+	case "status":
+		return s.status()
+	}
+	return ""
+}
+
+// attempts runs attempts one after another and counts them by upstream. The
+// input says how those at some upstreams end.
+func (s *script) attempts(d *datadriven.TestData) string {
+	n := 0
+	var affinity uint64
+	exclude := ""
+	d.ScanArgs(s.t, "n", &n)
+	d.MaybeScanArgs(s.t, "affinity", &affinity)
+	d.MaybeScanArgs(s.t, "exclude", &exclude)
+	results := parseResults(s.t, d.Input)
+	counts := map[string]int{}
+	for range n {
+		c, err := s.set.Pick(Request{
+			Pool:     pool(),
+			Affinity: affinity,
+			Exclude:  []string{exclude},
+		})
+		if err != nil {
+			counts[err.Error()]++
+			continue
+		}
+		r, ok := results[c.Addr]
+		if !ok {
+			r.Latency = 10 * time.Millisecond
+		}
+		time.Sleep(r.Latency)
+		c.Done(r)
+		counts[c.Addr]++
+	}
+	var lines []string
+	for what, count := range counts {
+		lines = append(lines, fmt.Sprintf("%s: %d", what, count))
+	}
+	slices.Sort(lines)
+	lines = append(lines, s.marks...)
+	s.marks = nil
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func (s *script) status() string {
+	var b strings.Builder
+	for _, u := range s.set.Upstreams() {
+		require.Zero(s.t, u.InFlight)
+		fmt.Fprintf(&b, "%s %s %s\n", u.Addr, u.State, u.Reason)
+	}
+	return b.String()
+}
+
+func pool() *table.Pool {
+	return &table.Pool{
+		Name:        "p",
+		Service:     "s",
+		Concurrency: 4,
+	}
+}
+
+func parseHosts(input string) []Host {
+	var list []Host
+	for line := range strings.Lines(input) {
+		f := strings.Fields(line)
+		h := Host{
+			Addr:       f[0],
+			DataCentre: f[1],
+			Service:    "s",
+		}
+		if len(f) > 2 {
+			h.State = states[f[2]]
+		}
+		list = append(list, h)
+	}
+	return list
+}
+
+func parseResults(t *testing.T, input string) map[string]Result {
+	results := map[string]Result{}
+	for line := range strings.Lines(input) {
+		f := strings.Fields(line)
+		latency, err := time.ParseDuration(f[2])
+		require.NoError(t, err)
+		results[f[0]] = Result{
+			Outcome: outcomes[f[1]],
+			Latency: latency,
+		}
+	}
+	return results
+}
