Add the command line and the clients of both interfaces

Cause: operators and callers need one program that fits a phone and a script. Change: cmd/sequoiafork, internal/cli with short row forms in cli/rowtext, internal/operatorclient (several daemons, a command is sent once), internal/callerclient (resolve, one deadline, streams whole only at their end mark). Connections aren't reused, because net/http may send a request with an Idempotency-Key again on its own when a reused connection breaks.

--- /dev/null
+++ b/internal/callerclient/call.go
@@ -0,0 +1,152 @@
+package callerclient
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/wire/callerapi"
+)
+
+// Codes of outcomes that the client itself makes.
+const (
+	codeUnreachable = "unreachable"
+	codeLostReply   = "lost_reply"
+	codeCutStream   = "cut_stream"
+)
+
+// Request is one request to a route.
+type Request struct {
+	Route     string
+	Workspace string
+	Input     string
+	// Key makes the request run at most once, however often it is sent.
+	Key string
+	// Deadline is the time allowed for everything. Zero: the route's own.
+	Deadline time.Duration
+}
+
+// Call sends a request and returns its whole answer. The error is an
+// *OutcomeError whose outcome says whether the request may have run. A request
+// with a key is sent again to the next address when its reply is lost.
+func (c *Client) Call(ctx context.Context, r Request) (*callerapi.Answer, error) {
+	var answer *callerapi.Answer
+	err := c.send(ctx, r, func(ctx context.Context, client *callerapi.Client, body *callerapi.Call) error {
+		params := callerapi.CallRouteParams{
+			Route: r.Route,
+		}
+		if r.Key != "" {
+			params.IdempotencyKey = callerapi.NewOptString(r.Key)
+		}
+		var err error
+		answer, err = client.CallRoute(ctx, body, params)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// sendFunc makes one attempt at one address.
+type sendFunc func(context.Context, *callerapi.Client, *callerapi.Call) error
+
+func (c *Client) send(ctx context.Context, r Request, attempt sendFunc) error {
+	if r.Deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.Deadline)
+		defer cancel()
+	}
+	addrs, err := c.addrs(ctx)
+	if err != nil {
+		return err
+	}
+	return c.sendTo(ctx, addrs, r, attempt)
+}
+
+// sendTo tries the addresses in order. mayHaveRun holds the first failure after
+// which the request may have run; a later refusal doesn't take that back.
+func (c *Client) sendTo(ctx context.Context, addrs []string, r Request, attempt sendFunc) error {
+	var mayHaveRun *OutcomeError
+	last := outcomeError(callerapi.OutcomeOutcomeNotRun, codeUnreachable, errors.New("no address to use"))
+	for _, addr := range addrs {
+		client, err := c.dial(addr)
+		if err != nil {
+			return err
+		}
+		body, err := newCall(ctx, r, c.config.Caller)
+		if err != nil {
+			last = outcomeError(callerapi.OutcomeOutcomeNotRun, string(outcome.CodeDeadlinePast), err)
+			break
+		}
+		failure := outcomeOf(attempt(ctx, client, body))
+		if failure == nil {
+			return nil
+		}
+		last = failure
+		if failure.Outcome.Outcome == callerapi.OutcomeOutcomeUnknown && mayHaveRun == nil {
+			mayHaveRun = failure
+		}
+		if !goOn(failure, r.Key != "") {
+			break
+		}
+	}
+	if mayHaveRun != nil && last.Outcome.Outcome == callerapi.OutcomeOutcomeNotRun {
+		return mayHaveRun
+	}
+	return last
+}
+
+func newCall(ctx context.Context, r Request, caller string) (*callerapi.Call, error) {
+	call := &callerapi.Call{
+		Workspace: r.Workspace,
+		Input:     r.Input,
+	}
+	if caller != "" {
+		call.Caller = callerapi.NewOptString(caller)
+	}
+	if r.Deadline == 0 {
+		return call, nil
+	}
+	until, _ := ctx.Deadline()
+	remaining := time.Until(until).Milliseconds()
+	if remaining <= 0 {
+		return nil, errors.New("the deadline has passed")
+	}
+	call.DeadlineMs = callerapi.NewOptInt64(remaining)
+	return call, nil
+}
+
+// outcomeOf converts the error of one attempt to what is known of the request.
+func outcomeOf(err error) *OutcomeError {
+	if err == nil {
+		return nil
+	}
+	var known *OutcomeError
+	var status *callerapi.OutcomeStatusCodeWithHeaders
+	switch {
+	case errors.As(err, &known):
+		return known
+	case errors.As(err, &status):
+		return &OutcomeError{
+			Outcome: status.Response,
+		}
+	case notSent(err):
+		return outcomeError(callerapi.OutcomeOutcomeNotRun, codeUnreachable, err)
+	default:
+		return outcomeError(callerapi.OutcomeOutcomeUnknown, codeLostReply, err)
+	}
+}
+
+// goOn reports whether the next address may be tried after an outcome.
+func goOn(e *OutcomeError, hasKey bool) bool {
+	switch e.Outcome.Code {
+	case codeUnreachable, string(outcome.CodeDraining), string(outcome.CodeNotReady):
+		return e.Outcome.Outcome == callerapi.OutcomeOutcomeNotRun
+	case codeLostReply:
+		return hasKey
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/callerclient/stream.go
@@ -0,0 +1,88 @@
+package callerclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/go-faster/jx"
+	"github.com/ogen-go/ogen/sse"
+
+	"sequoiafork/internal/wire/callerapi"
+)
+
+const (
+	lineBufferBytes = 4 << 10
+	maxEventBytes   = 16 << 20
+)
+
+// Stream sends a request and passes on the text of its answer as it comes. The
+// answer is whole only when Stream returns it. Once text was passed on, a cut
+// stream isn't sent again.
+func (c *Client) Stream(ctx context.Context, r Request, onText func(string)) (*callerapi.Answer, error) {
+	var answer *callerapi.Answer
+	err := c.send(ctx, r, func(ctx context.Context, client *callerapi.Client, body *callerapi.Call) error {
+		params := callerapi.StreamRouteParams{
+			Route: r.Route,
+		}
+		if r.Key != "" {
+			params.IdempotencyKey = callerapi.NewOptString(r.Key)
+		}
+		res, err := client.StreamRoute(ctx, body, params)
+		if err != nil {
+			return err
+		}
+		raw, ok := res.(*callerapi.StreamRouteOKRawTextEventStream)
+		if !ok {
+			return fmt.Errorf("unexpected response %T", res)
+		}
+		defer func() { _ = raw.Response.Body.Close() }()
+		answer, err = readEvents(raw.Response.Body, onText)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// readEvents returns the answer of the event that ends the stream.
+func readEvents(body io.Reader, onText func(string)) (*callerapi.Answer, error) {
+	decoder := sse.NewDecoder(body, lineBufferBytes, maxEventBytes, "", nil)
+	begun := false
+	for {
+		event, err := decoder.Decode()
+		if err != nil {
+			return nil, cutStream(begun, err)
+		}
+		var e callerapi.StreamEvent
+		if err := e.Decode(jx.DecodeStr(event.Data)); err != nil {
+			return nil, cutStream(begun, err)
+		}
+		if text, ok := e.Text.Get(); ok {
+			begun = true
+			onText(text)
+		}
+		if done, ok := e.Done.Get(); ok {
+			return &done, nil
+		}
+		if outcome, ok := e.Error.Get(); ok {
+			return nil, &OutcomeError{
+				Outcome: outcome,
+			}
+		}
+	}
+}
+
+// cutStream is the outcome of a stream without its end mark.
+func cutStream(begun bool, err error) *OutcomeError {
+	code := codeLostReply
+	if begun {
+		code = codeCutStream
+	}
+	if errors.Is(err, io.EOF) {
+		err = errors.New("the stream ended before its end mark")
+	}
+	return outcomeError(callerapi.OutcomeOutcomeUnknown, code, err)
+}
--- /dev/null
+++ b/internal/cli/call.go
@@ -0,0 +1,275 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sequoiafork/internal/callerclient"
+	"sequoiafork/internal/wire/callerapi"
+)
+
+// callFlags are the flags of commands of callers.
+type callFlags struct {
+	caller     string
+	dataCentre string
+	direct     bool
+	request    callerclient.Request
+	inputFile  string
+	stream     bool
+}
+
+func (f *callFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&f.caller, "caller", "sequoiafork", "name of this caller")
+	fs.StringVar(&f.dataCentre, "data-centre", "", "where this caller is")
+	fs.BoolVar(&f.direct, "direct", false, "use -addr itself, ask no daemon which to use")
+}
+
+func (a *app) caller(f callFlags) (*callerclient.Client, error) {
+	if a.callerAddr == "" {
+		return nil, badInput("no daemon to ask: give -addr IP:port or set %s_CALLER_ADDR", EnvPrefix)
+	}
+	client, err := callerclient.New(callerclient.Config{
+		Addrs:      strings.Split(a.callerAddr, ","),
+		Caller:     f.caller,
+		DataCentre: f.dataCentre,
+		Direct:     f.direct,
+	})
+	if err != nil {
+		return nil, badInput("%w", err)
+	}
+	return client, nil
+}
+
+func (a *app) callCommand() *ffcli.Command {
+	var f callFlags
+	fs := a.callerFlagSet("call")
+	f.register(fs)
+	fs.StringVar(&f.request.Workspace, "workspace", "", "workspace that the request belongs to")
+	fs.StringVar(&f.request.Input, "input", "", "the input")
+	fs.StringVar(&f.inputFile, "input-file", "", "file with the input, or - for input")
+	fs.StringVar(&f.request.Key, "key", "", "idempotency key: runs at most once")
+	fs.DurationVar(&f.request.Deadline, "deadline", 0, "time allowed; 0: the route's own")
+	fs.BoolVar(&f.stream, "stream", false, "print the answer as it comes")
+	return a.leaf(fs, "call", "sequoiafork call ROUTE -workspace W -input TEXT", "send one request", func(ctx context.Context, args []string) error {
+		name, err := oneName("route", args)
+		if err != nil {
+			return err
+		}
+		f.request.Route = name
+		if err := a.readInput(&f); err != nil {
+			return err
+		}
+		return a.call(ctx, f)
+	})
+}
+
+func (a *app) readInput(f *callFlags) error {
+	if f.request.Workspace == "" {
+		return badInput("give -workspace")
+	}
+	if f.request.Deadline < 0 {
+		return badInput("-deadline %v: use a time above 0", f.request.Deadline)
+	}
+	if f.inputFile == "" {
+		return nil
+	}
+	if f.request.Input != "" {
+		return badInput("give -input or -input-file, not both")
+	}
+	var data []byte
+	var err error
+	if f.inputFile == "-" {
+		data, err = io.ReadAll(a.input)
+	} else {
+		data, err = os.ReadFile(f.inputFile)
+	}
+	if err != nil {
+		return badInput("read the input: %w", err)
+	}
+	f.request.Input = string(data)
+	return nil
+}
+
+func (a *app) call(ctx context.Context, f callFlags) error {
+	client, err := a.caller(f)
+	if err != nil {
+		return err
+	}
+	if !f.stream {
+		answer, err := client.Call(ctx, f.request)
+		if err != nil {
+			return err
+		}
+		return a.printAnswer(answer)
+	}
+	answer, err := client.Stream(ctx, f.request, func(text string) {
+		if !a.json {
+			fmt.Fprint(a.output, text)
+		}
+	})
+	if !a.json {
+		fmt.Fprintln(a.output)
+	}
+	if err != nil {
+		return err
+	}
+	if a.json {
+		return a.printJSON(answer)
+	}
+	return nil
+}
+
+func (a *app) printAnswer(answer *callerapi.Answer) error {
+	if a.json {
+		return a.printJSON(answer)
+	}
+	_, err := fmt.Fprintln(a.output, answer.Output)
+	return err
+}
+
+// printOutcome prints what is known of a request that was not answered.
+func printOutcome(p printer, e *callerclient.OutcomeError) {
+	o := e.Outcome
+	p.linef("%s: %s", strings.ReplaceAll(string(o.Outcome), "_", " "), o.Code)
+	p.wrapped("", o.Message)
+	if field, ok := o.Field.Get(); ok {
+		p.linef("field %s", field)
+	}
+	if stage, ok := o.Stage.Get(); ok {
+		p.linef("stage %s", stage)
+	}
+	if after := e.RetryAfter(); after > 0 {
+		p.linef("come back in %v", after)
+	}
+	if id, ok := o.RequestID.Get(); ok {
+		p.linef("request %s", id)
+	}
+}
+
+func (a *app) keyCommand() *ffcli.Command {
+	return a.group(a.callerFlagSet("key"), "key", "sequoiafork key COMMAND", "idempotency keys", a.keyIssueCommand(), a.keyShowCommand())
+}
+
+func (a *app) keyIssueCommand() *ffcli.Command {
+	var f callFlags
+	fs := a.callerFlagSet("issue")
+	f.register(fs)
+	return a.leaf(fs, "issue", "sequoiafork key issue", "get a key that runs at most once", func(ctx context.Context, args []string) error {
+		if len(args) != 0 {
+			return badInput("key issue takes no argument")
+		}
+		client, err := a.caller(f)
+		if err != nil {
+			return err
+		}
+		key, err := client.IssueKey(ctx)
+		if err != nil {
+			return err
+		}
+		if a.json {
+			return a.printJSON(key)
+		}
+		// A key is copied, so it stays on one line.
+		fmt.Fprintln(a.output, key.Key)
+		a.printer().linef("valid for %v", milliseconds(key.ValidMs))
+		return nil
+	})
+}
+
+func (a *app) keyShowCommand() *ffcli.Command {
+	var f callFlags
+	fs := a.callerFlagSet("show")
+	f.register(fs)
+	fs.StringVar(&f.request.Workspace, "workspace", "", "workspace that the request belongs to")
+	return a.leaf(fs, "show", "sequoiafork key show KEY -workspace W", "what became of a request", func(ctx context.Context, args []string) error {
+		key, err := oneName("key", args)
+		if err != nil {
+			return err
+		}
+		if f.request.Workspace == "" {
+			return badInput("give -workspace")
+		}
+		client, err := a.caller(f)
+		if err != nil {
+			return err
+		}
+		state, err := client.ShowKey(ctx, f.request.Workspace, key)
+		if err != nil {
+			return err
+		}
+		return a.printKey(state)
+	})
+}
+
+var keyCodes = map[callerapi.KeyStateState]ExitCode{
+	callerapi.KeyStateStateNotRun:  ExitNotRun,
+	callerapi.KeyStateStateFailed:  ExitFailed,
+	callerapi.KeyStateStateUnknown: ExitUnknown,
+}
+
+func (a *app) printKey(state *callerapi.KeyState) error {
+	if a.json {
+		if err := a.printJSON(state); err != nil {
+			return err
+		}
+	} else {
+		a.printKeyLines(state)
+	}
+	if code := keyCodes[state.State]; code != ExitOK {
+		return &ExitError{
+			Code: code,
+		}
+	}
+	return nil
+}
+
+func (a *app) printKeyLines(state *callerapi.KeyState) {
+	p := a.printer()
+	if outcome, ok := state.Outcome.Get(); ok {
+		printOutcome(p, &callerclient.OutcomeError{
+			Outcome: outcome,
+		})
+		return
+	}
+	p.linef("%s", strings.ReplaceAll(string(state.State), "_", " "))
+	if answer, ok := state.Answer.Get(); ok {
+		fmt.Fprintln(a.output, answer.Output)
+	}
+}
+
+func (a *app) resolveCommand() *ffcli.Command {
+	var f callFlags
+	fs := a.callerFlagSet("resolve")
+	f.register(fs)
+	return a.leaf(fs, "resolve", "sequoiafork resolve", "addresses that a caller should use", func(ctx context.Context, args []string) error {
+		if len(args) != 0 {
+			return badInput("resolve takes no argument")
+		}
+		client, err := a.caller(f)
+		if err != nil {
+			return err
+		}
+		resolution, err := client.Resolve(ctx)
+		if err != nil {
+			return err
+		}
+		if a.json {
+			return a.printJSON(resolution)
+		}
+		p := a.printer()
+		p.words("", resolution.Addresses)
+		p.linef("keep for %v", milliseconds(resolution.KeepMs))
+		return nil
+	})
+}
+
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,237 @@
+// Package cli is the command line of operators and callers. Its output fits 40
+// columns; -json prints the wire form for scripts.
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sequoiafork/internal/callerclient"
+	"sequoiafork/internal/operatorclient"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+// EnvPrefix begins the names of the environment variables that stand for flags:
+// SEQUOIAFORK_ADDR, SEQUOIAFORK_CALLER_ADDR, SEQUOIAFORK_AUTHOR and others.
+const EnvPrefix = "SEQUOIAFORK"
+
+// Config is what a run of the command line works with.
+type Config struct {
+	Args   []string
+	Input  io.Reader
+	Output io.Writer
+	Errors io.Writer
+}
+
+// app is one run of the command line.
+type app struct {
+	input  io.Reader
+	output io.Writer
+	// usage holds what flag sets print.
+	usage bytes.Buffer
+
+	addr       string
+	callerAddr string
+	json       bool
+	timeout    time.Duration
+	author     string
+}
+
+// Run runs one command and returns its exit code.
+func Run(ctx context.Context, config Config) ExitCode {
+	a := &app{
+		input:  config.Input,
+		output: config.Output,
+	}
+	err := a.root().ParseAndRun(ctx, config.Args)
+	if errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(config.Output, strings.TrimSpace(a.usage.String()))
+		return ExitOK
+	}
+	code := exitCode(err)
+	var exit *ExitError
+	if err == nil || errors.As(err, &exit) && exit.Err == nil {
+		return code
+	}
+	a.printError(config.Errors, err, code)
+	return code
+}
+
+func (a *app) root() *ffcli.Command {
+	fs := a.flagSet("sequoiafork")
+	fs.StringVar(&a.callerAddr, "caller-addr", "", "callers' addresses, IP:port,...")
+	root := a.group(fs, "sequoiafork", "sequoiafork COMMAND", "edit tables, see hosts, call routes",
+		a.routeCommand(),
+		a.poolCommand(),
+		a.editCommand(),
+		a.hostsCommand(),
+		a.dumpCommand(),
+		a.drainCommand(),
+		a.callCommand(),
+		a.keyCommand(),
+		a.resolveCommand(),
+		a.checkCommand(),
+	)
+	root.LongHelp = "exit: 0 ok, 1 other, 2 bad input,\n 3 refused, 4 conflict, 5 unknown,\n 6 not run, 7 failed"
+	root.Options = []ff.Option{
+		ff.WithEnvVarPrefix(EnvPrefix),
+	}
+	return root
+}
+
+// group returns a command that only has subcommands.
+func (a *app) group(fs *flag.FlagSet, name, usage, help string, subcommands ...*ffcli.Command) *ffcli.Command {
+	var names []string
+	for _, c := range subcommands {
+		names = append(names, c.Name)
+	}
+	return &ffcli.Command{
+		Name:        name,
+		ShortUsage:  usage,
+		ShortHelp:   help,
+		FlagSet:     fs,
+		UsageFunc:   usageText,
+		Subcommands: subcommands,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return flag.ErrHelp
+			}
+			return badInput("unknown command %q: use %s", args[0], strings.Join(names, ", "))
+		},
+	}
+}
+
+// run is what a command does with its arguments.
+type run func(ctx context.Context, args []string) error
+
+// leaf returns a command whose flags may also stand after its arguments.
+func (a *app) leaf(fs *flag.FlagSet, name, usage, help string, exec run) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: usage,
+		ShortHelp:  help,
+		FlagSet:    fs,
+		UsageFunc:  usageText,
+		Exec: func(ctx context.Context, args []string) error {
+			rest, err := parseMixed(fs, args)
+			if err != nil {
+				return err
+			}
+			return exec(ctx, rest)
+		},
+	}
+}
+
+// parseMixed parses the flags among the arguments and returns the others.
+func parseMixed(fs *flag.FlagSet, args []string) ([]string, error) {
+	var rest []string
+	for len(args) > 0 {
+		if len(args[0]) < 2 || args[0][0] != '-' {
+			rest = append(rest, args[0])
+			args = args[1:]
+			continue
+		}
+		if args[0] == "--" {
+			return append(rest, args[1:]...), nil
+		}
+		if err := fs.Parse(args); err != nil {
+			return nil, &ExitError{
+				Code: ExitBadInput,
+				Err:  err,
+			}
+		}
+		args = fs.Args()
+	}
+	return rest, nil
+}
+
+// flagSet returns a flag set with the flags that all commands have.
+func (a *app) flagSet(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(&a.usage)
+	fs.StringVar(&a.addr, "addr", "", "operators' addresses, IP:port,...")
+	a.commonFlags(fs)
+	return fs
+}
+
+// callerFlagSet is flagSet for commands of callers.
+func (a *app) callerFlagSet(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(&a.usage)
+	fs.StringVar(&a.callerAddr, "addr", "", "callers' addresses, IP:port,...")
+	a.commonFlags(fs)
+	return fs
+}
+
+func (a *app) commonFlags(fs *flag.FlagSet) {
+	fs.BoolVar(&a.json, "json", false, "print JSON")
+	fs.DurationVar(&a.timeout, "timeout", operatorclient.DefaultTimeout, "longest wait for one answer")
+	fs.StringVar(&a.author, "author", "", "who edits")
+}
+
+func (a *app) operator() (*operatorclient.Client, error) {
+	if a.addr == "" {
+		return nil, badInput("no daemon to ask: give -addr IP:port or set %s_ADDR", EnvPrefix)
+	}
+	client, err := operatorclient.New(operatorclient.Config{
+		Addrs:   strings.Split(a.addr, ","),
+		Timeout: a.timeout,
+	})
+	if err != nil {
+		return nil, badInput("%w", err)
+	}
+	return client, nil
+}
+
+// ask sends a query to the first daemon that answers.
+func (a *app) ask(ctx context.Context, query func(context.Context, *operatorapi.Client) error) error {
+	client, err := a.operator()
+	if err != nil {
+		return err
+	}
+	return client.Query(ctx, query)
+}
+
+// printError prints an error, its problems and its exit code.
+func (a *app) printError(w io.Writer, err error, code ExitCode) {
+	var status *operatorapi.ErrorStatusCode
+	var problems []operatorapi.Problem
+	message := err.Error()
+	if errors.As(err, &status) {
+		message = status.Response.Message
+		problems = status.Response.Problems
+	}
+	var outcome *callerclient.OutcomeError
+	if a.json {
+		report := errorReport{
+			Exit:     code,
+			Message:  message,
+			Problems: problems,
+		}
+		if errors.As(err, &outcome) {
+			report.Outcome = &outcome.Outcome
+		}
+		data, _ := json.Marshal(report)
+		fmt.Fprintln(w, string(data))
+		return
+	}
+	p := printer{
+		w: w,
+	}
+	if errors.As(err, &outcome) {
+		printOutcome(p, outcome)
+		return
+	}
+	p.wrapped("", message)
+	printProblems(p, problems)
+}
--- /dev/null
+++ b/internal/cli/edit.go
@@ -0,0 +1,151 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sequoiafork/internal/cli/rowtext"
+	"sequoiafork/internal/operatorclient"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+const (
+	// settleTries bounds how often an edit whose reply was lost is looked up.
+	settleTries = 3
+	settlePause = 300 * time.Millisecond
+)
+
+// edit is one change of one row, ready to be sent.
+type edit struct {
+	noun   string
+	params editParams
+	send   func(context.Context, *operatorapi.Client, editParams) (*operatorapi.EditResult, error)
+}
+
+// sendEdit sends an edit once. When the reply is lost the edit is looked up by its
+// ID; it is never sent again.
+func (a *app) sendEdit(ctx context.Context, e edit) error {
+	client, err := a.operator()
+	if err != nil {
+		return err
+	}
+	var result *operatorapi.EditResult
+	err = client.Command(ctx, func(ctx context.Context, c *operatorapi.Client) (err error) {
+		result, err = e.send(ctx, c, e.params)
+		return err
+	})
+	var lost *operatorclient.LostReplyError
+	if errors.As(err, &lost) && !e.params.dryRun {
+		result = a.settle(ctx, e.params.id)
+	} else if err != nil {
+		return err
+	}
+	return a.printEdit(result, e.noun+" "+e.params.name, &e.params.base)
+}
+
+// settle looks up an edit whose reply was lost. While no daemon has read it the
+// result is unknown.
+func (a *app) settle(ctx context.Context, id string) *operatorapi.EditResult {
+	for try := range settleTries {
+		if try > 0 {
+			select {
+			case <-ctx.Done():
+			case <-time.After(settlePause):
+			}
+		}
+		result, err := a.showEdit(ctx, id)
+		if err == nil && result.State != operatorapi.EditResultStateNotFound {
+			return result
+		}
+	}
+	return &operatorapi.EditResult{
+		EditID:  id,
+		State:   operatorapi.EditResultStateUnknown,
+		Message: "the reply was lost",
+	}
+}
+
+func (a *app) showEdit(ctx context.Context, id string) (*operatorapi.EditResult, error) {
+	var result *operatorapi.EditResult
+	err := a.ask(ctx, func(ctx context.Context, c *operatorapi.Client) (err error) {
+		result, err = c.ShowEdit(ctx, operatorapi.ShowEditParams{
+			EditID: id,
+		})
+		return err
+	})
+	return result, err
+}
+
+func (a *app) editCommand() *ffcli.Command {
+	show := a.leaf(a.flagSet("show"), "show", "sequoiafork edit show ID", "how an edit was settled", func(ctx context.Context, args []string) error {
+		id, err := oneName("edit", args)
+		if err != nil {
+			return err
+		}
+		result, err := a.showEdit(ctx, id)
+		if err != nil {
+			return err
+		}
+		return a.printEdit(result, "edit "+id, nil)
+	})
+	return a.group(a.flagSet("edit"), "edit", "sequoiafork edit show ID", "what became of an edit", show)
+}
+
+// printEdit prints how an edit was settled. The exit code says the same.
+func (a *app) printEdit(r *operatorapi.EditResult, subject string, base *int64) error {
+	if a.json {
+		if err := a.printJSON(r); err != nil {
+			return err
+		}
+	} else {
+		a.printEditLines(r, subject, base)
+	}
+	code := editCodes[r.State]
+	if code == ExitOK {
+		return nil
+	}
+	return &ExitError{
+		Code: code,
+	}
+}
+
+func (a *app) printEditLines(r *operatorapi.EditResult, subject string, base *int64) {
+	p := a.printer()
+	state := strings.ReplaceAll(string(r.State), "_", " ")
+	p.linef("%s: %s", state, subject)
+	if base != nil {
+		p.linef("base revision %d", *base)
+	}
+	switch r.State {
+	case operatorapi.EditResultStateUnknown, operatorapi.EditResultStateNotFound:
+		p.linef("%s", r.Message)
+		p.linef("unknown: run")
+		p.linef("sequoiafork edit show %s", r.EditID)
+		return
+	}
+	if revision, ok := r.Revision.Get(); ok {
+		p.linef("now revision %d", revision)
+	}
+	p.linef("%s", r.Message)
+	printProblems(p, r.Problems)
+	printNow(p, r)
+	if r.State != operatorapi.EditResultStateDryRun {
+		p.linef("edit %s", r.EditID)
+	}
+}
+
+// printNow prints the row that stands in the way of an edit.
+func printNow(p printer, r *operatorapi.EditResult) {
+	if route, ok := r.RouteNow.Get(); ok {
+		p.linef("%s r%d:", route.Name, route.Revision)
+		p.words(" ", rowtext.FormatRoute(route.Route))
+	}
+	if pool, ok := r.PoolNow.Get(); ok {
+		p.linef("%s r%d:", pool.Name, pool.Revision)
+		p.words(" ", rowtext.FormatPool(pool.Pool))
+	}
+}
--- /dev/null
+++ b/internal/cli/print.go
@@ -0,0 +1,113 @@
+package cli
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sequoiafork/internal/wire/callerapi"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+// columns is the width of a phone's terminal.
+const columns = 40
+
+// errorReport is the JSON form of an error.
+type errorReport struct {
+	Exit     ExitCode              `json:"exit"`
+	Message  string                `json:"message"`
+	Problems []operatorapi.Problem `json:"problems,omitempty"`
+	Outcome  *callerapi.Outcome    `json:"outcome,omitempty"`
+}
+
+// printer writes lines of at most columns characters.
+type printer struct {
+	w io.Writer
+}
+
+// wrapped prints text, broken at spaces. Lines after the first are indented by a
+// space and the indent; a word that is too long is broken.
+func (p printer) wrapped(indent, text string) {
+	for part := range strings.SplitSeq(strings.TrimSpace(text), "\n") {
+		p.paragraph(indent, strings.Fields(part))
+	}
+}
+
+func (p printer) paragraph(indent string, words []string) {
+	line := []rune(indent)
+	empty := true
+	for _, word := range words {
+		letters := []rune(word)
+		if !empty && len(line)+1+len(letters) > columns {
+			fmt.Fprintln(p.w, string(line))
+			line, empty = []rune(indent+" "), true
+		}
+		if !empty {
+			line = append(line, ' ')
+		}
+		line, empty = append(line, letters...), false
+		for len(line) > columns {
+			fmt.Fprintln(p.w, string(line[:columns]))
+			line = append([]rune(indent+" "), line[columns:]...)
+		}
+	}
+	fmt.Fprintln(p.w, string(line))
+}
+
+// linef prints one formatted paragraph.
+func (p printer) linef(format string, args ...any) {
+	p.wrapped("", fmt.Sprintf(format, args...))
+}
+
+// words prints each word on a line of its own.
+func (p printer) words(indent string, words []string) {
+	for _, word := range words {
+		p.wrapped(indent, word)
+	}
+}
+
+func (a *app) printer() printer {
+	return printer{
+		w: a.output,
+	}
+}
+
+// printJSON prints the wire form.
+func (a *app) printJSON(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode the answer: %w", err)
+	}
+	_, err = fmt.Fprintln(a.output, string(data))
+	return err
+}
+
+func printProblems(p printer, problems []operatorapi.Problem) {
+	for _, problem := range problems {
+		p.wrapped(" ", problem.Field+": "+problem.Message)
+	}
+}
+
+// usageText is the help of a command, for a narrow screen.
+func usageText(c *ffcli.Command) string {
+	var b strings.Builder
+	p := printer{
+		w: &b,
+	}
+	p.wrapped("", c.ShortUsage)
+	p.wrapped("", c.ShortHelp)
+	if c.LongHelp != "" {
+		b.WriteString(c.LongHelp + "\n")
+	}
+	for _, sub := range c.Subcommands {
+		p.wrapped(" ", sub.Name+": "+sub.ShortHelp)
+	}
+	c.FlagSet.VisitAll(func(f *flag.Flag) {
+		p.wrapped(" ", "-"+f.Name+": "+f.Usage)
+	})
+	return b.String()
+}
--- /dev/null
+++ b/internal/cli/rows.go
@@ -0,0 +1,193 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sequoiafork/internal/cli/rowtext"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+// row is one row of a table, with its value in wire form.
+type row[Spec any] struct {
+	name     string
+	revision int64
+	spec     Spec
+	// wire is the whole row for -json.
+	wire any
+}
+
+// list is all rows of a table.
+type list[Spec any] struct {
+	revision int64
+	rows     []row[Spec]
+	wire     any
+}
+
+// editParams is what every edit of a row carries.
+type editParams struct {
+	name   string
+	base   int64
+	id     string
+	dryRun bool
+	author string
+}
+
+// rowTable is the operations on one of the two tables.
+type rowTable[Spec any] struct {
+	// noun is "route" or "pool", also the field of a row's value in a file.
+	noun   string
+	syntax string
+	list   func(context.Context, *operatorapi.Client) (list[Spec], error)
+	show   func(context.Context, *operatorapi.Client, string) (row[Spec], error)
+	set    func(context.Context, *operatorapi.Client, Spec, editParams) (*operatorapi.EditResult, error)
+	remove func(context.Context, *operatorapi.Client, editParams) (*operatorapi.EditResult, error)
+	apply  func(Spec, []string) (Spec, error)
+	format func(Spec) []string
+	// brief is the value on a line or two of a list.
+	brief func(Spec) string
+}
+
+func (a *app) routeCommand() *ffcli.Command {
+	return rowCommand(a, routes())
+}
+
+func (a *app) poolCommand() *ffcli.Command {
+	return rowCommand(a, pools())
+}
+
+func rowCommand[Spec any](a *app, t rowTable[Spec]) *ffcli.Command {
+	help := "the table of " + t.noun + "s"
+	return a.group(a.flagSet(t.noun), t.noun, "sequoiafork "+t.noun+" COMMAND", help,
+		listCommand(a, t),
+		showCommand(a, t),
+		setCommand(a, t),
+		deleteCommand(a, t),
+	)
+}
+
+func listCommand[Spec any](a *app, t rowTable[Spec]) *ffcli.Command {
+	return a.leaf(a.flagSet("list"), "list", "sequoiafork "+t.noun+" list", "all rows", func(ctx context.Context, args []string) error {
+		if len(args) != 0 {
+			return badInput("%s list takes no name: use %s show", t.noun, t.noun)
+		}
+		var all list[Spec]
+		err := a.ask(ctx, func(ctx context.Context, c *operatorapi.Client) (err error) {
+			all, err = t.list(ctx, c)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		if a.json {
+			return a.printJSON(all.wire)
+		}
+		p := a.printer()
+		p.linef("revision %d, %d %ss", all.revision, len(all.rows), t.noun)
+		for _, r := range all.rows {
+			p.linef("%s r%d", r.name, r.revision)
+			p.wrapped(" ", t.brief(r.spec))
+		}
+		return nil
+	})
+}
+
+func showCommand[Spec any](a *app, t rowTable[Spec]) *ffcli.Command {
+	return a.leaf(a.flagSet("show"), "show", "sequoiafork "+t.noun+" show NAME", "one row", func(ctx context.Context, args []string) error {
+		name, err := oneName(t.noun, args)
+		if err != nil {
+			return err
+		}
+		var r row[Spec]
+		err = a.ask(ctx, func(ctx context.Context, c *operatorapi.Client) (err error) {
+			r, err = t.show(ctx, c, name)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		if a.json {
+			return a.printJSON(r.wire)
+		}
+		p := a.printer()
+		p.linef("%s %s, revision %d", t.noun, r.name, r.revision)
+		p.words("", t.format(r.spec))
+		return nil
+	})
+}
+
+func oneName(noun string, args []string) (string, error) {
+	if len(args) != 1 || args[0] == "" {
+		return "", badInput("give one %s name", noun)
+	}
+	return args[0], nil
+}
+
+// editFlags are the flags of commands that change a row.
+type editFlags struct {
+	dryRun bool
+	base   int64
+	file   string
+}
+
+// noBase says that the base is the row's revision when the command runs.
+const noBase = -1
+
+func (e *editFlags) register(fs *flag.FlagSet) {
+	fs.BoolVar(&e.dryRun, "dry-run", false, "say what would change")
+	fs.Int64Var(&e.base, "base", noBase, "revision that the edit is made against; 0: no such row yet")
+}
+
+// rowFile is a row as "show -json" prints it, or only its value.
+type rowFile struct {
+	Revision *int64          `json:"revision"`
+	Route    json.RawMessage `json:"route"`
+	Pool     json.RawMessage `json:"pool"`
+}
+
+// value returns the row's value and the revision that it was read at, if any.
+func (f rowFile) value(noun string, whole []byte) ([]byte, *int64, error) {
+	value := f.Route
+	if noun == "pool" {
+		value = f.Pool
+	}
+	if value != nil {
+		return value, f.Revision, nil
+	}
+	if f.Route != nil || f.Pool != nil {
+		return nil, nil, fmt.Errorf("the file holds no %s", noun)
+	}
+	return whole, nil, nil
+}
+
+func routes() rowTable[operatorapi.RouteSpec] {
+	return rowTable[operatorapi.RouteSpec]{
+		noun:   "route",
+		syntax: "deadline=4s stages=encode:enc,generate:llm/model-a/64tok,commit:orders!",
+		list:   listRoutes,
+		show:   showRoute,
+		set:    setRoute,
+		remove: deleteRoute,
+		apply:  rowtext.ApplyRoute,
+		format: rowtext.FormatRoute,
+		brief:  briefRoute,
+	}
+}
+
+func pools() rowTable[operatorapi.PoolSpec] {
+	return rowTable[operatorapi.PoolSpec]{
+		noun:   "pool",
+		syntax: "kind=reranker service=rerank concurrency=8",
+		list:   listPools,
+		show:   showPool,
+		set:    setPool,
+		remove: deletePool,
+		apply:  rowtext.ApplyPool,
+		format: rowtext.FormatPool,
+		brief:  briefPool,
+	}
+}
--- /dev/null
+++ b/internal/cli/rows_query.go
@@ -0,0 +1,92 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+func listRoutes(ctx context.Context, c *operatorapi.Client) (list[operatorapi.RouteSpec], error) {
+	wire, err := c.ListRoutes(ctx)
+	if err != nil {
+		return list[operatorapi.RouteSpec]{}, err
+	}
+	all := list[operatorapi.RouteSpec]{
+		revision: wire.Revision,
+		wire:     wire,
+	}
+	for i := range wire.Rows {
+		all.rows = append(all.rows, wireRoute(&wire.Rows[i]))
+	}
+	return all, nil
+}
+
+func showRoute(ctx context.Context, c *operatorapi.Client, name string) (row[operatorapi.RouteSpec], error) {
+	wire, err := c.ShowRoute(ctx, operatorapi.ShowRouteParams{
+		Name: name,
+	})
+	if err != nil {
+		return row[operatorapi.RouteSpec]{}, err
+	}
+	return wireRoute(wire), nil
+}
+
+func wireRoute(wire *operatorapi.RouteRow) row[operatorapi.RouteSpec] {
+	return row[operatorapi.RouteSpec]{
+		name:     wire.Name,
+		revision: wire.Revision,
+		spec:     wire.Route,
+		wire:     wire,
+	}
+}
+
+func listPools(ctx context.Context, c *operatorapi.Client) (list[operatorapi.PoolSpec], error) {
+	wire, err := c.ListPools(ctx)
+	if err != nil {
+		return list[operatorapi.PoolSpec]{}, err
+	}
+	all := list[operatorapi.PoolSpec]{
+		revision: wire.Revision,
+		wire:     wire,
+	}
+	for i := range wire.Rows {
+		all.rows = append(all.rows, wirePool(&wire.Rows[i]))
+	}
+	return all, nil
+}
+
+func showPool(ctx context.Context, c *operatorapi.Client, name string) (row[operatorapi.PoolSpec], error) {
+	wire, err := c.ShowPool(ctx, operatorapi.ShowPoolParams{
+		Name: name,
+	})
+	if err != nil {
+		return row[operatorapi.PoolSpec]{}, err
+	}
+	return wirePool(wire), nil
+}
+
+func wirePool(wire *operatorapi.PoolRow) row[operatorapi.PoolSpec] {
+	return row[operatorapi.PoolSpec]{
+		name:     wire.Name,
+		revision: wire.Revision,
+		spec:     wire.Pool,
+		wire:     wire,
+	}
+}
+
+func briefRoute(route operatorapi.RouteSpec) string {
+	words := []string{
+		(time.Duration(route.DeadlineMs) * time.Millisecond).String(),
+	}
+	for _, s := range route.Stages {
+		words = append(words, s.Name+":"+s.Pool)
+	}
+	return strings.Join(words, " ")
+}
+
+func briefPool(pool operatorapi.PoolSpec) string {
+	return fmt.Sprintf("%s %s x%d %s", pool.Kind, pool.Service, pool.Concurrency, strings.Join(pool.Models, " "))
+}
--- /dev/null
+++ b/internal/cli/rowtext/route.go
@@ -0,0 +1,169 @@
+package rowtext
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+const (
+	allowedRoute    = "deadline=4s stages=NAME:POOL,..."
+	allowedDeadline = "a time with its unit, such as 4s or 250ms"
+	allowedStage    = "NAME:POOL/MODEL/64tok/500ms with ! or ~"
+
+	tokensSuffix      = "tok"
+	notRepeatableMark = "!"
+	reusableMark      = "~"
+)
+
+// ApplyRoute returns the route with the words applied to it.
+func ApplyRoute(route operatorapi.RouteSpec, words []string) (operatorapi.RouteSpec, error) {
+	err := apply(words, map[string]setter{
+		"deadline": func(value string) error {
+			d, err := milliseconds("deadline", value)
+			route.DeadlineMs = d
+			return err
+		},
+		"stages": func(value string) error {
+			stages, err := parseStages(value)
+			route.Stages = stages
+			return err
+		},
+	}, allowedRoute)
+	return route, err
+}
+
+func milliseconds(key, value string) (int64, error) {
+	d, err := time.ParseDuration(value)
+	if err != nil || d < time.Millisecond || d%time.Millisecond != 0 {
+		return 0, &SyntaxError{
+			Key:     key,
+			Value:   value,
+			Allowed: allowedDeadline,
+		}
+	}
+	return d.Milliseconds(), nil
+}
+
+func parseStages(text string) ([]operatorapi.Stage, error) {
+	stages := []operatorapi.Stage{}
+	for _, part := range split(text) {
+		stage, err := parseStage(part)
+		if err != nil {
+			return nil, err
+		}
+		stages = append(stages, stage)
+	}
+	return stages, nil
+}
+
+func parseStage(text string) (operatorapi.Stage, error) {
+	var stage operatorapi.Stage
+	invalid := &SyntaxError{
+		Key:     "stages",
+		Value:   text,
+		Allowed: allowedStage,
+	}
+	body := parseMarks(text, &stage)
+	name, rest, ok := strings.Cut(body, ":")
+	pool, options, hasOptions := strings.Cut(rest, "/")
+	if !ok || name == "" || pool == "" || hasOptions && options == "" {
+		return stage, invalid
+	}
+	stage.Name, stage.Pool = name, pool
+	if hasOptions && !parseOptions(options, &stage) {
+		return stage, invalid
+	}
+	return stage, nil
+}
+
+// parseMarks takes the marks off the end of a stage.
+func parseMarks(text string, stage *operatorapi.Stage) string {
+	for {
+		if body, ok := strings.CutSuffix(text, notRepeatableMark); ok {
+			stage.NotRepeatable = operatorapi.NewOptBool(true)
+			text = body
+			continue
+		}
+		body, ok := strings.CutSuffix(text, reusableMark)
+		if !ok {
+			return text
+		}
+		stage.Reusable = operatorapi.NewOptBool(true)
+		text = body
+	}
+}
+
+// parseOptions reads MODEL/TOKENStok/TIMEOUT, each optional, from the end.
+func parseOptions(text string, stage *operatorapi.Stage) bool {
+	parts := strings.Split(text, "/")
+	if ms, err := milliseconds("", parts[len(parts)-1]); err == nil {
+		stage.TimeoutMs = operatorapi.NewOptInt64(ms)
+		parts = parts[:len(parts)-1]
+	}
+	if len(parts) > 0 {
+		if tokens, ok := parseTokens(parts[len(parts)-1]); ok {
+			stage.MaxTokens = operatorapi.NewOptInt64(tokens)
+			parts = parts[:len(parts)-1]
+		}
+	}
+	if len(parts) == 0 {
+		return true
+	}
+	stage.Model = operatorapi.NewOptString(parts[0])
+	return len(parts) == 1 && parts[0] != ""
+}
+
+func parseTokens(text string) (int64, bool) {
+	digits, ok := strings.CutSuffix(text, tokensSuffix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(digits, 10, 64)
+	return n, err == nil && n > 0
+}
+
+// FormatRoute returns the words that make the route, one stage a word.
+func FormatRoute(route operatorapi.RouteSpec) []string {
+	words := []string{
+		"deadline=" + duration(route.DeadlineMs),
+	}
+	for i, s := range route.Stages {
+		text := FormatStage(s)
+		if i == 0 {
+			text = "stages=" + text
+		}
+		if i < len(route.Stages)-1 {
+			text += ","
+		}
+		words = append(words, text)
+	}
+	return words
+}
+
+// FormatStage returns one stage as it is written in a list of stages.
+func FormatStage(s operatorapi.Stage) string {
+	text := s.Name + ":" + s.Pool
+	if model, ok := s.Model.Get(); ok {
+		text += "/" + model
+	}
+	if tokens, ok := s.MaxTokens.Get(); ok {
+		text += "/" + strconv.FormatInt(tokens, 10) + tokensSuffix
+	}
+	if timeout, ok := s.TimeoutMs.Get(); ok {
+		text += "/" + duration(timeout)
+	}
+	if s.NotRepeatable.Or(false) {
+		text += notRepeatableMark
+	}
+	if s.Reusable.Or(false) {
+		text += reusableMark
+	}
+	return text
+}
+
+func duration(ms int64) string {
+	return (time.Duration(ms) * time.Millisecond).String()
+}
--- a/internal/operatorhttp/command.go
+++ b/internal/operatorhttp/command.go
@@ -16,7 +16,7 @@
 			Author:       params.Author.Or(""),
 			BaseRevision: uint64(params.BaseRevision),
 			Change: table.SetRoute{
-				Route: routeValue(params.Name, req),
+				Route: Route(params.Name, req),
 			},
 		},
 		dryRun: params.DryRun.Or(false),
@@ -46,7 +46,7 @@
 			Author:       params.Author.Or(""),
 			BaseRevision: uint64(params.BaseRevision),
 			Change: table.SetPool{
-				Pool: poolValue(params.Name, req),
+				Pool: Pool(params.Name, req),
 			},
 		},
 		dryRun: params.DryRun.Or(false),
--- a/internal/operatorhttp/convert.go
+++ b/internal/operatorhttp/convert.go
@@ -78,7 +78,8 @@
 	return time.Duration(max(min(n, maxMilliseconds), -maxMilliseconds)) * time.Millisecond
 }
 
-func routeValue(name string, spec *operatorapi.RouteSpec) table.Route {
+// Route returns the route that a row of the wire describes.
+func Route(name string, spec *operatorapi.RouteSpec) table.Route {
 	route := table.Route{
 		Name:     name,
 		Deadline: milliseconds(spec.DeadlineMs),
@@ -97,7 +98,8 @@
 	return route
 }
 
-func poolValue(name string, spec *operatorapi.PoolSpec) table.Pool {
+// Pool returns the pool that a row of the wire describes.
+func Pool(name string, spec *operatorapi.PoolSpec) table.Pool {
 	pool := table.Pool{
 		Name:          name,
 		Service:       spec.Service,
