Serve operators' edits from the daemon

Cause: the daemon did not build without the editor. Change: adapter from the log editor to the operators' interface.

--- /dev/null
+++ b/internal/daemon/edits.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"context"
+
+	"sequoiafork/internal/confsync"
+	"sequoiafork/internal/operatorhttp"
+	"sequoiafork/internal/table"
+)
+
+// edits serves the operators' edits.
+type edits struct {
+	daemon *Daemon
+}
+
+// Submit implements operatorhttp.Editor.
+func (e edits) Submit(ctx context.Context, edit table.Edit) (operatorhttp.Settlement, error) {
+	name, pool := edit.Target()
+	res, err := e.daemon.editor.Submit(ctx, edit)
+	if err != nil {
+		return operatorhttp.Settlement{}, err
+	}
+	s := settlement(res)
+	s.Name = name
+	s.Pool = pool
+	return s, nil
+}
+
+// Settled implements operatorhttp.Editor.
+func (e edits) Settled(_ context.Context, id string) (operatorhttp.Settlement, error) {
+	s := settlement(e.daemon.editor.Edit(id))
+	if o, ok := e.daemon.machine.Edit(id); ok {
+		s.Name = o.Name
+		s.Pool = o.Pool
+	}
+	return s, nil
+}
+
+func settlement(r confsync.Result) operatorhttp.Settlement {
+	s := operatorhttp.Settlement{
+		Revision: r.Revision,
+		Reason:   r.Message,
+		Problems: r.Problems,
+	}
+	switch r.State {
+	case confsync.Accepted:
+		s.State = operatorhttp.Accepted
+	case confsync.Conflict:
+		s.State = operatorhttp.Conflict
+	case confsync.Refused:
+		s.State = operatorhttp.Refused
+	case confsync.Unknown:
+		s.State = operatorhttp.Unknown
+	case confsync.NotFound, confsync.DryRun:
+		s.State = operatorhttp.NotFound
+	}
+	return s
+}
