Test the operators' interface and the command line from data files

The daemon in memory (operatorhttptest) has the faults that make an edit unknown; scripts check exit codes, both outputs and that lines fit 40 columns. The answer to an accepted edit now waits up to a second until all daemons have it, since the count was taken before the others could have read the record.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -95,20 +95,24 @@
 	for _, c := range subcommands {
 		names = append(names, c.Name)
 	}
-	return &ffcli.Command{
+	cmd := &ffcli.Command{
 		Name:        name,
 		ShortUsage:  usage,
 		ShortHelp:   help,
 		FlagSet:     fs,
 		UsageFunc:   usageText,
 		Subcommands: subcommands,
-		Exec: func(_ context.Context, args []string) error {
-			if len(args) == 0 {
-				return flag.ErrHelp
-			}
+	}
+	cmd.Exec = func(_ context.Context, args []string) error {
+		if len(args) > 0 {
 			return badInput("unknown command %q: use %s", args[0], strings.Join(names, ", "))
-		},
+		}
+		fmt.Fprint(a.output, usageText(cmd))
+		return &ExitError{
+			Code: ExitBadInput,
+		}
 	}
+	return cmd
 }
 
 // run is what a command does with its arguments.
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,174 @@
+package cli_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"unicode/utf8"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/cli"
+	"sequoiafork/internal/operatorhttp"
+	"sequoiafork/internal/operatorhttp/operatorhttptest"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"sequoiafork": func() {
+			os.Exit(int(cli.Run(context.Background(), cli.Config{
+				Args:   os.Args[1:],
+				Input:  os.Stdin,
+				Output: os.Stdout,
+				Errors: os.Stderr,
+			})))
+		},
+	})
+}
+
+type daemonKey struct{}
+
+// TestScripts runs testdata against a daemon in memory. Its commands: "fault NAME"
+// sets the daemon's fault, "exits CODE ARG..." runs sequoiafork and checks the exit
+// code, "narrow" checks that the last output fits a phone.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setUp,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fault":  setFault,
+			"exits":  runExits,
+			"narrow": checkNarrow,
+		},
+	})
+}
+
+func setUp(env *testscript.Env) error {
+	daemon := &operatorhttptest.Daemon{}
+	api, err := operatorhttp.New(daemon.Config())
+	if err != nil {
+		return err
+	}
+	operators := httptest.NewServer(daemon.Wrap(api))
+	env.Defer(operators.Close)
+	callers := httptest.NewServer(newCallers())
+	env.Defer(callers.Close)
+	closed, err := closedAddr()
+	if err != nil {
+		return err
+	}
+	env.Values[daemonKey{}] = daemon
+	env.Setenv("CLOSED", closed)
+	env.Setenv("OPERATORS", operators.Listener.Addr().String())
+	env.Setenv("CALLERS", callers.Listener.Addr().String())
+	env.Setenv("SEQUOIAFORK_ADDR", closed+","+operators.Listener.Addr().String())
+	env.Setenv("SEQUOIAFORK_CALLER_ADDR", closed+","+callers.Listener.Addr().String())
+	return nil
+}
+
+// closedAddr returns an address that refuses connections: that of a port which a
+// client holds.
+func closedAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+func setFault(ts *testscript.TestScript, _ bool, args []string) {
+	daemon := ts.Value(daemonKey{}).(*operatorhttptest.Daemon)
+	daemon.SetFault(strings.Join(args, ""))
+}
+
+func runExits(ts *testscript.TestScript, _ bool, args []string) {
+	want := args[0]
+	err := ts.Exec("sequoiafork", args[1:]...)
+	got := "0"
+	if err != nil {
+		got = strings.TrimPrefix(err.Error(), "exit status ")
+	}
+	if got != want {
+		ts.Fatalf("sequoiafork %s: exit code %s, want %s\n%s%s", strings.Join(args[1:], " "), got, want, ts.ReadFile("stdout"), ts.ReadFile("stderr"))
+	}
+}
+
+func checkNarrow(ts *testscript.TestScript, _ bool, _ []string) {
+	const columns = 40
+	for _, name := range []string{"stdout", "stderr"} {
+		lines := bufio.NewScanner(strings.NewReader(ts.ReadFile(name)))
+		for lines.Scan() {
+			if utf8.RuneCountInString(lines.Text()) > columns {
+				ts.Fatalf("%s has a line of more than %d columns: %q", name, columns, lines.Text())
+			}
+		}
+	}
+}
+
+func TestHelpFitsAPhone(t *testing.T) {
+	for _, args := range []string{"-h", "pool -h", "pool set -h", "call -h", "key -h", "check -h"} {
+		var output, errors strings.Builder
+		code := cli.Run(t.Context(), cli.Config{
+			Args:   strings.Fields(args),
+			Output: &output,
+			Errors: &errors,
+		})
+		require.Equal(t, cli.ExitOK, code, args)
+		require.Empty(t, errors.String())
+		for line := range strings.Lines(output.String()) {
+			require.LessOrEqual(t, utf8.RuneCountInString(strings.TrimSuffix(line, "\n")), 40, line)
+		}
+	}
+}
+
+// newCallers returns a callers' interface whose routes are named for what becomes
+// of a request.
+func newCallers() http.Handler {
+	mux := http.NewServeMux()
+	reply := func(w http.ResponseWriter, status int, body string) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		_, _ = fmt.Fprint(w, body)
+	}
+	const done = `{"request_id":"r-1","outcome":"answered","output":"%s","stages":[]}`
+	mux.HandleFunc("GET /v1/resolve", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, http.StatusOK, fmt.Sprintf(`{"addresses":[%q],"keep_ms":10000}`, r.Host))
+	})
+	mux.HandleFunc("POST /v1/keys", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, http.StatusOK, `{"key":"192.0.2.1:7003/abc.1","valid_ms":60000}`)
+	})
+	mux.HandleFunc("GET /v1/keys/{key}", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, http.StatusOK, fmt.Sprintf(`{"state":%q}`, r.PathValue("key")))
+	})
+	mux.HandleFunc("POST /v1/routes/{route}/call", func(w http.ResponseWriter, r *http.Request) {
+		switch route := r.PathValue("route"); route {
+		case "answered":
+			reply(w, http.StatusOK, fmt.Sprintf(done, "a roof"))
+		case "lost":
+			panic(http.ErrAbortHandler)
+		default:
+			reply(w, http.StatusServiceUnavailable, fmt.Sprintf(`{"request_id":"r-1","outcome":%q,"code":"overloaded","message":"the pool rerank has no free slot in time","stage":"rerank","retry_after_ms":1500}`, route))
+		}
+	})
+	mux.HandleFunc("POST /v1/routes/{route}/stream", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, text := range []string{"a ", "roof"} {
+			_, _ = fmt.Fprintf(w, "data: {\"request_id\":\"r-1\",\"text\":%q}\n\n", text)
+		}
+		switch r.PathValue("route") {
+		case "answered":
+			_, _ = fmt.Fprintf(w, "data: {\"request_id\":\"r-1\",\"done\":%s}\n\n", fmt.Sprintf(done, "a roof"))
+		case "failed":
+			_, _ = fmt.Fprint(w, `data: {"request_id":"r-1","error":{"outcome":"failed","code":"upstream_failed","message":"the engine failed"}}`+"\n\n")
+		}
+	})
+	return mux
+}
--- a/internal/cli/edit.go
+++ b/internal/cli/edit.go
@@ -130,7 +130,9 @@
 	if revision, ok := r.Revision.Get(); ok {
 		p.linef("now revision %d", revision)
 	}
-	p.linef("%s", r.Message)
+	if len(r.Problems) == 0 {
+		p.linef("%s", r.Message)
+	}
 	printProblems(p, r.Problems)
 	printNow(p, r)
 	if r.State != operatorapi.EditResultStateDryRun {
--- a/internal/cli/print.go
+++ b/internal/cli/print.go
@@ -101,7 +101,7 @@
 	p.wrapped("", c.ShortUsage)
 	p.wrapped("", c.ShortHelp)
 	if c.LongHelp != "" {
-		b.WriteString(c.LongHelp + "\n")
+		p.wrapped("", c.LongHelp)
 	}
 	for _, sub := range c.Subcommands {
 		p.wrapped(" ", sub.Name+": "+sub.ShortHelp)
--- a/internal/operatorhttp/command.go
+++ b/internal/operatorhttp/command.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"sequoiafork/internal/editid"
 	"sequoiafork/internal/table"
 	"sequoiafork/internal/wire/operatorapi"
 )
 
+// inForceInterval is the time between two counts of the daemons that follow.
+const inForceInterval = 20 * time.Millisecond
+
 // SetRoute creates or replaces a route.
 func (h *Handler) SetRoute(ctx context.Context, req *operatorapi.RouteSpec, params operatorapi.SetRouteParams) (*operatorapi.EditResult, error) {
 	return h.edit(ctx, editRequest{
@@ -105,9 +109,34 @@
 		return nil, err
 	}
 	settled.Name, settled.Pool = req.edit.Target()
+	if settled.State == Accepted {
+		h.waitInForce(ctx, settled.Revision)
+	}
 	return h.editResult(req.edit.ID, settled), nil
 }
 
+// waitInForce waits a little until the revision is in force on all daemons.
+func (h *Handler) waitInForce(ctx context.Context, revision uint64) {
+	if h.config.InForceWait < 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.config.InForceWait)
+	defer cancel()
+	ticker := time.NewTicker(inForceInterval)
+	defer ticker.Stop()
+	for {
+		inForce, daemons := h.inForce(revision)
+		if inForce == daemons {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // earlier returns the result of an edit that was sent before with the same ID.
 func (h *Handler) earlier(ctx context.Context, req editRequest) (*operatorapi.EditResult, bool) {
 	settled, err := h.config.Editor.Settled(ctx, req.edit.ID)
--- a/internal/operatorhttp/handler.go
+++ b/internal/operatorhttp/handler.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"sequoiafork/internal/table"
 	"sequoiafork/internal/wire/operatorapi"
@@ -76,13 +77,21 @@
 	Drain() operatorapi.DrainState
 }
 
-// Config holds what the handler calls. Every field is required.
+// DefaultInForceWait is how long the answer to an accepted edit waits for the
+// other daemons.
+const DefaultInForceWait = time.Second
+
+// Config holds what the handler calls. Every interface is required.
 type Config struct {
 	Editor  Editor
 	Tables  Tables
 	Hosts   Hosts
 	Dumper  Dumper
 	Drainer Drainer
+	// InForceWait bounds how long the answer to an accepted edit waits until the
+	// edit is in force on all daemons. Zero means DefaultInForceWait; less than
+	// zero, no wait.
+	InForceWait time.Duration
 }
 
 // Handler implements operatorapi.Handler.
@@ -92,6 +101,9 @@
 
 // NewHandler returns a handler without its HTTP server, for the phone page.
 func NewHandler(config Config) *Handler {
+	if config.InForceWait == 0 {
+		config.InForceWait = DefaultInForceWait
+	}
 	return &Handler{
 		config: config,
 	}
--- /dev/null
+++ b/internal/operatorhttp/in_force_test.go
@@ -0,0 +1,52 @@
+package operatorhttp_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/operatorhttp"
+	"sequoiafork/internal/operatorhttp/operatorhttptest"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+// lagging lists one daemon that follows after a while.
+type lagging struct {
+	operatorhttptest.Daemon
+	revision atomic.Int64
+}
+
+func (l *lagging) Daemons() []operatorapi.Daemon {
+	return []operatorapi.Daemon{
+		{
+			State:    "alive",
+			Revision: l.revision.Load(),
+		},
+	}
+}
+
+func TestAnswerWaitsUntilInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := &lagging{}
+		config := hosts.Config()
+		config.Hosts = hosts
+		config.InForceWait = time.Second
+		handler := operatorhttp.NewHandler(config)
+		time.AfterFunc(500*time.Millisecond, func() { hosts.revision.Store(1) })
+
+		begin := time.Now()
+		got, err := handler.SetPool(t.Context(), &operatorapi.PoolSpec{
+			Kind:        "encoder",
+			Service:     "enc",
+			Concurrency: 1,
+		}, operatorapi.SetPoolParams{
+			Name: "enc",
+		})
+		require.NoError(t, err)
+		require.Equal(t, operatorapi.NewOptInt(1), got.InForce)
+		require.Equal(t, 500*time.Millisecond, time.Since(begin))
+	})
+}
--- /dev/null
+++ b/internal/operatorhttp/operatorhttptest/daemon.go
@@ -0,0 +1,211 @@
+// Package operatorhttptest holds the operators' interface over tables in memory,
+// with faults, for tests of its clients.
+package operatorhttptest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+
+	"sequoiafork/internal/operatorhttp"
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+// Daemon keeps tables in memory and settles edits at once. The zero value is ready
+// and empty. It is safe for concurrent use.
+type Daemon struct {
+	mu       sync.Mutex
+	tables   *table.Tables
+	settled  map[string]operatorhttp.Settlement
+	offset   uint64
+	fault    string
+	notReady bool
+}
+
+// Faults of the next edits.
+const (
+	// FaultUnknown settles an edit as unknown and drops it.
+	FaultUnknown = "unknown"
+	// FaultLateUnknown settles an edit as unknown and applies it.
+	FaultLateUnknown = "late_unknown"
+	// FaultRefuse refuses an edit, as while the log is down.
+	FaultRefuse = "refuse"
+	// FaultLoseReply applies an edit and closes its connection.
+	FaultLoseReply = "lose_reply"
+	// FaultLoseRequest closes the connection and applies nothing.
+	FaultLoseRequest = "lose_request"
+	// FaultNotReady answers everything as a daemon without tables.
+	FaultNotReady = "not_ready"
+)
+
+// SetFault sets the fault of all edits from now on; empty clears it.
+func (d *Daemon) SetFault(fault string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fault = fault
+	d.notReady = fault == FaultNotReady
+}
+
+// Config returns what the operators' interface calls.
+func (d *Daemon) Config() operatorhttp.Config {
+	return operatorhttp.Config{
+		Editor:      d,
+		Tables:      d,
+		Hosts:       d,
+		Dumper:      d,
+		Drainer:     d,
+		InForceWait: -1,
+	}
+}
+
+// Wrap breaks connections where the fault says so.
+func (d *Daemon) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.mu.Lock()
+		fault := d.fault
+		d.mu.Unlock()
+		isEdit := r.Method != http.MethodGet && !strings.HasSuffix(r.URL.Path, "/drain")
+		if isEdit && fault == FaultLoseReply {
+			next.ServeHTTP(discard{}, r)
+		}
+		if isEdit && (fault == FaultLoseReply || fault == FaultLoseRequest) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// discard is a response that nobody gets.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+func (discard) WriteHeader(int)             {}
+
+// Submit implements operatorhttp.Editor.
+func (d *Daemon) Submit(_ context.Context, e table.Edit) (operatorhttp.Settlement, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch d.fault {
+	case FaultRefuse:
+		return operatorhttp.Settlement{}, errors.New("the log refuses appends")
+	case FaultUnknown:
+		return operatorhttp.Settlement{
+			State: operatorhttp.Unknown,
+		}, nil
+	case FaultLateUnknown:
+		d.applyLocked(e)
+		return operatorhttp.Settlement{
+			State: operatorhttp.Unknown,
+		}, nil
+	}
+	return d.applyLocked(e), nil
+}
+
+func (d *Daemon) applyLocked(e table.Edit) operatorhttp.Settlement {
+	d.offset++
+	tables := d.tablesLocked()
+	name, pool := e.Target()
+	s := operatorhttp.Settlement{
+		State:    operatorhttp.Accepted,
+		Name:     name,
+		Pool:     pool,
+		Revision: d.offset,
+	}
+	if tables.RevisionOf(e) != e.BaseRevision {
+		s.State = operatorhttp.Conflict
+	} else {
+		d.tables = tables.WithChange(e.Change, d.offset)
+	}
+	if d.settled == nil {
+		d.settled = map[string]operatorhttp.Settlement{}
+	}
+	d.settled[e.ID] = s
+	return s
+}
+
+// Settled implements operatorhttp.Editor.
+func (d *Daemon) Settled(_ context.Context, id string) (operatorhttp.Settlement, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.settled[id], nil
+}
+
+func (d *Daemon) tablesLocked() *table.Tables {
+	if d.tables == nil {
+		d.tables = table.New()
+	}
+	return d.tables
+}
+
+// Tables implements operatorhttp.Tables.
+func (d *Daemon) Tables() *table.Tables {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tablesLocked()
+}
+
+// Ready implements operatorhttp.Tables.
+func (d *Daemon) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.notReady
+}
+
+// Daemons implements operatorhttp.Hosts: one is current, one lags, one is dead.
+func (d *Daemon) Daemons() []operatorapi.Daemon {
+	revision := int64(d.Tables().Revision())
+	daemon := func(n int, state string, revision int64) operatorapi.Daemon {
+		return operatorapi.Daemon{
+			Incarnation:  fmt.Sprintf("192.0.2.%d:7003/%d", n, n),
+			DataCentre:   fmt.Sprintf("dc-%d", n),
+			CallerAddr:   fmt.Sprintf("192.0.2.%d:7001", n),
+			OperatorAddr: operatorapi.NewOptString(fmt.Sprintf("192.0.2.%d:7002", n)),
+			State:        state,
+			Revision:     revision,
+		}
+	}
+	return []operatorapi.Daemon{
+		daemon(1, "alive", revision),
+		daemon(2, "alive", max(revision-1, 0)),
+		daemon(3, "dead", 0),
+	}
+}
+
+// Upstreams implements operatorhttp.Hosts.
+func (d *Daemon) Upstreams() []operatorapi.Upstream {
+	return []operatorapi.Upstream{
+		{
+			Addr:       "192.0.2.30:9000",
+			Service:    "rerank",
+			DataCentre: "dc-1",
+			State:      "live",
+			InFlight:   operatorapi.NewOptInt(3),
+		},
+		{
+			Addr:       "192.0.2.31:9000",
+			Service:    "rerank",
+			DataCentre: "dc-2",
+			State:      "leaving",
+			InFlight:   operatorapi.NewOptInt(0),
+			Reason:     operatorapi.NewOptString("answered <leaving>"),
+		},
+	}
+}
+
+// Dump implements operatorhttp.Dumper.
+func (d *Daemon) Dump() ([]byte, error) {
+	return fmt.Appendf(nil, `{"revision":%d,"requests":{"in_flight":0}}`, d.Tables().Revision()), nil
+}
+
+// Drain implements operatorhttp.Drainer.
+func (d *Daemon) Drain() operatorapi.DrainState {
+	return operatorapi.DrainState{
+		State:    "leaving",
+		InFlight: 2,
+	}
+}
