Prove that outcomes are true under upstream faults, and mend a request told failed after its effect

Ruled out: reordering stages, which is the operator's choice. Change: once a stage with an effect has run to its end, a later failure is unknown (partly_run).

--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -72,6 +72,7 @@
 	CodeNoUpstream      Code = "no_upstream"
 	CodeUpstreamFailed  Code = "upstream_failed"
 	CodeUpstreamBroken  Code = "upstream_broken"
+	CodePartlyRun       Code = "partly_run"
 	CodeStreamDiverged  Code = "stream_diverged"
 	CodeCallerGone      Code = "caller_gone"
 	CodeNotReady        Code = "not_ready"
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -24,7 +24,9 @@
 	executed   atomic.Int64
 	attempts   atomic.Int64
 	callerGone atomic.Bool
-	reports    []outcome.StageReport
+	// effect names the last stage with an effect that ran to its end.
+	effect  string
+	reports []outcome.StageReport
 
 	mu    sync.Mutex
 	phase phase
@@ -81,6 +83,9 @@
 			return x.explain(ctx, st, err)
 		}
 		input = output
+		if st.NotRepeatable {
+			x.effect = st.Name
+		}
 	}
 	return outcome.Answered{
 		RequestID: x.req.ID,
@@ -190,6 +195,14 @@
 			RetryAfter: retryAfter,
 		}
 	}
+	if x.effect != "" {
+		return outcome.Unknown{
+			RequestID: x.req.ID,
+			Code:      outcome.CodePartlyRun,
+			Message:   fmt.Sprintf("stage %s ran to its end and stage %s did not (%s): do not send it with a new key", x.effect, st.Name, message),
+			Stage:     st.Name,
+		}
+	}
 	return outcome.Failed{
 		RequestID:  x.req.ID,
 		Code:       code,
--- /dev/null
+++ b/internal/pipeline/executor_test.go
@@ -0,0 +1,231 @@
+package pipeline_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"sequoiafork/internal/bubble"
+	"sequoiafork/internal/ident"
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/table"
+)
+
+const testDeadline = 4 * time.Second
+
+// orderRoute has an effect in the middle, so that a stage can fail before and
+// after it.
+var orderRoute = table.Route{
+	Name:     "order",
+	Deadline: testDeadline,
+	Stages: []table.Stage{
+		{
+			Name: "encode",
+			Pool: "enc",
+		},
+		{
+			Name:          "commit",
+			Pool:          "orders",
+			NotRepeatable: true,
+		},
+		{
+			Name:  "generate",
+			Pool:  "llm",
+			Model: "m",
+		},
+	},
+}
+
+func expected(route table.Route, input string) string {
+	for _, st := range route.Stages {
+		input = output(st.Name, input)
+	}
+	return input
+}
+
+// finished is all that is known of a request once nothing of it runs any more.
+type finished struct {
+	id     string
+	first  outcome.Outcome
+	last   outcome.Outcome
+	tokens []string
+}
+
+func runToEnd(e *pipeline.Executor, tables *table.Tables, route table.Route, stream bool) finished {
+	f := finished{
+		id: ident.NewRequest(),
+	}
+	req := pipeline.Request{
+		ID:        f.id,
+		Workspace: "w",
+		Input:     "in",
+		Route:     route,
+		Tables:    tables,
+		Deadline:  time.Now().Add(route.Deadline),
+	}
+	if stream {
+		req.OnToken = func(_ int, text string) { f.tokens = append(f.tokens, text) }
+	}
+	o, late := e.Run(context.Background(), req)
+	f.first, f.last = o, o
+	if late != nil {
+		f.last = <-late
+	}
+	time.Sleep(2 * pipeline.DefaultLateLimit)
+	return f
+}
+
+// checkTruth compares what the caller was told with what was executed.
+func checkTruth(t require.TestingT, f *fakeUpstreams, route table.Route, got finished) {
+	for _, st := range route.Stages {
+		if st.NotRepeatable {
+			require.LessOrEqual(t, f.executions(got.id, st.Name), 1, "executions of %s", st.Name)
+		}
+	}
+	for _, o := range []outcome.Outcome{got.first, got.last} {
+		switch o := o.(type) {
+		case outcome.Answered:
+			require.Equal(t, expected(route, "in"), o.Output)
+			for _, st := range route.Stages {
+				require.NotZero(t, f.executions(got.id, st.Name), "executions of %s for an answer", st.Name)
+			}
+		case outcome.NotRun:
+			require.Zero(t, f.executions(got.id, ""), "executions of a request told not_run (%s)", o.Code)
+		case outcome.Failed:
+			require.Zero(t, f.effects(got.id, "commit"), "effects of commit in a request told failed (%s)", o.Code)
+		case outcome.Unknown:
+		}
+	}
+	whole := expected(route, "in")
+	require.True(t, strings.HasPrefix(whole, strings.Join(got.tokens, "")), "tokens %q are no part of %q", got.tokens, whole)
+}
+
+func TestOutcomesAreTrueUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		script := rapid.SliceOfN(rapid.IntRange(0, int(behaviours)-1), 0, 24).Draw(rt, "script")
+		stream := rapid.Bool().Draw(rt, "stream")
+		failed := bubble.Run(t, func(t *bubble.T) { playScript(t, script, stream) })
+		if failed != "" {
+			rt.Fatal(failed)
+		}
+	})
+}
+
+// playScript runs three requests against upstreams that behave as script says, and
+// well once it is used up.
+func playScript(t *bubble.T, script []int, stream bool) {
+	next := 0
+	f := &fakeUpstreams{
+		script: func() behaviour {
+			if next == len(script) {
+				return behaveWell
+			}
+			next++
+			return behaviour(script[next-1])
+		},
+	}
+	e, tables := newExecutor(f, orderRoute)
+	for range 3 {
+		checkTruth(t, f, orderRoute, runToEnd(e, tables, orderRoute, stream))
+	}
+	require.Zero(t, e.Active())
+}
+
+func TestAttemptsHaveDistinctIDs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		f := &fakeUpstreams{
+			script: func() behaviour {
+				calls++
+				if calls%2 == 1 {
+					return dropAfter
+				}
+				return behaveWell
+			},
+		}
+		route := table.Route{
+			Name:     "lookup",
+			Deadline: testDeadline,
+			Stages:   orderRoute.Stages[:1],
+		}
+		e, tables := newExecutor(f, route)
+		for range 5 {
+			runToEnd(e, tables, route, false)
+		}
+		for id, n := range f.seen {
+			require.Equal(t, 1, n, "calls with attempt id %s", id)
+		}
+	})
+}
+
+func TestCallerGoneCancelsRepeatableWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeUpstreams{
+			script: func() behaviour { return neverAnswer },
+		}
+		e, tables := newExecutor(f, orderRoute)
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(time.Second, leave)
+		began := time.Now()
+		o, late := e.Run(ctx, pipeline.Request{
+			ID:       ident.NewRequest(),
+			Route:    orderRoute,
+			Tables:   tables,
+			Deadline: time.Now().Add(testDeadline),
+		})
+		require.Nil(t, late)
+		require.Equal(t, outcome.CodeCallerGone, outcome.CodeOf(o))
+		require.Equal(t, time.Second, time.Since(began))
+		synctest.Wait()
+		require.Zero(t, e.Active())
+	})
+}
+
+func TestCallThatMayNotBeRepeatedOutlivesItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		script := []behaviour{behaveWell, behaveSlowly, behaveWell}
+		f := &fakeUpstreams{
+			script: func() behaviour {
+				b := script[0]
+				script = script[1:]
+				return b
+			},
+		}
+		e, tables := newExecutor(f, orderRoute)
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(time.Second, leave)
+		o, late := e.Run(ctx, pipeline.Request{
+			ID:       "r",
+			Input:    "in",
+			Route:    orderRoute,
+			Tables:   tables,
+			Deadline: time.Now().Add(testDeadline),
+		})
+		require.IsType(t, outcome.Unknown{}, o)
+		require.IsType(t, outcome.Answered{}, <-late)
+		require.Equal(t, 1, f.executions("r", "commit"))
+	})
+}
+
+func TestRefusedAtOnceWhenTheDeadlineHasPassed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeUpstreams{
+			script: func() behaviour { return behaveWell },
+		}
+		e, tables := newExecutor(f, orderRoute)
+		o, _ := e.Run(context.Background(), pipeline.Request{
+			ID:       "r",
+			Route:    orderRoute,
+			Tables:   tables,
+			Deadline: time.Now(),
+		})
+		require.IsType(t, outcome.NotRun{}, o)
+		require.Zero(t, f.executions("r", ""))
+	})
+}
--- /dev/null
+++ b/internal/pipeline/fake_test.go
@@ -0,0 +1,218 @@
+package pipeline_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/admission"
+	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/stagetime"
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/upstream"
+)
+
+// behaviour is how a fake upstream treats one call.
+type behaviour int
+
+const (
+	behaveWell behaviour = iota
+	behaveSlowly
+	neverAnswer
+	refuseConnection
+	sayLeaving
+	sayOverloaded
+	dropBefore
+	dropAfter
+	sayFailed
+	cutStream
+	behaviours
+)
+
+// execution is one call that a fake upstream acted on.
+type execution struct {
+	requestID string
+	stage     string
+	attemptID string
+	// failed says that the upstream answered that the call ran and failed.
+	failed bool
+}
+
+// fakeUpstreams answers calls as its script says and keeps a ledger of what was
+// executed, which is the oracle of these tests.
+type fakeUpstreams struct {
+	mu     sync.Mutex
+	script func() behaviour
+	ledger []execution
+	seen   map[string]int
+}
+
+func (f *fakeUpstreams) record(c pipeline.Call, failed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ledger = append(f.ledger, execution{
+		requestID: c.RequestID,
+		stage:     c.Stage.Name,
+		attemptID: c.AttemptID,
+		failed:    failed,
+	})
+}
+
+// executions counts the ledger's entries of a request, and of one stage if given.
+func (f *fakeUpstreams) executions(requestID, stage string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.ledger {
+		if e.requestID == requestID && (stage == "" || e.stage == stage) {
+			n++
+		}
+	}
+	return n
+}
+
+// effects counts the executions of a stage that did not end in failure.
+func (f *fakeUpstreams) effects(requestID, stage string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.ledger {
+		if e.requestID == requestID && e.stage == stage && !e.failed {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fakeUpstreams) next(attemptID string) behaviour {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.seen == nil {
+		f.seen = make(map[string]int)
+	}
+	f.seen[attemptID]++
+	return f.script()
+}
+
+func (f *fakeUpstreams) Invoke(ctx context.Context, c pipeline.Call) (pipeline.Reply, error) {
+	b := f.next(c.AttemptID)
+	switch b {
+	case refuseConnection:
+		return pipeline.Reply{}, callError(c, pipeline.NotSent)
+	case sayLeaving:
+		return pipeline.Reply{}, callError(c, pipeline.RefusedLeaving)
+	case sayOverloaded:
+		return pipeline.Reply{}, callError(c, pipeline.Refused)
+	case dropBefore:
+		return pipeline.Reply{}, callError(c, pipeline.MayHaveRun)
+	}
+	f.record(c, b == sayFailed)
+	switch b {
+	case sayFailed:
+		return pipeline.Reply{}, callError(c, pipeline.RanAndFailed)
+	case dropAfter:
+		return pipeline.Reply{}, callError(c, pipeline.MayHaveRun)
+	case neverAnswer:
+		<-ctx.Done()
+		return pipeline.Reply{}, contextError(ctx, c)
+	case behaveSlowly:
+		return f.answer(ctx, c, 3*time.Second, false)
+	case cutStream:
+		return f.answer(ctx, c, 10*time.Millisecond, c.OnToken != nil)
+	}
+	return f.answer(ctx, c, 10*time.Millisecond, false)
+}
+
+func (f *fakeUpstreams) answer(ctx context.Context, c pipeline.Call, takes time.Duration, cut bool) (pipeline.Reply, error) {
+	select {
+	case <-time.After(takes):
+	case <-ctx.Done():
+		return pipeline.Reply{}, contextError(ctx, c)
+	}
+	out := output(c.Stage.Name, c.Input)
+	if c.OnToken != nil {
+		tokens := strings.SplitAfter(out, "(")
+		for i, token := range tokens {
+			if cut && i == len(tokens)-1 {
+				return pipeline.Reply{}, callError(c, pipeline.MayHaveRun)
+			}
+			c.OnToken(i, token)
+		}
+	}
+	return pipeline.Reply{
+		Output: out,
+	}, nil
+}
+
+// output is the answer of a stage, a function of its input alone.
+func output(stage, input string) string {
+	return stage + "(" + input + ")"
+}
+
+func callError(c pipeline.Call, reach pipeline.Reach) error {
+	return &pipeline.CallError{
+		Addr:  c.Addr,
+		Reach: reach,
+		Err:   errors.New("scripted"),
+	}
+}
+
+func contextError(ctx context.Context, c pipeline.Call) error {
+	return &pipeline.CallError{
+		Addr:     c.Addr,
+		Reach:    pipeline.MayHaveRun,
+		TimedOut: errors.Is(ctx.Err(), context.DeadlineExceeded),
+		Err:      ctx.Err(),
+	}
+}
+
+const upstreamsPerPool = 3
+
+// newExecutor returns an executor over one pool for each stage of every route, and
+// the tables that hold the routes.
+func newExecutor(f *fakeUpstreams, routes ...table.Route) (*pipeline.Executor, *table.Tables) {
+	tables := &table.Tables{}
+	set := upstream.New(upstream.Config{
+		Self: "test",
+	})
+	var hosts []upstream.Host
+	revision := uint64(0)
+	for _, route := range routes {
+		for i, st := range route.Stages {
+			kind := table.Service
+			if st.Model != "" {
+				kind = table.Engine
+			}
+			revision++
+			tables = tables.WithChange(table.SetPool{
+				Pool: table.Pool{
+					Name:        st.Pool,
+					Kind:        kind,
+					Service:     st.Pool,
+					Concurrency: 8,
+				},
+			}, revision)
+			for n := range upstreamsPerPool {
+				hosts = append(hosts, upstream.Host{
+					Addr:    fmt.Sprintf("10.0.%d.%d:80", i, n),
+					Service: st.Pool,
+				})
+			}
+		}
+		revision++
+		tables = tables.WithChange(table.SetRoute{
+			Route: route,
+		}, revision)
+	}
+	set.Replace(hosts)
+	return pipeline.New(pipeline.Config{
+		Engines:   f,
+		Services:  f,
+		Upstreams: set,
+		Admission: admission.New(admission.Config{}),
+		Times:     stagetime.New(stagetime.Config{}),
+	}), tables
+}
