--- a/internal/operatorhttp/in_force_test.go
+++ b/internal/operatorhttp/in_force_test.go
@@ -35,7 +35,7 @@
 		config.Hosts = hosts
 		config.InForceWait = time.Second
 		handler := operatorhttp.NewHandler(config)
-		time.AfterFunc(500*time.Millisecond, func() { hosts.revision.Store(1) })
+		time.AfterFunc(490*time.Millisecond, func() { hosts.revision.Store(1) })
 
 		begin := time.Now()
 		got, err := handler.SetPool(t.Context(), &operatorapi.PoolSpec{
