Add the operators' page for a phone's browser

Cause: an edit at a bad hour is made in a browser, without scripts. Ruled out: an edit id made when the form is shown. Back, other values and a second dry run would then have been answered with the first edit's result; so each dry run makes the id, and the confirmation carries it with the values that were checked. Change: internal/operatorpage on /page/ of the operators' address, calling the same handler as the HTTP interface; commands that another site's page makes a browser send are refused (net/http's CrossOriginProtection), for the interface too; an edit id that was used for another row is refused; a dry run is sent like a query.

--- a/internal/cli/edit.go
+++ b/internal/cli/edit.go
@@ -8,8 +8,8 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"sequoiafork/internal/cli/rowtext"
 	"sequoiafork/internal/operatorclient"
+	"sequoiafork/internal/rowtext"
 	"sequoiafork/internal/wire/operatorapi"
 )
 
@@ -34,12 +34,17 @@
 		return err
 	}
 	var result *operatorapi.EditResult
-	err = client.Command(ctx, func(ctx context.Context, c *operatorapi.Client) (err error) {
+	send := func(ctx context.Context, c *operatorapi.Client) (err error) {
 		result, err = e.send(ctx, c, e.params)
 		return err
-	})
+	}
+	if e.params.dryRun {
+		err = client.Query(ctx, send)
+	} else {
+		err = client.Command(ctx, send)
+	}
 	var lost *operatorclient.LostReplyError
-	if errors.As(err, &lost) && !e.params.dryRun {
+	if errors.As(err, &lost) {
 		result = a.settle(ctx, e.params.id)
 	} else if err != nil {
 		return err
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -6,8 +6,8 @@
 	"fmt"
 
 	"sequoiafork/internal/callerclient"
-	"sequoiafork/internal/cli/rowtext"
 	"sequoiafork/internal/operatorclient"
+	"sequoiafork/internal/rowtext"
 	"sequoiafork/internal/wire/callerapi"
 	"sequoiafork/internal/wire/operatorapi"
 )
--- a/internal/cli/rows.go
+++ b/internal/cli/rows.go
@@ -8,7 +8,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"sequoiafork/internal/cli/rowtext"
+	"sequoiafork/internal/rowtext"
 	"sequoiafork/internal/wire/operatorapi"
 )
 
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -8,6 +8,7 @@
 	"golang.org/x/net/netutil"
 
 	"sequoiafork/internal/operatorhttp"
+	"sequoiafork/internal/operatorpage"
 )
 
 func (d *Daemon) newServer(h http.Handler) *http.Server {
@@ -26,21 +27,26 @@
 	return netutil.LimitListener(l, int(d.settings.Limits.MaxConnections))
 }
 
-// operatorHandler returns what the operators' address serves: the interface,
-// metrics and health.
+// operatorHandler returns what the operators' address serves: the interface, the
+// page, metrics and health.
 func (d *Daemon) operatorHandler() (http.Handler, error) {
-	api, err := operatorhttp.New(operatorhttp.Config{
+	config := operatorhttp.Config{
 		Editor:  edits{daemon: d},
 		Tables:  d.machine,
 		Hosts:   hosts{daemon: d},
 		Dumper:  dumper{daemon: d},
 		Drainer: drainer{daemon: d},
-	})
+	}
+	api, err := operatorhttp.New(config)
 	if err != nil {
 		return nil, err
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", api)
+	mux.Handle("/page/", operatorpage.New(operatorpage.Config{
+		API: operatorhttp.NewHandler(config),
+	}))
+	mux.Handle("GET /{$}", http.RedirectHandler("/page/", http.StatusSeeOther))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
 	})
--- a/internal/operatorhttp/command.go
+++ b/internal/operatorhttp/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"sequoiafork/internal/editid"
@@ -137,12 +138,28 @@
 	}
 }
 
-// earlier returns the result of an edit that was sent before with the same ID.
+// earlier returns the result of an edit that was sent before with the same ID. An
+// ID that was used for another row is refused.
 func (h *Handler) earlier(ctx context.Context, req editRequest) (*operatorapi.EditResult, bool) {
+	if req.dryRun {
+		return nil, false
+	}
 	settled, err := h.config.Editor.Settled(ctx, req.edit.ID)
 	if err != nil || settled.State == NotFound {
 		return nil, false
 	}
+	name, pool := req.edit.Target()
+	if settled.Name != "" && (settled.Name != name || settled.Pool != pool) {
+		settled = Settlement{
+			State: Refused,
+			Problems: []table.Problem{
+				{
+					Field:   "edit_id",
+					Message: fmt.Sprintf("was used for row %q: take a new ID", settled.Name),
+				},
+			},
+		}
+	}
 	return h.editResult(req.edit.ID, settled), true
 }
 
--- a/internal/operatorhttp/handler.go
+++ b/internal/operatorhttp/handler.go
@@ -109,7 +109,8 @@
 	}
 }
 
-// New returns the HTTP handler of the operators' interface.
+// New returns the HTTP handler of the operators' interface. Commands that another
+// site's page makes a browser send are refused.
 func New(config Config) (http.Handler, error) {
 	server, err := operatorapi.NewServer(NewHandler(config),
 		operatorapi.WithErrorHandler(writeError),
@@ -119,5 +120,5 @@
 	if err != nil {
 		return nil, fmt.Errorf("operators' interface: %w", err)
 	}
-	return server, nil
+	return http.NewCrossOriginProtection().Handler(server), nil
 }
--- a/internal/operatorhttp/operatorhttptest/daemon.go
+++ b/internal/operatorhttp/operatorhttptest/daemon.go
@@ -199,7 +199,8 @@
 
 // Dump implements operatorhttp.Dumper.
 func (d *Daemon) Dump() ([]byte, error) {
-	return fmt.Appendf(nil, `{"revision":%d,"requests":{"in_flight":0}}`, d.Tables().Revision()), nil
+	return fmt.Appendf(nil, `{"incarnation":"192.0.2.1:7003/1","data_centre":"dc-1","state":"serving",`+
+		`"ready":%t,"in_flight":7,"revision":%d,"requests":{"in_flight":7}}`, d.Ready(), d.Tables().Revision()), nil
 }
 
 // Drain implements operatorhttp.Drainer.
--- /dev/null
+++ b/internal/operatorpage/command.go
@@ -0,0 +1,193 @@
+package operatorpage
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"sequoiafork/internal/editid"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+// author is the author of edits made on the page.
+const author = "page"
+
+// change is one sent form of either table.
+type change struct {
+	noun string
+	step step
+	form form
+	// set sends the row's new value, or returns what is wrong with its fields.
+	set func(ctx context.Context, dryRun bool) (*operatorapi.EditResult, error)
+	// remove sends the row's deletion.
+	remove func(ctx context.Context, dryRun bool) (*operatorapi.EditResult, error)
+}
+
+// fieldError is a field of a form that can't be read.
+type fieldError struct {
+	err error
+}
+
+// Error names the field and what is allowed.
+func (e *fieldError) Error() string {
+	return e.err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *fieldError) Unwrap() error {
+	return e.err
+}
+
+// changePool takes the form of a pool.
+func (p *page) changePool(w http.ResponseWriter, r *http.Request) {
+	f, ok := sentForm(w, r)
+	if !ok {
+		return
+	}
+	p.change(w, r, change{
+		noun: poolNoun,
+		step: step(r.PostForm.Get("step")),
+		form: f,
+		set: func(ctx context.Context, dryRun bool) (*operatorapi.EditResult, error) {
+			spec, err := f.pool()
+			if err != nil {
+				return nil, &fieldError{
+					err: err,
+				}
+			}
+			return p.api.SetPool(ctx, &spec, operatorapi.SetPoolParams{
+				Name:         f.Name,
+				BaseRevision: f.Base,
+				EditID:       operatorapi.NewOptString(f.EditID),
+				DryRun:       operatorapi.NewOptBool(dryRun),
+				Author:       operatorapi.NewOptString(author),
+			})
+		},
+		remove: func(ctx context.Context, dryRun bool) (*operatorapi.EditResult, error) {
+			return p.api.DeletePool(ctx, operatorapi.DeletePoolParams{
+				Name:         f.Name,
+				BaseRevision: f.Base,
+				EditID:       operatorapi.NewOptString(f.EditID),
+				DryRun:       operatorapi.NewOptBool(dryRun),
+				Author:       operatorapi.NewOptString(author),
+			})
+		},
+	})
+}
+
+// changeRoute takes the form of a route.
+func (p *page) changeRoute(w http.ResponseWriter, r *http.Request) {
+	f, ok := sentForm(w, r)
+	if !ok {
+		return
+	}
+	p.change(w, r, change{
+		noun: routeNoun,
+		step: step(r.PostForm.Get("step")),
+		form: f,
+		set: func(ctx context.Context, dryRun bool) (*operatorapi.EditResult, error) {
+			spec, err := f.route()
+			if err != nil {
+				return nil, &fieldError{
+					err: err,
+				}
+			}
+			return p.api.SetRoute(ctx, &spec, operatorapi.SetRouteParams{
+				Name:         f.Name,
+				BaseRevision: f.Base,
+				EditID:       operatorapi.NewOptString(f.EditID),
+				DryRun:       operatorapi.NewOptBool(dryRun),
+				Author:       operatorapi.NewOptString(author),
+			})
+		},
+		remove: func(ctx context.Context, dryRun bool) (*operatorapi.EditResult, error) {
+			return p.api.DeleteRoute(ctx, operatorapi.DeleteRouteParams{
+				Name:         f.Name,
+				BaseRevision: f.Base,
+				EditID:       operatorapi.NewOptString(f.EditID),
+				DryRun:       operatorapi.NewOptBool(dryRun),
+				Author:       operatorapi.NewOptString(author),
+			})
+		},
+	})
+}
+
+// sentForm reads a form, or answers that it can't be read. A dry run gets a new
+// edit ID, so that an ID stands for one set of values: those that are confirmed.
+func sentForm(w http.ResponseWriter, r *http.Request) (form, bool) {
+	if err := r.ParseForm(); err != nil {
+		render(w, http.StatusBadRequest, "message.html", messageView{
+			Message: "the form can't be read: open the row again",
+		})
+		return form{}, false
+	}
+	f, err := readForm(r.PostForm)
+	if err != nil {
+		render(w, http.StatusBadRequest, "message.html", messageView{
+			Message: err.Error(),
+		})
+		return form{}, false
+	}
+	if s := step(r.PostForm.Get("step")); s == stepCheck || s == stepCheckDelete {
+		f.EditID = editid.New()
+	}
+	return f, true
+}
+
+func (p *page) change(w http.ResponseWriter, r *http.Request, c change) {
+	var result *operatorapi.EditResult
+	var err error
+	switch c.step {
+	case stepCheck:
+		result, err = c.set(r.Context(), true)
+	case stepApply:
+		result, err = c.set(r.Context(), false)
+	case stepCheckDelete:
+		result, err = c.remove(r.Context(), true)
+	case stepDelete:
+		result, err = c.remove(r.Context(), false)
+	default:
+		render(w, http.StatusBadRequest, "message.html", messageView{
+			Message: "unknown step: open the row again",
+		})
+		return
+	}
+	p.answer(w, r, c, result, err)
+}
+
+// answer shows the form again while the edit can be changed, else its result.
+func (p *page) answer(w http.ResponseWriter, r *http.Request, c change, result *operatorapi.EditResult, err error) {
+	view := formView{
+		Noun:  c.noun,
+		New:   c.form.Base == 0,
+		Form:  c.form,
+		Kinds: kinds,
+	}
+	if err != nil {
+		status := http.StatusBadRequest
+		view.Error = err.Error()
+		var field *fieldError
+		if !errors.As(err, &field) {
+			wire := p.api.NewError(r.Context(), err)
+			status, view.Error = wire.StatusCode, wire.Response.Message
+		}
+		render(w, status, "form.html", view)
+		return
+	}
+	switch result.State {
+	case operatorapi.EditResultStateDryRun:
+		view.Confirm = next[c.step]
+		view.Result = result
+		render(w, http.StatusOK, "form.html", view)
+	case operatorapi.EditResultStateRefused:
+		view.Result = result
+		render(w, http.StatusUnprocessableEntity, "form.html", view)
+	default:
+		render(w, http.StatusOK, "result.html", resultView{
+			Noun:   c.noun,
+			Name:   c.form.Name,
+			Result: result,
+			Now:    rowNow(result),
+		})
+	}
+}
--- /dev/null
+++ b/internal/operatorpage/form.go
@@ -0,0 +1,145 @@
+package operatorpage
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"sequoiafork/internal/rowtext"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+const (
+	poolNoun  = "pool"
+	routeNoun = "route"
+)
+
+// step is what a button of a form asks for.
+type step string
+
+// The steps. Each edit is a dry run first; confirming it sends the same fields.
+const (
+	stepCheck       step = "check"
+	stepApply       step = "apply"
+	stepCheckDelete step = "check_delete"
+	stepDelete      step = "delete"
+)
+
+// next is the step that confirms a dry run.
+var next = map[step]step{
+	stepCheck:       stepApply,
+	stepCheckDelete: stepDelete,
+}
+
+// form is the fields of a row as they were typed, with the edit they belong to.
+// The edit's ID is made by the dry run, so that sending its confirmation again
+// counts once.
+type form struct {
+	Name   string
+	Base   int64
+	EditID string
+
+	Kind        string
+	Service     string
+	Concurrency string
+	Models      string
+	Shares      string
+	Fencing     bool
+
+	Deadline string
+	Stages   string
+}
+
+func newFormView(noun string) formView {
+	return formView{
+		Noun:  noun,
+		New:   true,
+		Kinds: kinds,
+	}
+}
+
+func poolForm(row operatorapi.PoolRow) form {
+	f := form{
+		Name:        row.Name,
+		Base:        row.Revision,
+		Kind:        row.Pool.Kind,
+		Service:     row.Pool.Service,
+		Concurrency: strconv.FormatInt(row.Pool.Concurrency, 10),
+		Models:      strings.Join(row.Pool.Models, ","),
+		Fencing:     row.Pool.ChecksFencing.Or(false),
+	}
+	var shares []string
+	for _, s := range row.Pool.Shares {
+		shares = append(shares, fmt.Sprintf("%s:%d", s.Workspace, s.Weight))
+	}
+	f.Shares = strings.Join(shares, ",")
+	return f
+}
+
+func routeForm(row operatorapi.RouteRow) form {
+	words := rowtext.FormatRoute(row.Route)
+	var stages []string
+	for _, s := range row.Route.Stages {
+		stages = append(stages, rowtext.FormatStage(s))
+	}
+	return form{
+		Name:     row.Name,
+		Base:     row.Revision,
+		Deadline: strings.TrimPrefix(words[0], "deadline="),
+		Stages:   strings.Join(stages, "\n"),
+	}
+}
+
+// readForm reads the fields of a sent form.
+func readForm(values url.Values) (form, error) {
+	base, err := strconv.ParseInt(values.Get("base"), 10, 64)
+	if err != nil || base < 0 {
+		return form{}, fmt.Errorf("base %q: open the row again", values.Get("base"))
+	}
+	return form{
+		Name:        strings.TrimSpace(values.Get("name")),
+		Base:        base,
+		EditID:      values.Get("edit_id"),
+		Kind:        values.Get("kind"),
+		Service:     strings.TrimSpace(values.Get("service")),
+		Concurrency: strings.TrimSpace(values.Get("concurrency")),
+		Models:      list(values.Get("models")),
+		Shares:      list(values.Get("shares")),
+		Fencing:     values.Get("fencing") == "yes",
+		Deadline:    strings.TrimSpace(values.Get("deadline")),
+		Stages:      strings.TrimSpace(values.Get("stages")),
+	}, nil
+}
+
+// list takes spaces out of a list, which a phone's keyboard puts after commas.
+func list(text string) string {
+	return strings.Join(strings.Fields(text), "")
+}
+
+func (f form) pool() (operatorapi.PoolSpec, error) {
+	words := []string{
+		"kind=" + f.Kind,
+		"service=" + f.Service,
+		"concurrency=" + f.Concurrency,
+		"models=" + f.Models,
+		"shares=" + f.Shares,
+	}
+	if f.Fencing {
+		words = append(words, "fencing=yes")
+	}
+	return rowtext.ApplyPool(operatorapi.PoolSpec{}, words)
+}
+
+func (f form) route() (operatorapi.RouteSpec, error) {
+	var stages []string
+	for line := range strings.SplitSeq(f.Stages, "\n") {
+		if line = strings.TrimSuffix(list(line), ","); line != "" {
+			stages = append(stages, line)
+		}
+	}
+	return rowtext.ApplyRoute(operatorapi.RouteSpec{}, []string{
+		"deadline=" + f.Deadline,
+		"stages=" + strings.Join(stages, ","),
+	})
+}
--- /dev/null
+++ b/internal/operatorpage/page.go
@@ -0,0 +1,82 @@
+// Package operatorpage serves a page for a phone's browser on the operators'
+// address: both tables with their edits, and health. It works without scripts
+// and calls the commands and queries of the operators' HTTP interface.
+//
+//	page := operatorpage.New(operatorpage.Config{API: operatorhttp.NewHandler(config)})
+//	mux.Handle("/page/", page)
+package operatorpage
+
+import (
+	"bytes"
+	"context"
+	"embed"
+	"html/template"
+	"net/http"
+
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+//go:embed templates
+var files embed.FS
+
+var templates = template.Must(template.ParseFS(files, "templates/*.html"))
+
+// contentPolicy allows the page's own style sheet and forms, and no scripts.
+const contentPolicy = "default-src 'none'; style-src 'self'; form-action 'self'; frame-ancestors 'none'; base-uri 'none'"
+
+// Config holds what the page calls.
+type Config struct {
+	// API is the operators' interface. Required.
+	API operatorapi.Handler
+}
+
+// page serves all paths below /page/.
+type page struct {
+	api operatorapi.Handler
+}
+
+// New returns a handler of the paths below /page/. Requests that another site's
+// page makes a browser send are refused.
+func New(config Config) http.Handler {
+	p := &page{
+		api: config.API,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /page/{$}", p.home)
+	mux.HandleFunc("GET /page/pool", p.pool)
+	mux.HandleFunc("GET /page/route", p.route)
+	mux.HandleFunc("GET /page/edit", p.edit)
+	mux.HandleFunc("POST /page/pool", p.changePool)
+	mux.HandleFunc("POST /page/route", p.changeRoute)
+	mux.HandleFunc("GET /page/style.css", style)
+	return http.NewCrossOriginProtection().Handler(mux)
+}
+
+func style(w http.ResponseWriter, r *http.Request) {
+	http.ServeFileFS(w, r, files, "templates/style.css")
+}
+
+// render writes a whole page, or none.
+func render(w http.ResponseWriter, status int, name string, view any) {
+	var body bytes.Buffer
+	if err := templates.ExecuteTemplate(&body, name, view); err != nil {
+		http.Error(w, "the page can't be shown: use the command line", http.StatusInternalServerError)
+		return
+	}
+	h := w.Header()
+	h.Set("Content-Type", "text/html; charset=utf-8")
+	h.Set("Content-Security-Policy", contentPolicy)
+	h.Set("Cache-Control", "no-store")
+	h.Set("Referrer-Policy", "no-referrer")
+	h.Set("X-Content-Type-Options", "nosniff")
+	w.WriteHeader(status)
+	_, _ = w.Write(body.Bytes())
+}
+
+// renderError shows an error of the interface.
+func (p *page) renderError(ctx context.Context, w http.ResponseWriter, err error) {
+	wire := p.api.NewError(ctx, err)
+	render(w, wire.StatusCode, "message.html", messageView{
+		Message: wire.Response.Message,
+	})
+}
--- /dev/null
+++ b/internal/operatorpage/query.go
@@ -0,0 +1,168 @@
+package operatorpage
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"sequoiafork/internal/rowtext"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+// Words of states, as the operators' interface has them.
+const (
+	stateDead = "dead"
+	stateLive = "live"
+)
+
+// home shows health and both tables. It answers also while there are no tables.
+func (p *page) home(w http.ResponseWriter, r *http.Request) {
+	view := homeView{}
+	if err := p.readHealth(r.Context(), &view); err != nil {
+		p.renderError(r.Context(), w, err)
+		return
+	}
+	if err := p.readTables(r.Context(), &view); err != nil {
+		view.Problem = p.api.NewError(r.Context(), err).Response.Message
+	}
+	render(w, http.StatusOK, "home.html", view)
+}
+
+func (p *page) readHealth(ctx context.Context, view *homeView) error {
+	hosts, err := p.api.ListHosts(ctx)
+	if err != nil {
+		return err
+	}
+	dump, err := p.api.DumpState(ctx)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(dump, &view.Process); err != nil {
+		return err
+	}
+	view.Daemons = hosts.Daemons
+	view.Services = countServices(hosts.Upstreams)
+	for _, u := range hosts.Upstreams {
+		if u.State != stateLive {
+			view.Troubled = append(view.Troubled, u)
+		}
+	}
+	return nil
+}
+
+func countServices(upstreams []operatorapi.Upstream) []service {
+	byName := map[string]*service{}
+	for _, u := range upstreams {
+		s := byName[u.Service]
+		if s == nil {
+			s = &service{
+				Name: u.Service,
+			}
+			byName[u.Service] = s
+		}
+		s.All++
+		if u.State == stateLive {
+			s.Live++
+		}
+	}
+	services := make([]service, 0, len(byName))
+	for _, s := range byName {
+		services = append(services, *s)
+	}
+	slices.SortFunc(services, func(a, b service) int { return cmp.Compare(a.Name, b.Name) })
+	return services
+}
+
+func (p *page) readTables(ctx context.Context, view *homeView) error {
+	routes, err := p.api.ListRoutes(ctx)
+	if err != nil {
+		return err
+	}
+	pools, err := p.api.ListPools(ctx)
+	if err != nil {
+		return err
+	}
+	for _, row := range routes.Rows {
+		view.Routes = append(view.Routes, rowView{
+			Name:     row.Name,
+			Revision: row.Revision,
+			Words:    rowtext.FormatRoute(row.Route),
+		})
+	}
+	for _, row := range pools.Rows {
+		view.Pools = append(view.Pools, rowView{
+			Name:     row.Name,
+			Revision: row.Revision,
+			Words:    rowtext.FormatPool(row.Pool),
+		})
+	}
+	view.Revision = pools.Revision
+	for _, d := range view.Daemons {
+		if d.State == stateDead {
+			continue
+		}
+		view.Living++
+		if d.Revision >= view.Revision {
+			view.InForce++
+		}
+	}
+	return nil
+}
+
+// pool shows the form of a pool; without a name, that of a new one.
+func (p *page) pool(w http.ResponseWriter, r *http.Request) {
+	view := newFormView(poolNoun)
+	if name := r.URL.Query().Get("name"); name != "" {
+		row, err := p.api.ShowPool(r.Context(), operatorapi.ShowPoolParams{
+			Name: name,
+		})
+		if err != nil {
+			p.renderError(r.Context(), w, err)
+			return
+		}
+		view.New = false
+		view.Form = poolForm(*row)
+	}
+	render(w, http.StatusOK, "form.html", view)
+}
+
+// route shows the form of a route; without a name, that of a new one.
+func (p *page) route(w http.ResponseWriter, r *http.Request) {
+	view := newFormView(routeNoun)
+	if name := r.URL.Query().Get("name"); name != "" {
+		row, err := p.api.ShowRoute(r.Context(), operatorapi.ShowRouteParams{
+			Name: name,
+		})
+		if err != nil {
+			p.renderError(r.Context(), w, err)
+			return
+		}
+		view.New = false
+		view.Form = routeForm(*row)
+	}
+	render(w, http.StatusOK, "form.html", view)
+}
+
+// edit shows how an edit was settled, as far as this daemon has read.
+func (p *page) edit(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	result, err := p.api.ShowEdit(r.Context(), operatorapi.ShowEditParams{
+		EditID: query.Get("id"),
+	})
+	if err != nil {
+		p.renderError(r.Context(), w, err)
+		return
+	}
+	noun := poolNoun
+	if query.Get("noun") == routeNoun {
+		noun = routeNoun
+	}
+	render(w, http.StatusOK, "result.html", resultView{
+		Noun:   noun,
+		Name:   query.Get("name"),
+		Result: result,
+		Now:    rowNow(result),
+	})
+}
--- a/internal/cli/rowtext/rowtext_test.go
+++ b/internal/rowtext/rowtext_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"sequoiafork/internal/cli/rowtext"
+	"sequoiafork/internal/rowtext"
 	"sequoiafork/internal/wire/operatorapi"
 )
 
