--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -7,6 +7,8 @@
 	"runtime"
 	"time"
 
+	"sequoiafork/internal/confsync"
+	"sequoiafork/internal/fold"
 	"sequoiafork/internal/idempotency"
 )
 
@@ -22,8 +24,8 @@
 	NextOffset  uint64             `json:"next_offset"`
 	Digest      string             `json:"digest"`
 	Keys        idempotency.Counts `json:"keys"`
-	Log         any                `json:"log"`
-	Fold        any                `json:"fold"`
+	Log         logDump            `json:"log"`
+	Fold        fold.Counters      `json:"fold"`
 	HostList    any                `json:"host_list"`
 	Membership  any                `json:"membership"`
 	Upstreams   any                `json:"upstreams"`
@@ -31,6 +33,30 @@
 	HeapBytes   uint64             `json:"heap_bytes"`
 }
 
+// logDump is what the reader knows of the log.
+type logDump struct {
+	First    uint64    `json:"first_offset"`
+	End      uint64    `json:"end_offset"`
+	LastRead time.Time `json:"last_read"`
+	LastPeer time.Time `json:"last_peer"`
+	Pending  int       `json:"pending"`
+	Problem  string    `json:"problem,omitempty"`
+}
+
+func dumpLog(s confsync.Status) logDump {
+	l := logDump{
+		First:    s.First,
+		End:      s.End,
+		LastRead: s.LastRead,
+		LastPeer: s.LastPeer,
+		Pending:  s.Pending,
+	}
+	if s.LogError != nil {
+		l.Problem = s.LogError.Error()
+	}
+	return l
+}
+
 // WriteDump writes the state of d to w as JSON.
 func (d *Daemon) WriteDump(w io.Writer) error {
 	body, err := dumper{daemon: d}.Dump()
@@ -63,7 +89,7 @@
 		NextOffset:  next,
 		Digest:      fmt.Sprintf("%x", digest),
 		Keys:        d.service.Registry().Counts(),
-		Log:         d.reader.Status(),
+		Log:         dumpLog(d.reader.Status()),
 		Fold:        d.machine.Counters(),
 		HostList:    d.hosts.Status(),
 		Membership:  d.members.Dump(),
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -49,6 +49,7 @@
 	mux.Handle("GET /{$}", http.RedirectHandler("/page/", http.StatusSeeOther))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
+		d.writeGauges(w)
 	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -52,12 +52,12 @@
 
 // Counters count what a machine met since it began. They aren't part of the state.
 type Counters struct {
-	Applied            uint64
-	Undecodable        uint64
-	DuplicateEdits     uint64
-	SnapshotMatches    uint64
-	SnapshotMismatches uint64
-	SnapshotsDamaged   uint64
+	Applied            uint64 `json:"applied"`
+	Undecodable        uint64 `json:"undecodable"`
+	DuplicateEdits     uint64 `json:"duplicate_edits"`
+	SnapshotMatches    uint64 `json:"snapshot_matches"`
+	SnapshotMismatches uint64 `json:"snapshot_mismatches"`
+	SnapshotsDamaged   uint64 `json:"snapshots_damaged"`
 }
 
 // SnapshotMark says how far the newest snapshot reaches.
