Prove that a key runs at most once under log faults, freezes and deaths

Change: a property test over three registries, real claimers and real folds on one in-memory log (appends refused, lost, late, without a reply; folds frozen; processes killed; other bodies; issued keys sent everywhere at once) and focused tests of late answers, unsettled claims and forgotten outcomes. Ruled out: rapid inside one synctest bubble, because it asks for the test's deadline there.

--- /dev/null
+++ b/internal/idempotency/cluster_test.go
@@ -0,0 +1,331 @@
+package idempotency_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sequoiafork/internal/fold"
+	"sequoiafork/internal/idempotency"
+	"sequoiafork/internal/ident"
+	"sequoiafork/internal/logservice"
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/wire/recordpb"
+)
+
+// appendFault is what the fake log does with appends.
+type appendFault int
+
+const (
+	appendWell appendFault = iota
+	appendRefused
+	appendReplyLost
+	appendLost
+	appendLate
+	appendFaults
+)
+
+// fakeLog is the platform's log in memory.
+type fakeLog struct {
+	mu      sync.Mutex
+	fault   appendFault
+	records [][]byte
+	changed chan struct{}
+	// claimed holds the claims whose append was not certainly refused.
+	claimed map[claimID]bool
+}
+
+// claimID is one process's claim of one key.
+type claimID struct {
+	owner string
+	key   idempotency.Key
+}
+
+func (l *fakeLog) noteClaims(data []byte) {
+	var r recordpb.Record
+	if err := proto.Unmarshal(data, &r); err != nil {
+		panic(err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range r.GetClaims().GetClaims() {
+		l.claimed[claimID{
+			owner: c.GetOwner(),
+			key:   idempotency.Key(c.GetKey()),
+		}] = true
+	}
+}
+
+func (l *fakeLog) mayHoldClaim(owner, key string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.claimed[claimID{
+		owner: owner,
+		key:   idempotency.KeyOf("w", key),
+	}]
+}
+
+// wake wakes those who wait for the log to change.
+func (l *fakeLog) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *fakeLog) waitChan() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+func (l *fakeLog) setFault(f appendFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = f
+}
+
+func (l *fakeLog) append(data []byte) uint64 {
+	defer l.wake()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, data)
+	return uint64(len(l.records))
+}
+
+// Append implements idempotency.Log.
+func (l *fakeLog) Append(ctx context.Context, data []byte) (uint64, error) {
+	l.mu.Lock()
+	fault := l.fault
+	l.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	unknown := &logservice.UnknownError{
+		Err: errors.New("scripted"),
+	}
+	if fault == appendRefused {
+		return 0, &logservice.RefusedError{
+			Code: "unavailable",
+		}
+	}
+	l.noteClaims(data)
+	switch fault {
+	case appendReplyLost:
+		l.append(data)
+		return 0, unknown
+	case appendLost:
+		return 0, unknown
+	case appendLate:
+		time.AfterFunc(3*time.Second, func() { l.append(data) })
+		<-ctx.Done()
+		return 0, unknown
+	}
+	return l.append(data), nil
+}
+
+func (l *fakeLog) from(next uint64) [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.records[next-1:]
+}
+
+// runKind is how a request ends once the owner runs it.
+type runKind int
+
+const (
+	runAnswered runKind = iota
+	runNotRun
+	runFailed
+	runLate
+	runKinds
+)
+
+// cluster is a few daemons over one log, with a ledger of the runs.
+type cluster struct {
+	log     *fakeLog
+	daemons []*daemon
+	over    chan struct{} // closed at the end of the case
+
+	mu   sync.Mutex
+	runs map[string][]string // request ids that were run, by key
+	told map[string][]outcome.Outcome
+	// untrue lists keys that were told not_run though a claim may be on the log.
+	untrue []string
+}
+
+type daemon struct {
+	cluster  *cluster
+	self     string
+	machine  *fold.Machine
+	registry *idempotency.Registry
+	cancel   context.CancelFunc
+
+	mu     sync.Mutex
+	frozen bool
+	dead   bool
+}
+
+func newCluster(n int) *cluster {
+	c := &cluster{
+		log: &fakeLog{
+			changed: make(chan struct{}),
+			claimed: make(map[claimID]bool),
+		},
+		over: make(chan struct{}),
+		runs: make(map[string][]string),
+		told: make(map[string][]outcome.Outcome),
+	}
+	for range n {
+		c.daemons = append(c.daemons, c.start())
+	}
+	return c
+}
+
+func (c *cluster) start() *daemon {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &daemon{
+		cluster: c,
+		self:    ident.NewIncarnation("10.0.0.1:1"),
+		machine: fold.New(fold.Config{}),
+		cancel:  cancel,
+	}
+	claimer := idempotency.NewLogClaimer(d.self, c.log, d.machine)
+	d.registry = idempotency.New(idempotency.Config{
+		Self:   d.self,
+		Claims: claimer,
+	})
+	go func() { _ = claimer.Run(ctx) }()
+	go d.tail(ctx)
+	return d
+}
+
+// tail folds the log, except while the daemon is frozen.
+func (d *daemon) tail(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := d.cluster.log.waitChan()
+		if !d.is(&d.frozen) {
+			next := d.machine.NextOffset()
+			for i, data := range d.cluster.log.from(next) {
+				_ = d.machine.Apply(next+uint64(i), time.Now().UnixMilli(), data)
+			}
+		}
+		select {
+		case <-changed:
+			time.Sleep(5 * time.Millisecond)
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (d *daemon) is(flag *bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return *flag
+}
+
+func (d *daemon) set(flag *bool, value bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	*flag = value
+}
+
+// kill ends a daemon without notice and starts a new one in its place.
+func (c *cluster) kill(i int) {
+	d := c.daemons[i]
+	d.set(&d.dead, true)
+	d.cancel()
+	c.daemons[i] = c.start()
+}
+
+func (c *cluster) byIncarnation(self string) *daemon {
+	for _, d := range c.daemons {
+		if d.self == self && !d.is(&d.dead) {
+			return d
+		}
+	}
+	return nil
+}
+
+// call sends one request to a daemon and notes what it is told, unless the daemon
+// dies before it answers.
+func (d *daemon) call(key, input string, kind runKind) {
+	ctx, stop := context.WithTimeout(context.Background(), 4*time.Second)
+	defer stop()
+	o := d.do(ctx, key, input, kind, false)
+	if d.is(&d.dead) {
+		return
+	}
+	c := d.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told[key] = append(c.told[key], o)
+	if outcome.CodeOf(o) == outcome.CodeLogUnavailable && c.log.mayHoldClaim(d.self, key) {
+		c.untrue = append(c.untrue, key)
+	}
+}
+
+func (d *daemon) do(ctx context.Context, key, input string, kind runKind, forwarded bool) outcome.Outcome {
+	id := ident.NewRequest()
+	return d.registry.Do(ctx, idempotency.Request{
+		ID:        id,
+		Workspace: "w",
+		Key:       key,
+		Body:      idempotency.BodyOf("order", "w", input),
+		Once:      true,
+		Run: func(context.Context) (outcome.Outcome, <-chan outcome.Outcome) {
+			return d.run(id, key, kind)
+		},
+		Forward: func(ctx context.Context, owner string) outcome.Outcome {
+			o := d.cluster.byIncarnation(owner)
+			if o == nil || forwarded {
+				return outcome.Unknown{
+					RequestID: id,
+					Code:      outcome.CodeOwnerGone,
+				}
+			}
+			return o.do(ctx, key, input, kind, true)
+		},
+	})
+}
+
+// run is the pipeline of these tests. A dead daemon runs nothing.
+func (d *daemon) run(id, key string, kind runKind) (outcome.Outcome, <-chan outcome.Outcome) {
+	if kind == runNotRun {
+		return outcome.NotRun{
+			RequestID: id,
+			Code:      outcome.CodeOverloaded,
+		}, nil
+	}
+	if d.is(&d.dead) {
+		<-d.cluster.over // a dead process never gets further
+		return outcome.Unknown{
+			RequestID: id,
+		}, nil
+	}
+	d.cluster.mu.Lock()
+	d.cluster.runs[key] = append(d.cluster.runs[key], id)
+	d.cluster.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	answer := outcome.Answered{
+		RequestID: id,
+		Output:    fmt.Sprintf("answer of %s", key),
+	}
+	switch kind {
+	case runFailed:
+		return outcome.Failed{
+			RequestID: id,
+			Code:      outcome.CodeUpstreamFailed,
+		}, nil
+	case runLate:
+		late := make(chan outcome.Outcome, 1)
+		time.AfterFunc(2*time.Second, func() { late <- answer })
+		return outcome.Unknown{
+			RequestID: id,
+			Code:      outcome.CodeDeadline,
+		}, late
+	}
+	return answer, nil
+}
