--- a/internal/confsync/catchup.go
+++ b/internal/confsync/catchup.go
@@ -16,7 +16,7 @@
 
 // CatchUp answers a peer that needs the records from an offset on. It returns a
 // *NotReadyError until the state is complete.
-func (r *Reader) CatchUp(from uint64) (*peerpb.CatchUpResponse, error) {
+func (r *Reader) CatchUp(_ context.Context, from uint64) (*peerpb.CatchUpResponse, error) {
 	if !r.machine.Ready() {
 		return nil, &NotReadyError{}
 	}
