--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -41,11 +41,15 @@
 	case SetRoute:
 		t.checkRoute(&p, c.Route)
 	case DeleteRoute:
-		p.checkName("name", c.Name)
+		if _, ok := t.routes[c.Name]; !ok {
+			p.add("name", "%q is no route: there is nothing to delete", c.Name)
+		}
 	case SetPool:
 		t.checkPool(&p, c.Pool)
 	case DeletePool:
-		p.checkName("name", c.Name)
+		if _, ok := t.pools[c.Name]; !ok {
+			p.add("name", "%q is no pool: there is nothing to delete", c.Name)
+		}
 		t.checkUnused(&p, c.Name)
 	default:
 		p.add("change", "is missing: set or delete one route or pool")
