--- /dev/null
+++ b/internal/confsync/cluster_test.go
@@ -0,0 +1,195 @@
+package confsync_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/confsync"
+	"sequoiafork/internal/fold"
+	"sequoiafork/internal/wire/peerpb"
+)
+
+const (
+	leaseName = "placement"
+	leaseTTL  = 6 * time.Second
+	peerDelay = time.Millisecond
+)
+
+// cluster is several daemons' machines, readers, editors and leasers on one log.
+type cluster struct {
+	ctx     context.Context
+	log     *fakeLog
+	daemons []*daemon
+}
+
+// daemon is one entry host. A restart replaces its process.
+type daemon struct {
+	name    string
+	cluster *cluster
+	link    *link
+
+	mu       sync.Mutex
+	cutPeers bool
+	proc     *process
+}
+
+// process is one incarnation, which begins with nothing.
+type process struct {
+	name    string
+	machine *fold.Machine
+	reader  *confsync.Reader
+	editor  *confsync.Editor
+	leaser  *confsync.Leaser
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+func newCluster(ctx context.Context, n int) *cluster {
+	c := &cluster{
+		ctx: ctx,
+		log: newFakeLog(),
+	}
+	for i := range n {
+		c.daemons = append(c.daemons, &daemon{
+			name:    fmt.Sprintf("d%d", i),
+			cluster: c,
+			link: &link{
+				log: c.log,
+			},
+		})
+	}
+	for _, d := range c.daemons {
+		d.start(0)
+	}
+	return c
+}
+
+func (c *cluster) stop() {
+	for _, d := range c.daemons {
+		d.kill()
+	}
+}
+
+// start begins a new process.
+func (d *daemon) start(incarnation int) {
+	p := &process{
+		name:    fmt.Sprintf("%s/%d", d.name, incarnation),
+		machine: fold.New(fold.Config{}),
+	}
+	p.reader = confsync.NewReader(confsync.ReaderConfig{
+		Log:            d.link,
+		Machine:        p.machine,
+		Peers:          d,
+		OnRecords:      d.publish,
+		Writer:         p.name,
+		Seed:           uint64(incarnation)<<8 + uint64(d.name[1]),
+		SnapshotEvery:  10,
+		SnapshotDelay:  2 * time.Second,
+		SnapshotMaxAge: time.Minute,
+	})
+	p.editor = confsync.NewEditor(confsync.EditorConfig{
+		Log:     d.link,
+		Machine: p.machine,
+	})
+	p.leaser = confsync.NewLeaser(confsync.LeaserConfig{
+		Log:     d.link,
+		Machine: p.machine,
+		Name:    leaseName,
+		Holder:  p.name,
+		TTL:     leaseTTL,
+	})
+	d.mu.Lock()
+	d.proc = p
+	d.mu.Unlock()
+	ctx, cancel := context.WithCancel(d.cluster.ctx)
+	p.stop = cancel
+	p.wg.Go(func() { _ = p.reader.Run(ctx) })
+	p.wg.Go(func() { _ = p.leaser.Run(ctx) })
+}
+
+// process returns the present process.
+func (d *daemon) process() *process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.proc
+}
+
+// kill stops the process before it can append anything more.
+func (d *daemon) kill() {
+	cut := d.link.isCut()
+	d.link.setCut(true)
+	p := d.process()
+	p.stop()
+	p.wg.Wait()
+	d.link.setCut(cut)
+}
+
+func (d *daemon) setCutPeers(cut bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cutPeers = cut
+}
+
+func (d *daemon) hasPeers() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.cutPeers
+}
+
+// publish passes records to all peers that are reached.
+func (d *daemon) publish(records []*peerpb.LogRecord) {
+	if !d.hasPeers() {
+		return
+	}
+	for _, p := range d.cluster.daemons {
+		if p == d || !p.hasPeers() {
+			continue
+		}
+		time.AfterFunc(peerDelay, func() { p.process().reader.Deliver(records) })
+	}
+}
+
+// CatchUp asks the reachable peer that has folded the most.
+func (d *daemon) CatchUp(ctx context.Context, from uint64) (*peerpb.CatchUpResponse, error) {
+	time.Sleep(peerDelay)
+	var best *daemon
+	for _, p := range d.cluster.daemons {
+		if p == d || !p.hasPeers() || !d.hasPeers() || !p.process().machine.Ready() {
+			continue
+		}
+		if best == nil || p.process().machine.NextOffset() > best.process().machine.NextOffset() {
+			best = p
+		}
+	}
+	if best == nil {
+		return nil, errCut
+	}
+	return best.process().reader.CatchUp(ctx, from)
+}
+
+// reaches reports whether the daemon could now learn of the record at an offset:
+// from the log, if that goes on from its state, or from a peer that has it.
+func (d *daemon) reaches(offset uint64) bool {
+	if d.readsLog() && d.process().machine.NextOffset() >= d.cluster.log.firstKept() {
+		return true
+	}
+	return d.hasPeers() && d.cluster.readyPast(d, offset)
+}
+
+func (d *daemon) readsLog() bool {
+	return !d.link.isCut() && !d.cluster.log.isDown()
+}
+
+// readyPast reports whether another daemon that peers reach has the record at an
+// offset.
+func (c *cluster) readyPast(d *daemon, offset uint64) bool {
+	for _, p := range c.daemons {
+		m := p.process().machine
+		if p != d && p.hasPeers() && m.Ready() && m.NextOffset() > offset {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/confsync/fakelog_test.go
@@ -0,0 +1,206 @@
+package confsync_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/logservice"
+)
+
+var errCut = errors.New("connection cut")
+
+// fakeLog is the platform's log in memory, with the faults of a script. It keeps
+// what it has expired in all, for the oracle.
+type fakeLog struct {
+	mu       sync.Mutex
+	all      []logservice.Record
+	first    uint64
+	down     bool
+	appended chan struct{}
+}
+
+func newFakeLog() *fakeLog {
+	return &fakeLog{
+		first:    1,
+		appended: make(chan struct{}),
+	}
+}
+
+func (l *fakeLog) add(data []byte) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offset := uint64(len(l.all)) + 1
+	l.all = append(l.all, logservice.Record{
+		Offset: offset,
+		TimeMs: time.Now().UnixMilli(),
+		Data:   data,
+	})
+	close(l.appended)
+	l.appended = make(chan struct{})
+	return offset
+}
+
+// expire drops the records before an offset.
+func (l *fakeLog) expire(first uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.first = max(l.first, min(first, uint64(len(l.all))+1))
+}
+
+func (l *fakeLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (l *fakeLog) isDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down
+}
+
+func (l *fakeLog) firstKept() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.first
+}
+
+func (l *fakeLog) end() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return uint64(len(l.all)) + 1
+}
+
+func (l *fakeLog) batch(from uint64, maxRecords int) (logservice.Batch, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from < l.first {
+		return logservice.Batch{}, nil, &logservice.ExpiredError{
+			First: l.first,
+		}
+	}
+	b := logservice.Batch{
+		First: l.first,
+		End:   uint64(len(l.all)) + 1,
+	}
+	if from < b.End {
+		records := l.all[from-1:]
+		b.Records = records[:min(len(records), maxRecords)]
+	}
+	return b, l.appended, nil
+}
+
+// Ways in which the next append of a link may go wrong.
+const (
+	appendLoseReply = "lose_reply"
+	appendLate      = "late"
+	appendNever     = "never"
+	appendTwice     = "twice"
+)
+
+const (
+	lateBy     = 3 * time.Second
+	cutTimeout = time.Second
+)
+
+// link is one daemon's connection to the log.
+type link struct {
+	log *fakeLog
+
+	mu   sync.Mutex
+	cut  bool
+	next string
+}
+
+func (l *link) setCut(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+func (l *link) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+func (l *link) failNext(how string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next = how
+}
+
+func (l *link) takeFault() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	how := l.next
+	l.next = ""
+	return how
+}
+
+func (l *link) Append(ctx context.Context, data []byte) (uint64, error) {
+	time.Sleep(time.Millisecond)
+	if l.isCut() || l.log.isDown() {
+		return 0, &logservice.RefusedError{
+			Code: "unavailable",
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return 0, &logservice.RefusedError{
+			Code: logservice.CodeCancelled,
+		}
+	}
+	return l.log.add(data), nil
+}
+
+func (l *link) AppendEdit(ctx context.Context, data []byte) (uint64, error) {
+	lost := &logservice.UnknownError{
+		Err: errCut,
+	}
+	switch l.takeFault() {
+	case appendLoseReply:
+		l.log.add(data)
+		return 0, lost
+	case appendLate:
+		time.AfterFunc(lateBy, func() { l.log.add(data) })
+		return 0, lost
+	case appendNever:
+		return 0, lost
+	case appendTwice:
+		l.log.add(data)
+		l.log.add(data)
+		return 0, lost
+	}
+	return l.Append(ctx, data)
+}
+
+// Read waits for records in small steps, to notice a cut as a real connection does.
+func (l *link) Read(ctx context.Context, from uint64, maxRecords int, wait time.Duration) (logservice.Batch, error) {
+	until := time.Now().Add(wait)
+	for {
+		if l.isCut() {
+			return logservice.Batch{}, waitForTimeout(ctx)
+		}
+		if l.log.isDown() {
+			return logservice.Batch{}, errCut
+		}
+		b, appended, err := l.log.batch(from, maxRecords)
+		if err != nil || len(b.Records) > 0 || !time.Now().Before(until) {
+			return b, err
+		}
+		select {
+		case <-appended:
+		case <-time.After(min(time.Until(until), cutTimeout)):
+		case <-ctx.Done():
+			return b, ctx.Err()
+		}
+	}
+}
+
+// waitForTimeout does what a call does whose packets are dropped.
+func waitForTimeout(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/confsync/oracle_test.go
@@ -0,0 +1,181 @@
+package confsync_test
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sequoiafork/internal/confsync"
+	"sequoiafork/internal/fold"
+	"sequoiafork/internal/logservice"
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/wire/recordpb"
+)
+
+// inForceWithin is the bound on when an accepted edit is in force.
+const inForceWithin = 5 * time.Second
+
+// model is the simple oracle: pools only, folded from the whole log.
+type model struct {
+	rows     map[string]modelRow
+	accepted map[string]uint64
+	settled  map[string]bool
+}
+
+type modelRow struct {
+	revision    uint64
+	concurrency int64
+}
+
+func foldModel(records []logservice.Record) model {
+	m := model{
+		rows:     make(map[string]modelRow),
+		accepted: make(map[string]uint64),
+		settled:  make(map[string]bool),
+	}
+	for _, rec := range records {
+		var r recordpb.Record
+		e := r.GetEdit()
+		if proto.Unmarshal(rec.Data, &r) == nil {
+			e = r.GetEdit()
+		}
+		if e == nil || m.settled[e.GetEditId()] {
+			continue
+		}
+		m.settled[e.GetEditId()] = true
+		if m.rows[e.GetName()].revision != e.GetBaseRevision() || e.GetPool().GetConcurrency() <= 0 {
+			continue
+		}
+		m.accepted[e.GetEditId()] = rec.Offset
+		m.rows[e.GetName()] = modelRow{
+			revision:    rec.Offset,
+			concurrency: e.GetPool().GetConcurrency(),
+		}
+	}
+	return m
+}
+
+func (m model) compare(t *table.Tables) error {
+	if len(t.Pools()) != len(m.rows) {
+		return fmt.Errorf("tables have %d rows, want %d", len(t.Pools()), len(m.rows))
+	}
+	for _, row := range t.Pools() {
+		got := modelRow{
+			revision:    row.Revision,
+			concurrency: int64(row.Value.Concurrency),
+		}
+		if want := m.rows[row.Value.Name]; got != want {
+			return fmt.Errorf("row %s is %+v, want %+v", row.Value.Name, got, want)
+		}
+	}
+	return nil
+}
+
+// answer is what an operator was told.
+type answer struct {
+	id     string
+	result confsync.Result
+	err    error
+}
+
+// check compares an answer with what the log says in the end.
+func (m model) check(a answer, sentBefore bool) error {
+	offset, accepted := m.accepted[a.id]
+	refused, _ := errors.AsType[*logservice.RefusedError](a.err)
+	switch {
+	case a.err != nil && refused != nil && !sentBefore && m.settled[a.id]:
+		return fmt.Errorf("edit %s: said to be not appended, but it was", a.id)
+	case a.err != nil || a.result.State == confsync.Unknown:
+		return nil
+	case a.result.State == confsync.Accepted && (!accepted || a.result.Revision != offset):
+		return fmt.Errorf("edit %s: said accepted at %d, the log says %v at %d", a.id, a.result.Revision, accepted, offset)
+	case a.result.State != confsync.Accepted && accepted:
+		return fmt.Errorf("edit %s: said %v, the log accepted it at %d", a.id, a.result.State, offset)
+	}
+	return nil
+}
+
+// watcher checks what must hold at every moment.
+type watcher struct {
+	cluster *cluster
+	digests map[uint64]fold.Digest
+	seen    map[*process]progress
+	waiting map[uint64]map[*process]time.Time
+}
+
+type progress struct {
+	next     uint64
+	revision uint64
+}
+
+func newWatcher(c *cluster) *watcher {
+	return &watcher{
+		cluster: c,
+		digests: make(map[uint64]fold.Digest),
+		seen:    make(map[*process]progress),
+		waiting: make(map[uint64]map[*process]time.Time),
+	}
+}
+
+func (w *watcher) accepted(offset uint64) {
+	w.waiting[offset] = make(map[*process]time.Time)
+}
+
+func (w *watcher) check() error {
+	holders := 0
+	for _, d := range w.cluster.daemons {
+		p := d.process()
+		if err := w.checkState(p); err != nil {
+			return err
+		}
+		if err := w.checkInForce(d, p); err != nil {
+			return err
+		}
+		if _, held := p.leaser.Held(); held {
+			holders++
+		}
+	}
+	if holders > 1 {
+		return fmt.Errorf("%d daemons hold the lease", holders)
+	}
+	return nil
+}
+
+func (w *watcher) checkState(p *process) error {
+	covered, digest := p.machine.Digest()
+	if known, ok := w.digests[covered]; ok && known != digest {
+		return fmt.Errorf("%s: another state than others at offset %d", p.name, covered)
+	}
+	w.digests[covered] = digest
+	now := progress{
+		next:     covered + 1,
+		revision: p.machine.Revision(),
+	}
+	if was := w.seen[p]; now.next < was.next || now.revision < was.revision {
+		return fmt.Errorf("%s: went back from %+v to %+v", p.name, was, now)
+	}
+	w.seen[p] = now
+	if n := p.machine.Counters().SnapshotMismatches; n > 0 {
+		return fmt.Errorf("%s: %d snapshots differ", p.name, n)
+	}
+	return nil
+}
+
+// checkInForce fails if a daemon could reach an accepted edit for longer than the
+// bound and still doesn't have it.
+func (w *watcher) checkInForce(d *daemon, p *process) error {
+	for offset, since := range w.waiting {
+		if p.machine.NextOffset() > offset {
+			continue
+		}
+		if _, ok := since[p]; !ok || !d.reaches(offset) {
+			since[p] = time.Now()
+		}
+		if time.Since(since[p]) > inForceWithin {
+			return fmt.Errorf("%s: edit at offset %d not in force after %v, next offset %d, ready %v", p.name, offset, inForceWithin, p.machine.NextOffset(), p.machine.Ready())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/confsync/script_test.go
@@ -0,0 +1,188 @@
+package confsync_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"sequoiafork/internal/table"
+)
+
+const (
+	daemons  = 4
+	rows     = 3
+	tick     = 100 * time.Millisecond
+	starting = time.Second
+	settling = 20 * time.Second
+	minSteps = 10
+	maxSteps = 80
+)
+
+// step is one line of a script: an operation, the daemon and a number that it
+// needs, and how long to wait after it.
+type step struct {
+	Op     string
+	Daemon int
+	N      int
+	WaitMs int
+}
+
+var operations = []string{
+	"edit", "edit", "edit", "race", "repeat", "repeat", "fault", "fault", "log_down", "log_up", "cut_log", "heal_log",
+	"cut_peers", "heal_peers", "freeze", "thaw", "restart", "restart", "expire", "expire", "damage", "rubbish",
+}
+
+func genSteps() *rapid.Generator[[]step] {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Op:     rapid.SampledFrom(operations).Draw(t, "op"),
+			Daemon: rapid.IntRange(0, daemons-1).Draw(t, "daemon"),
+			N:      rapid.IntRange(0, 20).Draw(t, "n"),
+			WaitMs: rapid.SampledFrom([]int{0, 1, 20, 300, 2000, 9000}).Draw(t, "wait_ms"),
+		}
+	}), minSteps, maxSteps)
+}
+
+func format(steps []step) string {
+	var b strings.Builder
+	for _, s := range steps {
+		fmt.Fprintln(&b, s.Op, s.Daemon, s.N, s.WaitMs)
+	}
+	return b.String()
+}
+
+// TestFuzz plays random scripts. Put the script of a failure into testdata/scripts.
+func TestFuzz(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := genSteps().Draw(rt, "steps")
+		if err := play(t, steps); err != nil {
+			rt.Fatalf("%v\nscript:\n%s", err, format(steps))
+		}
+	})
+}
+
+// TestScripts plays scripts that once failed.
+func TestScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/scripts/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		require.NoError(t, err)
+		var steps []step
+		for line := range strings.Lines(string(data)) {
+			var s step
+			if strings.HasPrefix(line, "#") {
+				continue
+			}
+			_, err := fmt.Sscan(line, &s.Op, &s.Daemon, &s.N, &s.WaitMs)
+			require.NoError(t, err, "%s: %q", path, line)
+			steps = append(steps, s)
+		}
+		require.NoError(t, play(t, steps), path)
+	}
+}
+
+func play(t *testing.T, steps []step) (err error) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := newCluster(ctx, daemons)
+		defer c.stop()
+		p := &player{
+			cluster: c,
+			watcher: newWatcher(c),
+			sent:    make(map[string]int),
+		}
+		err = p.run(ctx, steps)
+		cancel()
+		p.submits.Wait()
+	})
+	return err
+}
+
+// player runs one script.
+type player struct {
+	cluster *cluster
+	watcher *watcher
+	submits sync.WaitGroup
+	edits   int
+	last    table.Edit
+
+	mu      sync.Mutex
+	answers []answer
+	sent    map[string]int
+	fresh   []uint64
+}
+
+func (p *player) run(ctx context.Context, steps []step) error {
+	if err := p.wait(starting); err != nil {
+		return err
+	}
+	for _, s := range steps {
+		p.do(ctx, s)
+		if err := p.wait(time.Duration(s.WaitMs) * time.Millisecond); err != nil {
+			return err
+		}
+	}
+	p.cluster.log.setDown(false)
+	for _, d := range p.cluster.daemons {
+		d.link.setCut(false)
+		d.setCutPeers(false)
+	}
+	if err := p.wait(settling); err != nil {
+		return err
+	}
+	p.submits.Wait()
+	return p.checkEnd()
+}
+
+// wait lets time pass and checks at every tick.
+func (p *player) wait(d time.Duration) error {
+	for until := time.Now().Add(d); ; {
+		synctest.Wait()
+		p.mu.Lock()
+		for _, offset := range p.fresh {
+			p.watcher.accepted(offset)
+		}
+		p.fresh = nil
+		p.mu.Unlock()
+		if err := p.watcher.check(); err != nil {
+			return err
+		}
+		left := time.Until(until)
+		if left <= 0 {
+			return nil
+		}
+		time.Sleep(min(tick, left))
+	}
+}
+
+func (p *player) checkEnd() error {
+	records := p.cluster.log.all
+	whole := foldModel(records)
+	for _, d := range p.cluster.daemons {
+		m := d.process().machine
+		if !m.Ready() || m.NextOffset() != p.cluster.log.end() {
+			return fmt.Errorf("%s: ready %v, next offset %d at the end, the log's is %d", d.name, m.Ready(), m.NextOffset(), p.cluster.log.end())
+		}
+		if err := whole.compare(m.Tables()); err != nil {
+			return fmt.Errorf("%s: %w", d.name, err)
+		}
+	}
+	for _, a := range p.answers {
+		if err := whole.check(a, p.sent[a.id] > 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/confsync/steps_test.go
@@ -0,0 +1,124 @@
+package confsync_test
+
+import (
+	"context"
+	"fmt"
+
+	"sequoiafork/internal/confsync"
+	"sequoiafork/internal/table"
+)
+
+func (p *player) do(ctx context.Context, s step) {
+	d := p.cluster.daemons[s.Daemon]
+	switch s.Op {
+	case "edit":
+		p.submit(ctx, d, p.edit(d, s.N))
+	case "race":
+		p.submit(ctx, d, p.edit(d, s.N))
+		p.submit(ctx, p.cluster.daemons[(s.Daemon+1)%daemons], p.edit(d, s.N))
+	case "repeat":
+		if p.last.ID != "" {
+			p.submit(ctx, d, p.last)
+		}
+	case "fault":
+		d.link.failNext([]string{appendLoseReply, appendLate, appendNever, appendTwice}[s.N%4])
+		p.submit(ctx, d, p.edit(d, s.N))
+	case "log_down", "log_up":
+		p.cluster.log.setDown(s.Op == "log_down")
+	case "cut_log", "heal_log":
+		d.link.setCut(s.Op == "cut_log")
+	case "cut_peers", "heal_peers":
+		d.setCutPeers(s.Op == "cut_peers")
+	case "freeze", "thaw":
+		d.link.setCut(s.Op == "freeze")
+		d.setCutPeers(s.Op == "freeze")
+	case "restart":
+		p.restart(d)
+	case "expire":
+		p.expire(s.N)
+	case "damage":
+		p.damage(d, s.N)
+	case "rubbish":
+		for range s.N {
+			p.cluster.log.add([]byte("rubbish"))
+		}
+	}
+}
+
+// edit makes an edit of a row as a daemon shows it. Some are stale or invalid.
+func (p *player) edit(d *daemon, n int) table.Edit {
+	p.edits++
+	pool := table.Pool{
+		Name:        fmt.Sprintf("p%d", n%rows),
+		Kind:        table.Reranker,
+		Service:     "rank",
+		Concurrency: p.edits,
+	}
+	row, _ := d.process().machine.Tables().Pool(pool.Name)
+	e := table.Edit{
+		ID:           fmt.Sprintf("e%d", p.edits),
+		BaseRevision: row.Revision,
+	}
+	switch {
+	case n == 11:
+		e.BaseRevision = row.Revision / 2
+	case n == 12:
+		pool.Concurrency = 0
+	}
+	e.Change = table.SetPool{
+		Pool: pool,
+	}
+	return e
+}
+
+func (p *player) submit(ctx context.Context, d *daemon, e table.Edit) {
+	p.last = e
+	p.mu.Lock()
+	p.sent[e.ID]++
+	p.mu.Unlock()
+	editor := d.process().editor
+	p.submits.Go(func() {
+		result, err := editor.Submit(ctx, e)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.answers = append(p.answers, answer{
+			id:     e.ID,
+			result: result,
+			err:    err,
+		})
+		if err == nil && result.State == confsync.Accepted {
+			p.fresh = append(p.fresh, result.Revision)
+		}
+	})
+}
+
+// restart replaces a process, unless it has the last state that the log's kept
+// records go on from.
+func (p *player) restart(d *daemon) {
+	if !p.cluster.readyPast(d, p.cluster.log.firstKept()-1) {
+		return
+	}
+	d.kill()
+	p.edits++
+	d.start(p.edits)
+}
+
+// expire drops all but the newest records, and none that no daemon has read.
+func (p *player) expire(keep int) {
+	folded := uint64(0)
+	for _, d := range p.cluster.daemons {
+		folded = max(folded, d.process().machine.NextOffset())
+	}
+	end := p.cluster.log.end()
+	p.cluster.log.expire(min(folded, max(end, uint64(keep))-uint64(keep)))
+}
+
+// damage appends a snapshot with one bit flipped.
+func (p *player) damage(d *daemon, n int) {
+	data, err := d.process().machine.Snapshot("damaged")
+	if err != nil {
+		panic(err)
+	}
+	data[(n*31+7)%len(data)] ^= 1 << (n % 8)
+	p.cluster.log.add(data)
+}
