Keep the chosen neighbours known between a change and the next tick

Cause: a neighbour killed within a tick of a membership change lost its watch, because the set of chosen neighbours was empty just then; it stayed alive in the others' tables for more than 5 s (script 'hosts 5, agree, kill 4, agree 5s' failed). Change: keep the old set until the new one is made, and make it before it is asked. An unreachable chosen neighbour is declared dead after 5 s, not 10.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -8,7 +8,7 @@
 const (
 	DefaultHeartbeat        = time.Second
 	DefaultSilentAfter      = 3 * time.Second
-	DefaultUnreachableAfter = 10 * time.Second
+	DefaultUnreachableAfter = 5 * time.Second
 	DefaultForgetAfter      = 10 * time.Minute
 	DefaultReconnectFor     = 24 * time.Hour
 	DefaultProbeEvery       = 10 * time.Second
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -24,6 +24,7 @@
 
 // addressed completes a heartbeat for one link. The incarnation goes out only once.
 func (l *Link) addressed(shared *peerpb.Heartbeat) *peerpb.Heartbeat {
+	l.t.choose()
 	hb := &peerpb.Heartbeat{
 		NextOffset:    shared.GetNextOffset(),
 		Revision:      shared.GetRevision(),
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -239,6 +239,7 @@
 		return
 	}
 	delete(t.linked, l.peer)
+	t.choose()
 	if !l.wanted && !t.chosen[l.peer] {
 		delete(t.watches, l.peer)
 	}
--- a/internal/membership/neighbours.go
+++ b/internal/membership/neighbours.go
@@ -9,7 +9,7 @@
 	// maxStrikes bounds how far wrong declarations stretch the patience with a member.
 	maxStrikes = 7
 	// strikeMemory is how long a wrong declaration counts.
-	strikeMemory = 10 * time.Minute
+	strikeMemory = time.Hour
 	// dialHeadStart is how long the greater incarnation of a pair waits for the
 	// smaller one to dial.
 	dialHeadStart = 500 * time.Millisecond
@@ -31,9 +31,10 @@
 
 // choose picks the neighbours again when the set of living members has changed.
 func (t *Table) choose() {
-	if t.chosen != nil {
+	if !t.changed {
 		return
 	}
+	t.changed = false
 	t.chosen = map[string]bool{}
 	others := t.ranked()
 	for i, e := range others {
--- /dev/null
+++ b/internal/membership/network_test.go
@@ -0,0 +1,270 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// network joins tables in memory. A cut path holds messages back, as TCP does.
+type network struct {
+	mu    sync.Mutex
+	hosts []*host
+	cuts  map[[2]int]bool
+	wg    sync.WaitGroup
+	bytes int
+}
+
+// host is one address and the process that runs on it, if any.
+type host struct {
+	net    *network
+	id     int
+	dc     string
+	region string
+	starts int
+	proc   *process
+	frozen bool
+}
+
+// process is one incarnation.
+type process struct {
+	host   *host
+	table  *Table
+	conns  map[*pipeEnd]bool
+	dials  map[string]bool
+	gone   bool
+	marks  map[string]UpstreamState
+	closed chan struct{}
+}
+
+// pipeEnd is one end of a connection; it sends to the process at the other end.
+type pipeEnd struct {
+	net    *network
+	from   *process
+	to     *process
+	other  *pipeEnd
+	link   *Link
+	queue  chan delivery
+	closed bool
+}
+
+type delivery struct {
+	msg *peerpb.LinkMessage // nil ends the connection
+	at  time.Time
+}
+
+const pipeQueue = 4096
+
+func (h *host) addr() string {
+	return fmt.Sprintf("10.0.%d.%d:7000", h.id/250, h.id%250+1)
+}
+
+func (n *network) start(h *host) {
+	h.starts++
+	p := &process{
+		host:   h,
+		conns:  map[*pipeEnd]bool{},
+		dials:  map[string]bool{},
+		marks:  map[string]UpstreamState{},
+		closed: make(chan struct{}),
+	}
+	p.table = New(Config{
+		Self: Member{
+			Incarnation: fmt.Sprintf("%s/%d", h.addr(), h.starts),
+			PeerAddr:    h.addr(),
+			CallerAddr:  fmt.Sprintf("10.1.%d.%d:80", h.id/250, h.id%250+1),
+			DataCentre:  h.region + "/" + h.dc,
+		},
+		Seeds: []string{n.hosts[0].addr(), n.hosts[len(n.hosts)-1].addr()},
+		Seed:  uint64(h.id),
+		OnUpstream: func(addr string, st UpstreamState) {
+			n.mu.Lock()
+			p.marks[addr] = st
+			n.mu.Unlock()
+		},
+	})
+	n.mu.Lock()
+	h.proc = p
+	n.mu.Unlock()
+	n.wg.Go(p.run)
+}
+
+// stop kills a process; the kernel of its host ends its connections.
+func (n *network) stop(h *host) {
+	n.mu.Lock()
+	p := h.proc
+	h.proc = nil
+	p.gone = true
+	close(p.closed)
+	ends := make([]*pipeEnd, 0, len(p.conns))
+	for e := range p.conns {
+		ends = append(ends, e)
+	}
+	n.mu.Unlock()
+	for _, e := range ends {
+		e.Close()
+	}
+}
+
+func (p *process) run() {
+	step := time.NewTicker(250 * time.Millisecond)
+	defer step.Stop()
+	for {
+		p.awaitThaw()
+		p.table.tick(time.Now())
+		for _, addr := range p.table.Dials() {
+			p.host.net.dial(p, addr)
+		}
+		select {
+		case <-p.closed:
+			return
+		case <-step.C:
+		}
+	}
+}
+
+func (p *process) awaitThaw() {
+	n := p.host.net
+	for n.locked(func() bool { return p.host.frozen && !p.gone }) {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (n *network) locked(f func() bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return f()
+}
+
+// dial connects two processes when the path is open both ways, else it stays
+// pending for the time that a dialer would wait.
+func (n *network) dial(p *process, addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i := slices.IndexFunc(n.hosts, func(h *host) bool {
+		return h.addr() == addr
+	})
+	if i < 0 || p.dials[addr] || n.hosts[i].proc == nil || n.hosts[i].frozen {
+		return
+	}
+	q := n.hosts[i].proc
+	p.dials[addr] = true
+	n.wg.Go(func() {
+		time.Sleep(2 * n.latency(p.host, q.host))
+		if n.open(p.host, q.host) && n.open(q.host, p.host) && !n.locked(func() bool { return p.gone || q.gone }) {
+			n.connect(p, q)
+		}
+		n.locked(func() bool {
+			delete(p.dials, addr)
+			return true
+		})
+	})
+}
+
+func (n *network) connect(p, q *process) {
+	a := &pipeEnd{
+		net:   n,
+		from:  p,
+		to:    q,
+		queue: make(chan delivery, pipeQueue),
+	}
+	b := &pipeEnd{
+		net:   n,
+		from:  q,
+		to:    p,
+		other: a,
+		queue: make(chan delivery, pipeQueue),
+	}
+	a.other = b
+	n.mu.Lock()
+	p.conns[a], q.conns[b] = true, true
+	n.mu.Unlock()
+	a.link = p.table.OpenLink(a, true)
+	b.link = q.table.OpenLink(b, false)
+	n.wg.Go(a.deliver)
+	n.wg.Go(b.deliver)
+}
+
+// Send puts a copy of a message on its way.
+func (e *pipeEnd) Send(msg *peerpb.LinkMessage) bool {
+	e.net.mu.Lock()
+	defer e.net.mu.Unlock()
+	e.net.bytes += proto.Size(msg)
+	return !e.closed && e.put(msg)
+}
+
+// Close ends the connection; the other end learns it when the path allows.
+func (e *pipeEnd) Close() {
+	e.net.mu.Lock()
+	defer e.net.mu.Unlock()
+	if !e.closed {
+		e.closed = true
+		delete(e.from.conns, e)
+		e.put(nil)
+	}
+}
+
+func (e *pipeEnd) put(msg *peerpb.LinkMessage) bool {
+	select {
+	case e.queue <- delivery{
+		msg: msg,
+		at:  time.Now().Add(e.net.latency(e.from.host, e.to.host)),
+	}:
+		return true
+	default:
+		return false
+	}
+}
+
+// deliver takes messages to the other end in order until the connection ends.
+func (e *pipeEnd) deliver() {
+	for d := range e.queue {
+		time.Sleep(time.Until(d.at))
+		for !e.net.open(e.from.host, e.to.host) || e.net.locked(func() bool { return e.to.host.frozen }) {
+			if e.net.locked(func() bool { return e.closed && e.other.closed || e.to.gone }) {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if d.msg == nil {
+			e.other.link.Close()
+			return
+		}
+		e.other.link.Receive(d.msg)
+	}
+}
+
+func (n *network) open(a, b *host) bool {
+	return n.locked(func() bool {
+		return !n.cuts[[2]int{a.id, b.id}]
+	})
+}
+
+// latency is one way: within a data centre, a region, or the world.
+func (n *network) latency(a, b *host) time.Duration {
+	switch {
+	case a.dc == b.dc:
+		return 200 * time.Microsecond
+	case a.region == b.region:
+		return time.Millisecond
+	}
+	return 40 * time.Millisecond
+}
+
+// running returns the processes that are there and not frozen.
+func (n *network) running() []*process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var procs []*process
+	for _, h := range n.hosts {
+		if h.proc != nil && !h.frozen {
+			procs = append(procs, h.proc)
+		}
+	}
+	return procs
+}
--- /dev/null
+++ b/internal/membership/script_test.go
@@ -0,0 +1,279 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// script drives a network by lines of text. Its commands are:
+//
+//	hosts N DCS REGIONS        start N daemons and wait until they agree
+//	wait D
+//	kill I | restart I | freeze I | thaw I | leave I
+//	cut A B | cut_way A B      hold messages between two hosts, both ways or one
+//	split dc|region NAME       cut a data centre or region off
+//	heal                       open all paths
+//	saw I ADDR STATE           host I reports an upstream
+//	revision I N               host I has folded revision N
+//	agree D [DC]               within D all running daemons (but those of DC) hold just
+//	                           the daemons living that they can reach
+//	upstream ADDR STATE D [N]  within D all running daemons (but N) hold the state
+//	in_force N D               within D all daemons know that revision N is everywhere
+//	resolvable I yes|no D      within D every answer of Resolve has host I, or none
+//
+// Each line that states a bound yields "ok", or what was seen instead.
+type script struct {
+	net *network
+	// took is how long the last stated bound took in virtual time.
+	took time.Duration
+}
+
+// runScript plays lines in a bubble and returns the results of the lines that state
+// a bound.
+func runScript(t *testing.T, lines []string, after func(s *script)) []string {
+	var results []string
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{
+			net: &network{
+				cuts: map[[2]int]bool{},
+			},
+		}
+		defer s.end()
+		for _, line := range lines {
+			if r := s.run(strings.Fields(line)); r != "" {
+				t.Logf("%s: %s after %v", line, r, s.took)
+				results = append(results, r)
+			}
+		}
+		if after != nil {
+			after(s)
+		}
+	})
+	return results
+}
+
+func (s *script) end() {
+	s.net.mu.Lock()
+	s.net.cuts = map[[2]int]bool{}
+	s.net.mu.Unlock()
+	for _, h := range s.net.hosts {
+		h.frozen = false
+		if h.proc != nil {
+			s.net.stop(h)
+		}
+	}
+	s.net.wg.Wait()
+}
+
+func (s *script) run(f []string) string {
+	switch f[0] {
+	case "hosts":
+		s.startHosts(number(f[1]), number(f[2]), number(f[3]))
+	case "wait":
+		time.Sleep(duration(f[1]))
+	case "cut":
+		s.cut(number(f[1]), number(f[2]), true)
+	case "cut_way":
+		s.cut(number(f[1]), number(f[2]), false)
+	case "split":
+		s.split(f[2])
+	case "heal":
+		s.net.mu.Lock()
+		s.net.cuts = map[[2]int]bool{}
+		s.net.mu.Unlock()
+	case "agree":
+		return s.within(duration(f[1]), func() string { return s.disagreement(f[2:]) })
+	case "upstream":
+		return s.within(duration(f[3]), func() string { return s.upstreamGap(f[1], f[2], f[4:]) })
+	case "in_force":
+		return s.within(duration(f[2]), func() string { return s.revisionGap(uint64(number(f[1]))) })
+	case "resolvable":
+		return s.within(duration(f[3]), func() string { return s.resolveGap(number(f[1]), f[2] == "yes") })
+	default:
+		s.runOnHost(f)
+	}
+	return ""
+}
+
+func (s *script) runOnHost(f []string) {
+	h := s.net.hosts[number(f[1])]
+	switch f[0] {
+	case "kill":
+		s.net.stop(h)
+	case "restart":
+		if h.proc != nil {
+			s.net.stop(h)
+		}
+		s.net.start(h)
+	case "freeze", "thaw":
+		s.net.mu.Lock()
+		h.frozen = f[0] == "freeze"
+		s.net.mu.Unlock()
+	case "leave":
+		h.proc.table.SetLeaving()
+	case "saw":
+		h.proc.table.ReportUpstream(f[2], upstreamState(f[3]))
+	case "revision":
+		h.proc.table.SetProgress(uint64(number(f[2])), uint64(number(f[2])))
+	default:
+		panic("unknown command " + f[0])
+	}
+}
+
+func (s *script) startHosts(n, dcs, regions int) {
+	for i := range n {
+		s.net.hosts = append(s.net.hosts, &host{
+			net:    s.net,
+			id:     i,
+			dc:     "dc" + strconv.Itoa(i%dcs),
+			region: "r" + strconv.Itoa(i%dcs%regions),
+		})
+	}
+	for _, h := range s.net.hosts {
+		s.net.start(h)
+	}
+}
+
+func (s *script) cut(a, b int, both bool) {
+	s.net.mu.Lock()
+	defer s.net.mu.Unlock()
+	s.net.cuts[[2]int{a, b}] = true
+	if both {
+		s.net.cuts[[2]int{b, a}] = true
+	}
+}
+
+func (s *script) split(name string) {
+	for _, a := range s.net.hosts {
+		for _, b := range s.net.hosts {
+			inA := a.dc == name || a.region == name
+			inB := b.dc == name || b.region == name
+			if inA && !inB {
+				s.cut(a.id, b.id, true)
+			}
+		}
+	}
+}
+
+// within polls until gap returns "" and says how it ended.
+func (s *script) within(d time.Duration, gap func() string) string {
+	begin := time.Now()
+	for {
+		synctest.Wait()
+		g := gap()
+		s.took = time.Since(begin)
+		if g == "" {
+			return "ok"
+		}
+		if s.took >= d {
+			return g
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// disagreement compares each running daemon's living members with the running
+// daemons that it can reach, perhaps through others.
+func (s *script) disagreement(but []string) string {
+	procs := s.net.running()
+	for _, p := range procs {
+		if slices.Contains(but, p.host.dc) {
+			continue
+		}
+		want := map[string]bool{}
+		s.reach(p, procs, want)
+		for _, m := range p.table.Members() {
+			if m.State != Dead && !want[m.Incarnation] {
+				return fmt.Sprintf("%s holds %s %v", p.table.self, m.Incarnation, m.State)
+			}
+			if m.State != Dead {
+				delete(want, m.Incarnation)
+			}
+		}
+		for inc := range want {
+			return fmt.Sprintf("%s does not hold %s", p.table.self, inc)
+		}
+	}
+	return ""
+}
+
+func (s *script) reach(p *process, procs []*process, found map[string]bool) {
+	found[p.table.self] = true
+	for _, q := range procs {
+		if !found[q.table.self] && s.net.open(p.host, q.host) && s.net.open(q.host, p.host) {
+			s.reach(q, procs, found)
+		}
+	}
+}
+
+func (s *script) upstreamGap(addr, state string, but []string) string {
+	for _, p := range s.net.running() {
+		if len(but) > 0 && p.host.id == number(but[0]) {
+			continue
+		}
+		s.net.mu.Lock()
+		got := p.marks[addr]
+		s.net.mu.Unlock()
+		if got != upstreamState(state) {
+			return fmt.Sprintf("%s holds upstream %s %v", p.table.self, addr, got)
+		}
+	}
+	return ""
+}
+
+func (s *script) revisionGap(revision uint64) string {
+	procs := s.net.running()
+	for _, p := range procs {
+		if have, of := p.table.InForce(revision); have != len(procs) || of != len(procs) {
+			return fmt.Sprintf("%s knows revision %d on %d of %d", p.table.self, revision, have, of)
+		}
+	}
+	return ""
+}
+
+func (s *script) resolveGap(id int, wanted bool) string {
+	addr := s.net.hosts[id].proc.table.Self().CallerAddr
+	for _, p := range s.net.running() {
+		found := false
+		for caller := range 200 {
+			addrs, _ := p.table.Resolve(strconv.Itoa(caller), p.table.Self().DataCentre)
+			for _, a := range addrs {
+				found = found || a == addr
+			}
+		}
+		if found != wanted {
+			return fmt.Sprintf("%s resolves host %d: %v", p.table.self, id, found)
+		}
+	}
+	return ""
+}
+
+func number(s string) int {
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+func duration(s string) time.Duration {
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+func upstreamState(s string) UpstreamState {
+	for _, st := range []UpstreamState{UpstreamUnknown, UpstreamLive, UpstreamLeaving, UpstreamDead} {
+		if st.String() == s {
+			return st
+		}
+	}
+	panic("unknown state " + s)
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -33,6 +33,7 @@
 	digests [bucketCount]uint64
 	living  []*entry // sorted by incarnation; nil when it has to be made again
 	chosen  map[string]bool
+	changed bool // the living members are others than those that chosen was made from
 
 	links    map[*Link]struct{}
 	linked   map[string]*Link
@@ -136,7 +137,7 @@
 	t.toggleDigest(m)
 	if wasLiving != (m.State != Dead) {
 		t.living = nil
-		t.chosen = nil
+		t.changed = true
 	}
 	if m.State != Dead {
 		t.byAddr[m.PeerAddr] = m.Incarnation
