--- /dev/null
+++ b/internal/replay/bound.go
@@ -0,0 +1,161 @@
+package replay
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// Bound returns how many requests a scheduler that knows all arrivals,
+// deadlines and faults beforehand could answer in time, from the capacity of
+// each pool alone: a pool serves its calls one by one, each in the mean work
+// divided by all its slots, earliest deadline first, and every prefix is
+// cached. Other stages, the network, and the fact that a call can't use several
+// slots at once are left out, so the true number is lower. The pool that drops
+// the most requests decides.
+func Bound(d Deployment, s Scenario, trace []Arrival) int {
+	most := 0
+	for _, p := range d.Pools {
+		c := capacity{
+			pool:   p,
+			faults: s.Faults,
+		}
+		most = max(most, c.drops(d.using(p.Name, trace)))
+	}
+	return len(trace) - most
+}
+
+// using returns the arrivals whose route has a stage on the pool.
+func (d Deployment) using(pool string, trace []Arrival) []Arrival {
+	var list []Arrival
+	for _, a := range trace {
+		i := slices.IndexFunc(d.Routes, func(r Route) bool { return r.Name == a.Route })
+		if slices.ContainsFunc(d.Routes[i].Stages, func(s Stage) bool { return s.Pool == pool }) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// capacity is the capacity of one pool under the faults of a scenario.
+type capacity struct {
+	pool   Pool
+	faults []Fault
+}
+
+// work returns the mean time of one call in one slot.
+func (c capacity) work() time.Duration {
+	ms := c.pool.MeanMs + cachedPrefill*c.pool.PrefillMs
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// slots returns the number of slots at a time of the trace; a slow upstream
+// counts for its part.
+func (c capacity) slots(at time.Duration) float64 {
+	upstreams := float64(c.pool.Upstreams)
+	for _, f := range c.faults {
+		over := f.UntilMs > 0 && at.Milliseconds() >= f.UntilMs
+		if f.Pool != c.pool.Name || at.Milliseconds() < f.AtMs || over {
+			continue
+		}
+		upstreams -= float64(f.Count)
+		if f.Kind == "slow" {
+			upstreams += float64(f.Count) / f.Factor
+		}
+	}
+	return upstreams * float64(c.pool.Concurrency)
+}
+
+// drops returns how many of the arrivals the pool can't serve in time.
+func (c capacity) drops(list []Arrival) int {
+	const step = 10 * time.Millisecond
+	var waiting deadlines
+	dropped := 0
+	for at := time.Duration(0); len(list) > 0 || len(waiting) > 0; {
+		for len(list) > 0 && list[0].At() <= at {
+			heap.Push(&waiting, list[0].At()+list[0].Deadline())
+			list = list[1:]
+		}
+		slots := c.slots(at)
+		if len(waiting) == 0 || slots <= 0 {
+			at += step
+		}
+		for len(waiting) > 0 && waiting[0] < at {
+			heap.Pop(&waiting)
+			dropped++
+		}
+		if len(waiting) > 0 && slots > 0 {
+			heap.Pop(&waiting)
+			at += time.Duration(float64(c.work()) / slots)
+		}
+	}
+	return dropped
+}
+
+// deadlines is a heap of deadlines.
+type deadlines []time.Duration
+
+func (h deadlines) Len() int           { return len(h) }
+func (h deadlines) Less(i, j int) bool { return h[i] < h[j] }
+func (h deadlines) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push adds a time.Duration; it is called by container/heap.
+func (h *deadlines) Push(x any) { *h = append(*h, x.(time.Duration)) }
+
+// Pop removes the last deadline; it is called by container/heap.
+func (h *deadlines) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// bottleneck returns the pool that is closest to its capacity.
+func (d Deployment) bottleneck(trace []Arrival) Pool {
+	load := func(p Pool) float64 {
+		c := capacity{
+			pool: p,
+		}
+		return float64(len(d.using(p.Name, trace))) * c.work().Seconds() / c.slots(0)
+	}
+	return slices.MaxFunc(d.Pools, func(a, b Pool) int { return cmp.Compare(load(a), load(b)) })
+}
+
+// scarce returns the routes that use the scarcest pool.
+func (d Deployment) scarce(trace []Arrival) map[string]bool {
+	routes := make(map[string]bool)
+	for _, a := range d.using(d.bottleneck(trace).Name, trace) {
+		routes[a.Route] = true
+	}
+	return routes
+}
+
+// FairShares returns, for each workspace, the smaller of its demand on the
+// scarcest pool and its max-min fair share of that pool, in requests, for the
+// arrivals between from and to.
+func FairShares(d Deployment, s Scenario, trace []Arrival, from, to time.Duration) map[string]float64 {
+	p := d.bottleneck(trace)
+	c := capacity{
+		pool:   p,
+		faults: s.Faults,
+	}
+	demand := make(map[string]float64)
+	for _, a := range d.using(p.Name, trace) {
+		if a.At() >= from && a.At() < to {
+			demand[a.Workspace]++
+		}
+	}
+	left := c.slots(from) * (to - from).Seconds() / c.work().Seconds()
+	names := make([]string, 0, len(demand))
+	for name := range demand {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(demand[a], demand[b]) })
+	shares := make(map[string]float64)
+	for i, name := range names {
+		shares[name] = min(demand[name], left/float64(len(names)-i))
+		left -= shares[name]
+	}
+	return shares
+}
--- /dev/null
+++ b/internal/replay/compare.go
@@ -0,0 +1,74 @@
+package replay
+
+import "time"
+
+// Comparison plays a scenario with several policies over the same seeds.
+type Comparison struct {
+	Deployment Deployment
+	Scenario   Scenario
+	Trace      []Arrival
+	Policies   []Policy
+	Seeds      []uint64
+	// Play plays one run; the caller gives it a clock.
+	Play func(Config) (*Run, error)
+}
+
+// Reports returns one report for each policy.
+func (c Comparison) Reports() ([]Report, error) {
+	var reports []Report
+	for _, p := range c.Policies {
+		r := c.report(p)
+		for _, seed := range c.Seeds {
+			if err := c.add(&r, p, seed); err != nil {
+				return nil, err
+			}
+		}
+		reports = append(reports, r)
+	}
+	return reports, nil
+}
+
+func (c Comparison) report(p Policy) Report {
+	from, to := c.Scenario.window(c.Trace)
+	return Report{
+		Policy:   p.Name,
+		Scenario: c.Scenario,
+		Bound:    Bound(c.Deployment, c.Scenario, c.Trace),
+		Shares:   FairShares(c.Deployment, c.Scenario, c.Trace, from, to),
+		Scarce:   c.Deployment.scarce(c.Trace),
+		From:     from,
+		To:       to,
+	}
+}
+
+// add plays one seed with the faults, and without them unless there are none.
+func (c Comparison) add(r *Report, p Policy, seed uint64) error {
+	cfg := Config{
+		Deployment: c.Deployment,
+		Scenario:   c.Scenario,
+		Trace:      c.Trace,
+		Policy:     p,
+		Seed:       seed,
+	}
+	run, err := c.Play(cfg)
+	if err != nil {
+		return err
+	}
+	r.Runs = append(r.Runs, run)
+	if len(c.Scenario.Faults) > 0 || c.Scenario.LoadLagMs > 0 {
+		cfg.Scenario.Faults = nil
+		cfg.Scenario.LoadLagMs = 0
+		run, err = c.Play(cfg)
+	}
+	r.Unfaulted = append(r.Unfaulted, run)
+	return err
+}
+
+// window returns the part of the trace in which shares are compared: from the
+// first to the last arrival of the flooding workspace's flood, else all.
+func (s Scenario) window(trace []Arrival) (from, to time.Duration) {
+	if s.Flood != "" {
+		return time.Duration(s.FloodFromMs) * time.Millisecond, time.Duration(s.FloodToMs) * time.Millisecond
+	}
+	return 0, trace[len(trace)-1].At() + 1
+}
--- /dev/null
+++ b/internal/replay/deployment.go
@@ -0,0 +1,226 @@
+package replay
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/upstream"
+)
+
+// Deployment is what a trace is played against.
+type Deployment struct {
+	Name        string      `json:"name"`
+	DataCentres []string    `json:"data_centres"`
+	OneWayMs    float64     `json:"one_way_ms"`
+	EntryHosts  int         `json:"entry_hosts"`
+	Pools       []Pool      `json:"pools"`
+	Routes      []Route     `json:"routes"`
+	Workspaces  []Workspace `json:"workspaces"`
+}
+
+// Pool describes a pool and the upstreams that stand in for its service.
+type Pool struct {
+	Name        string `json:"name"`
+	Kind        string `json:"kind"`
+	Upstreams   int    `json:"upstreams"`
+	Concurrency int    `json:"concurrency"`
+	// MeanMs is the mean time of a call without queueing and PrefillMs the
+	// time on top of it for a prefix that is not cached. Sigma and Noise are
+	// the spread (of the logarithm) between requests and between attempts.
+	MeanMs         float64 `json:"mean_ms"`
+	PrefillMs      float64 `json:"prefill_ms"`
+	CachedPrefixes int     `json:"cached_prefixes"`
+	Sigma          float64 `json:"sigma"`
+	Noise          float64 `json:"noise"`
+}
+
+// Route describes a route and its part of the traffic.
+type Route struct {
+	Name       string  `json:"name"`
+	DeadlineMs int64   `json:"deadline_ms"`
+	Share      float64 `json:"share"`
+	// Items is the number of different inputs; zero means that no two are
+	// alike.
+	Items  int     `json:"items"`
+	Stages []Stage `json:"stages"`
+}
+
+// Stage describes one stage of a route.
+type Stage struct {
+	Name          string `json:"name"`
+	Pool          string `json:"pool"`
+	NotRepeatable bool   `json:"not_repeatable"`
+	Reusable      bool   `json:"reusable"`
+	Model         string `json:"model"`
+}
+
+// Workspace is a workspace and its part of the traffic.
+type Workspace struct {
+	Name  string  `json:"name"`
+	Share float64 `json:"share"`
+}
+
+// Fault is something that goes wrong during a scenario.
+type Fault struct {
+	// Kind is slow, dead, failing, leaving or entry_lost.
+	Kind    string `json:"kind"`
+	AtMs    int64  `json:"at_ms"`
+	UntilMs int64  `json:"until_ms"`
+	Pool    string `json:"pool"`
+	// Count is the number of upstreams or entry hosts that it hits.
+	Count int `json:"count"`
+	// Factor is how much slower they get.
+	Factor float64 `json:"factor"`
+}
+
+// Scenario is a trace with faults and stated outcomes.
+type Scenario struct {
+	Name       string  `json:"name"`
+	Deployment string  `json:"deployment"`
+	Trace      string  `json:"trace"`
+	Faults     []Fault `json:"faults"`
+	// LoadLagMs is the age of the load that upstreams report.
+	LoadLagMs int64 `json:"load_lag_ms"`
+	// Tries is the number of times that a caller tries a request that was
+	// refused. Zero means once.
+	Tries int `json:"tries"`
+	// Flood is the workspace that floods the others from FloodFromMs to
+	// FloodToMs.
+	Flood       string `json:"flood"`
+	FloodFromMs int64  `json:"flood_from_ms"`
+	FloodToMs   int64  `json:"flood_to_ms"`
+	Expect      Expect `json:"expect"`
+}
+
+// Expect is the stated outcome of a scenario, as ratios.
+type Expect struct {
+	// AttainmentOfBound is the least part of what an all-knowing scheduler
+	// answers in time.
+	AttainmentOfBound float64 `json:"attainment_of_bound"`
+	// CostRatio is the most upstream seconds per answered request, in terms
+	// of those without the fault.
+	CostRatio float64 `json:"cost_ratio"`
+	// FairShare is the least part of the smaller of demand and fair share
+	// that each workspace but the flooding one gets.
+	FairShare float64 `json:"fair_share"`
+}
+
+// LoadScenario reads the scenario in the file at path, and its deployment.
+func LoadScenario(path string) (Scenario, Deployment, error) {
+	var s Scenario
+	var d Deployment
+	if err := loadJSON(path, &s); err != nil {
+		return s, d, err
+	}
+	err := loadJSON(filepath.Join(filepath.Dir(path), "..", "deployments", s.Deployment+".json"), &d)
+	return s, d, err
+}
+
+// LoadDeployment reads the deployment in the file at path.
+func LoadDeployment(path string) (Deployment, error) {
+	var d Deployment
+	err := loadJSON(path, &d)
+	return d, err
+}
+
+func loadJSON(path string, v any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("load: %w", err)
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("load %s: %w", path, err)
+	}
+	return nil
+}
+
+// Tables returns the deployment's routes and pools.
+func (d Deployment) Tables() (*table.Tables, error) {
+	t := table.New()
+	for i, p := range d.Pools {
+		pool, err := d.pool(p)
+		if err != nil {
+			return nil, err
+		}
+		t = t.WithChange(table.SetPool{
+			Pool: pool,
+		}, uint64(i+1))
+	}
+	for i, r := range d.Routes {
+		t = t.WithChange(table.SetRoute{
+			Route: r.route(),
+		}, uint64(len(d.Pools)+i+1))
+	}
+	return t, nil
+}
+
+func (d Deployment) pool(p Pool) (table.Pool, error) {
+	kind, err := table.ParseKind(p.Kind)
+	if err != nil {
+		return table.Pool{}, fmt.Errorf("pool %s: %w", p.Name, err)
+	}
+	pool := table.Pool{
+		Name:        p.Name,
+		Kind:        kind,
+		Service:     p.Name,
+		Concurrency: p.Concurrency,
+	}
+	if kind == table.Engine {
+		pool.Models = d.models(p.Name)
+	}
+	return pool, nil
+}
+
+func (d Deployment) models(pool string) []string {
+	var models []string
+	for _, r := range d.Routes {
+		for _, s := range r.Stages {
+			if s.Pool == pool {
+				models = append(models, s.Model)
+			}
+		}
+	}
+	return models
+}
+
+func (r Route) route() table.Route {
+	route := table.Route{
+		Name:     r.Name,
+		Deadline: time.Duration(r.DeadlineMs) * time.Millisecond,
+	}
+	for _, s := range r.Stages {
+		route.Stages = append(route.Stages, table.Stage{
+			Name:          s.Name,
+			Pool:          s.Pool,
+			NotRepeatable: s.NotRepeatable,
+			Reusable:      s.Reusable,
+			Model:         s.Model,
+		})
+	}
+	return route
+}
+
+// Hosts returns the deployment's host list.
+func (d Deployment) Hosts() []upstream.Host {
+	var hosts []upstream.Host
+	n := 0
+	for _, p := range d.Pools {
+		for i := range p.Upstreams {
+			hosts = append(hosts, upstream.Host{
+				Addr:       address(p.Name, i),
+				DataCentre: d.DataCentres[n%len(d.DataCentres)],
+				Service:    p.Name,
+			})
+			n++
+		}
+	}
+	return hosts
+}
+
+func address(pool string, i int) string {
+	return fmt.Sprintf("%s-%d", pool, i)
+}
--- /dev/null
+++ b/internal/replay/generate.go
@@ -0,0 +1,128 @@
+package replay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Generator makes a trace. The same fields make the same trace.
+type Generator struct {
+	Deployment Deployment
+	Seed       uint64
+	Length     time.Duration
+	// PerSecond is the mean rate of arrivals outside bursts and floods.
+	PerSecond float64
+	// BurstFactor multiplies the rate of the ordinary traffic, or, with a
+	// FloodWorkspace, adds that workspace's traffic at so many times the mean
+	// rate, from BurstAt for BurstLength.
+	BurstFactor    float64
+	BurstAt        time.Duration
+	BurstLength    time.Duration
+	FloodWorkspace string
+	// Prefixes is the number of long prompt prefixes of each workspace.
+	Prefixes int
+}
+
+const (
+	// prefixBytes is the size of a shared prefix, and itemBytes that of the
+	// largest part that differs.
+	prefixBytes = 1100
+	itemBytes   = 2000
+	// lookupBytes is the size of inputs that repeat.
+	lookupBytes = 200
+)
+
+// Generate returns the trace.
+func (g Generator) Generate() []Arrival {
+	rng := rand.New(rand.NewPCG(g.Seed, g.Seed))
+	var list []Arrival
+	ordinary := g.PerSecond
+	at := time.Duration(0)
+	for {
+		rate := ordinary
+		if g.inBurst(at) && g.FloodWorkspace == "" {
+			rate *= g.BurstFactor
+		}
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= g.Length {
+			break
+		}
+		list = append(list, g.arrival(rng, at, g.workspace(rng), len(list)))
+	}
+	if g.FloodWorkspace != "" {
+		list = g.appendFlood(rng, list)
+	}
+	return list
+}
+
+func (g Generator) inBurst(at time.Duration) bool {
+	return at >= g.BurstAt && at < g.BurstAt+g.BurstLength
+}
+
+func (g Generator) appendFlood(rng *rand.Rand, list []Arrival) []Arrival {
+	rate := g.PerSecond * g.BurstFactor
+	for at := g.BurstAt; g.inBurst(at); at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
+		list = append(list, g.arrival(rng, at, g.FloodWorkspace, len(list)))
+	}
+	slices.SortStableFunc(list, func(a, b Arrival) int { return int(a.ArrivalMs - b.ArrivalMs) })
+	return list
+}
+
+func (g Generator) arrival(rng *rand.Rand, at time.Duration, workspace string, n int) Arrival {
+	route := g.route(rng)
+	a := Arrival{
+		ArrivalMs:  at.Milliseconds(),
+		Workspace:  workspace,
+		Route:      route.Name,
+		DeadlineMs: route.DeadlineMs,
+		Repeatable: true,
+	}
+	for _, s := range route.Stages {
+		if s.NotRepeatable {
+			a.Repeatable = false
+			a.Key = fmt.Sprintf("k%d", n)
+		}
+	}
+	if route.Items > 0 {
+		a.Prefix = fmt.Sprintf("item%d", zipf(rng, route.Items))
+		a.InputBytes = lookupBytes
+		return a
+	}
+	a.Prefix = fmt.Sprintf("%s%d", workspace, zipf(rng, max(g.Prefixes, 1)))
+	a.InputBytes = prefixBytes + rng.IntN(itemBytes)
+	return a
+}
+
+// zipf returns a number below n, the small ones most often.
+func zipf(rng *rand.Rand, n int) uint64 {
+	const skew = 1.2
+	return rand.NewZipf(rng, skew, 1, uint64(n-1)).Uint64()
+}
+
+func (g Generator) workspace(rng *rand.Rand) string {
+	list := g.Deployment.Workspaces
+	i := weighted(rng, len(list), func(i int) float64 { return list[i].Share })
+	return list[i].Name
+}
+
+func (g Generator) route(rng *rand.Rand) Route {
+	list := g.Deployment.Routes
+	return list[weighted(rng, len(list), func(i int) float64 { return list[i].Share })]
+}
+
+func weighted(rng *rand.Rand, n int, weight func(int) float64) int {
+	total := 0.0
+	for i := range n {
+		total += weight(i)
+	}
+	x := rng.Float64() * total
+	for i := range n {
+		x -= weight(i)
+		if x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
--- /dev/null
+++ b/internal/replay/playhttp.go
@@ -0,0 +1,88 @@
+package replay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/wire/callerapi"
+)
+
+// PlayHTTP plays the trace open-loop against the daemons at the addresses. A
+// caller goes on to the next address when it can't connect to one.
+func PlayHTTP(ctx context.Context, trace []Arrival, addrs []string) (*Run, error) {
+	clients := make([]*callerapi.Client, len(addrs))
+	for i, addr := range addrs {
+		c, err := callerapi.NewClient("http://"+addr, callerapi.WithClient(&http.Client{}))
+		if err != nil {
+			return nil, fmt.Errorf("entry %s: %w", addr, err)
+		}
+		clients[i] = c
+	}
+	run := &Run{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i, a := range trace {
+		if err := wait(ctx, time.Until(start.Add(a.At()))); err != nil {
+			break
+		}
+		wg.Go(func() {
+			res := callHTTP(ctx, a, clients, i)
+			mu.Lock()
+			defer mu.Unlock()
+			run.Results = append(run.Results, res)
+		})
+	}
+	wg.Wait()
+	return run, ctx.Err()
+}
+
+// callHTTP sends one request and returns what became of it.
+func callHTTP(ctx context.Context, a Arrival, clients []*callerapi.Client, i int) Result {
+	res := Result{
+		Arrival: a,
+		Outcome: "unknown",
+	}
+	began := time.Now()
+	for n := range clients {
+		res.Tries++
+		answer, err := clients[(i+n)%len(clients)].CallRoute(ctx, call(a), params(a))
+		res.Took = time.Since(began)
+		var status *callerapi.OutcomeStatusCodeWithHeaders
+		switch {
+		case err == nil:
+			res.Outcome = string(answer.Outcome)
+			res.InTime = res.Took <= a.Deadline()
+			return res
+		case errors.As(err, &status):
+			res.Outcome = string(status.Response.Outcome)
+			res.Code = status.Response.Code
+			return res
+		case !a.Repeatable:
+			return res
+		}
+	}
+	return res
+}
+
+func call(a Arrival) *callerapi.Call {
+	return &callerapi.Call{
+		Workspace:  a.Workspace,
+		Input:      a.Input(),
+		DeadlineMs: callerapi.NewOptInt64(a.DeadlineMs),
+	}
+}
+
+func params(a Arrival) callerapi.CallRouteParams {
+	p := callerapi.CallRouteParams{
+		Route: a.Route,
+	}
+	if a.Key != "" {
+		p.IdempotencyKey = callerapi.NewOptString(a.Key)
+	}
+	return p
+}
--- /dev/null
+++ b/internal/replay/policy.go
@@ -0,0 +1,79 @@
+package replay
+
+import (
+	"sequoiafork/internal/admission"
+	"sequoiafork/internal/budget"
+	"sequoiafork/internal/upstream"
+)
+
+// Policy is a set of decisions that a trace is played with.
+type Policy struct {
+	Name      string
+	Upstream  upstream.Config
+	Admission admission.Config
+	Budget    budget.Config
+	NoHedge   bool
+}
+
+// Policies returns the system's own policy first and then the baselines: each
+// replaces one decision by its simplest form, and the last one all of them.
+func Policies() []Policy {
+	choice := func(name string, p upstream.Policy) Policy {
+		return Policy{
+			Name: name,
+			Upstream: upstream.Config{
+				Policy: p,
+			},
+		}
+	}
+	return []Policy{
+		{
+			Name: "own",
+		},
+		choice("round_robin", upstream.RoundRobin{}),
+		choice("random", upstream.Random{}),
+		choice("least_in_flight", upstream.LeastInFlight{}),
+		{
+			Name: "no_ejection",
+			Upstream: upstream.Config{
+				NoEjection: true,
+			},
+		},
+		{
+			Name:    "no_hedge",
+			NoHedge: true,
+		},
+		{
+			Name: "no_budget",
+			Budget: budget.Config{
+				Unlimited: true,
+			},
+		},
+		{
+			Name: "no_admission",
+			Admission: admission.Config{
+				Discipline: admission.Unlimited{},
+			},
+		},
+		{
+			Name: "first_come",
+			Admission: admission.Config{
+				Discipline: admission.FirstCome{},
+			},
+		},
+		{
+			Name: "plain",
+			Upstream: upstream.Config{
+				Policy:     upstream.RoundRobin{},
+				NoEjection: true,
+			},
+			Admission: admission.Config{
+				Discipline: admission.Unlimited{},
+			},
+			Budget: budget.Config{
+				Unlimited: true,
+			},
+			NoHedge: true,
+		},
+	}
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,74 @@
+package replay
+
+import (
+	"flag"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	seedCount = flag.Int("seeds", 1, "number of seeds that TestReplay plays")
+	policies  = flag.String("policies", "own", "policies that TestReplay compares, or all")
+	scenarios = flag.String("scenarios", "*", "pattern of the scenarios that TestReplay plays")
+)
+
+// TestReplay plays the recorded scenarios on the paused clock. Promises must
+// hold in every run; the stated outcomes are for the own policy.
+//
+//	go test ./internal/replay -run TestReplay -v -seeds 5 -policies all
+func TestReplay(t *testing.T) {
+	paths, err := filepath.Glob("../../testdata/scenarios/" + *scenarios + ".json")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".json"), func(t *testing.T) {
+			t.Parallel()
+			replayScenario(t, path)
+		})
+	}
+}
+
+func replayScenario(t *testing.T, path string) {
+	s, d, err := LoadScenario(path)
+	require.NoError(t, err)
+	trace, err := LoadTrace(filepath.Join("../../testdata/traces", s.Trace+".jsonl"))
+	require.NoError(t, err)
+	c := Comparison{
+		Deployment: d,
+		Scenario:   s,
+		Trace:      trace,
+		Policies:   chosen(),
+		Play: func(cfg Config) (run *Run, err error) {
+			synctest.Test(t, func(*testing.T) { run, err = Play(cfg) })
+			return run, err
+		},
+	}
+	for i := range *seedCount {
+		c.Seeds = append(c.Seeds, uint64(i+1))
+	}
+	reports, err := c.Reports()
+	require.NoError(t, err)
+	var b strings.Builder
+	require.NoError(t, WriteComparison(&b, reports))
+	require.NoError(t, WriteDetails(&b, reports[0].Runs[0]))
+	t.Logf("%d arrivals, bound %d\n%s", len(trace), reports[0].Bound, b.String())
+	for _, r := range reports {
+		require.Zero(t, r.Broken(), "policy %s broke a promise", r.Policy)
+	}
+	for _, short := range reports[0].Shortfalls() {
+		t.Errorf("policy %s falls short: %s", reports[0].Policy, short)
+	}
+}
+
+func chosen() []Policy {
+	if *policies == "all" {
+		return Policies()
+	}
+	names := strings.Split(*policies, ",")
+	return slices.DeleteFunc(Policies(), func(p Policy) bool { return !slices.Contains(names, p.Name) })
+}
--- /dev/null
+++ b/internal/replay/report.go
@@ -0,0 +1,188 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Spread is the median of a figure over several seeds, with its extremes.
+type Spread struct {
+	Median, Least, Most float64
+}
+
+// SpreadOf returns the spread of the values.
+func SpreadOf(values []float64) Spread {
+	const half = 0.5
+	sorted := slices.Sorted(slices.Values(values))
+	return Spread{
+		Median: stat.Quantile(half, stat.Empirical, sorted, nil),
+		Least:  sorted[0],
+		Most:   sorted[len(sorted)-1],
+	}
+}
+
+// String returns the spread with three decimals.
+func (s Spread) String() string {
+	return fmt.Sprintf("%.3f [%.3f %.3f]", s.Median, s.Least, s.Most)
+}
+
+// Report is the runs of one scenario with one policy, one for each seed.
+type Report struct {
+	Policy   string
+	Scenario Scenario
+	// Bound is the number of requests that could be answered in time.
+	Bound int
+	// Shares are what each workspace is due of the scarcest pool between From
+	// and To, and Scarce the routes that use it.
+	Shares map[string]float64
+	Scarce map[string]bool
+	From   time.Duration
+	To     time.Duration
+	Runs   []*Run
+	// Unfaulted are the runs of the same policy and seeds without faults.
+	Unfaulted []*Run
+}
+
+func (r Report) over(figure func(*Run) float64) Spread {
+	values := make([]float64, len(r.Runs))
+	for i, run := range r.Runs {
+		values[i] = figure(run)
+	}
+	return SpreadOf(values)
+}
+
+// Attainment is the part of the requests that was answered in time.
+func (r Report) Attainment() Spread {
+	return r.over(func(run *Run) float64 { return run.Count(All).Attainment() })
+}
+
+// OfBound is the number of requests answered in time as part of the bound.
+func (r Report) OfBound() Spread {
+	return r.over(func(run *Run) float64 { return float64(run.Count(All).InTime) / float64(r.Bound) })
+}
+
+// Cost is the upstream seconds per request answered in time.
+func (r Report) Cost() Spread {
+	return r.over((*Run).CostPerAnswer)
+}
+
+// CostRatio is the cost in terms of that without faults.
+func (r Report) CostRatio() Spread {
+	values := make([]float64, len(r.Runs))
+	for i, run := range r.Runs {
+		values[i] = run.CostPerAnswer() / r.Unfaulted[i].CostPerAnswer()
+	}
+	return SpreadOf(values)
+}
+
+// Fairness is the least part of its share that a workspace other than the
+// flooding one got.
+func (r Report) Fairness() Spread {
+	return r.over(func(run *Run) float64 {
+		least := 1.0
+		for name, share := range r.Shares {
+			if name == r.Scenario.Flood || share == 0 {
+				continue
+			}
+			got := run.Count(func(res Result) bool {
+				at := res.Arrival.At()
+				return res.Arrival.Workspace == name && at >= r.From && at < r.To && r.Scarce[res.Arrival.Route]
+			})
+			least = min(least, float64(got.InTime)/share)
+		}
+		return least
+	})
+}
+
+// Broken counts the promises that were broken: requests said not to have run
+// that had, and second executions of what may not be repeated.
+func (r Report) Broken() int {
+	n := 0
+	for _, run := range r.Runs {
+		n += run.Untrue + run.Doubled
+	}
+	return n
+}
+
+// Shortfalls lists the stated outcomes that were not reached.
+func (r Report) Shortfalls() []string {
+	var list []string
+	e := r.Scenario.Expect
+	if got := r.OfBound().Median; got < e.AttainmentOfBound {
+		list = append(list, fmt.Sprintf("attainment %.3f of the bound, want %.3f", got, e.AttainmentOfBound))
+	}
+	if got := r.CostRatio().Median; e.CostRatio > 0 && got > e.CostRatio {
+		list = append(list, fmt.Sprintf("cost ratio %.3f, want %.3f", got, e.CostRatio))
+	}
+	if got := r.Fairness().Median; e.FairShare > 0 && got < e.FairShare {
+		list = append(list, fmt.Sprintf("fair share %.3f, want %.3f", got, e.FairShare))
+	}
+	return list
+}
+
+// WriteComparison writes one line for each policy.
+func WriteComparison(w io.Writer, reports []Report) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "policy\tattainment\tof bound\tupstream s/answer\tcost ratio\tfair share\tlate\tnot_run\tfailed\tunknown\tp50\tp95\tp99\tbroken")
+	for _, r := range reports {
+		c := r.Runs[0].Count(All)
+		fmt.Fprintf(t, "%s\t%v\t%.3f\t%v\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t%d\n",
+			r.Policy, r.Attainment(), r.OfBound().Median, r.Cost(), r.CostRatio().Median, r.Fairness().Median,
+			c.Late, c.NotRun, c.Failed, c.Unknown, c.short(50), c.short(95), c.short(99), r.Broken())
+	}
+	return t.Flush()
+}
+
+func (c Counts) short(q float64) time.Duration {
+	return c.Quantile(q).Round(10 * time.Millisecond)
+}
+
+// WriteDetails writes the first run by route, by workspace and by pool.
+func WriteDetails(w io.Writer, run *Run) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "part\tsent\tin time\tlate\tnot_run\tfailed\tunknown\tp50\tp95\tp99")
+	parts := []func(Arrival) string{
+		func(a Arrival) string { return "route " + a.Route },
+		func(a Arrival) string { return "workspace " + a.Workspace },
+	}
+	for _, part := range parts {
+		for _, name := range run.names(part) {
+			c := run.Count(func(r Result) bool { return part(r.Arrival) == name })
+			fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\n", name,
+				c.Sent, c.InTime, c.Late, c.NotRun, c.Failed, c.Unknown, c.short(50), c.short(95), c.short(99))
+		}
+	}
+	answered := float64(max(run.Count(All).InTime, 1))
+	fmt.Fprintln(t, "pool\texecutions/answer\tseconds/answer")
+	for _, name := range run.pools() {
+		c := run.Costs[name]
+		fmt.Fprintf(t, "%s\t%.3f\t%.4f\n", name, float64(c.Executions)/answered, c.Busy.Seconds()/answered)
+	}
+	return t.Flush()
+}
+
+func (r *Run) names(part func(Arrival) string) []string {
+	var names []string
+	for _, res := range r.Results {
+		if name := part(res.Arrival); !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, strings.Compare)
+	return names
+}
+
+func (r *Run) pools() []string {
+	var names []string
+	for name := range r.Costs {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/replay/run.go
@@ -0,0 +1,119 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sequoiafork/internal/outcome"
+)
+
+// Result is what became of one arrival.
+type Result struct {
+	Arrival Arrival
+	Outcome string
+	Code    string
+	InTime  bool
+	Tries   int
+	Took    time.Duration
+	untrue  bool
+}
+
+// settle notes the outcome of the last try.
+func (r *Result) settle(o outcome.Outcome, total, try time.Duration) {
+	r.Outcome = outcome.Name(o)
+	r.Code = string(outcome.CodeOf(o))
+	r.Took = total
+	_, answered := o.(outcome.Answered)
+	r.InTime = answered && try <= r.Arrival.Deadline()
+}
+
+// Run is what became of a trace.
+type Run struct {
+	Results []Result
+	Costs   map[string]Cost
+	// Untrue counts requests that were said not to have run and had, and
+	// Doubled the executions of a stage that may not be repeated beyond the
+	// first.
+	Untrue  int
+	Doubled int
+}
+
+func (p *player) run() *Run {
+	r := &Run{
+		Results: p.results,
+		Costs:   make(map[string]Cost),
+	}
+	for name, c := range p.fleet.costs {
+		r.Costs[name] = *c
+	}
+	for _, res := range r.Results {
+		if res.untrue {
+			r.Untrue++
+		}
+	}
+	for _, n := range p.fleet.once {
+		r.Doubled += n - 1
+	}
+	return r
+}
+
+// Counts are the outcomes of a part of a run.
+type Counts struct {
+	Sent, InTime, Late, NotRun, Failed, Unknown int
+	Times                                       *hdrhistogram.Histogram
+}
+
+// Count returns the outcomes of the results that match.
+func (r *Run) Count(match func(Result) bool) Counts {
+	const digits = 2
+	c := Counts{
+		Times: hdrhistogram.New(1, time.Hour.Microseconds(), digits),
+	}
+	for _, res := range r.Results {
+		if match(res) {
+			c.add(res)
+		}
+	}
+	return c
+}
+
+// All matches every result.
+func All(Result) bool { return true }
+
+func (c *Counts) add(res Result) {
+	c.Sent++
+	switch {
+	case res.InTime:
+		c.InTime++
+		_ = c.Times.RecordValue(res.Took.Microseconds())
+	case res.Outcome == "answered":
+		c.Late++
+	case res.Outcome == "not_run":
+		c.NotRun++
+	case res.Outcome == "failed":
+		c.Failed++
+	default:
+		c.Unknown++
+	}
+}
+
+// Quantile returns the q-th quantile, from 0 to 100, of the times to the end
+// of the requests that were answered in time.
+func (c Counts) Quantile(q float64) time.Duration {
+	return time.Duration(c.Times.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// Attainment returns the part that was answered in time.
+func (c Counts) Attainment() float64 {
+	return float64(c.InTime) / float64(max(c.Sent, 1))
+}
+
+// CostPerAnswer returns the upstream seconds per request answered in time.
+func (r *Run) CostPerAnswer() float64 {
+	busy := time.Duration(0)
+	for _, c := range r.Costs {
+		busy += c.Busy
+	}
+	return busy.Seconds() / float64(max(r.Count(All).InTime, 1))
+}
