Eject upstreams by the rate of slow attempts

A straggler was never ejected: hedges cut its attempts off at the high quantile, so its mean stayed under three times the others'. An attempt now counts as slow from 2.5 times the group's mean, however it ended; two in a row eject, for 10 s at first instead of 5.

--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -56,7 +56,7 @@
 	var b strings.Builder
 	require.NoError(t, WriteComparison(&b, reports))
 	require.NoError(t, WriteDetails(&b, reports[0].Runs[0]))
-	t.Logf("%d arrivals, bound %d\n%s", len(trace), reports[0].Bound, b.String())
+	t.Logf("%s: %d arrivals, bound %d\n%s", s.Name, len(trace), reports[0].Bound, b.String())
 	for _, r := range reports {
 		require.Zero(t, r.Broken(), "policy %s broke a promise", r.Policy)
 	}
--- a/internal/upstream/config.go
+++ b/internal/upstream/config.go
@@ -19,7 +19,7 @@
 	defaultLeavingTTL    = 5 * time.Minute
 	defaultProbeMin      = 250 * time.Millisecond
 	defaultProbeMax      = 8 * time.Second
-	defaultEjectMin      = 5 * time.Second
+	defaultEjectMin      = 10 * time.Second
 	defaultEjectMax      = time.Minute
 	defaultReturnTime    = 10 * time.Second
 	defaultLoadHalfLife  = 2 * time.Second
--- a/internal/upstream/done.go
+++ b/internal/upstream/done.go
@@ -34,6 +34,7 @@
 		g.failed(m, now)
 	case TimedOut:
 		g.observe(m, r.Latency)
+		g.ejectIfSlow(m, now)
 		g.failed(m, now)
 	case LeftPool:
 		g.setMark(m, g.own(Leaving, "answered that it leaves", now), now)
@@ -80,10 +81,9 @@
 
 // observe adds a time to the means of m and of the group.
 func (g *group) observe(m *member, d time.Duration) {
-	m.observeLatency(d)
 	if g.latency == 0 {
 		g.latency = float64(d)
-		return
 	}
+	m.observeLatency(d, float64(d) > slowFactor*g.latency)
 	g.latency += latencyWeight / float64(max(len(g.subset), 1)) * (float64(d) - g.latency)
 }
--- a/internal/upstream/eject.go
+++ b/internal/upstream/eject.go
@@ -3,19 +3,14 @@
 import "time"
 
 const (
-	// failingRate is the failure rate above which an upstream is ejected,
-	// unless the others fail much alike.
+	// failingRate is the rate of failed or of slow attempts from which an
+	// upstream is ejected, unless the others do much alike.
 	failingRate = 0.5
 	// failingFactor is how much higher than the others' it has to be.
 	failingFactor = 2
-	// slowFactor is how much slower than the others an ejected one is.
-	slowFactor = 3
-	// suspectFactor is how much slower than the group's mean one is looked at.
-	suspectFactor = 1.2
-	// slowSamples is the number of times that must tell so, and
-	// returnSamples the number soon after an ejection.
-	slowSamples   = 8
-	returnSamples = 3
+	// slowFactor is how much longer than the group's mean an attempt takes to
+	// count as slow. Attempts that were given up count by how long they ran.
+	slowFactor = 2.5
 	// ejectablePart is the part of a pool that may be ejected at once.
 	ejectablePart = 3
 	// returnLatency is the mean that a slow upstream comes back with, as a
@@ -24,42 +19,34 @@
 )
 
 func (g *group) ejectIfFailing(m *member, now time.Time) {
-	if m.failures < failingRate {
-		return
-	}
-	sum, n := 0.0, 0
-	for _, o := range g.subset {
-		if o != m && o.usable(now) {
-			sum += o.failures
-			n++
-		}
-	}
-	if n > 0 && m.failures > failingFactor*sum/float64(n) {
+	if m.failures >= failingRate && g.standsOut(m, (*member).failureRate, now) {
 		g.eject(m, "fails", now)
 	}
 }
 
 func (g *group) ejectIfSlow(m *member, now time.Time) {
-	needed := slowSamples
-	if m.ejections > 0 {
-		needed = returnSamples
-	}
-	// The group's mean includes m, so this spares the scan in most cases.
-	if m.samples < needed || m.latency <= suspectFactor*g.latency {
-		return
+	if m.slow >= failingRate && g.standsOut(m, (*member).slowRate, now) {
+		g.eject(m, "is slow", now)
 	}
+}
+
+// standsOut reports whether m's rate is much higher than that of the others
+// that take work.
+func (g *group) standsOut(m *member, rate func(*member) float64, now time.Time) bool {
 	sum, n := 0.0, 0
 	for _, o := range g.subset {
-		if o != m && o.latency > 0 && o.usable(now) {
-			sum += o.latency
+		if o != m && o.usable(now) {
+			sum += rate(o)
 			n++
 		}
 	}
-	if n > 0 && m.latency > slowFactor*sum/float64(n) {
-		g.eject(m, "is slow", now)
-	}
+	return n > 0 && rate(m) > failingFactor*sum/float64(n)
 }
 
+func (m *member) failureRate() float64 { return m.failures }
+
+func (m *member) slowRate() float64 { return m.slow }
+
 // eject keeps work from m for a while, unless too many are ejected already.
 func (g *group) eject(m *member, why string, now time.Time) {
 	if g.cfg.NoEjection || now.Before(m.ejected) {
@@ -75,7 +62,7 @@
 	m.ejected = now.Add(min(g.cfg.EjectMin<<min(m.ejections-1, 16), g.cfg.EjectMax))
 	m.why = why
 	m.failures = 0
-	m.samples = 0
+	m.slow = 0
 	m.latency = returnLatency * g.latency
 }
 
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -6,7 +6,7 @@
 	// latencyWeight is the weight of the newest time in an upstream's mean.
 	latencyWeight = 0.1
 	// failureWeight is the weight of the newest outcome in its failure rate.
-	failureWeight = 0.2
+	failureWeight = 0.35
 	// fastest and slowest bound the relative speed in the score.
 	fastest = 0.5
 	slowest = 10.0
@@ -33,11 +33,12 @@
 	capacity int
 	reported time.Time
 
-	// latency is the mean time in nanoseconds over samples attempts.
+	// latency is the mean time of an attempt in nanoseconds.
 	latency float64
-	samples int
-	// failures is the recent rate of failed attempts, from 0 to 1.
+	// failures and slow are the recent rates of failed and of slow attempts,
+	// from 0 to 1.
 	failures float64
+	slow     float64
 	lastDone time.Time
 	lastOK   time.Time
 
@@ -123,9 +124,13 @@
 	return max(firstShare, float64(since)/float64(returnTime))
 }
 
-func (m *member) observeLatency(d time.Duration) {
-	m.samples++
-	if m.samples == 1 && m.latency == 0 {
+func (m *member) observeLatency(d time.Duration, slow bool) {
+	was := 0.0
+	if slow {
+		was = 1
+	}
+	m.slow += failureWeight * (was - m.slow)
+	if m.latency == 0 {
 		m.latency = float64(d)
 		return
 	}
