Avoid an upstream whose attempts in flight run too long

Before the first slow attempt has ended, the mean age of those in flight tells: above 1.5 times the group's mean time (2.5 for a single one) the upstream loses its affinity and scores worse. One slow attempt is enough to eject again.

--- a/internal/upstream/done.go
+++ b/internal/upstream/done.go
@@ -8,17 +8,18 @@
 	if c.member == nil {
 		return
 	}
-	st, changed := c.group.done(c.member, r, time.Now())
+	st, changed := c.group.done(c.member, c.started, r, time.Now())
 	if changed && c.group.cfg.OnMark != nil {
 		c.group.cfg.OnMark(c.Addr, st)
 	}
 }
 
 // done returns the new state of m and whether this attempt changed it.
-func (g *group) done(m *member, r Result, now time.Time) (State, bool) {
+func (g *group) done(m *member, started time.Time, r Result, now time.Time) (State, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.inFlight = max(m.inFlight-1, 0)
+	m.inFlight--
+	m.startSum -= started.Sub(g.epoch)
 	m.probing = false
 	m.lastDone = now
 	if r.Load != nil {
--- a/internal/upstream/eject.go
+++ b/internal/upstream/eject.go
@@ -6,6 +6,8 @@
 	// failingRate is the rate of failed or of slow attempts from which an
 	// upstream is ejected, unless the others do much alike.
 	failingRate = 0.5
+	// returnRate is that rate soon after an ejection: one attempt.
+	returnRate = 0.3
 	// failingFactor is how much higher than the others' it has to be.
 	failingFactor = 2
 	// slowFactor is how much longer than the group's mean an attempt takes to
@@ -25,7 +27,11 @@
 }
 
 func (g *group) ejectIfSlow(m *member, now time.Time) {
-	if m.slow >= failingRate && g.standsOut(m, (*member).slowRate, now) {
+	least := failingRate
+	if m.ejections > 0 && now.Sub(m.ejected) < g.cfg.EjectMax {
+		least = returnRate
+	}
+	if m.slow >= least && g.standsOut(m, (*member).slowRate, now) {
 		g.eject(m, "is slow", now)
 	}
 }
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -30,6 +30,7 @@
 	refillAt time.Time
 	turn     int
 	daemons  int
+	epoch    time.Time
 	// latency is the mean time of the group in nanoseconds.
 	latency  float64
 	capacity cachedCapacity
@@ -43,6 +44,7 @@
 		rng:     rand.New(rand.NewPCG(cfg.Seed, xxhash.Sum64String(service))),
 		members: make(map[string]*member),
 		daemons: daemons,
+		epoch:   time.Now(),
 	}
 }
 
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -7,6 +7,9 @@
 	latencyWeight = 0.1
 	// failureWeight is the weight of the newest outcome in its failure rate.
 	failureWeight = 0.35
+	// suspectAge is the mean age of several attempts in flight, as a multiple
+	// of the group's mean time, from which an upstream is suspect.
+	suspectAge = 1.5
 	// fastest and slowest bound the relative speed in the score.
 	fastest = 0.5
 	slowest = 10.0
@@ -28,6 +31,9 @@
 	mark mark
 
 	inFlight int
+	// startSum is the sum of the start times of what is in flight, since the
+	// epoch of the group.
+	startSum time.Duration
 	// others is the reported work of other daemons at reported.
 	others   float64
 	capacity int
@@ -90,6 +96,14 @@
 	return float64(halfLife) / float64(halfLife+max(age, 0))
 }
 
+// meanAge returns the mean time that the attempts in flight have run.
+func (m *member) meanAge(epoch, now time.Time) time.Duration {
+	if m.inFlight == 0 {
+		return 0
+	}
+	return now.Sub(epoch) - m.startSum/time.Duration(m.inFlight)
+}
+
 // slowness is the factor by which m's recent speed and failures raise its
 // score, given the mean time of its group.
 func (m *member) slowness(groupLatency float64, now time.Time) float64 {
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -24,6 +24,7 @@
 	DataCentre string
 	group      *group
 	member     *member
+	started    time.Time
 }
 
 // Pick chooses the upstream for one attempt and counts it as in flight until
@@ -54,11 +55,13 @@
 		m.probing = true
 	}
 	m.inFlight++
+	m.startSum += now.Sub(g.epoch)
 	return Choice{
 		Addr:       m.host.Addr,
 		DataCentre: m.host.DataCentre,
 		group:      g,
 		member:     m,
+		started:    now,
 	}, nil
 }
 
@@ -140,7 +143,7 @@
 		if best != nil && h <= rank {
 			continue
 		}
-		if m := g.subset[i]; g.eligible(m, r, now) && g.load(m, now) <= bound {
+		if m := g.subset[i]; g.eligible(m, r, now) && g.load(m, now) <= bound && !g.suspect(m, now) {
 			best, rank = m, h
 		}
 	}
@@ -170,6 +173,17 @@
 	return m.usable(now) && !slices.Contains(r.Exclude, m.host.Addr)
 }
 
+// suspect reports whether the attempts on m run for much longer than usual,
+// before any of them has ended.
+func (g *group) suspect(m *member, now time.Time) bool {
+	const several = 2
+	factor := slowFactor
+	if m.inFlight >= several {
+		factor = suspectAge
+	}
+	return g.latency > 0 && float64(m.meanAge(g.epoch, now)) > factor*g.latency
+}
+
 // load returns the work on m, scaled up while m returns from an ejection.
 func (g *group) load(m *member, now time.Time) float64 {
 	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now)
@@ -183,6 +197,9 @@
 	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now)
 	score := (work + 1) / (share * float64(m.slots(r.Pool.Concurrency)))
 	score *= m.slowness(g.latency, now)
+	if g.suspect(m, now) {
+		score *= slowest
+	}
 	if m.host.DataCentre != g.cfg.DataCentre {
 		score *= g.cfg.RemotePenalty
 	}
