--- a/internal/standin/control/control_test.go
+++ b/internal/standin/control/control_test.go
@@ -61,7 +61,11 @@
 	req, err := http.NewRequest(http.MethodPut, server.URL+path, strings.NewReader(body))
 	require.NoError(t, err)
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := server.Client().Do(req)
+	req.Close = true
+	client := &http.Client{
+		Transport: &http.Transport{},
+	}
+	resp, err := client.Do(req)
 	require.NoError(t, err)
 	defer resp.Body.Close()
 	return fmt.Sprintln(resp.StatusCode)
