Add the end-to-end harness and its oracle

Real daemons and stand-ins on loopback, ports taken by the processes themselves. The oracle takes only the ledgers of the stand-ins and what callers got.

--- /dev/null
+++ b/internal/e2e/call_test.go
@@ -0,0 +1,148 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/wire/callerapi"
+)
+
+// Outcomes of a call. The others are those of the caller interface.
+const (
+	answered = "answered"
+	notRun   = "not_run"
+	unknown  = "unknown"
+	broken   = "broken" // The connection ended without an answer.
+)
+
+// call is one request of a caller.
+type call struct {
+	daemon   int
+	route    string
+	input    string
+	key      string
+	deadline time.Duration // The route's when zero.
+}
+
+// reply is what a caller got for a call.
+type reply struct {
+	call
+
+	sent, received time.Time
+	outcome        string
+	requestID      string
+	output         string
+	code           string
+	message        string
+	retryAfter     time.Duration
+}
+
+// String returns one line of a trace.
+func (r reply) String() string {
+	return fmt.Sprintf("%s daemon %d %s input %q key %q: %s %s %s %q %s", r.sent.Format("05.000"), r.daemon, r.route, r.input, r.key, r.outcome, r.requestID, r.code, r.output, r.message)
+}
+
+// history holds what callers got. It is safe for concurrent use.
+type history struct {
+	mu      sync.Mutex
+	replies []reply
+}
+
+func (h *history) add(r reply) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.replies = append(h.replies, r)
+}
+
+func (h *history) all() []reply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]reply(nil), h.replies...)
+}
+
+// do makes a call and records what came of it.
+func (c *cluster) do(ctx context.Context, req call) reply {
+	r := reply{
+		call: req,
+		sent: time.Now(),
+	}
+	params := callerapi.CallRouteParams{
+		Route: req.route,
+	}
+	if req.key != "" {
+		params.IdempotencyKey = callerapi.NewOptString(req.key)
+	}
+	answer, err := c.daemons[req.daemon].callers.CallRoute(ctx, req.body(), params)
+	r.received = time.Now()
+	r.note(answer, err)
+	c.history.add(r)
+	return r
+}
+
+func (req call) body() *callerapi.Call {
+	body := &callerapi.Call{
+		Workspace: workspace,
+		Input:     req.input,
+	}
+	if req.deadline > 0 {
+		body.DeadlineMs = callerapi.NewOptInt64(req.deadline.Milliseconds())
+	}
+	return body
+}
+
+func (r *reply) note(answer *callerapi.Answer, err error) {
+	if err == nil {
+		r.outcome = answered
+		r.requestID = answer.RequestID
+		r.output = answer.Output
+		return
+	}
+	var status *callerapi.OutcomeStatusCodeWithHeaders
+	if !errors.As(err, &status) {
+		r.outcome = broken
+		r.message = err.Error()
+		return
+	}
+	r.noteOutcome(status.Response)
+}
+
+func (r *reply) noteOutcome(o callerapi.Outcome) {
+	r.outcome = string(o.Outcome)
+	r.requestID = o.RequestID.Or("")
+	r.code = o.Code
+	r.message = o.Message
+	r.retryAfter = time.Duration(o.RetryAfterMs.Or(0)) * time.Millisecond
+}
+
+// doAll makes calls at the same moment and returns the replies in their order.
+func (c *cluster) doAll(ctx context.Context, calls ...call) []reply {
+	replies := make([]reply, len(calls))
+	var wg sync.WaitGroup
+	for i, req := range calls {
+		wg.Go(func() {
+			replies[i] = c.do(ctx, req)
+		})
+	}
+	wg.Wait()
+	return replies
+}
+
+// toAll returns one call of req to each daemon.
+func (c *cluster) toAll(req call) []call {
+	calls := make([]call, len(c.daemons))
+	for i := range calls {
+		calls[i] = req
+		calls[i].daemon = i
+	}
+	return calls
+}
+
+// start makes a call and returns its reply later.
+func (c *cluster) start(ctx context.Context, req call) <-chan reply {
+	ch := make(chan reply, 1)
+	go func() { ch <- c.do(ctx, req) }()
+	return ch
+}
--- /dev/null
+++ b/internal/e2e/cluster_test.go
@@ -0,0 +1,239 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/standin/oracle"
+	"sequoiafork/internal/wire/operatorapi"
+	"sequoiafork/internal/wire/standinapi"
+)
+
+// Routes and the workspace of the tests.
+const (
+	orderRoute    = "order"    // Four stages that may be repeated.
+	shortRoute    = "short"    // One short completion.
+	dispatchRoute = "dispatch" // Ends in a stage that may not be repeated.
+	commitStage   = "commit"
+	workspace     = "ardennes"
+	model         = "m"
+	orderTokens   = 8
+	shortTokens   = 2
+	routeDeadline = 4 * time.Second
+)
+
+// routes are the stages of each route as the upstreams see them.
+var routes = map[string][]oracle.Stage{
+	orderRoute: {
+		{
+			Kind: "encoder",
+			Name: "encode",
+		},
+		{
+			Kind: "retriever",
+			Name: "retrieve",
+		},
+		{
+			Kind: "reranker",
+			Name: "rerank",
+		},
+		{
+			Kind:      oracle.EngineKind,
+			Name:      "generate",
+			Model:     model,
+			MaxTokens: orderTokens,
+		},
+	},
+	shortRoute: {
+		{
+			Kind:      oracle.EngineKind,
+			Name:      "generate",
+			Model:     model,
+			MaxTokens: shortTokens,
+		},
+	},
+	dispatchRoute: {
+		{
+			Kind: "encoder",
+			Name: "encode",
+		},
+		{
+			Kind: "service",
+			Name: commitStage,
+		},
+	},
+}
+
+// config says what differs between clusters. Zero fields mean the defaults.
+type config struct {
+	daemons       int           // Three when zero.
+	upstreams     int           // Of each kind; two when zero.
+	snapshotEvery int           // Records between snapshots; 1000 when zero.
+	window        time.Duration // For which keys are remembered; an hour when zero.
+	commitArgs    []string      // Further flags of the plain services.
+}
+
+// cluster is a platform, its upstreams and the daemons under test.
+type cluster struct {
+	config    config
+	log       *standin
+	hosts     *standin
+	upstreams map[string][]*standin // By kind.
+	daemons   []*daemon
+	history   history
+}
+
+func startCluster(t *testing.T, cfg config) *cluster {
+	t.Helper()
+	if cfg.daemons == 0 {
+		cfg.daemons = 3
+	}
+	if cfg.upstreams == 0 {
+		cfg.upstreams = 2
+	}
+	if cfg.snapshotEvery == 0 {
+		cfg.snapshotEvery = 1000
+	}
+	if cfg.window == 0 {
+		cfg.window = time.Hour
+	}
+	c := &cluster{
+		config:    cfg,
+		log:       startStandin(t, "log"),
+		hosts:     startStandin(t, "hostlist"),
+		upstreams: make(map[string][]*standin),
+	}
+	for range cfg.upstreams {
+		c.addUpstreams(t)
+	}
+	c.publishHosts(t)
+	for range cfg.daemons {
+		c.daemons = append(c.daemons, startDaemon(t, c))
+	}
+	c.publishTables(t)
+	return c
+}
+
+func (c *cluster) addUpstreams(t *testing.T) {
+	t.Helper()
+	for _, kind := range []string{"encoder", "retriever", "reranker"} {
+		c.upstreams[kind] = append(c.upstreams[kind], startStandin(t, "pool", "-kind", kind, "-service-ms", "2"))
+	}
+	c.upstreams[oracle.EngineKind] = append(c.upstreams[oracle.EngineKind], startStandin(t, "engine", "-models", model, "-service-ms", "1"))
+	args := append([]string{"service", "-service-ms", "2"}, c.config.commitArgs...)
+	c.upstreams["service"] = append(c.upstreams["service"], startStandin(t, args...))
+}
+
+func (c *cluster) publishHosts(t *testing.T) {
+	t.Helper()
+	var hosts standinapi.Hosts
+	for kind, upstreams := range c.upstreams {
+		for _, u := range upstreams {
+			hosts.Hosts = append(hosts.Hosts, standinapi.Host{
+				Addr:       u.addr,
+				DataCentre: "dc1",
+				Service:    kind,
+				State:      standinapi.HostStateLive,
+			})
+		}
+	}
+	require.NoError(t, c.hosts.api.SetHosts(t.Context(), &hosts))
+}
+
+// publishTables sets the pools and routes and waits until they are in force on
+// every daemon.
+func (c *cluster) publishTables(t *testing.T) {
+	t.Helper()
+	for kind := range c.upstreams {
+		pool := &operatorapi.PoolSpec{
+			Kind:        kind,
+			Service:     kind,
+			Concurrency: 16,
+		}
+		if kind == oracle.EngineKind {
+			pool.Models = []string{model}
+		}
+		result, err := c.daemons[0].operators.SetPool(t.Context(), pool, operatorapi.SetPoolParams{
+			Name: kind,
+		})
+		requireAccepted(t, result, err)
+	}
+	for name, stages := range routes {
+		result, err := c.daemons[0].operators.SetRoute(t.Context(), routeSpec(stages), operatorapi.SetRouteParams{
+			Name: name,
+		})
+		requireAccepted(t, result, err)
+	}
+	for _, d := range c.daemons {
+		d.waitReady(t)
+		require.Eventually(t, func() bool { return d.holds(t, len(routes)) }, startTimeout, 20*time.Millisecond)
+	}
+}
+
+func (d *daemon) holds(t *testing.T, n int) bool {
+	list, err := d.operators.ListRoutes(t.Context())
+	if err != nil || len(list.Rows) != n {
+		return false
+	}
+	hosts, err := d.operators.ListHosts(t.Context())
+	return err == nil && len(hosts.Upstreams) == len(d.cluster.allUpstreams()) && len(hosts.Daemons) >= len(d.cluster.daemons)
+}
+
+func requireAccepted(t *testing.T, result *operatorapi.EditResult, err error) {
+	t.Helper()
+	require.NoError(t, err)
+	require.Equal(t, operatorapi.EditResultStateAccepted, result.State, "%s %v", result.Message, result.Problems)
+}
+
+func routeSpec(stages []oracle.Stage) *operatorapi.RouteSpec {
+	spec := &operatorapi.RouteSpec{
+		DeadlineMs: routeDeadline.Milliseconds(),
+	}
+	for _, s := range stages {
+		stage := operatorapi.Stage{
+			Name: s.Name,
+			Pool: s.Kind,
+		}
+		if s.Kind == oracle.EngineKind {
+			stage.Model = operatorapi.NewOptString(s.Model)
+			stage.MaxTokens = operatorapi.NewOptInt64(int64(s.MaxTokens))
+		}
+		if s.Name == commitStage {
+			stage.NotRepeatable = operatorapi.NewOptBool(true)
+		}
+		spec.Stages = append(spec.Stages, stage)
+	}
+	return spec
+}
+
+func (c *cluster) allUpstreams() []*standin {
+	var all []*standin
+	for _, upstreams := range c.upstreams {
+		all = append(all, upstreams...)
+	}
+	return all
+}
+
+// commits returns the executions of the stage that may not be repeated for an
+// input of the dispatch route.
+func (c *cluster) commits(t *testing.T, input string) []standinapi.Entry {
+	t.Helper()
+	want := oracle.Route(routes[dispatchRoute][:1], input)
+	var entries []standinapi.Entry
+	for _, s := range c.upstreams["service"] {
+		for _, e := range s.ledger(t) {
+			if e.Stage == commitStage && e.Input == want {
+				entries = append(entries, e)
+			}
+		}
+	}
+	return entries
+}
+
+// waitCommit waits until the stage that may not be repeated has begun.
+func (c *cluster) waitCommit(t *testing.T, input string) {
+	t.Helper()
+	require.Eventually(t, func() bool { return len(c.commits(t, input)) > 0 }, startTimeout, 5*time.Millisecond)
+}
--- /dev/null
+++ b/internal/e2e/oracle_test.go
@@ -0,0 +1,163 @@
+package e2e
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/standin/oracle"
+	"sequoiafork/internal/wire/standinapi"
+)
+
+// settleTime is how long the ledgers must stand still before they are read.
+const settleTime = 300 * time.Millisecond
+
+// check compares what callers got with the ledgers. It is called at the end of
+// a test, when nothing may run any more.
+func (c *cluster) check(t *testing.T) {
+	t.Helper()
+	entries := c.settledEntries(t)
+	replies := c.history.all()
+	findings := judge(replies, entries)
+	if len(findings) == 0 {
+		return
+	}
+	require.Fail(t, "the oracle objects", "%s\ntrace:\n%s", strings.Join(findings, "\n"), trace(replies, entries))
+}
+
+func (c *cluster) settledEntries(t *testing.T) []standinapi.Entry {
+	t.Helper()
+	last := -1
+	for range 100 {
+		var entries []standinapi.Entry
+		for _, s := range c.allUpstreams() {
+			entries = append(entries, s.ledger(t)...)
+		}
+		if len(entries) == last {
+			return entries
+		}
+		last = len(entries)
+		time.Sleep(settleTime)
+	}
+	require.FailNow(t, "the upstreams do not come to rest")
+	return nil
+}
+
+// judge returns what contradicts the promises; nothing if all is well.
+func judge(replies []reply, entries []standinapi.Entry) []string {
+	var findings []string
+	commits := make(map[string][]standinapi.Entry)
+	for _, e := range entries {
+		if e.Stage == commitStage {
+			commits[e.Input] = append(commits[e.Input], e)
+		}
+	}
+	for input, runs := range commits {
+		if len(runs) > 1 {
+			findings = append(findings, fmt.Sprintf("doubled: %s ran %d times", input, len(runs)))
+		}
+	}
+	for _, r := range replies {
+		switch r.outcome {
+		case answered:
+			findings = append(findings, judgeAnswer(r, commits[r.commitInput()])...)
+		case notRun:
+			findings = append(findings, judgeNotRun(r, replies, entries, commits[r.commitInput()])...)
+		}
+	}
+	return append(findings, judgeCrossed(replies, entries)...)
+}
+
+// commitInput returns the input of the stage that may not be repeated, or "".
+func (req call) commitInput() string {
+	if req.route != dispatchRoute {
+		return ""
+	}
+	return oracle.Route(routes[dispatchRoute][:1], req.input)
+}
+
+func judgeAnswer(r reply, commits []standinapi.Entry) []string {
+	if want := oracle.Route(routes[r.route], r.input); r.output != want {
+		return []string{fmt.Sprintf("wrong answer, want %q: %s", want, r)}
+	}
+	if r.route == dispatchRoute && (len(commits) != 1 || !commits[0].Completed) {
+		return []string{fmt.Sprintf("answered, but ran %d times: %s", len(commits), r)}
+	}
+	return nil
+}
+
+// judgeNotRun holds a refusal against everything that ever ran: nothing may have
+// run for this request, and the stage that may not be repeated may run for its
+// input only if a caller sent the request again after the refusal.
+func judgeNotRun(r reply, replies []reply, entries, commits []standinapi.Entry) []string {
+	var findings []string
+	for _, e := range entries {
+		if e.RequestID == r.requestID {
+			findings = append(findings, fmt.Sprintf("not_run, but %s ran at %s: %s", e.AttemptID, clock(e.TimeMs), r))
+		}
+	}
+	if r.code == "key_body_mismatch" {
+		return findings
+	}
+	again := slices.ContainsFunc(replies, func(other reply) bool {
+		return other.key == r.key && other.input == r.input && other.sent.After(r.received)
+	})
+	for _, e := range commits {
+		if e.TimeMs <= r.received.UnixMilli() {
+			findings = append(findings, fmt.Sprintf("not_run, but the input had run at %s: %s", clock(e.TimeMs), r))
+		} else if !again {
+			findings = append(findings, fmt.Sprintf("not_run, but the input ran later at %s: %s", clock(e.TimeMs), r))
+		}
+	}
+	return findings
+}
+
+// judgeCrossed checks that no stage got the input of another request.
+func judgeCrossed(replies []reply, entries []standinapi.Entry) []string {
+	calls := make(map[string]call)
+	for _, r := range replies {
+		if r.requestID != "" && r.outcome == answered {
+			calls[r.requestID] = r.call
+		}
+	}
+	var findings []string
+	for _, e := range entries {
+		req, ok := calls[e.RequestID]
+		if !ok || slices.Contains(stageInputs(req), e.Input) {
+			continue
+		}
+		findings = append(findings, fmt.Sprintf("crossed: %s at %s took %q", e.AttemptID, e.Stage, e.Input))
+	}
+	return findings
+}
+
+func stageInputs(req call) []string {
+	var inputs []string
+	for i := range routes[req.route] {
+		inputs = append(inputs, oracle.Route(routes[req.route][:i], req.input))
+	}
+	return inputs
+}
+
+// trace lists what callers got and what ran at the stage that may not be
+// repeated.
+func trace(replies []reply, entries []standinapi.Entry) string {
+	var b strings.Builder
+	for _, r := range replies {
+		fmt.Fprintln(&b, r)
+	}
+	for _, e := range entries {
+		if e.Stage == commitStage {
+			fmt.Fprintf(&b, "%s ran %s completed %t input %q\n", clock(e.TimeMs), e.AttemptID, e.Completed, e.Input)
+		}
+	}
+	return b.String()
+}
+
+func clock(ms int64) string {
+	return time.UnixMilli(ms).Format("05.000")
+}
--- /dev/null
+++ b/internal/e2e/process_test.go
@@ -0,0 +1,118 @@
+package e2e
+
+import (
+	"bufio"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	startTimeout = 10 * time.Second
+	tailLines    = 40
+)
+
+// process is a child process of the test, which ends it by its id.
+type process struct {
+	cmd   *exec.Cmd
+	lines chan string
+	done  chan struct{}
+
+	mu   sync.Mutex
+	tail []string
+}
+
+// startProcess starts a binary and ends it with the test. Lines of its standard
+// output and error go to lines, and the last ones to the test's log on failure.
+func startProcess(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	p := &process{
+		cmd:   exec.Command(filepath.Join(binDir, name), args...),
+		lines: make(chan string, 64),
+		done:  make(chan struct{}),
+	}
+	p.cmd.Stdout = w
+	p.cmd.Stderr = w
+	require.NoError(t, p.cmd.Start())
+	require.NoError(t, w.Close())
+	go p.read(r)
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() && os.Getenv("E2E_LOGS") != "" {
+			t.Logf("last lines of %s %s:\n%s", name, strings.Join(args, " "), strings.Join(p.lastLines(), "\n"))
+		}
+	})
+	return p
+}
+
+func (p *process) read(r io.ReadCloser) {
+	defer close(p.done)
+	defer r.Close()
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		p.mu.Lock()
+		p.tail = append(p.tail, scanner.Text())
+		if len(p.tail) > tailLines {
+			p.tail = p.tail[1:]
+		}
+		p.mu.Unlock()
+		select {
+		case p.lines <- scanner.Text():
+		default:
+		}
+	}
+}
+
+func (p *process) lastLines() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tail
+}
+
+// waitLine returns the first line of output that match accepts.
+func (p *process) waitLine(t *testing.T, match func(string) bool) string {
+	t.Helper()
+	timeout := time.After(startTimeout)
+	for {
+		select {
+		case line := <-p.lines:
+			if match(line) {
+				return line
+			}
+		case <-p.done:
+			require.FailNow(t, "the process ended early", "%s:\n%s", p.cmd.Args, strings.Join(p.lastLines(), "\n"))
+		case <-timeout:
+			require.FailNow(t, "the process is not ready", "%s:\n%s", p.cmd.Args, strings.Join(p.lastLines(), "\n"))
+		}
+	}
+}
+
+// kill ends the process at once, also while it is frozen.
+func (p *process) kill() {
+	if p.cmd.ProcessState != nil {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	<-p.done
+	_ = p.cmd.Wait()
+}
+
+func (p *process) freeze(t *testing.T) {
+	t.Helper()
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGSTOP))
+}
+
+func (p *process) thaw(t *testing.T) {
+	t.Helper()
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGCONT))
+}
--- a/internal/standin/control/control_test.go
+++ b/internal/standin/control/control_test.go
@@ -48,6 +48,9 @@
 				return put(t, server, "/control/faults", d.Input)
 			case "call":
 				return callEach(server, strings.Fields(d.Input))
+			case "wait":
+				time.Sleep(callTimeout)
+				return ""
 			case "ran":
 				return fmt.Sprintln(ran.Swap(0))
 			}
--- a/internal/standin/control/faulty.go
+++ b/internal/standin/control/faulty.go
@@ -22,7 +22,7 @@
 			closeConnection(w, false)
 			return
 		}
-		if !sleep(r.Context(), milliseconds(faults.DelayMs)) {
+		if !c.delay(r, milliseconds(faults.DelayMs)) {
 			return
 		}
 		if c.Faults.Current().Down.Or(false) {
@@ -46,6 +46,16 @@
 	})
 }
 
+// delay holds a call for d and reports whether to go on with it. A call with an
+// effect goes on also when its caller has gone, so that the effect comes late.
+func (c *Control) delay(r *http.Request, d time.Duration) bool {
+	ctx := r.Context()
+	if hasEffect(r) {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return sleep(ctx, d)
+}
+
 // hang waits until the caller gives up or the fault is lifted.
 func (c *Control) hang(ctx context.Context) {
 	for {
