--- a/internal/standin/control/control_test.go
+++ b/internal/standin/control/control_test.go
@@ -48,6 +48,9 @@
 				return put(t, server, "/control/faults", d.Input)
 			case "call":
 				return callEach(server, strings.Fields(d.Input))
+			case "wait":
+				time.Sleep(callTimeout)
+				return ""
 			case "ran":
 				return fmt.Sprintln(ran.Swap(0))
 			}
@@ -61,7 +64,11 @@
 	req, err := http.NewRequest(http.MethodPut, server.URL+path, strings.NewReader(body))
 	require.NoError(t, err)
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := server.Client().Do(req)
+	req.Close = true
+	client := &http.Client{
+		Transport: &http.Transport{},
+	}
+	resp, err := client.Do(req)
 	require.NoError(t, err)
 	defer resp.Body.Close()
 	return fmt.Sprintln(resp.StatusCode)
