--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -77,8 +77,8 @@
 }
 
 // CatchUp implements peer.Records.
-func (p peerRecords) CatchUp(_ context.Context, from uint64) (*peerpb.CatchUpResponse, error) {
-	return p.reader.CatchUp(from)
+func (p peerRecords) CatchUp(ctx context.Context, from uint64) (*peerpb.CatchUpResponse, error) {
+	return p.reader.CatchUp(ctx, from)
 }
 
 // Deliver implements peer.Records.
--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -49,7 +49,6 @@
 		Budget:    cfg.Policy.Budget,
 		Daemons:   p.living,
 		NoHedge:   cfg.Policy.NoHedge,
-		Seed:      cfg.Seed + uint64(i),
 	})
 	return e
 }
