Tell bad requests and passed deadlines apart in the caller's command line

Tried against three daemons and the stand-ins on loopback: a deadline of 1 ms ended as "unreachable" with the text of a Go error, and an unknown route as "not run", which a script would have sent again.

--- a/internal/callerclient/callerclient.go
+++ b/internal/callerclient/callerclient.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"time"
 
+	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/wire/callerapi"
 )
 
@@ -79,10 +80,10 @@
 	return time.Duration(e.Outcome.RetryAfterMs.Or(0)) * time.Millisecond
 }
 
-func outcomeError(outcome callerapi.OutcomeOutcome, code string, err error) *OutcomeError {
+func outcomeError(kind callerapi.OutcomeOutcome, code string, err error) *OutcomeError {
 	return &OutcomeError{
 		Outcome: callerapi.Outcome{
-			Outcome: outcome,
+			Outcome: kind,
 			Code:    code,
 			Message: err.Error(),
 		},
@@ -182,6 +183,9 @@
 			break
 		}
 	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return outcomeError(callerapi.OutcomeOutcomeNotRun, string(outcome.CodeDeadlinePast), errors.New("the deadline passed before a daemon answered"))
+	}
 	return outcomeError(callerapi.OutcomeOutcomeNotRun, codeUnreachable, last)
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -154,6 +154,8 @@
 			reply(w, http.StatusOK, fmt.Sprintf(done, "a roof"))
 		case "lost":
 			panic(http.ErrAbortHandler)
+		case "none":
+			reply(w, http.StatusNotFound, `{"outcome":"not_run","code":"route_unknown","message":"route \"none\" does not exist"}`)
 		default:
 			reply(w, http.StatusServiceUnavailable, fmt.Sprintf(`{"request_id":"r-1","outcome":%q,"code":"overloaded","message":"the pool rerank has no free slot in time","stage":"rerank","retry_after_ms":1500}`, route))
 		}
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -7,6 +7,7 @@
 
 	"sequoiafork/internal/callerclient"
 	"sequoiafork/internal/operatorclient"
+	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/rowtext"
 	"sequoiafork/internal/wire/callerapi"
 	"sequoiafork/internal/wire/operatorapi"
@@ -21,7 +22,8 @@
 	ExitOK ExitCode = 0
 	// ExitOther: something else, such as no daemon that answers. An edit was not made.
 	ExitOther ExitCode = 1
-	// ExitBadInput: the command line, a file or a name is wrong. Nothing was sent or changed.
+	// ExitBadInput: the command line, a file, a name or a request is wrong. Nothing
+	// was changed or run.
 	ExitBadInput ExitCode = 2
 	// ExitRefused: an edit or a checked file is not valid. Nothing was changed.
 	ExitRefused ExitCode = 3
@@ -68,7 +70,7 @@
 	var syntax *rowtext.SyntaxError
 	var status *operatorapi.ErrorStatusCode
 	var lost *operatorclient.LostReplyError
-	var outcome *callerclient.OutcomeError
+	var known *callerclient.OutcomeError
 	switch {
 	case err == nil:
 		return ExitOK
@@ -78,8 +80,8 @@
 		return ExitBadInput
 	case errors.As(err, &lost):
 		return ExitUnknown
-	case errors.As(err, &outcome):
-		return outcomeCode(outcome.Outcome.Outcome)
+	case errors.As(err, &known):
+		return outcomeCode(known.Outcome)
 	case errors.As(err, &status) && status.StatusCode < 500:
 		return ExitBadInput
 	case errors.As(err, &status), errors.Is(err, context.Canceled):
@@ -95,8 +97,18 @@
 	callerapi.OutcomeOutcomeUnknown: ExitUnknown,
 }
 
-func outcomeCode(outcome callerapi.OutcomeOutcome) ExitCode {
-	if code, ok := outcomeCodes[outcome]; ok {
+// inputCodes are the causes of "not run" that sending again doesn't mend.
+var inputCodes = map[outcome.Code]bool{
+	outcome.CodeBadRequest:      true,
+	outcome.CodeRouteUnknown:    true,
+	outcome.CodeKeyBodyMismatch: true,
+}
+
+func outcomeCode(o callerapi.Outcome) ExitCode {
+	if o.Outcome == callerapi.OutcomeOutcomeNotRun && inputCodes[outcome.Code(o.Code)] {
+		return ExitBadInput
+	}
+	if code, ok := outcomeCodes[o.Outcome]; ok {
 		return code
 	}
 	return ExitOther
