--- a/internal/operatorclient/operatorclient.go
+++ b/internal/operatorclient/operatorclient.go
@@ -14,8 +14,9 @@
 	"sequoiafork/internal/wire/operatorapi"
 )
 
-// DefaultTimeout bounds one request to one daemon.
-const DefaultTimeout = 10 * time.Second
+// DefaultTimeout bounds one request to one daemon. It is longer than a daemon
+// waits for an edit to be settled, so that its answer comes first.
+const DefaultTimeout = 15 * time.Second
 
 // codeNotReady is the code of a daemon that changed nothing and can't yet.
 const codeNotReady = "not_ready"
