--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/net/netutil"
@@ -54,6 +55,9 @@
 		_, _ = w.Write([]byte("ok\n"))
 	})
 	mux.HandleFunc("GET /readyz", d.readyz)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	return mux, nil
 }
 
