--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -37,7 +38,8 @@
 
 // TestScripts runs testdata against a daemon in memory. Its commands: "fault NAME"
 // sets the daemon's fault, "exits CODE ARG..." runs sequoiafork and checks the exit
-// code, "narrow" checks that the last output fits a phone.
+// code, "narrow" checks that the last output fits a phone, "settle ADDR ARG..." runs
+// an edit that ends as unknown and shows it by its ID at ADDR.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:   "testdata",
@@ -46,6 +48,7 @@
 			"fault":  setFault,
 			"exits":  runExits,
 			"narrow": checkNarrow,
+			"settle": runSettle,
 		},
 	})
 }
@@ -58,6 +61,13 @@
 	}
 	operators := httptest.NewServer(daemon.Wrap(api))
 	env.Defer(operators.Close)
+	behind, err := operatorhttp.New((&operatorhttptest.Daemon{}).Config())
+	if err != nil {
+		return err
+	}
+	other := httptest.NewServer(behind)
+	env.Defer(other.Close)
+	env.Setenv("BEHIND", other.Listener.Addr().String())
 	callers := httptest.NewServer(newCallers())
 	env.Defer(callers.Close)
 	closed, err := closedAddr()
@@ -101,6 +111,14 @@
 	}
 }
 
+func runSettle(ts *testscript.TestScript, _ bool, args []string) {
+	setFault(ts, false, []string{operatorhttptest.FaultLateUnknown})
+	runExits(ts, false, append([]string{"5"}, args[1:]...))
+	setFault(ts, false, nil)
+	id := regexp.MustCompile(`e-[a-z2-7]+`).FindString(ts.ReadFile("stdout"))
+	runExits(ts, false, []string{"0", "edit", "show", id, "-addr", args[0]})
+}
+
 func checkNarrow(ts *testscript.TestScript, _ bool, _ []string) {
 	const columns = 40
 	for _, name := range []string{"stdout", "stderr"} {
--- a/internal/cli/edit.go
+++ b/internal/cli/edit.go
@@ -74,15 +74,29 @@
 	}
 }
 
+// errNotRead says that a daemon has not read an edit, so that the next is asked.
+var errNotRead = errors.New("the edit was not read here")
+
+// showEdit asks the daemons in turn until one has read the edit.
 func (a *app) showEdit(ctx context.Context, id string) (*operatorapi.EditResult, error) {
 	var result *operatorapi.EditResult
-	err := a.ask(ctx, func(ctx context.Context, c *operatorapi.Client) (err error) {
-		result, err = c.ShowEdit(ctx, operatorapi.ShowEditParams{
+	err := a.ask(ctx, func(ctx context.Context, c *operatorapi.Client) error {
+		shown, err := c.ShowEdit(ctx, operatorapi.ShowEditParams{
 			EditID: id,
 		})
-		return err
+		if err != nil {
+			return err
+		}
+		result = shown
+		if shown.State == operatorapi.EditResultStateNotFound {
+			return errNotRead
+		}
+		return nil
 	})
-	return result, err
+	if result != nil {
+		return result, nil
+	}
+	return nil, err
 }
 
 func (a *app) editCommand() *ffcli.Command {
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -87,7 +87,7 @@
 		func(s *Settings) *time.Duration { return &s.Platform.HostListInterval })
 	g.add(field{
 		key:     "weight_store_addr",
-		about:   "Address of the weight store. Empty: this daemon places no models.",
+		about:   "Address of the weight store. Checked, but not used so far: daemons place no models yet.",
 		unit:    "IP:port",
 		allowed: allowedAddr + "; or empty",
 		set:     target(parseOptionalAddr, func(s *Settings) *string { return &s.Platform.WeightStoreAddr }),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,7 +52,7 @@
 	SnapshotEveryRecords int64
 	HostListAddr         string
 	HostListInterval     time.Duration
-	// WeightStoreAddr is empty when the daemon places no models.
+	// WeightStoreAddr may be empty. Nothing uses it yet.
 	WeightStoreAddr string
 }
 
