--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -75,13 +75,11 @@
 	return c, n.await(ctx, c, addr)
 }
 
-// await waits until a connection is up, or fails once.
+// await waits until a connection is up, or a try to make it has failed.
 func (n *Node) await(ctx context.Context, c *grpc.ClientConn, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.DialTimeout)
 	defer cancel()
-	c.Connect()
-	c.ResetConnectBackoff()
-	failed := false
+	stale := c.GetState() == connectivity.TransientFailure
 	for {
 		st := c.GetState()
 		switch st {
@@ -92,10 +90,10 @@
 		case connectivity.Idle:
 			c.Connect()
 		case connectivity.TransientFailure:
-			if failed {
+			if !stale {
 				return fmt.Errorf("dial %s: %w", addr, errNotConnected)
 			}
-			failed = true
+			stale = false
 			c.ResetConnectBackoff()
 		}
 		if !c.WaitForStateChange(ctx, st) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
@@ -20,6 +21,9 @@
 	// dialAgainMin and dialAgainMax bound the pause between two tries of an address.
 	dialAgainMin = 250 * time.Millisecond
 	dialAgainMax = 2 * time.Second
+	// connectBackoffMin and connectBackoffMax bound the pause within one connection.
+	connectBackoffMin = 100 * time.Millisecond
+	connectBackoffMax = time.Second
 )
 
 // stream is what the two ends of a Link call have in common.
@@ -198,6 +202,14 @@
 			Time:    keepaliveTime,
 			Timeout: keepaliveTimeout,
 		}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  connectBackoffMin,
+				Multiplier: 2,
+				MaxDelay:   connectBackoffMax,
+			},
+			MinConnectTimeout: n.cfg.DialTimeout,
+		}),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithInitialWindowSize(windowBytes),
 		grpc.WithInitialConnWindowSize(windowBytes),
