--- a/internal/operatorhttp/command.go
+++ b/internal/operatorhttp/command.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"sequoiafork/internal/editid"
 	"sequoiafork/internal/table"
 	"sequoiafork/internal/wire/operatorapi"
 )
 
+// inForceInterval is the time between two counts of the daemons that follow.
+const inForceInterval = 20 * time.Millisecond
+
 // SetRoute creates or replaces a route.
 func (h *Handler) SetRoute(ctx context.Context, req *operatorapi.RouteSpec, params operatorapi.SetRouteParams) (*operatorapi.EditResult, error) {
 	return h.edit(ctx, editRequest{
@@ -16,7 +21,7 @@
 			Author:       params.Author.Or(""),
 			BaseRevision: uint64(params.BaseRevision),
 			Change: table.SetRoute{
-				Route: routeValue(params.Name, req),
+				Route: Route(params.Name, req),
 			},
 		},
 		dryRun: params.DryRun.Or(false),
@@ -46,7 +51,7 @@
 			Author:       params.Author.Or(""),
 			BaseRevision: uint64(params.BaseRevision),
 			Change: table.SetPool{
-				Pool: poolValue(params.Name, req),
+				Pool: Pool(params.Name, req),
 			},
 		},
 		dryRun: params.DryRun.Or(false),
@@ -105,15 +110,56 @@
 		return nil, err
 	}
 	settled.Name, settled.Pool = req.edit.Target()
+	if settled.State == Accepted {
+		h.waitInForce(ctx, settled.Revision)
+	}
 	return h.editResult(req.edit.ID, settled), nil
 }
 
-// earlier returns the result of an edit that was sent before with the same ID.
+// waitInForce waits a little until the revision is in force on all daemons.
+func (h *Handler) waitInForce(ctx context.Context, revision uint64) {
+	if h.config.InForceWait < 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.config.InForceWait)
+	defer cancel()
+	ticker := time.NewTicker(inForceInterval)
+	defer ticker.Stop()
+	for {
+		inForce, daemons := h.inForce(revision)
+		if inForce == daemons {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// earlier returns the result of an edit that was sent before with the same ID. An
+// ID that was used for another row is refused.
 func (h *Handler) earlier(ctx context.Context, req editRequest) (*operatorapi.EditResult, bool) {
+	if req.dryRun {
+		return nil, false
+	}
 	settled, err := h.config.Editor.Settled(ctx, req.edit.ID)
 	if err != nil || settled.State == NotFound {
 		return nil, false
 	}
+	name, pool := req.edit.Target()
+	if settled.Name != "" && (settled.Name != name || settled.Pool != pool) {
+		settled = Settlement{
+			State: Refused,
+			Problems: []table.Problem{
+				{
+					Field:   "edit_id",
+					Message: fmt.Sprintf("was used for row %q: take a new ID", settled.Name),
+				},
+			},
+		}
+	}
 	return h.editResult(req.edit.ID, settled), true
 }
 
--- a/internal/upstream/done.go
+++ b/internal/upstream/done.go
@@ -8,18 +8,20 @@
 	if c.member == nil {
 		return
 	}
-	st, changed := c.group.done(c.member, r, time.Now())
+	st, changed := c.group.done(c.member, c.started, r, time.Now())
 	if changed && c.group.cfg.OnMark != nil {
 		c.group.cfg.OnMark(c.Addr, st)
 	}
 }
 
 // done returns the new state of m and whether this attempt changed it.
-func (g *group) done(m *member, r Result, now time.Time) (State, bool) {
+func (g *group) done(m *member, started time.Time, r Result, now time.Time) (State, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.inFlight = max(m.inFlight-1, 0)
+	m.inFlight--
+	m.startSum -= started.Sub(g.epoch)
 	m.probing = false
+	m.lastDone = now
 	if r.Load != nil {
 		m.observeLoad(r.Load, now)
 	}
@@ -33,6 +35,7 @@
 		g.failed(m, now)
 	case TimedOut:
 		g.observe(m, r.Latency)
+		g.ejectIfSlow(m, now)
 		g.failed(m, now)
 	case LeftPool:
 		g.setMark(m, g.own(Leaving, "answered that it leaves", now), now)
@@ -79,10 +82,9 @@
 
 // observe adds a time to the means of m and of the group.
 func (g *group) observe(m *member, d time.Duration) {
-	m.observeLatency(d)
 	if g.latency == 0 {
 		g.latency = float64(d)
-		return
 	}
+	m.observeLatency(d, float64(d) > slowFactor*g.latency)
 	g.latency += latencyWeight / float64(max(len(g.subset), 1)) * (float64(d) - g.latency)
 }
