--- /dev/null
+++ b/internal/e2e/once_test.go
@@ -0,0 +1,314 @@
+package e2e
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/wire/callerapi"
+	"sequoiafork/internal/wire/standinapi"
+)
+
+const (
+	// slowCommit lets a test act while the stage that may not be repeated runs.
+	slowCommit = "500"
+	// leaseFreeze is longer than any lease.
+	leaseFreeze = 11 * time.Second
+)
+
+func dispatch(input, key string) call {
+	return call{
+		route: dispatchRoute,
+		input: input,
+		key:   key,
+	}
+}
+
+func slowConfig() config {
+	return config{
+		commitArgs: []string{"-service-ms", slowCommit},
+	}
+}
+
+// issue returns a key that a daemon issued.
+func (d *daemon) issue(t *testing.T) string {
+	t.Helper()
+	key, err := d.callers.IssueKey(t.Context())
+	require.NoError(t, err)
+	return key.Key
+}
+
+func (c *cluster) requireCommits(t *testing.T, input string, want int) {
+	t.Helper()
+	require.Len(t, c.commits(t, input), want, "executions for %q", input)
+}
+
+// TestOnceAtTheSameMoment sends each key to every daemon at once, then again.
+func TestOnceAtTheSameMoment(t *testing.T) {
+	c := startCluster(t, config{})
+	var calls []call
+	for i := range 40 {
+		key := fmt.Sprintf("key-%d", i)
+		if i%2 == 1 {
+			key = c.daemons[i%len(c.daemons)].issue(t)
+		}
+		calls = append(calls, c.toAll(dispatch(fmt.Sprintf("repair %d", i), key))...)
+	}
+	for range 2 {
+		for _, r := range c.doAll(t.Context(), calls...) {
+			require.Equal(t, answered, r.outcome, r)
+		}
+	}
+	c.check(t)
+}
+
+// TestOnceAfterOwnerIsKilled kills the daemon that runs the request.
+func TestOnceAfterOwnerIsKilled(t *testing.T) {
+	for _, issued := range []bool{false, true} {
+		t.Run(fmt.Sprintf("issued=%t", issued), func(t *testing.T) {
+			c := startCluster(t, slowConfig())
+			key := "chosen"
+			if issued {
+				key = c.daemons[0].issue(t)
+			}
+			req := dispatch("repair", key)
+			first := c.start(t.Context(), req)
+			c.waitCommit(t, req.input)
+			c.daemons[0].kill()
+			require.Equal(t, broken, (<-first).outcome)
+			for _, r := range c.doAll(t.Context(), c.toAll(req)[1:]...) {
+				require.Equal(t, unknown, r.outcome, r)
+			}
+			c.daemons[0].start(t)
+			c.daemons[0].waitReady(t)
+			for _, r := range c.doAll(t.Context(), c.toAll(req)...) {
+				require.Equal(t, unknown, r.outcome, r)
+			}
+			c.requireCommits(t, req.input, 1)
+			c.check(t)
+		})
+	}
+}
+
+// TestOnceAcrossFreeze freezes the daemon that runs the request for longer than
+// any lease.
+func TestOnceAcrossFreeze(t *testing.T) {
+	c := startCluster(t, slowConfig())
+	req := dispatch("repair", "chosen")
+	first := c.start(t.Context(), req)
+	c.waitCommit(t, req.input)
+	c.daemons[0].freeze(t)
+	for _, r := range c.doAll(t.Context(), c.toAll(req)[1:]...) {
+		require.Equal(t, unknown, r.outcome, r)
+	}
+	time.Sleep(leaseFreeze)
+	c.daemons[0].thaw(t)
+	<-first
+	require.Eventually(t, func() bool {
+		return c.do(t.Context(), c.toAll(req)[1]).outcome == answered
+	}, startTimeout, 200*time.Millisecond)
+	c.requireCommits(t, req.input, 1)
+	c.check(t)
+}
+
+// TestOnceWhenFrozenBeforeTheClaim freezes a daemon between its append of the
+// claim and its dispatch; others get the same key meanwhile.
+func TestOnceWhenFrozenBeforeTheClaim(t *testing.T) {
+	c := startCluster(t, config{})
+	for i := range 8 {
+		req := dispatch(fmt.Sprintf("repair %d", i), fmt.Sprintf("key-%d", i))
+		c.log.setFaults(t, standinapi.Faults{
+			DelayMs: standinapi.NewOptInt64(30),
+		})
+		first := c.start(t.Context(), req)
+		time.Sleep(time.Duration(10*i) * time.Millisecond)
+		c.daemons[0].freeze(t)
+		c.log.setFaults(t, standinapi.Faults{})
+		for _, other := range c.toAll(req)[1:] {
+			other.deadline = 500 * time.Millisecond
+			c.do(t.Context(), other)
+		}
+		time.Sleep(100 * time.Millisecond)
+		c.daemons[0].thaw(t)
+		<-first
+		c.doAll(t.Context(), c.toAll(req)...)
+	}
+	c.check(t)
+}
+
+// TestOnceWhileTheLogIsDown sends keys before, during and after an outage.
+func TestOnceWhileTheLogIsDown(t *testing.T) {
+	c := startCluster(t, config{})
+	before := dispatch("before", "before")
+	issued := dispatch("issued", c.daemons[1].issue(t))
+	during := dispatch("during", "during")
+	require.Equal(t, answered, c.do(t.Context(), before).outcome)
+	c.log.setFaults(t, standinapi.Faults{
+		Down: standinapi.NewOptBool(true),
+	})
+	for _, r := range c.doAll(t.Context(), append(c.toAll(before), c.toAll(issued)...)...) {
+		require.Equal(t, answered, r.outcome, r)
+	}
+	for _, r := range c.doAll(t.Context(), c.toAll(during)...) {
+		require.Equal(t, notRun, r.outcome, r)
+		require.Positive(t, r.retryAfter, r)
+	}
+	c.requireCommits(t, during.input, 0)
+	c.log.setFaults(t, standinapi.Faults{})
+	require.Eventually(t, func() bool {
+		return c.do(t.Context(), during).outcome == answered
+	}, startTimeout, 200*time.Millisecond)
+	c.check(t)
+}
+
+// TestOnceWhileTheLogLosesReplies lets appends take effect without a reply.
+func TestOnceWhileTheLogLosesReplies(t *testing.T) {
+	c := startCluster(t, config{})
+	for i := range 12 {
+		c.log.setFaults(t, standinapi.Faults{
+			LoseReplies: standinapi.NewOptInt(1 + i%3),
+		})
+		req := dispatch(fmt.Sprintf("repair %d", i), fmt.Sprintf("key-%d", i))
+		c.doAll(t.Context(), c.toAll(req)...)
+		require.Eventually(t, func() bool {
+			return c.do(t.Context(), req).outcome == answered
+		}, startTimeout, 100*time.Millisecond)
+	}
+	c.check(t)
+}
+
+// TestOnceWhileTheLogIsSlow lets appends take effect after their callers have
+// given up.
+func TestOnceWhileTheLogIsSlow(t *testing.T) {
+	c := startCluster(t, config{})
+	c.log.setFaults(t, standinapi.Faults{
+		DelayMs: standinapi.NewOptInt64(2500),
+	})
+	var calls []call
+	for i := range 6 {
+		req := dispatch(fmt.Sprintf("repair %d", i), fmt.Sprintf("key-%d", i))
+		req.deadline = time.Duration(500+600*i) * time.Millisecond
+		calls = append(calls, c.toAll(req)...)
+	}
+	c.doAll(t.Context(), calls...)
+	c.log.setFaults(t, standinapi.Faults{})
+	for _, req := range calls {
+		require.Eventually(t, func() bool {
+			return c.do(t.Context(), req).outcome != notRun
+		}, startTimeout, 200*time.Millisecond)
+	}
+	c.check(t)
+}
+
+// TestOnceAfterTheWindow uses keys again after they have been forgotten.
+func TestOnceAfterTheWindow(t *testing.T) {
+	c := startCluster(t, config{
+		window: time.Second,
+	})
+	chosen := dispatch("chosen", "chosen")
+	issued := dispatch("issued", c.daemons[0].issue(t))
+	require.Equal(t, answered, c.do(t.Context(), chosen).outcome)
+	require.Equal(t, answered, c.do(t.Context(), issued).outcome)
+	time.Sleep(1500 * time.Millisecond)
+	// Another key makes the daemons forget what has expired.
+	require.Equal(t, answered, c.do(t.Context(), dispatch("other", "other")).outcome)
+	c.doAll(t.Context(), append(c.toAll(chosen), c.toAll(issued)...)...)
+	c.check(t)
+}
+
+// TestOnceAfterRetention uses a key again after its claim has left the log and
+// every daemon has been replaced.
+func TestOnceAfterRetention(t *testing.T) {
+	c := startCluster(t, config{
+		snapshotEvery: 20,
+	})
+	c.log.setFaults(t, standinapi.Faults{
+		RetainRecords: standinapi.NewOptInt64(60),
+	})
+	req := dispatch("repair", "chosen")
+	require.Equal(t, answered, c.do(t.Context(), req).outcome)
+	for i := range 100 {
+		c.do(t.Context(), dispatch(fmt.Sprintf("later %d", i), fmt.Sprintf("later-%d", i)))
+	}
+	for _, d := range c.daemons {
+		d.kill()
+		d.start(t)
+		d.waitReady(t)
+	}
+	for _, r := range c.doAll(t.Context(), c.toAll(req)...) {
+		require.Equal(t, unknown, r.outcome, r)
+	}
+	c.check(t)
+}
+
+// TestOnceWithAnotherBody uses one key for two requests.
+func TestOnceWithAnotherBody(t *testing.T) {
+	c := startCluster(t, config{})
+	require.Equal(t, answered, c.do(t.Context(), dispatch("repair", "chosen")).outcome)
+	for _, r := range c.doAll(t.Context(), c.toAll(dispatch("another", "chosen"))...) {
+		require.Equal(t, "key_body_mismatch", r.code, r)
+	}
+	c.requireCommits(t, "another", 0)
+	c.check(t)
+}
+
+// TestOnceWhenTheUpstreamAnswersBadly breaks answers of the stage that may not
+// be repeated after it has run.
+func TestOnceWhenTheUpstreamAnswersBadly(t *testing.T) {
+	faults := map[string]standinapi.Faults{
+		"lost": {
+			LoseReplies: standinapi.NewOptInt(1),
+		},
+		"cut": {
+			CutAfterBytes: standinapi.NewOptInt(40),
+		},
+		"cut cleanly": {
+			CutAfterBytes: standinapi.NewOptInt(40),
+			CutCleanly:    standinapi.NewOptBool(true),
+		},
+		"wrong id": {
+			WrongAttemptIds: standinapi.NewOptInt(1),
+		},
+		"short output": {
+			ShortOutputs: standinapi.NewOptInt(1),
+		},
+	}
+	c := startCluster(t, config{
+		upstreams: 1,
+	})
+	for name, f := range faults {
+		c.upstreams["service"][0].setFaults(t, f)
+		req := dispatch(name, "key "+name)
+		require.Equal(t, unknown, c.do(t.Context(), req).outcome, name)
+		c.upstreams["service"][0].setFaults(t, standinapi.Faults{})
+		for _, r := range c.doAll(t.Context(), c.toAll(req)...) {
+			require.Equal(t, unknown, r.outcome, r)
+		}
+		c.requireCommits(t, req.input, 1)
+	}
+	c.check(t)
+}
+
+// TestKeyCanBeAskedFor asks what became of keys without running anything.
+func TestKeyCanBeAskedFor(t *testing.T) {
+	c := startCluster(t, config{})
+	req := dispatch("repair", "chosen")
+	require.Equal(t, answered, c.do(t.Context(), req).outcome)
+	for _, d := range c.daemons {
+		state, err := d.callers.ShowKey(t.Context(), callerapi.ShowKeyParams{
+			Key:       req.key,
+			Workspace: workspace,
+		})
+		require.NoError(t, err)
+		require.Equal(t, callerapi.KeyStateStateAnswered, state.State)
+		state, err = d.callers.ShowKey(t.Context(), callerapi.ShowKeyParams{
+			Key:       "never used",
+			Workspace: workspace,
+		})
+		require.NoError(t, err)
+		require.Equal(t, callerapi.KeyStateStateUnused, state.State)
+	}
+	c.check(t)
+}
--- a/internal/e2e/oracle_test.go
+++ b/internal/e2e/oracle_test.go
@@ -90,9 +90,11 @@
 	return nil
 }
 
-// judgeNotRun holds a refusal against everything that ever ran: nothing may have
-// run for this request, and the stage that may not be repeated may run for its
-// input only if a caller sent the request again after the refusal.
+// judgeNotRun holds a refusal against everything that ever ran. Nothing may have
+// run for this request. For its input the stage that may not be repeated may run
+// later only if a caller sent the request again, and may have run before only
+// for a call that was open at the same time: each of two open calls speaks for
+// itself.
 func judgeNotRun(r reply, replies []reply, entries, commits []standinapi.Entry) []string {
 	var findings []string
 	for _, e := range entries {
@@ -107,6 +109,9 @@
 		return other.key == r.key && other.input == r.input && other.sent.After(r.received)
 	})
 	for _, e := range commits {
+		if overlaps(r, replies, e.RequestID) {
+			continue
+		}
 		if e.TimeMs <= r.received.UnixMilli() {
 			findings = append(findings, fmt.Sprintf("not_run, but the input had run at %s: %s", clock(e.TimeMs), r))
 		} else if !again {
@@ -116,6 +121,15 @@
 	return findings
 }
 
+// overlaps reports whether the request with the id was a call of its own with
+// the same key that was open at the same time as r.
+func overlaps(r reply, replies []reply, requestID string) bool {
+	return slices.ContainsFunc(replies, func(other reply) bool {
+		return other.requestID == requestID && other.key == r.key && other.key != "" &&
+			other.sent.Before(r.received) && other.received.After(r.sent)
+	})
+}
+
 // judgeCrossed checks that no stage got the input of another request.
 func judgeCrossed(replies []reply, entries []standinapi.Entry) []string {
 	calls := make(map[string]call)
--- /dev/null
+++ b/internal/e2e/refusal_test.go
@@ -0,0 +1,324 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/wire/operatorapi"
+	"sequoiafork/internal/wire/standinapi"
+)
+
+// ranKeys runs one request with a chosen key and one with an issued key on the
+// first daemon.
+func (c *cluster) ranKeys(t *testing.T) []call {
+	t.Helper()
+	calls := []call{
+		dispatch("chosen", "chosen"),
+		dispatch("issued", c.daemons[0].issue(t)),
+	}
+	for _, req := range calls {
+		r := c.do(t.Context(), req)
+		require.Equal(t, answered, r.outcome, r)
+	}
+	return calls
+}
+
+// TestRefusalOfKeyThatHasRun sends keys that have run again, to daemons that
+// refuse requests for reasons of their own. None may say that it was not run.
+func TestRefusalOfKeyThatHasRun(t *testing.T) {
+	t.Run("deadline", func(t *testing.T) {
+		c := startCluster(t, config{})
+		for _, req := range c.ranKeys(t) {
+			req.deadline = time.Millisecond
+			c.doAll(t.Context(), c.toAll(req)...)
+		}
+		c.check(t)
+	})
+	t.Run("route deleted", func(t *testing.T) {
+		c := startCluster(t, config{})
+		keys := c.ranKeys(t)
+		row, err := c.daemons[0].operators.ShowRoute(t.Context(), operatorapi.ShowRouteParams{
+			Name: dispatchRoute,
+		})
+		require.NoError(t, err)
+		result, err := c.daemons[0].operators.DeleteRoute(t.Context(), operatorapi.DeleteRouteParams{
+			Name:         dispatchRoute,
+			BaseRevision: row.Revision,
+		})
+		requireAccepted(t, result, err)
+		for _, d := range c.daemons {
+			require.Eventually(t, func() bool { return d.holds(t, len(routes)-1) }, startTimeout, 20*time.Millisecond)
+		}
+		for _, req := range keys {
+			c.doAll(t.Context(), c.toAll(req)...)
+		}
+		c.check(t)
+	})
+	t.Run("overloaded", func(t *testing.T) {
+		c := startCluster(t, config{
+			maxInFlight: 1,
+		})
+		keys := c.ranKeys(t)
+		c.upstreams["encoder"][0].setFaults(t, standinapi.Faults{
+			DelayMs: standinapi.NewOptInt64(1000),
+		})
+		c.upstreams["encoder"][1].setFaults(t, standinapi.Faults{
+			DelayMs: standinapi.NewOptInt64(1000),
+		})
+		for i := range 6 {
+			c.start(t.Context(), call{
+				daemon: i % len(c.daemons),
+				route:  orderRoute,
+				input:  fmt.Sprintf("filler %d", i),
+			})
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, req := range keys {
+			c.doAll(t.Context(), c.toAll(req)...)
+		}
+		c.check(t)
+	})
+	t.Run("not ready", func(t *testing.T) {
+		c := startCluster(t, config{})
+		keys := c.ranKeys(t)
+		c.log.setFaults(t, standinapi.Faults{
+			Down: standinapi.NewOptBool(true),
+		})
+		c.daemons[0].freeze(t)
+		c.daemons[1].kill()
+		c.daemons[2].kill()
+		c.daemons[1].start(t)
+		for _, req := range keys {
+			req.daemon = 1
+			c.do(t.Context(), req)
+		}
+		c.check(t)
+	})
+}
+
+// TestRefusalWhileDraining sends requests to a daemon that is stopping, until it
+// has ended.
+func TestRefusalWhileDraining(t *testing.T) {
+	c := startCluster(t, slowConfig())
+	ran := dispatch("ran", "ran")
+	ran.daemon = 1
+	require.Equal(t, answered, c.do(t.Context(), ran).outcome)
+	_, err := c.daemons[0].operators.Drain(t.Context())
+	require.NoError(t, err)
+	for i := 0; ; i++ {
+		ran.daemon = 0
+		r := c.do(t.Context(), ran)
+		c.start(t.Context(), dispatch(fmt.Sprintf("new %d", i), fmt.Sprintf("new-%d", i)))
+		if r.outcome == broken {
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	time.Sleep(routeDeadline)
+	c.check(t)
+}
+
+// TestRefusalInFrozenQueue freezes a daemon with requests in all states and lets
+// it wake after their deadlines.
+func TestRefusalInFrozenQueue(t *testing.T) {
+	c := startCluster(t, config{
+		upstreams:  1,
+		commitArgs: []string{"-service-ms", "100", "-capacity", "1"},
+	})
+	var replies []<-chan reply
+	for i := range 30 {
+		req := dispatch(fmt.Sprintf("repair %d", i), "")
+		if i%2 == 0 {
+			req.key = fmt.Sprintf("key-%d", i)
+		}
+		req.deadline = time.Duration(200+50*i) * time.Millisecond
+		replies = append(replies, c.start(t.Context(), req))
+	}
+	time.Sleep(250 * time.Millisecond)
+	c.daemons[0].freeze(t)
+	time.Sleep(2 * time.Second)
+	c.daemons[0].thaw(t)
+	for _, ch := range replies {
+		<-ch
+	}
+	c.check(t)
+}
+
+// TestRefusalUnderFaults plays a random mix of requests, retries, faults of the
+// upstreams and of the log, and frozen daemons, from fixed seeds.
+func TestRefusalUnderFaults(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			c := startCluster(t, config{
+				commitArgs: []string{"-service-ms", "20", "-capacity", "2", "-queue", "4"},
+			})
+			p := &player{
+				cluster: c,
+				rand:    rand.New(rand.NewPCG(seed, 0)),
+			}
+			p.play(t, 60)
+			c.check(t)
+		})
+	}
+}
+
+// player makes random calls under random faults.
+type player struct {
+	cluster *cluster
+	rand    *rand.Rand
+	pending []<-chan reply
+	frozen  *daemon
+}
+
+func (p *player) play(t *testing.T, steps int) {
+	for i := range steps {
+		p.step(t, i)
+		time.Sleep(time.Duration(p.rand.IntN(40)) * time.Millisecond)
+	}
+	p.lift(t)
+	for _, ch := range p.pending {
+		<-ch
+	}
+}
+
+func (p *player) step(t *testing.T, i int) {
+	switch p.rand.IntN(10) {
+	case 0:
+		p.faultUpstream(t)
+	case 1:
+		p.faultLog(t)
+	case 2:
+		p.freeze(t)
+	case 3:
+		p.lift(t)
+	default:
+		p.call(t, i)
+	}
+}
+
+// call sends a request, and with a key also to a second daemon or once more
+// after its refusal.
+func (p *player) call(t *testing.T, i int) {
+	req := dispatch(fmt.Sprintf("repair %d", i), "")
+	req.daemon = p.rand.IntN(len(p.cluster.daemons))
+	req.deadline = time.Duration(50+p.rand.IntN(1000)) * time.Millisecond
+	if p.rand.IntN(4) > 0 {
+		req.key = fmt.Sprintf("key-%d", i)
+	}
+	p.pending = append(p.pending, p.cluster.start(t.Context(), req))
+	if req.key == "" {
+		return
+	}
+	second := req
+	second.daemon = p.rand.IntN(len(p.cluster.daemons))
+	second.deadline = 0
+	wait := time.Duration(p.rand.IntN(3)*150) * time.Millisecond
+	ch := make(chan reply, 1)
+	p.pending = append(p.pending, ch)
+	go func() {
+		time.Sleep(wait)
+		ch <- p.cluster.do(t.Context(), second)
+	}()
+}
+
+func (p *player) faultUpstream(t *testing.T) {
+	faults := []standinapi.Faults{
+		{
+			Down: standinapi.NewOptBool(true),
+		},
+		{
+			Leaving: standinapi.NewOptBool(true),
+		},
+		{
+			Reset: standinapi.NewOptBool(true),
+		},
+		{
+			LoseReplies: standinapi.NewOptInt(2),
+		},
+		{
+			SlowFactor: standinapi.NewOptFloat64(20),
+		},
+		{
+			CutAfterBytes: standinapi.NewOptInt(30),
+		},
+	}
+	services := p.cluster.upstreams["service"]
+	services[p.rand.IntN(len(services))].setFaults(t, faults[p.rand.IntN(len(faults))])
+}
+
+func (p *player) faultLog(t *testing.T) {
+	faults := []standinapi.Faults{
+		{
+			Down: standinapi.NewOptBool(true),
+		},
+		{
+			LoseReplies: standinapi.NewOptInt(3),
+		},
+		{
+			DelayMs: standinapi.NewOptInt64(300),
+		},
+	}
+	p.cluster.log.setFaults(t, faults[p.rand.IntN(len(faults))])
+}
+
+func (p *player) freeze(t *testing.T) {
+	if p.frozen != nil {
+		return
+	}
+	p.frozen = p.cluster.daemons[p.rand.IntN(len(p.cluster.daemons))]
+	p.frozen.process.freeze(t)
+}
+
+func (p *player) lift(t *testing.T) {
+	if p.frozen != nil {
+		p.frozen.thaw(t)
+		p.frozen = nil
+	}
+	p.cluster.log.setFaults(t, standinapi.Faults{})
+	for _, s := range p.cluster.upstreams["service"] {
+		s.setFaults(t, standinapi.Faults{})
+	}
+}
+
+// TestRefusalAfterCallerLeft lets callers hang up and ask again.
+func TestRefusalAfterCallerLeft(t *testing.T) {
+	c := startCluster(t, config{
+		commitArgs: []string{"-service-ms", "50"},
+	})
+	for i := range 20 {
+		req := dispatch(fmt.Sprintf("repair %d", i), fmt.Sprintf("key-%d", i))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(4*i)*time.Millisecond)
+		c.do(ctx, req)
+		cancel()
+		require.Eventually(t, func() bool {
+			return c.do(t.Context(), c.toAll(req)[1]).outcome == answered
+		}, startTimeout, 50*time.Millisecond)
+	}
+	c.check(t)
+}
+
+// TestRefusalByDaemonThatWakes sends a key to a frozen daemon, lets another one
+// answer it, and wakes the first during an outage of the log.
+func TestRefusalByDaemonThatWakes(t *testing.T) {
+	c := startCluster(t, config{})
+	for i := range 10 {
+		req := dispatch(fmt.Sprintf("repair %d", i), fmt.Sprintf("key-%d", i))
+		c.daemons[0].freeze(t)
+		first := c.start(t.Context(), req)
+		time.Sleep(20 * time.Millisecond)
+		r := c.do(t.Context(), c.toAll(req)[1])
+		require.Equal(t, answered, r.outcome, r)
+		c.log.setFaults(t, standinapi.Faults{
+			Down: standinapi.NewOptBool(true),
+		})
+		c.daemons[0].thaw(t)
+		require.NotEqual(t, notRun, (<-first).outcome, "the request had been answered")
+		c.log.setFaults(t, standinapi.Faults{})
+	}
+	c.check(t)
+}
