--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -6,7 +6,10 @@
 	// latencyWeight is the weight of the newest time in an upstream's mean.
 	latencyWeight = 0.1
 	// failureWeight is the weight of the newest outcome in its failure rate.
-	failureWeight = 0.2
+	failureWeight = 0.35
+	// suspectAge is the mean age of several attempts in flight, as a multiple
+	// of the group's mean time, from which an upstream is suspect.
+	suspectAge = 1.5
 	// fastest and slowest bound the relative speed in the score.
 	fastest = 0.5
 	slowest = 10.0
@@ -28,16 +31,20 @@
 	mark mark
 
 	inFlight int
+	// startSum is the sum of the start times of what is in flight, since the
+	// epoch of the group.
+	startSum time.Duration
 	// others is the reported work of other daemons at reported.
 	others   float64
 	capacity int
 	reported time.Time
 
-	// latency is the mean time in nanoseconds over samples attempts.
+	// latency is the mean time of an attempt in nanoseconds.
 	latency float64
-	samples int
-	// failures is the recent rate of failed attempts, from 0 to 1.
+	// failures and slow are the recent rates of failed and of slow attempts,
+	// from 0 to 1.
 	failures float64
+	slow     float64
 	lastDone time.Time
 	lastOK   time.Time
 
@@ -89,6 +96,14 @@
 	return float64(halfLife) / float64(halfLife+max(age, 0))
 }
 
+// meanAge returns the mean time that the attempts in flight have run.
+func (m *member) meanAge(epoch, now time.Time) time.Duration {
+	if m.inFlight == 0 {
+		return 0
+	}
+	return now.Sub(epoch) - m.startSum/time.Duration(m.inFlight)
+}
+
 // slowness is the factor by which m's recent speed and failures raise its
 // score, given the mean time of its group.
 func (m *member) slowness(groupLatency float64, now time.Time) float64 {
@@ -123,9 +138,13 @@
 	return max(firstShare, float64(since)/float64(returnTime))
 }
 
-func (m *member) observeLatency(d time.Duration) {
-	m.samples++
-	if m.samples == 1 && m.latency == 0 {
+func (m *member) observeLatency(d time.Duration, slow bool) {
+	was := 0.0
+	if slow {
+		was = 1
+	}
+	m.slow += failureWeight * (was - m.slow)
+	if m.latency == 0 {
 		m.latency = float64(d)
 		return
 	}
