--- a/internal/operatorhttp/command.go
+++ b/internal/operatorhttp/command.go
@@ -174,7 +174,7 @@
 	// A daemon that lags behind the base revision can't judge it.
 	revision := tables.RevisionOf(req.edit)
 	stale := revision != req.edit.BaseRevision && req.edit.BaseRevision <= tables.Revision()
-	problems := append(checkPresent(tables, req.edit), tables.Check(req.edit)...)
+	problems := tables.Check(req.edit)
 	switch {
 	case stale:
 		settled.State = Conflict
@@ -186,21 +186,3 @@
 	}
 	return h.editResult(req.edit.ID, settled)
 }
-
-// checkPresent refuses to delete a row that doesn't exist.
-func checkPresent(tables *table.Tables, e table.Edit) []table.Problem {
-	switch e.Change.(type) {
-	case table.DeleteRoute, table.DeletePool:
-	default:
-		return nil
-	}
-	if tables.RevisionOf(e) != 0 || e.BaseRevision != 0 {
-		return nil
-	}
-	return []table.Problem{
-		{
-			Field:   "name",
-			Message: "there is no such row: see the list",
-		},
-	}
-}
