--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -75,6 +75,8 @@
 		return err
 	}
 	env.Values[daemonKey{}] = daemon
+	// The race detector sleeps for a second at the end of each process.
+	env.Setenv("GORACE", "atexit_sleep_ms=10")
 	env.Setenv("CLOSED", closed)
 	env.Setenv("OPERATORS", operators.Listener.Addr().String())
 	env.Setenv("CALLERS", callers.Listener.Addr().String())
