--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -53,7 +53,7 @@
 		input:  config.Input,
 		output: config.Output,
 	}
-	err := a.root().ParseAndRun(ctx, config.Args)
+	err := a.run(ctx, config.Args)
 	if errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(config.Output, strings.TrimSpace(a.usage.String()))
 		return ExitOK
@@ -67,6 +67,14 @@
 	return code
 }
 
+func (a *app) run(ctx context.Context, args []string) error {
+	root := a.root()
+	if err := root.Parse(args); err != nil {
+		return badInput("%w", err)
+	}
+	return root.Run(ctx)
+}
+
 func (a *app) root() *ffcli.Command {
 	fs := a.flagSet("sequoiafork")
 	fs.StringVar(&a.callerAddr, "caller-addr", "", "callers' addresses, IP:port,...")
@@ -115,11 +123,11 @@
 	return cmd
 }
 
-// run is what a command does with its arguments.
-type run func(ctx context.Context, args []string) error
+// execFunc is what a command does with its arguments.
+type execFunc func(ctx context.Context, args []string) error
 
 // leaf returns a command whose flags may also stand after its arguments.
-func (a *app) leaf(fs *flag.FlagSet, name, usage, help string, exec run) *ffcli.Command {
+func (a *app) leaf(fs *flag.FlagSet, name, usage, help string, exec execFunc) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       name,
 		ShortUsage: usage,
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -1,9 +1,9 @@
 package cli
 
 import (
-	"context"
 	"errors"
 	"fmt"
+	"net/http"
 
 	"sequoiafork/internal/callerclient"
 	"sequoiafork/internal/operatorclient"
@@ -82,10 +82,8 @@
 		return ExitUnknown
 	case errors.As(err, &known):
 		return outcomeCode(known.Outcome)
-	case errors.As(err, &status) && status.StatusCode < 500:
+	case errors.As(err, &status) && status.StatusCode < http.StatusInternalServerError:
 		return ExitBadInput
-	case errors.As(err, &status), errors.Is(err, context.Canceled):
-		return ExitOther
 	default:
 		return ExitOther
 	}
