Prove a refusal of a key before it is given

Cause: the end-to-end oracle found three refusals told not_run for a key that had run: by a daemon that drains, by one that starts without tables, and by one that was frozen while another answered and woke in a log outage. The rule that a refusal is true when no claim was appended holds for the attempt, not for the key. Ruled out: always unknown in an outage (callers could never safely move on); trusting the fold as it stands (stale after a freeze). Change: a refusal of a key first makes the fold current: it reads the log to its end, or asks every known daemon how far it has folded and fetches that; if neither can be done in 0.5 s the outcome is unknown. A key that is known is joined, answered or forwarded also while draining. Checks are shared between waiting requests. The test harness waits until a frozen process stands still; a request had slipped in before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -219,7 +219,10 @@
 		},
 		Daemons: func() int { return int(d.daemons.Load()) },
 	})
-	d.claimer = idempotency.NewLogClaimer(d.incarnation, d.log, d.machine)
+	current := &currency{
+		check: d.checkCurrent,
+	}
+	d.claimer = idempotency.NewLogClaimer(d.incarnation, d.log, d.machine, current.wait)
 	registry := idempotency.New(idempotency.Config{
 		Self:   d.incarnation,
 		Claims: d.claimer,
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -107,9 +109,26 @@
 	_ = p.cmd.Wait()
 }
 
+// freeze stops the process and waits until all of it stands still.
 func (p *process) freeze(t *testing.T) {
 	t.Helper()
 	require.NoError(t, p.cmd.Process.Signal(syscall.SIGSTOP))
+	require.Eventually(t, p.stopped, startTimeout, time.Millisecond)
+}
+
+// stopped reports whether every thread of the process is stopped.
+func (p *process) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		if err != nil || !bytes.Contains(stat, []byte(") T ")) {
+			return false
+		}
+	}
+	return true
 }
 
 func (p *process) thaw(t *testing.T) {
--- a/internal/idempotency/claimer.go
+++ b/internal/idempotency/claimer.go
@@ -60,6 +60,7 @@
 	self    string
 	log     Log
 	machine Machine
+	current func(ctx context.Context) error
 
 	mu      sync.Mutex
 	waiting []*pendingClaim
@@ -75,11 +76,14 @@
 }
 
 // NewLogClaimer returns a claimer for the incarnation self. Its Run must be running.
-func NewLogClaimer(self string, log Log, machine Machine) *LogClaimer {
+// current returns nil once the machine has folded all that any process can have
+// acted on before the call.
+func NewLogClaimer(self string, log Log, machine Machine, current func(ctx context.Context) error) *LogClaimer {
 	return &LogClaimer{
 		self:    self,
 		log:     log,
 		machine: machine,
+		current: current,
 		wake:    make(chan struct{}, 1),
 	}
 }
@@ -93,6 +97,11 @@
 	}, ok
 }
 
+// Current implements Claimer.
+func (c *LogClaimer) Current(ctx context.Context) error {
+	return c.current(ctx)
+}
+
 // Claim implements Claimer. The owner is the one that the log names first, also
 // if this process's own append lost its reply.
 func (c *LogClaimer) Claim(ctx context.Context, key Key, body Body) (Owner, error) {
--- a/internal/idempotency/cluster_test.go
+++ b/internal/idempotency/cluster_test.go
@@ -126,6 +126,12 @@
 	return l.append(data), nil
 }
 
+func (l *fakeLog) next() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return uint64(len(l.records)) + 1
+}
+
 func (l *fakeLog) from(next uint64) [][]byte {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -192,7 +198,7 @@
 		machine: fold.New(fold.Config{}),
 		cancel:  cancel,
 	}
-	claimer := idempotency.NewLogClaimer(d.self, c.log, d.machine)
+	claimer := idempotency.NewLogClaimer(d.self, c.log, d.machine, d.current)
 	d.registry = idempotency.New(idempotency.Config{
 		Self:   d.self,
 		Claims: claimer,
@@ -202,6 +208,15 @@
 	return d
 }
 
+// current folds what the log holds, unless the daemon is frozen.
+func (d *daemon) current(ctx context.Context) error {
+	if !d.is(&d.frozen) {
+		return d.machine.Wait(ctx, d.cluster.log.next())
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 // tail folds the log, except while the daemon is frozen.
 func (d *daemon) tail(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -254,6 +269,7 @@
 func (d *daemon) call(key, input string, kind runKind) {
 	ctx, stop := context.WithTimeout(context.Background(), 4*time.Second)
 	defer stop()
+	ranBefore := d.cluster.ranCount(key)
 	o := d.do(ctx, key, input, kind, false)
 	if d.is(&d.dead) {
 		return
@@ -265,6 +281,15 @@
 	if outcome.CodeOf(o) == outcome.CodeLogUnavailable && c.log.mayHoldClaim(d.self, key) {
 		c.untrue = append(c.untrue, key)
 	}
+	if _, notRun := o.(outcome.NotRun); notRun && ranBefore > 0 && outcome.CodeOf(o) != outcome.CodeKeyBodyMismatch {
+		c.untrue = append(c.untrue, key+" had run")
+	}
+}
+
+func (c *cluster) ranCount(key string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.runs[key])
 }
 
 func (d *daemon) do(ctx context.Context, key, input string, kind runKind, forwarded bool) outcome.Outcome {
--- a/internal/idempotency/do.go
+++ b/internal/idempotency/do.go
@@ -79,11 +79,7 @@
 	o := e.result
 	s.mu.Unlock()
 	if o == nil {
-		return outcome.Unknown{
-			RequestID: id,
-			Code:      outcome.CodeResultExpired,
-			Message:   "a request with this key has run and its outcome is no longer kept",
-		}
+		return forgotten(id)
 	}
 	return o
 }
@@ -98,8 +94,12 @@
 func (r *Registry) lead(ctx context.Context, s *shard, e *entry, req Request, issued, claimed bool) outcome.Outcome {
 	if !claimed && req.Check != nil {
 		if refused := req.Check(); refused != nil {
-			s.drop(e, *refused)
-			return *refused
+			o := outcome.Outcome(*refused)
+			if !issued {
+				o = r.refuse(ctx, e.key, req, *refused)
+			}
+			s.drop(e, o)
+			return o
 		}
 	}
 	if req.Once && !issued {
@@ -120,11 +120,7 @@
 func (r *Registry) claim(ctx context.Context, s *shard, e *entry, req Request, claimed bool) (outcome.Outcome, bool) {
 	owner, known := r.cfg.Claims.Known(e.key)
 	if known && owner.Incarnation == r.cfg.Self && !claimed {
-		o := outcome.Unknown{
-			RequestID: req.ID,
-			Code:      outcome.CodeResultExpired,
-			Message:   "a request with this key has run and its outcome is no longer kept",
-		}
+		o := forgotten(req.ID)
 		s.drop(e, o)
 		return o, false
 	}
@@ -132,7 +128,7 @@
 		var err error
 		owner, err = r.cfg.Claims.Claim(ctx, e.key, e.body)
 		if err != nil {
-			return r.unclaimed(s, e, req, claimed, err), false
+			return r.unclaimed(ctx, s, e, req, claimed, err), false
 		}
 	}
 	if owner.Body != req.Body {
@@ -149,15 +145,15 @@
 }
 
 // unclaimed ends an entry whose claim was not read back.
-func (r *Registry) unclaimed(s *shard, e *entry, req Request, claimed bool, err error) outcome.Outcome {
+func (r *Registry) unclaimed(ctx context.Context, s *shard, e *entry, req Request, claimed bool, err error) outcome.Outcome {
 	var not *NotClaimedError
 	if errors.As(err, &not) && !claimed {
-		o := outcome.NotRun{
+		o := r.refuse(ctx, e.key, req, outcome.NotRun{
 			RequestID:  req.ID,
 			Code:       outcome.CodeLogUnavailable,
 			Message:    "the key can't be claimed now: send the request again with the same key",
 			RetryAfter: not.RetryAfter,
-		}
+		})
 		s.drop(e, o)
 		return o
 	}
--- /dev/null
+++ b/internal/idempotency/refuse.go
@@ -0,0 +1,77 @@
+package idempotency
+
+import (
+	"context"
+	"time"
+
+	"sequoiafork/internal/ident"
+	"sequoiafork/internal/outcome"
+)
+
+// proveTimeout bounds the time in which a refusal is proved.
+const proveTimeout = 500 * time.Millisecond
+
+// Refuse returns the outcome of a request that this process does not take on. It is
+// refusal only if no process may have run the key; otherwise it is what is known of
+// the key, which may be its answer.
+func (r *Registry) Refuse(ctx context.Context, req Request, refusal outcome.NotRun) outcome.Outcome {
+	key := KeyOf(req.Workspace, req.Key)
+	if e, ok := r.shard(key).known(key); ok {
+		if e.body != req.Body {
+			return mismatch(req.ID)
+		}
+		return r.join(ctx, r.shard(key), e, req.ID)
+	}
+	if !ident.IsIssued(req.Key) {
+		return r.refuse(ctx, key, req, refusal)
+	}
+	issued, err := ident.ParseIssued(req.Key)
+	if err != nil || issued.Owner == r.cfg.Self {
+		return refusal
+	}
+	return req.Forward(ctx, issued.Owner)
+}
+
+// known returns the key's entry if a request with the key runs here or has run.
+func (s *shard) known(key Key) (*entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	return e, ok && e.state != stateIdle
+}
+
+// refuse returns refusal if the key of a request that runs at most once is not
+// claimed by any process, and Unknown if that can't be proved in time.
+func (r *Registry) refuse(ctx context.Context, key Key, req Request, refusal outcome.NotRun) outcome.Outcome {
+	if !req.Once {
+		return refusal
+	}
+	proveCtx, stop := context.WithTimeout(context.WithoutCancel(ctx), proveTimeout)
+	defer stop()
+	if err := r.cfg.Claims.Current(proveCtx); err != nil {
+		return outcome.Unknown{
+			RequestID:  req.ID,
+			Code:       outcome.CodeClaimUnsettled,
+			Message:    refusal.Message + "; whether the key ran before is not known now: ask again with the same key",
+			RetryAfter: max(refusal.RetryAfter, settleRetry),
+		}
+	}
+	owner, known := r.cfg.Claims.Known(key)
+	switch {
+	case !known:
+		return refusal
+	case owner.Body != req.Body:
+		return mismatch(req.ID)
+	case owner.Incarnation == r.cfg.Self:
+		return forgotten(req.ID)
+	}
+	return req.Forward(ctx, owner.Incarnation)
+}
+
+func forgotten(id string) outcome.Unknown {
+	return outcome.Unknown{
+		RequestID: id,
+		Code:      outcome.CodeResultExpired,
+		Message:   "a request with this key has run and its outcome is no longer kept",
+	}
+}
--- /dev/null
+++ b/internal/peer/offset.go
@@ -0,0 +1,59 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+
+	"sequoiafork/internal/membership"
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// OtherError says that the process that was asked for has ended: another one runs
+// at its address.
+type OtherError struct {
+	Incarnation string
+}
+
+// Error names the incarnation that was asked for.
+func (e *OtherError) Error() string {
+	return fmt.Sprintf("peer: %s has ended, another process runs at its address", e.Incarnation)
+}
+
+// Offset asks a member how far it has folded the log. An error is a *CallError or
+// an *OtherError.
+func (n *Node) Offset(ctx context.Context, m membership.Member) (uint64, error) {
+	conn, err := n.conn(ctx, m.PeerAddr)
+	if err != nil {
+		return 0, &CallError{
+			Addr: m.PeerAddr,
+			Err:  err,
+		}
+	}
+	resp, err := peerpb.NewPeerClient(conn).Offset(ctx, &peerpb.OffsetRequest{
+		Incarnation: m.Incarnation,
+	})
+	if err != nil {
+		return 0, &CallError{
+			Addr: m.PeerAddr,
+			Sent: true,
+			Err:  err,
+		}
+	}
+	if resp.GetOther() {
+		return 0, &OtherError{
+			Incarnation: m.Incarnation,
+		}
+	}
+	return resp.GetNextOffset(), nil
+}
+
+// Offset implements peerpb.PeerServer.
+func (s *server) Offset(_ context.Context, req *peerpb.OffsetRequest) (*peerpb.OffsetResponse, error) {
+	resp := &peerpb.OffsetResponse{
+		Other: req.GetIncarnation() != s.node.cfg.Table.Self().Incarnation,
+	}
+	if s.node.cfg.Records != nil {
+		resp.NextOffset = s.node.cfg.Records.NextOffset()
+	}
+	return resp, nil
+}
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -91,48 +91,60 @@
 }
 
 func (s *Service) serve(ctx context.Context, r Request) outcome.Outcome {
-	tables := s.cfg.Tables()
-	if refused := s.refuse(r, tables); refused != nil {
+	p, refused := s.prepare(r)
+	switch {
+	case refused != nil && r.Key != "":
+		return s.cfg.Registry.Refuse(ctx, s.keyed(r, p), *refused)
+	case refused != nil:
 		return *refused
+	case r.Key != "":
+		ctx, stop := context.WithDeadline(ctx, p.Deadline)
+		defer stop()
+		return s.cfg.Registry.Do(ctx, s.keyed(r, p))
+	}
+	o, _ := s.cfg.Executor.Run(ctx, p)
+	return o
+}
+
+// prepare returns what the pipeline needs to run r, or why r is refused.
+func (s *Service) prepare(r Request) (pipeline.Request, *outcome.NotRun) {
+	p := pipeline.Request{
+		ID:        r.ID,
+		Workspace: r.Workspace,
+		Input:     r.Input,
+		Tables:    s.cfg.Tables(),
+		OnToken:   r.OnToken,
 	}
-	row, ok := tables.Route(r.Route)
+	if refused := s.refuse(r, p.Tables); refused != nil {
+		return p, refused
+	}
+	row, ok := p.Tables.Route(r.Route)
 	if !ok {
-		return outcome.NotRun{
+		return p, &outcome.NotRun{
 			RequestID: r.ID,
 			Code:      outcome.CodeRouteUnknown,
 			Field:     "route",
 			Message:   fmt.Sprintf("route %q does not exist: ask the operator for its name", r.Route),
 		}
 	}
-	p := pipeline.Request{
-		ID:        r.ID,
-		Workspace: r.Workspace,
-		Input:     r.Input,
-		Route:     row.Value,
-		Tables:    tables,
-		Deadline:  deadline(r.Deadline, row.Value.Deadline),
-		OnToken:   r.OnToken,
-	}
+	p.Route = row.Value
+	p.Deadline = deadline(r.Deadline, p.Route.Deadline)
 	if !time.Now().Before(p.Deadline) {
-		return *s.cfg.Executor.Check(p)
+		return p, s.cfg.Executor.Check(p)
 	}
-	if r.Key == "" {
-		o, _ := s.cfg.Executor.Run(ctx, p)
-		return o
-	}
-	return s.serveKey(ctx, r, p)
+	return p, nil
 }
 
-func (s *Service) serveKey(ctx context.Context, r Request, p pipeline.Request) outcome.Outcome {
-	ctx, stop := context.WithDeadline(ctx, p.Deadline)
-	defer stop()
-	return s.cfg.Registry.Do(ctx, idempotency.Request{
+// keyed returns what the registry needs to know of a request with a key.
+func (s *Service) keyed(r Request, p pipeline.Request) idempotency.Request {
+	return idempotency.Request{
 		ID:        r.ID,
 		Workspace: r.Workspace,
 		Key:       r.Key,
 		Body:      idempotency.BodyOf(r.Route, r.Workspace, r.Input),
-		Once:      once(p.Route),
-		Check:     func() *outcome.NotRun { return s.cfg.Executor.Check(p) },
+		// The stages of a route that is not known here may have effects.
+		Once:  p.Route.Name == "" || once(p.Route),
+		Check: func() *outcome.NotRun { return s.cfg.Executor.Check(p) },
 		Run: func(ctx context.Context) (outcome.Outcome, <-chan outcome.Outcome) {
 			return s.cfg.Executor.Run(ctx, p)
 		},
@@ -142,7 +154,7 @@
 			}
 			return s.cfg.Forward(ctx, owner, r)
 		},
-	})
+	}
 }
 
 // refuse returns a refusal that depends on the state of the process only.
