Let the log settle edits, free expired leases, return soon after a cut

Only what no tables could accept is now refused without an append; the log settles the rest. - slow_return: a hung read of 3 s and a wait of up to 3 s after it took longer than the 5 s in which an accepted edit must be in force. Ruled out: remembering edits on their way at each daemon, because another daemon can be asked with the same ID.

--- a/internal/confsync/editor.go
+++ b/internal/confsync/editor.go
@@ -32,8 +32,8 @@
 	machine *fold.Machine
 
 	mu sync.Mutex
-	// unsettled holds edits whose append may yet take effect.
-	unsettled map[string]bool
+	// unsettled counts, by edit ID, the appends that may yet take effect.
+	unsettled map[string]int
 }
 
 // NewEditor returns an editor.
@@ -42,34 +42,37 @@
 	return &Editor{
 		config:    c,
 		machine:   c.Machine,
-		unsettled: make(map[string]bool),
+		unsettled: make(map[string]int),
 	}
 }
 
 // Submit appends an edit and waits to learn how it was settled. Submitting an ID
-// again returns how it was settled before. An error means that the edit was not
-// made: *NotReadyError, *BehindError, or *logservice.RefusedError.
+// again returns how it was settled before. An error means that this call did not
+// make the edit: *NotReadyError, *BehindError, or *logservice.RefusedError.
+//
+// An edit that can't be valid on any tables is refused here. All else is settled by
+// the log, also if the tables here already tell against it: an earlier append of
+// the same ID, by any daemon, may yet land on other tables.
 func (e *Editor) Submit(ctx context.Context, edit table.Edit) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.config.SettleTimeout)
 	defer cancel()
+	if problems := table.Validate(edit); len(problems) > 0 {
+		return refusedResult(edit.ID, problems), nil
+	}
 	if err := e.reachBase(ctx, edit); err != nil {
 		return Result{}, err
 	}
 	if outcome, ok := e.machine.Edit(edit.ID); ok {
 		return e.settled(edit, outcome), nil
 	}
-	if result, ok := e.reject(edit); ok {
-		if e.isUnsettled(edit.ID) {
-			return unknownResult(edit.ID), nil
-		}
-		return result, nil
-	}
 	data, err := fold.EncodeEdit(edit)
 	if err != nil {
 		return Result{}, err
 	}
+	e.addUnsettled(edit.ID)
 	offset, err := e.config.Log.AppendEdit(ctx, data)
 	if refused, ok := errors.AsType[*logservice.RefusedError](err); ok {
+		e.removeUnsettled(edit.ID)
 		if e.isUnsettled(edit.ID) {
 			return unknownResult(edit.ID), nil
 		}
@@ -101,28 +104,45 @@
 	for {
 		next := e.machine.NextOffset()
 		if outcome, ok := e.machine.Edit(edit.ID); ok {
+			e.forget(edit.ID)
 			return e.settled(edit, outcome)
 		}
 		passed := offset != 0 && next > offset
 		if passed || e.machine.Wait(ctx, next+1) != nil {
-			e.setUnsettled(edit.ID)
 			return unknownResult(edit.ID)
 		}
 	}
 }
 
-// setUnsettled remembers that an append of the edit may yet take effect.
-func (e *Editor) setUnsettled(id string) {
+// addUnsettled notes an append before it is made.
+func (e *Editor) addUnsettled(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.unsettled) >= maxUnsettled {
 		clear(e.unsettled)
 	}
-	e.unsettled[id] = true
+	e.unsettled[id]++
+}
+
+// removeUnsettled takes back an append that certainly had no effect.
+func (e *Editor) removeUnsettled(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unsettled[id]--
+	if e.unsettled[id] <= 0 {
+		delete(e.unsettled, id)
+	}
+}
+
+// forget drops an edit that is settled.
+func (e *Editor) forget(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.unsettled, id)
 }
 
 func (e *Editor) isUnsettled(id string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.unsettled[id]
+	return e.unsettled[id] > 0
 }
--- a/internal/confsync/editor_query.go
+++ b/internal/confsync/editor_query.go
@@ -57,12 +57,7 @@
 	if len(problems) == 0 {
 		return Result{}, false
 	}
-	return Result{
-		EditID:   edit.ID,
-		State:    Refused,
-		Message:  problems[0].String(),
-		Problems: problems,
-	}, true
+	return refusedResult(edit.ID, problems), true
 }
 
 // settled returns the result of an edit that was read back. An ID that was used for
@@ -72,16 +67,10 @@
 	if name == outcome.Name && pool == outcome.Pool {
 		return e.result(outcome)
 	}
-	problem := table.Problem{
+	return refusedResult(edit.ID, []table.Problem{{
 		Field:   "edit_id",
 		Message: fmt.Sprintf("%q was used for row %q: take a new ID", edit.ID, outcome.Name),
-	}
-	return Result{
-		EditID:   edit.ID,
-		State:    Refused,
-		Message:  problem.String(),
-		Problems: []table.Problem{problem},
-	}
+	}})
 }
 
 func (e *Editor) result(o fold.EditOutcome) Result {
@@ -106,6 +95,15 @@
 	return result.withRow(tables, o.Name, o.Pool)
 }
 
+func refusedResult(id string, problems []table.Problem) Result {
+	return Result{
+		EditID:   id,
+		State:    Refused,
+		Message:  problems[0].String(),
+		Problems: problems,
+	}
+}
+
 func conflictMessage(now uint64) string {
 	if now == 0 {
 		return "conflict: the row does not exist now"
--- a/internal/confsync/tail.go
+++ b/internal/confsync/tail.go
@@ -15,7 +15,9 @@
 	// readGrace is how much longer than its wait a read may take.
 	readGrace  = time.Second
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = 2 * time.Second
+	// maxBackoff keeps a hung read and the wait after it under the bound of 5 s
+	// for an edit to be in force after a cut has healed.
+	maxBackoff = time.Second
 )
 
 func (r *Reader) readTimeout() time.Duration {
@@ -67,9 +69,10 @@
 }
 
 // wait returns how long a read waits. Until the state is complete it doesn't, to
-// learn where the log ends.
+// learn where the log ends; after a failure it doesn't, to leave its whole timeout
+// to a log that is slow.
 func (r *Reader) wait() time.Duration {
-	if !r.machine.Ready() {
+	if !r.machine.Ready() || !r.logHealthy() {
 		return 0
 	}
 	return r.config.PollWait
--- a/internal/confsync/tenure.go
+++ b/internal/confsync/tenure.go
@@ -29,12 +29,16 @@
 	}
 }
 
-// ownLease returns the lease's state if this holder has it on the log. It may have
+// ownLease returns the lease's state, or a zero one unless this holder has it on the
+// log. It may have
 // expired, or be of a grant whose reply was lost: only a renewal tells how long it
 // can be relied on.
 func (l *Leaser) ownLease() (fold.Lease, bool) {
 	lease, ok := l.machine.Lease(l.config.Name)
-	return lease, ok && lease.Holder == l.config.Holder
+	if !ok || lease.Holder != l.config.Holder {
+		return fold.Lease{}, false
+	}
+	return lease, true
 }
 
 // heldByOther reports whether another's tenure may still last. The log's time
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -28,16 +28,34 @@
 	})
 }
 
-// Check returns everything that is wrong with an edit on these tables, or nil. It
-// doesn't compare the base revision. The result depends on nothing but the tables
-// and the edit, so all daemons refuse alike.
-func (t *Tables) Check(e Edit) []Problem {
+// Validate returns everything that is wrong with an edit on any tables, or nil.
+func Validate(e Edit) []Problem {
 	var p problems
 	p.checkName("edit_id", e.ID)
 	if len(e.Author) > MaxNameBytes {
 		p.add("author", "is %d bytes long: use at most %d", len(e.Author), MaxNameBytes)
 	}
 	switch c := e.Change.(type) {
+	case SetRoute:
+		validateRoute(&p, c.Route)
+	case DeleteRoute:
+		p.checkName("name", c.Name)
+	case SetPool:
+		validatePool(&p, c.Pool)
+	case DeletePool:
+		p.checkName("name", c.Name)
+	default:
+		p.add("change", "is missing: set or delete one route or pool")
+	}
+	return p
+}
+
+// Check returns everything that is wrong with an edit on these tables, or nil. It
+// doesn't compare the base revision. The result depends on nothing but the tables
+// and the edit, so all daemons refuse alike.
+func (t *Tables) Check(e Edit) []Problem {
+	p := problems(Validate(e))
+	switch c := e.Change.(type) {
 	case SetRoute:
 		t.checkRoute(&p, c.Route)
 	case DeleteRoute:
@@ -45,14 +63,12 @@
 			p.add("name", "%q is no route: there is nothing to delete", c.Name)
 		}
 	case SetPool:
-		t.checkPool(&p, c.Pool)
+		t.checkUsers(&p, c.Pool)
 	case DeletePool:
 		if _, ok := t.pools[c.Name]; !ok {
 			p.add("name", "%q is no pool: there is nothing to delete", c.Name)
 		}
 		t.checkUnused(&p, c.Name)
-	default:
-		p.add("change", "is missing: set or delete one route or pool")
 	}
 	return p
 }
--- a/internal/table/check_pool.go
+++ b/internal/table/check_pool.go
@@ -6,19 +6,18 @@
 	"slices"
 )
 
-func (t *Tables) checkPool(p *problems, pool Pool) {
+func validatePool(p *problems, pool Pool) {
 	p.checkName("name", pool.Name)
 	p.checkName("service", pool.Service)
 	p.checkRange("concurrency", pool.Concurrency, 1, MaxConcurrency)
 	if !pool.Kind.valid() {
 		p.add("kind", "is unknown: use encoder, retriever, reranker, engine or service")
 	}
-	checkShares(p, pool.Shares)
-	checkModels(p, pool)
-	t.checkUsers(p, pool)
+	validateShares(p, pool.Shares)
+	validateModels(p, pool)
 }
 
-func checkShares(p *problems, shares []Share) {
+func validateShares(p *problems, shares []Share) {
 	if len(shares) > MaxShares {
 		p.add("shares", "has %d shares: use at most %d", len(shares), MaxShares)
 		return
@@ -35,7 +34,7 @@
 	}
 }
 
-func checkModels(p *problems, pool Pool) {
+func validateModels(p *problems, pool Pool) {
 	if pool.Kind == Engine && len(pool.Models) == 0 {
 		p.add("models", "is empty: a pool of engines needs at least one model")
 	}
--- a/internal/table/check_route.go
+++ b/internal/table/check_route.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func (t *Tables) checkRoute(p *problems, r Route) {
+func validateRoute(p *problems, r Route) {
 	p.checkName("name", r.Name)
 	p.checkDuration("deadline_ms", r.Deadline, MinDeadline, MaxDeadline)
 	if len(r.Stages) == 0 || len(r.Stages) > MaxStages {
@@ -15,16 +15,20 @@
 	}
 	seen := make(map[string]bool, len(r.Stages))
 	for i, s := range r.Stages {
-		field := fmt.Sprintf("stages[%d]", i)
+		field := stageField(i)
 		if seen[s.Name] {
 			p.add(field+".name", "%q is used twice: give each stage its own name", s.Name)
 		}
 		seen[s.Name] = true
-		t.checkStage(p, field, s, r.Deadline)
+		validateStage(p, field, s, r.Deadline)
 	}
 }
 
-func (t *Tables) checkStage(p *problems, field string, s Stage, deadline time.Duration) {
+func stageField(i int) string {
+	return fmt.Sprintf("stages[%d]", i)
+}
+
+func validateStage(p *problems, field string, s Stage, deadline time.Duration) {
 	p.checkName(field+".name", s.Name)
 	if s.NotRepeatable && s.Reusable {
 		p.add(field+".reusable", "can't be set on a stage that is not repeatable: clear one of the two")
@@ -33,12 +37,18 @@
 		p.checkDuration(field+".timeout_ms", s.Timeout, time.Millisecond, max(deadline, time.Millisecond))
 	}
 	p.checkRange(field+".max_tokens", s.MaxTokens, 0, MaxTokens)
-	row, ok := t.pools[s.Pool]
-	if !ok {
-		p.add(field+".pool", "%q is no pool: create the pool first", s.Pool)
-		return
+}
+
+// checkRoute checks what the stages need of the pools.
+func (t *Tables) checkRoute(p *problems, r Route) {
+	for i, s := range r.Stages {
+		row, ok := t.pools[s.Pool]
+		if !ok {
+			p.add(stageField(i)+".pool", "%q is no pool: create the pool first", s.Pool)
+			continue
+		}
+		checkModel(p, stageField(i), s, row.Value)
 	}
-	checkModel(p, field, s, row.Value)
 }
 
 func checkModel(p *problems, field string, s Stage, pool Pool) {
