--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -19,12 +19,15 @@
 	executor *Executor
 	req      Request
 	cancel   context.CancelFunc
+	// callerGone reports whether the caller has gone away.
+	callerGone func() bool
 
 	// executed counts attempts that an upstream may have acted on.
-	executed   atomic.Int64
-	attempts   atomic.Int64
-	callerGone atomic.Bool
-	reports    []outcome.StageReport
+	executed atomic.Int64
+	attempts atomic.Int64
+	// effect names the last stage with an effect that ran to its end.
+	effect  string
+	reports []outcome.StageReport
 
 	mu    sync.Mutex
 	phase phase
@@ -81,6 +84,9 @@
 			return x.explain(ctx, st, err)
 		}
 		input = output
+		if st.NotRepeatable {
+			x.effect = st.Name
+		}
 	}
 	return outcome.Answered{
 		RequestID: x.req.ID,
@@ -165,7 +171,7 @@
 			Message:   "the call may have run: " + call.Error(),
 			Stage:     st.Name,
 		}
-	case ctx.Err() != nil && x.callerGone.Load():
+	case ctx.Err() != nil && x.callerGone():
 		return x.stopped(st, outcome.CodeCallerGone, "the caller went away", 0)
 	case ctx.Err() != nil, errors.Is(err, context.DeadlineExceeded):
 		return x.stopped(st, outcome.CodeDeadline, "the deadline passed", time.Second)
@@ -190,6 +196,14 @@
 			RetryAfter: retryAfter,
 		}
 	}
+	if x.effect != "" {
+		return outcome.Unknown{
+			RequestID: x.req.ID,
+			Code:      outcome.CodePartlyRun,
+			Message:   fmt.Sprintf("stage %s ran to its end and stage %s did not (%s): do not send it with a new key", x.effect, st.Name, message),
+			Stage:     st.Name,
+		}
+	}
 	return outcome.Failed{
 		RequestID:  x.req.ID,
 		Code:       code,
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -5,8 +5,18 @@
 	"time"
 )
 
-// draws is the number of random draws before the subset is searched in order.
-const draws = 3
+const (
+	// draws is the number of random draws before the subset is searched in
+	// order.
+	draws = 3
+	// meanFor is how long a computed mean load is used.
+	meanFor = 5 * time.Millisecond
+)
+
+type cachedMean struct {
+	load   float64
+	expiry time.Time
+}
 
 // Choice is the upstream for one attempt.
 type Choice struct {
@@ -14,6 +24,7 @@
 	DataCentre string
 	group      *group
 	member     *member
+	started    time.Time
 }
 
 // Pick chooses the upstream for one attempt and counts it as in flight until
@@ -44,11 +55,13 @@
 		m.probing = true
 	}
 	m.inFlight++
+	m.startSum += now.Sub(g.epoch)
 	return Choice{
 		Addr:       m.host.Addr,
 		DataCentre: m.host.DataCentre,
 		group:      g,
 		member:     m,
+		started:    now,
 	}, nil
 }
 
@@ -122,31 +135,57 @@
 // affine returns the member that the affinity hashes to among those whose
 // load is within the bound.
 func (g *group) affine(r *Request, now time.Time) *member {
-	sum, n := 0.0, 0
-	for _, m := range g.subset {
-		if g.eligible(m, r, now) {
-			sum += g.load(m, r, now)
-			n++
-		}
-	}
-	bound := g.cfg.AffinityBound * (sum/float64(max(n, 1)) + 1)
+	bound := g.cfg.AffinityBound * (g.meanLoad(now) + 1)
 	var best *member
 	var rank uint64
-	for _, m := range g.subset {
-		h := mix(m.hash ^ r.Affinity)
-		if (best == nil || h > rank) && g.eligible(m, r, now) && g.load(m, r, now) <= bound {
+	for i, hash := range g.hashes {
+		h := mix(hash ^ r.Affinity)
+		if best != nil && h <= rank {
+			continue
+		}
+		if m := g.subset[i]; g.eligible(m, r, now) && g.load(m, now) <= bound && !g.suspect(m, now) {
 			best, rank = m, h
 		}
 	}
 	return best
 }
 
+// meanLoad returns the mean load of the usable members, as of a moment ago.
+func (g *group) meanLoad(now time.Time) float64 {
+	if now.Before(g.mean.expiry) {
+		return g.mean.load
+	}
+	sum, n := 0.0, 0
+	for _, m := range g.subset {
+		if m.usable(now) {
+			sum += g.load(m, now)
+			n++
+		}
+	}
+	g.mean = cachedMean{
+		load:   sum / float64(max(n, 1)),
+		expiry: now.Add(meanFor),
+	}
+	return g.mean.load
+}
+
 func (g *group) eligible(m *member, r *Request, now time.Time) bool {
 	return m.usable(now) && !slices.Contains(r.Exclude, m.host.Addr)
 }
 
-// load returns the work on m for a request of r, with that request.
-func (g *group) load(m *member, r *Request, now time.Time) float64 {
+// suspect reports whether the attempts on m run for much longer than usual,
+// before any of them has ended.
+func (g *group) suspect(m *member, now time.Time) bool {
+	const several = 2
+	factor := slowFactor
+	if m.inFlight >= several {
+		factor = suspectAge
+	}
+	return g.latency > 0 && float64(m.meanAge(g.epoch, now)) > factor*g.latency
+}
+
+// load returns the work on m, scaled up while m returns from an ejection.
+func (g *group) load(m *member, now time.Time) float64 {
 	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now)
 	return work / m.returnShare(g.cfg.ReturnTime, now)
 }
@@ -157,10 +196,10 @@
 	share := m.returnShare(g.cfg.ReturnTime, now)
 	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now)
 	score := (work + 1) / (share * float64(m.slots(r.Pool.Concurrency)))
-	if g.latency > 0 && m.latency > 0 {
-		score *= min(max(m.latency/g.latency, fastest), slowest)
+	score *= m.slowness(g.latency, now)
+	if g.suspect(m, now) {
+		score *= slowest
 	}
-	score *= 1 + failurePenalty*m.failures
 	if m.host.DataCentre != g.cfg.DataCentre {
 		score *= g.cfg.RemotePenalty
 	}
