Copy a sixty-fourth of a table for an edit

Cause: the whole map of rows was copied for every edit, so a daemon that folds a thousand edits at start spends seconds on copies at 8,000 rows. Ruled out: a mutable table under a lock, because readers keep a state while edits go on.

--- a/internal/fold/bench_test.go
+++ b/internal/fold/bench_test.go
@@ -207,4 +207,3 @@
 	require.NoError(b, next.Restore(data))
 	return next
 }
-
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -59,13 +59,13 @@
 	case SetRoute:
 		t.checkRoute(&p, c.Route)
 	case DeleteRoute:
-		if _, ok := t.routes[c.Name]; !ok {
+		if _, ok := t.Route(c.Name); !ok {
 			p.add("name", "%q is no route: there is nothing to delete", c.Name)
 		}
 	case SetPool:
 		t.checkUsers(&p, c.Pool)
 	case DeletePool:
-		if _, ok := t.pools[c.Name]; !ok {
+		if _, ok := t.Pool(c.Name); !ok {
 			p.add("name", "%q is no pool: there is nothing to delete", c.Name)
 		}
 		t.checkUnused(&p, c.Name)
--- a/internal/table/check_pool.go
+++ b/internal/table/check_pool.go
@@ -76,7 +76,7 @@
 // routesOn returns the routes with a stage on a pool, sorted by name.
 func (t *Tables) routesOn(pool string) []Route {
 	var routes []Route
-	for _, row := range t.routes {
+	for row := range t.routes.all() {
 		if slices.ContainsFunc(row.Value.Stages, func(s Stage) bool { return s.Pool == pool }) {
 			routes = append(routes, row.Value)
 		}
--- a/internal/table/check_route.go
+++ b/internal/table/check_route.go
@@ -42,7 +42,7 @@
 // checkRoute checks what the stages need of the pools.
 func (t *Tables) checkRoute(p *problems, r Route) {
 	for i, s := range r.Stages {
-		row, ok := t.pools[s.Pool]
+		row, ok := t.Pool(s.Pool)
 		if !ok {
 			p.add(stageField(i)+".pool", "%q is no pool: create the pool first", s.Pool)
 			continue
--- a/internal/table/describe.go
+++ b/internal/table/describe.go
@@ -27,7 +27,7 @@
 }
 
 func (t *Tables) describeSetRoute(r Route) []string {
-	old, ok := t.routes[r.Name]
+	old, ok := t.Route(r.Name)
 	if !ok {
 		return []string{"new route", r.Name, "with", count(len(r.Stages), "stage")}
 	}
@@ -48,7 +48,7 @@
 }
 
 func (t *Tables) describeSetPool(p Pool) []string {
-	old, ok := t.pools[p.Name]
+	old, ok := t.Pool(p.Name)
 	if !ok {
 		return []string{"new pool", p.Name, "on service", p.Service}
 	}
--- a/internal/table/tables.go
+++ b/internal/table/tables.go
@@ -1,15 +1,10 @@
 package table
 
-import (
-	"cmp"
-	"slices"
-)
-
 // Tables is one state of both tables. It is immutable: edits make a new one. The
 // zero value is empty. Callers must not change slices that it returns.
 type Tables struct {
-	routes   map[string]RouteRow
-	pools    map[string]PoolRow
+	routes   *rowSet[Route]
+	pools    *rowSet[Pool]
 	revision uint64
 }
 
@@ -20,34 +15,22 @@
 
 // Route returns the route with the given name.
 func (t *Tables) Route(name string) (RouteRow, bool) {
-	row, ok := t.routes[name]
-	return row, ok
+	return t.routes.get(name)
 }
 
 // Pool returns the pool with the given name.
 func (t *Tables) Pool(name string) (PoolRow, bool) {
-	row, ok := t.pools[name]
-	return row, ok
+	return t.pools.get(name)
 }
 
 // Routes returns all routes, sorted by name.
 func (t *Tables) Routes() []RouteRow {
-	rows := make([]RouteRow, 0, len(t.routes))
-	for _, row := range t.routes {
-		rows = append(rows, row)
-	}
-	slices.SortFunc(rows, func(a, b RouteRow) int { return cmp.Compare(a.Value.Name, b.Value.Name) })
-	return rows
+	return t.routes.sorted(routeName)
 }
 
 // Pools returns all pools, sorted by name.
 func (t *Tables) Pools() []PoolRow {
-	rows := make([]PoolRow, 0, len(t.pools))
-	for _, row := range t.pools {
-		rows = append(rows, row)
-	}
-	slices.SortFunc(rows, func(a, b PoolRow) int { return cmp.Compare(a.Value.Name, b.Value.Name) })
-	return rows
+	return t.pools.sorted(poolName)
 }
 
 // Revision returns the offset of the last edit that changed a row, also when it
@@ -61,7 +44,13 @@
 func (t *Tables) RevisionOf(e Edit) uint64 {
 	name, pool := e.Target()
 	if pool {
-		return t.pools[name].Revision
+		row, _ := t.pools.get(name)
+		return row.Revision
 	}
-	return t.routes[name].Revision
+	row, _ := t.routes.get(name)
+	return row.Revision
 }
+
+func routeName(r Route) string { return r.Name }
+
+func poolName(p Pool) string { return p.Name }
