--- a/internal/confsync/oracle_test.go
+++ b/internal/confsync/oracle_test.go
@@ -114,6 +114,8 @@
 	digests map[uint64]fold.Digest
 	seen    map[*process]progress
 	waiting map[uint64]map[*process]time.Time
+	// owners are the processes that ever saw themselves as the owner of a key.
+	owners map[fold.Key]string
 	// leaseFree is since when nobody held the lease although a daemon could.
 	leaseFree time.Time
 }
@@ -132,6 +134,7 @@
 		digests:   make(map[uint64]fold.Digest),
 		seen:      make(map[*process]progress),
 		waiting:   make(map[uint64]map[*process]time.Time),
+		owners:    make(map[fold.Key]string),
 		leaseFree: time.Now(),
 	}
 }
@@ -147,6 +150,9 @@
 		if err := w.checkState(d, p); err != nil {
 			return err
 		}
+		if err := w.checkClaims(p); err != nil {
+			return err
+		}
 		if err := w.checkInForce(d, p); err != nil {
 			return err
 		}
@@ -174,6 +180,23 @@
 	return nil
 }
 
+// checkClaims fails if two processes, of which one may be dead, have seen
+// themselves as the owner of one key.
+func (w *watcher) checkClaims(p *process) error {
+	for i := range keys {
+		key := fold.Key{byte(i)}
+		claim, ok := p.machine.Claim(key)
+		if !ok || claim.Owner != p.name {
+			continue
+		}
+		if owner, taken := w.owners[key]; taken && owner != p.name {
+			return fmt.Errorf("key %d is owned by %s and by %s", i, owner, p.name)
+		}
+		w.owners[key] = p.name
+	}
+	return nil
+}
+
 func (w *watcher) checkState(d *daemon, p *process) error {
 	covered, digest := p.machine.Digest()
 	if other, ok := w.digests[covered]; ok && other != digest {
--- a/internal/confsync/steps_test.go
+++ b/internal/confsync/steps_test.go
@@ -37,6 +37,8 @@
 	case "freeze", "thaw":
 		d.link.setCut(s.Op == "freeze")
 		d.setCutPeers(s.Op == "freeze")
+	case "claim":
+		p.claim(ctx, d, s.N)
 	case "slow", "fast":
 		d.link.setSlow(s.Op == "slow")
 	case "restart":
@@ -90,6 +92,27 @@
 	return e
 }
 
+// claim claims two keys for the process in one append, which may go wrong.
+func (p *player) claim(ctx context.Context, d *daemon, n int) {
+	faults := []string{"", "", appendLoseReply, appendLate, appendNever, appendTwice}
+	d.link.failNext(faults[n%len(faults)])
+	owner := d.process().name
+	data, err := fold.EncodeClaims([]fold.Claim{
+		{
+			Key:   fold.Key{byte(n % keys)},
+			Owner: owner,
+		},
+		{
+			Key:   fold.Key{byte((n + 1) % keys)},
+			Owner: owner,
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+	p.submits.Go(func() { _, _ = d.link.AppendEdit(ctx, data) })
+}
+
 // publish puts an edit on the log without the checks of an editor.
 func (p *player) publish(e table.Edit) {
 	data, err := fold.EncodeEdit(e)
