--- a/internal/fold/apply.go
+++ b/internal/fold/apply.go
@@ -1,8 +1,6 @@
 package fold
 
 import (
-	"google.golang.org/protobuf/proto"
-
 	"sequoiafork/internal/table"
 	"sequoiafork/internal/wire/recordpb"
 )
@@ -11,6 +9,10 @@
 // one that can't be decoded is counted and skipped. It returns a *GapError if the
 // record isn't the next one.
 func (m *Machine) Apply(offset uint64, timeMs int64, data []byte) error {
+	if offset < m.next.Load() {
+		return nil
+	}
+	rec := decodeRecord(data)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	next := m.next.Load()
@@ -24,7 +26,7 @@
 		}
 	}
 	m.clockMs = max(m.clockMs, timeMs)
-	m.applyRecord(offset, data)
+	m.applyRecord(offset, rec)
 	m.expire()
 	m.counters.Applied++
 	m.digests.add(offset, m.digestLocked(offset), m.config.DigestWindow)
@@ -38,13 +40,8 @@
 	m.changed = make(chan struct{})
 }
 
-func (m *Machine) applyRecord(offset uint64, data []byte) {
-	var r recordpb.Record
-	if err := proto.Unmarshal(data, &r); err != nil {
-		m.counters.Undecodable++
-		return
-	}
-	switch kind := r.GetKind().(type) {
+func (m *Machine) applyRecord(offset uint64, r record) {
+	switch kind := r.message.GetKind().(type) {
 	case *recordpb.Record_Edit:
 		m.applyEdit(offset, kind.Edit)
 	case *recordpb.Record_Claims:
@@ -52,7 +49,7 @@
 	case *recordpb.Record_Lease:
 		m.applyLease(offset, kind.Lease)
 	case *recordpb.Record_Snapshot:
-		m.checkSnapshot(offset, kind.Snapshot)
+		m.checkSnapshot(offset, r)
 	default:
 		m.counters.Undecodable++
 	}
--- a/internal/fold/restore.go
+++ b/internal/fold/restore.go
@@ -4,8 +4,6 @@
 	"bytes"
 
 	"go.uber.org/zap"
-
-	"sequoiafork/internal/wire/recordpb"
 )
 
 // MarkComplete makes the machine ready: it has folded a whole state, from the
@@ -44,7 +42,7 @@
 		}
 	}
 	if img.covered+1 == next && next > 1 {
-		return m.compare(img.covered, img.writer, img.sums.digest(img.covered, img.tables.Revision(), img.clockMs))
+		return m.compare(img.covered, img.writer, img.digest)
 	}
 	m.adopt(img)
 	return nil
@@ -84,19 +82,20 @@
 
 // checkSnapshot compares a snapshot on the log with the state that this machine
 // had at the offset. It never changes the state.
-func (m *Machine) checkSnapshot(offset uint64, s *recordpb.Snapshot) {
-	if s.GetCoveredOffset() >= offset {
+func (m *Machine) checkSnapshot(offset uint64, r record) {
+	if r.damage != nil {
 		m.counters.SnapshotsDamaged++
-		m.config.Logger.Error("snapshot covers records after its own offset", zap.Uint64("offset", offset), zap.Uint64("covered", s.GetCoveredOffset()))
+		m.config.Logger.Error("damaged snapshot on the log", zap.Uint64("offset", offset), zap.Error(r.damage))
 		return
 	}
-	if _, err := decodeImage(s); err != nil {
+	img := r.image
+	if img.covered >= offset {
 		m.counters.SnapshotsDamaged++
-		m.config.Logger.Error("damaged snapshot on the log", zap.Uint64("offset", offset), zap.Error(err))
+		m.config.Logger.Error("snapshot covers records after its own offset", zap.Uint64("offset", offset), zap.Uint64("covered", img.covered))
 		return
 	}
-	if err := m.compare(s.GetCoveredOffset(), s.GetWriter(), Digest(s.GetDigest())); err == nil {
-		m.markSnapshot(s.GetCoveredOffset())
+	if err := m.compare(img.covered, img.writer, img.digest); err == nil {
+		m.markSnapshot(img.covered)
 	}
 }
 
--- a/internal/fold/snapshot.go
+++ b/internal/fold/snapshot.go
@@ -1,11 +1,11 @@
 package fold
 
 import (
+	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 
-	"google.golang.org/protobuf/proto"
-
 	"sequoiafork/internal/table"
 	"sequoiafork/internal/wire/recordpb"
 )
@@ -14,41 +14,66 @@
 func (m *Machine) Snapshot(writer string) ([]byte, error) {
 	return encode(&recordpb.Record{
 		Kind: &recordpb.Record_Snapshot{
-			Snapshot: m.copyState(writer),
+			Snapshot: m.view().message(writer),
 		},
 	})
 }
 
-func (m *Machine) copyState(writer string) *recordpb.Snapshot {
+// view is a copy of the state at one offset.
+type view struct {
+	covered uint64
+	digest  Digest
+	clockMs int64
+	tables  *table.Tables
+	edits   []EditOutcome
+	leases  []Lease
+	claims  []Claim
+}
+
+func (m *Machine) view() view {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	covered := m.next.Load() - 1
-	digest := m.digestLocked(covered)
-	tables := m.tables.Load()
+	v := view{
+		covered: covered,
+		digest:  m.digestLocked(covered),
+		clockMs: m.clockMs,
+		tables:  m.tables.Load(),
+		edits:   make([]EditOutcome, 0, len(m.edits.order)),
+		leases:  slices.Collect(maps.Values(m.leases)),
+		claims:  m.claims.all(),
+	}
+	for _, id := range m.edits.order {
+		v.edits = append(v.edits, m.edits.byID[id])
+	}
+	return v
+}
+
+// message returns the state with its parts sorted.
+func (v view) message(writer string) *recordpb.Snapshot {
 	s := &recordpb.Snapshot{
-		CoveredOffset: covered,
-		Digest:        digest[:],
-		Revision:      tables.Revision(),
-		TimeMs:        m.clockMs,
+		CoveredOffset: v.covered,
+		Digest:        v.digest[:],
+		Revision:      v.tables.Revision(),
+		TimeMs:        v.clockMs,
 		Writer:        writer,
+		Claims:        make([]*recordpb.Claim, 0, len(v.claims)),
 	}
-	for _, row := range tables.Pools() {
+	for _, row := range v.tables.Pools() {
 		s.Rows = append(s.Rows, rowToProto(row))
 	}
-	for _, row := range tables.Routes() {
+	for _, row := range v.tables.Routes() {
 		s.Rows = append(s.Rows, rowToProto(row))
 	}
-	for _, id := range m.edits.order {
-		s.Edits = append(s.Edits, outcomeToProto(m.edits.byID[id]))
+	for _, o := range v.edits {
+		s.Edits = append(s.Edits, outcomeToProto(o))
 	}
-	for _, l := range m.leases {
+	slices.SortFunc(v.leases, func(a, b Lease) int { return cmp.Compare(a.Name, b.Name) })
+	for _, l := range v.leases {
 		s.Leases = append(s.Leases, leaseToProto(l))
 	}
-	slices.SortFunc(s.Leases, func(a, b *recordpb.Lease) int { return cmp.Compare(a.GetName(), b.GetName()) })
-	claims := m.claims.all()
-	s.Claims = make([]*recordpb.Claim, 0, len(claims))
-	for i := range claims {
-		s.Claims = append(s.Claims, claimToProto(&claims[i]))
+	for i := range v.claims {
+		s.Claims = append(s.Claims, claimToProto(&v.claims[i]))
 	}
 	return s
 }
@@ -58,6 +83,7 @@
 	covered uint64
 	writer  string
 	clockMs int64
+	digest  Digest
 	sums    sums
 	tables  *table.Tables
 	edits   editWindow
@@ -68,19 +94,13 @@
 // decodeSnapshot returns the content of a snapshot whose digest is right, else a
 // *SnapshotError or a *DigestError.
 func decodeSnapshot(data []byte) (*image, error) {
-	var r recordpb.Record
-	if err := proto.Unmarshal(data, &r); err != nil {
-		return nil, &SnapshotError{
-			Reason: err.Error(),
-		}
-	}
-	s := r.GetSnapshot()
-	if s == nil {
+	r := decodeRecord(data)
+	if r.message.GetSnapshot() == nil {
 		return nil, &SnapshotError{
 			Reason: "the record is no snapshot",
 		}
 	}
-	return decodeImage(s)
+	return r.image, r.damage
 }
 
 func decodeImage(s *recordpb.Snapshot) (*image, error) {
@@ -112,13 +132,13 @@
 		img.claims = append(img.claims, c)
 		img.sums.claims.toggle(claimToProto(&c))
 	}
-	got := img.sums.digest(img.covered, img.tables.Revision(), img.clockMs)
-	if !slices.Equal(got[:], s.GetDigest()) {
+	img.digest = img.sums.digest(img.covered, img.tables.Revision(), img.clockMs)
+	if !bytes.Equal(img.digest[:], s.GetDigest()) {
 		return nil, &DigestError{
 			Covered: img.covered,
 			Writer:  img.writer,
 			Stated:  s.GetDigest(),
-			Got:     got[:],
+			Got:     img.digest[:],
 		}
 	}
 	return img, nil
