Test the log client's errors and pass on only what is new

Cause: a starting daemon passed all records that it read to catch up on to its peers, which have them. Change: it passes records on once its state is complete. The log client's tests show which failures count as not appended and which as unknown.

--- a/internal/confsync/ingest.go
+++ b/internal/confsync/ingest.go
@@ -18,7 +18,8 @@
 
 func (r *Reader) ingest(records []*peerpb.LogRecord) {
 	applied, gap := r.applyInOrder(records)
-	if len(applied) > 0 && r.config.OnRecords != nil {
+	// What a daemon reads to catch up is not new to its peers.
+	if len(applied) > 0 && r.machine.Ready() && r.config.OnRecords != nil {
 		r.config.OnRecords(applied)
 	}
 	if gap {
--- /dev/null
+++ b/internal/logservice/client_test.go
@@ -0,0 +1,160 @@
+package logservice_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/logservice"
+)
+
+func newClient(t *testing.T, addr string, set *metrics.Set) *logservice.Client {
+	t.Helper()
+	c, err := logservice.New(logservice.Config{
+		Addr:             addr,
+		Stream:           "s",
+		Timeout:          200 * time.Millisecond,
+		AppendsPerSecond: 1,
+		Metrics:          set,
+	})
+	require.NoError(t, err)
+	return c
+}
+
+// serve answers every call by the handler.
+func serve(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func answer(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func TestAppendErrors(t *testing.T) {
+	hangUp := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	hang := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	for _, tc := range []struct {
+		name    string
+		handler http.HandlerFunc
+		code    string
+	}{
+		{
+			name:    "rate limit",
+			handler: answer(http.StatusTooManyRequests, `{"code":"rate_limited","message":"slow down"}`),
+			code:    "rate_limited",
+		},
+		{
+			name:    "outage",
+			handler: answer(http.StatusServiceUnavailable, `{"code":"unavailable","message":"down"}`),
+			code:    "unavailable",
+		},
+		{
+			name:    "another code",
+			handler: answer(http.StatusInternalServerError, `{"code":"internal","message":"?"}`),
+		},
+		{
+			name:    "no JSON",
+			handler: answer(http.StatusBadGateway, `bad gateway`),
+		},
+		{
+			name:    "half an answer",
+			handler: answer(http.StatusOK, `{"offset": 7`),
+		},
+		{
+			name:    "connection closed",
+			handler: hangUp,
+		},
+		{
+			name:    "no answer",
+			handler: hang,
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := newClient(t, serve(t, tc.handler), metrics.NewSet()).Append(t.Context(), []byte("x"))
+			if tc.code == "" {
+				var unknown *logservice.UnknownError
+				require.ErrorAs(t, err, &unknown)
+				return
+			}
+			var refused *logservice.RefusedError
+			require.ErrorAs(t, err, &refused)
+			require.Equal(t, tc.code, refused.Code)
+		})
+	}
+}
+
+func TestAppendUnreachable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = newClient(t, addr, metrics.NewSet()).Append(t.Context(), nil)
+	var refused *logservice.RefusedError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, logservice.CodeUnreachable, refused.Code)
+}
+
+func TestAppendBudget(t *testing.T) {
+	set := metrics.NewSet()
+	c := newClient(t, serve(t, answer(http.StatusOK, `{"offset": 7, "time_ms": 1}`)), set)
+	offset, err := c.Append(t.Context(), []byte("x"))
+	require.NoError(t, err)
+	require.EqualValues(t, 7, offset)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	_, err = c.Append(ctx, []byte("x"))
+	var refused *logservice.RefusedError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, logservice.CodeOverBudget, refused.Code)
+	_, err = c.AppendEdit(t.Context(), []byte("x"))
+	require.NoError(t, err, "an edit does not wait for the budget")
+	require.EqualValues(t, 1, set.GetOrCreateCounter(`sequoiafork_log_appends_total{origin="system"}`).Get())
+	require.EqualValues(t, 1, set.GetOrCreateCounter(`sequoiafork_log_appends_total{origin="operator"}`).Get())
+}
+
+func TestRead(t *testing.T) {
+	c := newClient(t, serve(t, answer(http.StatusGone, `{"code":"offset_expired","message":"gone","first_offset":9}`)), metrics.NewSet())
+	_, err := c.Read(t.Context(), 1, 0, 0)
+	var expired *logservice.ExpiredError
+	require.ErrorAs(t, err, &expired)
+	require.EqualValues(t, 9, expired.First)
+
+	c = newClient(t, serve(t, answer(http.StatusOK, `{"records":[{"offset":3,"time_ms":5,"data":"eA=="}],"first_offset":2,"end_offset":4}`)), metrics.NewSet())
+	batch, err := c.Read(t.Context(), 3, 0, 0)
+	require.NoError(t, err)
+	require.Equal(t, logservice.Batch{
+		Records: []logservice.Record{{
+			Offset: 3,
+			TimeMs: 5,
+			Data:   []byte("x"),
+		}},
+		First: 2,
+		End:   4,
+	}, batch)
+}
+
+func TestNewRefusesHostNames(t *testing.T) {
+	_, err := logservice.New(logservice.Config{
+		Addr:   "localhost:7000",
+		Stream: "s",
+	})
+	require.ErrorContains(t, err, "not an IP and port")
+}
