--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -131,3 +131,20 @@
 		require.InDelta(t, 200, moved, 60)
 	})
 }
+
+// TestDeadOfUnknownIsNotKept keeps two tables from reminding each other for ever.
+func TestDeadOfUnknownIsNotKept(t *testing.T) {
+	table := New(Config{
+		Self: Member{
+			Incarnation: "10.0.0.1:1/a",
+			PeerAddr:    "10.0.0.1:1",
+		},
+	})
+	passed := table.merge(Member{
+		Incarnation: "10.0.0.2:1/a",
+		State:       Dead,
+		Version:     1,
+	}.rumor())
+	require.Empty(t, passed)
+	require.Len(t, table.Members(), 1)
+}
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -25,6 +25,8 @@
 //	upstream ADDR STATE D [N]  within D all running daemons (but N) hold the state
 //	in_force N D               within D all daemons know that revision N is everywhere
 //	resolvable I yes|no D      within D every answer of Resolve has host I, or none
+//	disputed I N               host I had to refute at most N times so far
+//	forgotten I D              within D no running daemon remembers one at host I
 //
 // Each line that states a bound yields "ok", or what was seen instead.
 type script struct {
@@ -90,6 +92,10 @@
 		return s.within(duration(f[1]), func() string { return s.disagreement(f[2:]) })
 	case "upstream":
 		return s.within(duration(f[3]), func() string { return s.upstreamGap(f[1], f[2], f[4:]) })
+	case "disputed":
+		return s.disputes(s.net.hosts[number(f[1])], uint64(number(f[2])))
+	case "forgotten":
+		return s.within(duration(f[2]), func() string { return s.memoryOf(s.net.hosts[number(f[1])].addr()) })
 	case "in_force":
 		return s.within(duration(f[2]), func() string { return s.revisionGap(uint64(number(f[1]))) })
 	case "resolvable":
@@ -249,6 +255,25 @@
 	return ""
 }
 
+func (s *script) disputes(h *host, limit uint64) string {
+	p := h.proc
+	if n := p.table.Self().Version - p.table.cfg.Self.Version; n > limit {
+		return fmt.Sprintf("%s refuted %d times", p.table.self, n)
+	}
+	return "ok"
+}
+
+func (s *script) memoryOf(addr string) string {
+	for _, p := range s.net.running() {
+		for _, m := range p.table.Members() {
+			if m.PeerAddr == addr {
+				return fmt.Sprintf("%s remembers %s", p.table.self, m.Incarnation)
+			}
+		}
+	}
+	return ""
+}
+
 func (s *script) resolveGap(id int, wanted bool) string {
 	addr := s.net.hosts[id].proc.table.Self().CallerAddr
 	for _, p := range s.net.running() {
