--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/net/netutil"
@@ -49,11 +50,15 @@
 	mux.Handle("GET /{$}", http.RedirectHandler("/page/", http.StatusSeeOther))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
+		d.writeGauges(w)
 	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
 	mux.HandleFunc("GET /readyz", d.readyz)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	return mux, nil
 }
 
