--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -14,7 +14,8 @@
 	DefaultProbeEvery       = 10 * time.Second
 	DefaultUnwantedAfter    = 10 * time.Second
 	DefaultExchangeEvery    = 5 * time.Second
-	DefaultUpstreamExpiry   = 30 * time.Second
+	DefaultDeadExpiry       = 30 * time.Second
+	DefaultLeavingExpiry    = 5 * time.Minute
 	DefaultResolveKeep      = 10 * time.Second
 	DefaultNeighbours       = 5
 	DefaultResolveMax       = 8
@@ -51,8 +52,11 @@
 	UnwantedAfter time.Duration
 	// ExchangeEvery is the least time between two table exchanges on a link.
 	ExchangeEvery time.Duration
-	// UpstreamExpiry is how long a rumor about an upstream holds after it was seen.
-	UpstreamExpiry time.Duration
+	// DeadExpiry is how long a rumor that an upstream is dead, or live again, holds
+	// after it was seen, and LeavingExpiry one that it is leaving. The latter covers a
+	// host list that is late, for daemons that start or come back meanwhile.
+	DeadExpiry    time.Duration
+	LeavingExpiry time.Duration
 	// ResolveKeep is how long callers may keep an answer of Resolve.
 	ResolveKeep time.Duration
 	// Neighbours is how many neighbours a daemon chooses. Up to that many other
@@ -75,7 +79,8 @@
 	setDuration(&c.ProbeEvery, DefaultProbeEvery)
 	setDuration(&c.UnwantedAfter, DefaultUnwantedAfter)
 	setDuration(&c.ExchangeEvery, DefaultExchangeEvery)
-	setDuration(&c.UpstreamExpiry, DefaultUpstreamExpiry)
+	setDuration(&c.DeadExpiry, DefaultDeadExpiry)
+	setDuration(&c.LeavingExpiry, DefaultLeavingExpiry)
 	setDuration(&c.ResolveKeep, DefaultResolveKeep)
 	if c.Neighbours == 0 {
 		c.Neighbours = DefaultNeighbours
@@ -98,6 +103,14 @@
 	return c
 }
 
+// upstreamExpiry is how long a rumor with a state holds.
+func (c Config) upstreamExpiry(st UpstreamState) time.Duration {
+	if st == UpstreamLeaving {
+		return c.LeavingExpiry
+	}
+	return c.DeadExpiry
+}
+
 func setDuration(d *time.Duration, value time.Duration) {
 	if *d == 0 {
 		*d = value
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -25,6 +25,13 @@
 	return xxhash.Sum64String(a + "|" + b)
 }
 
+// mix spreads the bits of x, as the last step of SplitMix64 does.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 func bucketOf(incarnation string) int {
 	return int(hashString(incarnation) % bucketCount)
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -30,6 +30,7 @@
 				fmt.Sprintf("hosts %d %d %d", n, min(n, 10), min(n, 3)),
 				"agree 60s",
 				"wait 30s",
+				"wait 10s",
 				"leave 1",
 				"resolvable 1 no 1s",
 				"saw 0 10.9.0.1:80 leaving",
@@ -42,7 +43,7 @@
 			for i := range n {
 				lines = append(lines, fmt.Sprintf("revision %d 7", i))
 			}
-			lines = append(lines, "in_force 7 16s")
+			lines = append(lines, "in_force 7 16s", "split dc dc2", "agree 5s dc2", "wait 30s", "heal", "agree 15s", "wait 1m")
 			for _, r := range runScript(t, lines, nil) {
 				require.Equal(t, "ok", r)
 			}
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sequoiafork/internal/upstream"
 	"sequoiafork/internal/wire/peerpb"
 )
 
@@ -20,6 +21,18 @@
 	bytes int
 }
 
+var (
+	setStates = map[UpstreamState]upstream.State{
+		UpstreamLeaving: upstream.Leaving,
+		UpstreamDead:    upstream.Dead,
+	}
+	tableStates = map[upstream.State]UpstreamState{
+		upstream.Live:    UpstreamLive,
+		upstream.Leaving: UpstreamLeaving,
+		upstream.Dead:    UpstreamDead,
+	}
+)
+
 // host is one address and the process that runs on it, if any.
 type host struct {
 	net    *network
@@ -39,6 +52,7 @@
 	dials  map[string]bool
 	gone   bool
 	marks  map[string]UpstreamState
+	set    *upstream.Set
 	closed chan struct{}
 }
 
@@ -58,7 +72,11 @@
 	at  time.Time
 }
 
-const pipeQueue = 4096
+const (
+	pipeQueue = 4096
+	// frameBytes is what gRPC and HTTP/2 add to a message.
+	frameBytes = 14
+)
 
 func (h *host) addr() string {
 	return fmt.Sprintf("10.0.%d.%d:7000", h.id/250, h.id%250+1)
@@ -86,6 +104,13 @@
 			n.mu.Lock()
 			p.marks[addr] = st
 			n.mu.Unlock()
+			p.set.Mark(addr, setStates[st], "seen by a peer")
+		},
+	})
+	p.set = upstream.New(upstream.Config{
+		Seed: uint64(h.id),
+		OnMark: func(addr string, st upstream.State) {
+			p.table.ReportUpstream(addr, tableStates[st])
 		},
 	})
 	n.mu.Lock()
@@ -194,7 +219,7 @@
 func (e *pipeEnd) Send(msg *peerpb.LinkMessage) bool {
 	e.net.mu.Lock()
 	defer e.net.mu.Unlock()
-	e.net.bytes += proto.Size(msg)
+	e.net.bytes += frameBytes + proto.Size(msg)
 	return !e.closed && e.put(msg)
 }
 
--- a/internal/membership/queries.go
+++ b/internal/membership/queries.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -66,12 +68,27 @@
 	return have, of
 }
 
+// Count returns how many members are alive and how many are leaving.
+func (t *Table) Count() (alive, leaving int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.livingMembers() {
+		if e.State == Alive {
+			alive++
+		} else {
+			leaving++
+		}
+	}
+	return alive, leaving
+}
+
 // Resolve returns the caller addresses that a caller should use, best first, and for
 // how long it may keep them. Members that are leaving or dead are left out. The order
 // is by rendezvous hash of the caller, so a lost host moves only its own callers:
 // first the caller's data centre, then its region (the part of the data centre's name
 // before the last '/'), then the rest. Long answers keep places for other data centres.
 func (t *Table) Resolve(caller, dataCentre string) ([]string, time.Duration) {
+	hash := hashString(caller)
 	t.mu.Lock()
 	candidates := make([]candidate, 0, len(t.members))
 	for _, e := range t.livingMembers() {
@@ -79,14 +96,12 @@
 			candidates = append(candidates, candidate{
 				addr:     e.CallerAddr,
 				distance: distance(dataCentre, e.DataCentre),
-				score:    pairScore(caller, e.CallerAddr),
+				score:    mix(hash ^ e.callerHash),
 			})
 		}
 	}
 	t.mu.Unlock()
-	sort.Slice(candidates, func(i, j int) bool {
-		return candidates[i].before(candidates[j])
-	})
+	slices.SortFunc(candidates, candidate.compare)
 	return shorten(candidates, t.cfg.ResolveMax), t.cfg.ResolveKeep
 }
 
@@ -99,11 +114,12 @@
 	score    uint64
 }
 
-func (c candidate) before(other candidate) bool {
+// compare orders candidates, the best one first.
+func (c candidate) compare(other candidate) int {
 	if c.distance != other.distance {
-		return c.distance < other.distance
+		return c.distance - other.distance
 	}
-	return c.score > other.score
+	return cmp.Compare(other.score, c.score)
 }
 
 func distance(a, b string) int {
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/upstream"
 )
 
 // script drives a network by lines of text. Its commands are:
@@ -19,6 +22,9 @@
 //	split dc|region NAME       cut a data centre or region off
 //	heal                       open all paths
 //	saw I ADDR STATE           host I reports an upstream
+//	list ADDR...               the host list names these upstreams as live
+//	left I ADDR                upstream ADDR tells host I that it is leaving
+//	no_work ADDR D [N]         within D no running daemon (but N) gives ADDR work
 //	revision I N               host I has folded revision N
 //	agree D [DC]               within D all running daemons (but those of DC) hold just
 //	                           the daemons living that they can reach
@@ -31,8 +37,6 @@
 // Each line that states a bound yields "ok", or what was seen instead.
 type script struct {
 	net *network
-	// took is how long the last stated bound took in virtual time.
-	took time.Duration
 }
 
 // runScript plays lines in a bubble and returns the results of the lines that state
@@ -47,8 +51,12 @@
 		}
 		defer s.end()
 		for _, line := range lines {
-			if r := s.run(strings.Fields(line)); r != "" {
-				t.Logf("%s: %s after %v", line, r, s.took)
+			begin, sent := time.Now(), s.net.bytes
+			r := s.run(strings.Fields(line))
+			if took := time.Since(begin); took > 0 {
+				t.Logf("%s: %s after %v, %d bytes sent by each daemon", line, r, took, (s.net.bytes-sent)/len(s.net.hosts))
+			}
+			if r != "" {
 				results = append(results, r)
 			}
 		}
@@ -92,6 +100,12 @@
 		return s.within(duration(f[1]), func() string { return s.disagreement(f[2:]) })
 	case "upstream":
 		return s.within(duration(f[3]), func() string { return s.upstreamGap(f[1], f[2], f[4:]) })
+	case "list":
+		s.list(f[1:])
+	case "left":
+		work(s.net.hosts[number(f[1])].proc, f[2], upstream.LeftPool)
+	case "no_work":
+		return s.within(duration(f[2]), func() string { return s.workGap(f[1], f[3:]) })
 	case "disputed":
 		return s.disputes(s.net.hosts[number(f[1])], uint64(number(f[2])))
 	case "forgotten":
@@ -172,11 +186,10 @@
 	for {
 		synctest.Wait()
 		g := gap()
-		s.took = time.Since(begin)
 		if g == "" {
 			return "ok"
 		}
-		if s.took >= d {
+		if time.Since(begin) >= d {
 			return g
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -245,6 +258,58 @@
 	return ""
 }
 
+var testPool = &table.Pool{
+	Name:        "pool",
+	Service:     "service",
+	Concurrency: 1000,
+}
+
+func (s *script) list(addrs []string) {
+	var hosts []upstream.Host
+	for _, addr := range addrs {
+		hosts = append(hosts, upstream.Host{
+			Addr:    addr,
+			Service: testPool.Service,
+		})
+	}
+	for _, p := range s.net.running() {
+		p.set.Replace(hosts)
+	}
+}
+
+// work lets a daemon choose upstreams many times. It reports whether addr was among
+// them, and ends the first attempt there with an outcome.
+func work(p *process, addr string, end upstream.Outcome) bool {
+	for range 100 {
+		c, err := p.set.Pick(upstream.Request{
+			Pool: testPool,
+		})
+		if err != nil {
+			return false
+		}
+		if c.Addr == addr {
+			c.Done(upstream.Result{
+				Outcome: end,
+			})
+			return true
+		}
+		c.Done(upstream.Result{
+			Outcome: upstream.OK,
+			Latency: time.Millisecond,
+		})
+	}
+	return false
+}
+
+func (s *script) workGap(addr string, but []string) string {
+	for _, p := range s.net.running() {
+		if !slices.Contains(but, strconv.Itoa(p.host.id)) && work(p, addr, upstream.Cancelled) {
+			return fmt.Sprintf("%s gives %s work", p.table.self, addr)
+		}
+	}
+	return ""
+}
+
 func (s *script) revisionGap(revision uint64) string {
 	procs := s.net.running()
 	for _, p := range procs {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -18,8 +18,10 @@
 type entry struct {
 	Member
 	// score ranks the incarnation as a neighbour of this process.
-	score  uint64
-	deadAt time.Time
+	score uint64
+	// callerHash is the hash of the caller address.
+	callerHash uint64
+	deadAt     time.Time
 }
 
 // Table is the member table of one daemon. Its methods are safe for concurrent use.
@@ -42,6 +44,7 @@
 	seeds    map[string]struct{}
 	lost     map[string]time.Time
 	probeAt  time.Time
+	askedAt  time.Time // the last exchange that this table started
 	rand     *rand.Rand
 	lastTick time.Time
 	lastBeat time.Time
@@ -134,6 +137,7 @@
 	}
 	wasLiving := ok && e.State != Dead
 	e.Member = m
+	e.callerHash = hashString(m.CallerAddr)
 	t.toggleDigest(m)
 	if wasLiving != (m.State != Dead) {
 		t.living = nil
--- a/internal/membership/upstreams.go
+++ b/internal/membership/upstreams.go
@@ -84,7 +84,7 @@
 	u := &t.upstreams
 	state := UpstreamState(r.GetState())
 	age := time.Duration(max(r.GetAgeMs(), 0)) * time.Millisecond
-	if state < UpstreamLive || state > UpstreamDead || age >= t.cfg.UpstreamExpiry {
+	if state < UpstreamLive || state > UpstreamDead || age >= t.cfg.upstreamExpiry(state) {
 		return false
 	}
 	id := rumorID{
@@ -155,7 +155,7 @@
 	if !ok {
 		return state != UpstreamLive
 	}
-	return s.state != state || state != UpstreamLive && now.Sub(s.seen) >= t.cfg.UpstreamExpiry/2
+	return s.state != state || state != UpstreamLive && now.Sub(s.seen) >= t.cfg.upstreamExpiry(state)/2
 }
 
 func upstreamRumor(addr string, s upstreamSight, now time.Time) *peerpb.Rumor {
@@ -182,7 +182,7 @@
 func (t *Table) expireUpstreams(now time.Time) {
 	u := &t.upstreams
 	for addr, s := range u.sights {
-		if now.Sub(s.seen) >= t.cfg.UpstreamExpiry {
+		if now.Sub(s.seen) >= t.cfg.upstreamExpiry(s.state) {
 			delete(u.sights, addr)
 			t.events = append(t.events, upstreamEvent{
 				addr: addr,
@@ -190,7 +190,7 @@
 		}
 	}
 	for id, m := range u.seen {
-		if now.Sub(m.at) >= 2*t.cfg.UpstreamExpiry {
+		if now.Sub(m.at) >= 2*t.cfg.LeavingExpiry {
 			delete(u.seen, id)
 		}
 	}
