--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -186,8 +186,7 @@
 }
 
 // compare starts an exchange when the tables differ: at once on a new link, else
-// when they differ for two heartbeats, which leaves out rumors on their way. A table
-// asks one peer at a time, so that it is not sent the same members by all of them.
+// when they differ for two heartbeats, which leaves out rumors on their way.
 func (l *Link) compare(digest uint64, now time.Time) {
 	t := l.t
 	if digest == t.digest() {
@@ -202,10 +201,6 @@
 	if first && !l.dialed && l.differs < 2 {
 		return // the end that dialed asks first
 	}
-	if now.Sub(t.askedAt) < t.cfg.Heartbeat/ticksPerHeartbeat {
-		return // another exchange is on its way and may settle it
-	}
-	t.askedAt = now
 	l.exchangedAt = now
 	l.send(&peerpb.LinkMessage{
 		Summary: t.summary(false),
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -44,7 +44,6 @@
 	seeds    map[string]struct{}
 	lost     map[string]time.Time
 	probeAt  time.Time
-	askedAt  time.Time // the last exchange that this table started
 	rand     *rand.Rand
 	lastTick time.Time
 	lastBeat time.Time
