Add cmd/slopes, and tell peers sooner when this daemon reads no log

A daemon that is behind a peer's heartbeat for 400 ms sends a heartbeat of its own once, so the peer pushes records without waiting for the next second.

--- /dev/null
+++ b/cmd/slopes/main.go
@@ -0,0 +1,92 @@
+// Slopes measures what the control traffic between daemons costs as their number
+// grows. It runs daemons' peer sides in one process over loopback and prints one line
+// for each size, then a linear fit of each figure.
+//
+//	go run ./cmd/slopes -sizes 5,10,20,40,80
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// settings are the flags of the command.
+type settings struct {
+	sizes  []int
+	rounds int
+	settle time.Duration
+	window time.Duration
+	target int
+}
+
+func main() {
+	if err := command().ParseAndRun(context.Background(), os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "slopes:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *ffcli.Command {
+	fs := flag.NewFlagSet("slopes", flag.ContinueOnError)
+	sizes := fs.String("sizes", "5,10,20,40,80", "numbers of daemons, separated by commas")
+	rounds := fs.Int("rounds", 2, "runs of each size")
+	settle := fs.Duration("settle", 15*time.Second, "time before the figures at rest are taken")
+	window := fs.Duration("window", 10*time.Second, "time over which the figures at rest are taken")
+	target := fs.Int("target", 340, "number of daemons that the fit is carried on to")
+	return &ffcli.Command{
+		Name:       "slopes",
+		ShortUsage: "slopes [flags]",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			list, err := parseSizes(*sizes)
+			if err != nil {
+				return err
+			}
+			return measureAll(ctx, settings{
+				sizes:  list,
+				rounds: *rounds,
+				settle: *settle,
+				window: *window,
+				target: *target,
+			})
+		},
+	}
+}
+
+func parseSizes(s string) ([]int, error) {
+	var sizes []int
+	for _, f := range strings.Split(s, ",") {
+		n, err := strconv.Atoi(f)
+		if err != nil || n < 2 {
+			return nil, fmt.Errorf("flag -sizes: %q is not a number of at least 2", f)
+		}
+		sizes = append(sizes, n)
+	}
+	return sizes, nil
+}
+
+func measureAll(ctx context.Context, s settings) error {
+	var points []point
+	for range s.rounds {
+		for _, n := range s.sizes {
+			p, err := measure(ctx, n, s)
+			if err != nil {
+				return fmt.Errorf("%d daemons: %w", n, err)
+			}
+			fmt.Println(p)
+			points = append(points, p)
+		}
+	}
+	for _, f := range fits(points, s.target) {
+		fmt.Println(f)
+	}
+	return nil
+}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -6,6 +6,9 @@
 	"sequoiafork/internal/wire/peerpb"
 )
 
+// lagAfter is how long a daemon that reads the log may be behind its peers.
+const lagAfter = 400 * time.Millisecond
+
 // beat sends a heartbeat on every link.
 func (t *Table) beat(now time.Time) {
 	t.lastBeat = now
@@ -66,6 +69,10 @@
 
 // mergeProgress takes in how far the peer is, and how far it knows others to be.
 func (t *Table) mergeProgress(peer string, hb *peerpb.Heartbeat) {
+	if next := t.selfMember().NextOffset; hb.GetNextOffset() > next && t.behindOf <= next {
+		t.behindOf = hb.GetNextOffset()
+		t.behindAt = time.Now()
+	}
 	news := false
 	if e, ok := t.members[peer]; ok {
 		news = hb.GetRevision() > e.Revision
@@ -79,6 +86,16 @@
 	}
 }
 
+// lags says, once for each offset, that this process still lacks records that a peer
+// had a while ago. A heartbeat then lets the peers know that it reads no log.
+func (t *Table) lags(now time.Time) bool {
+	if t.behindOf <= t.selfMember().NextOffset || now.Sub(t.behindAt) < lagAfter {
+		return false
+	}
+	t.behindOf = 0
+	return true
+}
+
 func (t *Table) mergeBits(revision uint64, bits []byte) bool {
 	news := false
 	for i, e := range t.livingMembers() {
--- a/internal/membership/queries.go
+++ b/internal/membership/queries.go
@@ -157,3 +157,10 @@
 	}
 	return addrs
 }
+
+// Upstream returns what the daemons hold of an upstream.
+func (t *Table) Upstream(addr string) UpstreamState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.upstreams.sights[addr].state
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -48,6 +48,8 @@
 	lastTick time.Time
 	lastBeat time.Time
 	beatSoon bool
+	behindOf uint64 // a peer's next offset that this process had not reached
+	behindAt time.Time
 
 	upstreams upstreamTable
 	limiter   *rate.Limiter
@@ -103,7 +105,7 @@
 		t.dropUnwanted(now)
 		t.expire(now)
 		t.beat(now)
-	} else if t.beatSoon {
+	} else if t.beatSoon || t.lags(now) {
 		t.beat(now)
 	}
 	t.mu.Unlock()
