--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -18,8 +18,10 @@
 type entry struct {
 	Member
 	// score ranks the incarnation as a neighbour of this process.
-	score  uint64
-	deadAt time.Time
+	score uint64
+	// callerHash is the hash of the caller address.
+	callerHash uint64
+	deadAt     time.Time
 }
 
 // Table is the member table of one daemon. Its methods are safe for concurrent use.
@@ -46,6 +48,8 @@
 	lastTick time.Time
 	lastBeat time.Time
 	beatSoon bool
+	behindOf uint64 // a peer's next offset that this process had not reached
+	behindAt time.Time
 
 	upstreams upstreamTable
 	limiter   *rate.Limiter
@@ -101,7 +105,7 @@
 		t.dropUnwanted(now)
 		t.expire(now)
 		t.beat(now)
-	} else if t.beatSoon {
+	} else if t.beatSoon || t.lags(now) {
 		t.beat(now)
 	}
 	t.mu.Unlock()
@@ -134,6 +138,7 @@
 	}
 	wasLiving := ok && e.State != Dead
 	e.Member = m
+	e.callerHash = hashString(m.CallerAddr)
 	t.toggleDigest(m)
 	if wasLiving != (m.State != Dead) {
 		t.living = nil
