Keep overload out of the engines' queues and out of ejection

Under a flood the daemons let far more calls into the engines than they have slots: 60 to 140 calls waited there, behind one another and blind to workspaces, on some engines while others had free slots. Each part was tried alone in the replay: - the capacity of a pool counts the reported work of other daemons and is at most twice an equal part, in place of twice an equal part always; - affinity holds only while the engine has a free slot; - admission keeps the stage's typical time (0.75 quantile) free before the deadline, and estimates waits by the pace at which slots come free; - hedges are left out while requests wait for the pool; - a timeout is no failure, times are scaled by the queue at the start, and an ejection for slowness needs others that were quick since and have slots left. Ejections are told to peers as Suspect (needs a value in the peers' schema).

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -76,3 +76,11 @@
 	}
 	return &w.account.slot, nil
 }
+
+// Waiting returns the number of requests that wait for a slot of the pool.
+func (c *Controller) Waiting(pool string) int {
+	q := c.queue(pool)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -7,8 +7,12 @@
 	"sequoiafork/internal/table"
 )
 
-// holdWeight is the weight of the newest hold time in the running mean.
-const holdWeight = 0.05
+const (
+	// holdWeight is the weight of the newest hold time in the running mean.
+	holdWeight = 0.05
+	// gapWeight is the weight of the newest time between releases.
+	gapWeight = 0.1
+)
 
 // queue is the state of one pool.
 type queue struct {
@@ -26,6 +30,10 @@
 	changed time.Time
 	// hold is the running mean of the time that a slot is held.
 	hold time.Duration
+	// gap is the running mean of the time between two releases while requests
+	// wait, and released the latest release while they did. Zero if none do.
+	gap      time.Duration
+	released time.Time
 }
 
 // account is the state of one workspace in one pool.
@@ -128,11 +136,34 @@
 	}
 	q.tick(now)
 	q.observeHold()
+	q.observeGap(now)
 	a.inUse--
 	q.inUse--
 	q.dispatch(now)
 }
 
+// observeGap measures how fast slots come free while requests wait.
+func (q *queue) observeGap(now time.Time) {
+	if q.waiting == 0 {
+		q.released = time.Time{}
+		return
+	}
+	if q.released.IsZero() {
+		q.gap = q.hold / time.Duration(max(q.slots, 1))
+	} else {
+		q.gap += time.Duration(gapWeight * float64(now.Sub(q.released)-q.gap))
+	}
+	q.released = now
+}
+
+// pace returns the time between two releases.
+func (q *queue) pace() time.Duration {
+	if q.released.IsZero() {
+		return q.hold / time.Duration(max(q.slots, 1))
+	}
+	return q.gap
+}
+
 // observeHold takes the held time since the last release as that of one slot.
 // With every release the sum of hold times is counted once, so the mean holds.
 func (q *queue) observeHold() {
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -47,21 +47,38 @@
 		}
 		ahead++
 	}
-	rate := q.share(a)
-	// The slots that a already has are released within one hold time.
-	return time.Duration(float64(ahead+1) / rate * float64(q.hold))
+	return q.waitFor(a, ahead+1)
 }
 
-// share returns the number of slots that a would have if every workspace with
-// waiters and a itself used its share.
+// waitFor returns the time in which a gets n slots.
+func (q *queue) waitFor(a *account, n int) time.Duration {
+	part := q.share(a) / float64(max(q.slots, 1))
+	return time.Duration(float64(n) / part * float64(q.pace()))
+}
+
+// share returns the number of slots that a can count on: its fair share, and
+// what the others leave of theirs.
 func (q *queue) share(a *account) float64 {
 	total := a.weight
-	for _, other := range q.active {
-		if other != a {
+	for _, other := range q.accounts {
+		if other != a && other.wanted() > 0 {
 			total += other.weight
 		}
 	}
-	return float64(max(q.slots, 1)) * float64(a.weight) / float64(total)
+	slots := float64(max(q.slots, 1))
+	unit := slots / float64(total)
+	left := slots
+	for _, other := range q.accounts {
+		if other != a {
+			left -= min(float64(other.wanted()), unit*float64(other.weight))
+		}
+	}
+	return max(left, unit*float64(a.weight))
+}
+
+// wanted returns the number of slots that a has or waits for.
+func (a *account) wanted() int {
+	return a.inUse + len(a.waiters)
 }
 
 // longest returns the account that has the most waiters for its weight.
@@ -96,7 +113,7 @@
 // refusalLocked names the time that the waiters of a take at its share as the
 // time to come back.
 func (q *queue) refusalLocked(a *account, code, message string) *RefusedError {
-	after := time.Duration(float64(len(a.waiters)+1) / q.share(a) * float64(q.hold))
+	after := q.waitFor(a, len(a.waiters)+1)
 	return &RefusedError{
 		Code:       code,
 		Message:    message,
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -120,6 +120,7 @@
 		Slots:     x.executor.slots(pool),
 		Workspace: x.req.Workspace,
 		Deadline:  x.req.Deadline.Add(-rest),
+		Need:      x.executor.typical(st),
 	})
 	if err != nil {
 		return "", err
--- a/internal/pipeline/executor.go
+++ b/internal/pipeline/executor.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sequoiafork/internal/admission"
@@ -24,6 +25,10 @@
 	DefaultLateLimit     = 30 * time.Second
 	DefaultReuseEntries  = 4096
 	DefaultReuseFor      = 2 * time.Minute
+
+	// typicalQuantile is the part of a stage's recent times that the time kept
+	// for it covers.
+	typicalQuantile = 0.75
 )
 
 // Config configures an Executor. Zero fields mean the defaults; Engines,
@@ -58,6 +63,7 @@
 	cfg     Config
 	budgets sync.Map // pool name to *budget.Budget
 	reuse   *reuseCache
+	daemons atomic.Int64
 
 	randMu sync.Mutex
 	rand   *rand.Rand
@@ -180,16 +186,19 @@
 	return e.cfg.Services
 }
 
-// slots returns this daemon's part of the pool's capacity. It is twice an equal
-// share, because callers are not spread equally over daemons.
+// slots returns the number of calls that this daemon may have open on the pool.
 func (e *Executor) slots(pool *table.Pool) int {
-	const skewAllowance = 2
-	capacity := e.cfg.Upstreams.Capacity(pool)
-	daemons := max(e.cfg.Daemons(), 1)
-	if daemons <= skewAllowance {
-		return max(capacity, 1)
+	if n := int64(e.cfg.Daemons()); e.daemons.Swap(n) != n {
+		e.cfg.Upstreams.SetDaemons(int(n))
 	}
-	return max((skewAllowance*capacity+daemons-1)/daemons, 1)
+	return max(e.cfg.Upstreams.Capacity(pool), 1)
+}
+
+// typical returns the time that the stage takes for most requests, or zero
+// while that is not known.
+func (e *Executor) typical(st table.Stage) time.Duration {
+	d, _ := e.cfg.Times.Quantile(timeKey(st), typicalQuantile)
+	return d
 }
 
 func stageKeys(stages []table.Stage) []string {
--- a/internal/pipeline/stagerun.go
+++ b/internal/pipeline/stagerun.go
@@ -95,6 +95,9 @@
 				return r.settle(last)
 			}
 		case <-timer.C:
+			if r.executor.cfg.Admission.Waiting(r.pool.Name) > 0 {
+				continue
+			}
 			second, err := r.pick()
 			if err != nil || !r.executor.budget(r.pool.Name).Withdraw() {
 				if err == nil {
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -147,17 +147,21 @@
 func WriteDetails(w io.Writer, run *Run) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "part\tsent\tin time\tlate\tnot_run\tfailed\tunknown\tp50\tp95\tp99")
-	parts := []func(Arrival) string{
-		func(a Arrival) string { return "route " + a.Route },
-		func(a Arrival) string { return "workspace " + a.Workspace },
+	parts := []func(Result) string{
+		func(r Result) string { return "route " + r.Arrival.Route },
+		func(r Result) string { return "workspace " + r.Arrival.Workspace },
 	}
 	for _, part := range parts {
 		for _, name := range run.names(part) {
-			c := run.Count(func(r Result) bool { return part(r.Arrival) == name })
+			c := run.Count(func(r Result) bool { return part(r) == name })
 			fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\n", name,
 				c.Sent, c.InTime, c.Late, c.NotRun, c.Failed, c.Unknown, c.short(50), c.short(95), c.short(99))
 		}
 	}
+	for _, name := range run.names(func(a Result) string { return a.Cause }) {
+		n := run.Count(func(r Result) bool { return r.Cause == name }).Sent
+		fmt.Fprintf(t, "cause %s\t%d\n", name, n)
+	}
 	answered := float64(max(run.Count(All).InTime, 1))
 	fmt.Fprintln(t, "pool\texecutions/answer\tseconds/answer")
 	for _, name := range run.pools() {
@@ -167,10 +171,10 @@
 	return t.Flush()
 }
 
-func (r *Run) names(part func(Arrival) string) []string {
+func (r *Run) names(part func(Result) string) []string {
 	var names []string
 	for _, res := range r.Results {
-		if name := part(res.Arrival); !slices.Contains(names, name) {
+		if name := part(res); !slices.Contains(names, name) {
 			names = append(names, name)
 		}
 	}
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -13,10 +13,12 @@
 	Arrival Arrival
 	Outcome string
 	Code    string
-	InTime  bool
-	Tries   int
-	Took    time.Duration
-	untrue  bool
+	// Cause is the outcome with its code and stage, for what was not answered.
+	Cause  string
+	InTime bool
+	Tries  int
+	Took   time.Duration
+	untrue bool
 }
 
 // settle notes the outcome of the last try.
@@ -24,10 +26,22 @@
 	r.Outcome = outcome.Name(o)
 	r.Code = string(outcome.CodeOf(o))
 	r.Took = total
+	r.Cause = cause(o)
 	_, answered := o.(outcome.Answered)
 	r.InTime = answered && try <= r.Arrival.Deadline()
 }
 
+func cause(o outcome.Outcome) string {
+	text := outcome.Name(o) + " " + string(outcome.CodeOf(o))
+	switch o := o.(type) {
+	case outcome.Failed:
+		return text + " at " + o.Stage
+	case outcome.Unknown:
+		return text + " at " + o.Stage
+	}
+	return text
+}
+
 // Run is what became of a trace.
 type Run struct {
 	Results []Result
--- a/internal/upstream/done.go
+++ b/internal/upstream/done.go
@@ -8,42 +8,40 @@
 	if c.member == nil {
 		return
 	}
-	st, changed := c.group.done(c.member, c.started, r, time.Now())
+	st, changed := c.group.done(c.member, c.start, r, time.Now())
 	if changed && c.group.cfg.OnMark != nil {
 		c.group.cfg.OnMark(c.Addr, st)
 	}
 }
 
 // done returns the new state of m and whether this attempt changed it.
-func (g *group) done(m *member, started time.Time, r Result, now time.Time) (State, bool) {
+func (g *group) done(m *member, st start, r Result, now time.Time) (State, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.inFlight--
-	m.startSum -= started.Sub(g.epoch)
+	m.startSum -= st.at.Sub(g.epoch)
+	r.Latency = time.Duration(float64(r.Latency) / st.crowd)
 	m.probing = false
 	m.lastDone = now
 	if r.Load != nil {
 		m.observeLoad(r.Load, now)
 	}
-	before := m.state(now)
+	before, ejections := m.state(now), m.ejections
 	switch r.Outcome {
 	case OK:
-		g.succeeded(m, r, now)
+		g.succeeded(m, st, r, now)
 	case Refused:
 		g.setMark(m, g.own(Dead, "refused a connection", now), now)
 	case Failed:
 		g.failed(m, now)
-	case TimedOut:
-		g.observe(m, r.Latency)
-		g.ejectIfSlow(m, now)
-		g.failed(m, now)
 	case LeftPool:
 		g.setMark(m, g.own(Leaving, "answered that it leaves", now), now)
-	case Cancelled:
-		// The attempt ran at least this long.
+	case Cancelled, TimedOut:
+		// The attempt ran at least this long. A short time tells nothing: the
+		// request may have had little left.
 		if float64(r.Latency) > m.latency {
 			g.observe(m, r.Latency)
-			g.ejectIfSlow(m, now)
+			g.ejectIfSlow(m, st.at, now)
 		}
 	case Overloaded:
 		m.others = float64(m.slots(0))
@@ -53,6 +51,9 @@
 	if after != before {
 		g.refill(now)
 	}
+	if m.ejections > ejections {
+		return Suspect, true
+	}
 	return after, after != before
 }
 
@@ -64,7 +65,7 @@
 	}
 }
 
-func (g *group) succeeded(m *member, r Result, now time.Time) {
+func (g *group) succeeded(m *member, st start, r Result, now time.Time) {
 	m.lastOK = now
 	if m.state(now) == Dead {
 		m.mark = mark{}
@@ -72,7 +73,10 @@
 	}
 	m.observeFailure(0)
 	g.observe(m, r.Latency)
-	g.ejectIfSlow(m, now)
+	if float64(r.Latency) <= slowFactor*g.latency && st.at.After(m.quick) {
+		m.quick = st.at
+	}
+	g.ejectIfSlow(m, st.at, now)
 }
 
 func (g *group) failed(m *member, now time.Time) {
--- a/internal/upstream/eject.go
+++ b/internal/upstream/eject.go
@@ -8,6 +8,10 @@
 	failingRate = 0.5
 	// returnRate is that rate soon after an ejection: one attempt.
 	returnRate = 0.3
+	// recentOK is how long an answer tells that an upstream does not fail.
+	recentOK = 10 * time.Second
+	// busyPart is the part of their slots from which the others count as busy.
+	busyPart = 0.8
 	// failingFactor is how much higher than the others' it has to be.
 	failingFactor = 2
 	// slowFactor is how much longer than the group's mean an attempt takes to
@@ -21,17 +25,21 @@
 )
 
 func (g *group) ejectIfFailing(m *member, now time.Time) {
-	if m.failures >= failingRate && g.standsOut(m, (*member).failureRate, now) {
+	answered := func(o *member) bool { return now.Sub(o.lastOK) < recentOK }
+	if m.failures >= failingRate && g.standsOut(m, (*member).failureRate, now) && g.most(m, answered, now) {
 		g.eject(m, "fails", now)
 	}
 }
 
-func (g *group) ejectIfSlow(m *member, now time.Time) {
+// ejectIfSlow ejects m after slow attempts, the last of which began at began,
+// if most others have been quick since: not when all wait for one another.
+func (g *group) ejectIfSlow(m *member, began, now time.Time) {
 	least := failingRate
 	if m.ejections > 0 && now.Sub(m.ejected) < g.cfg.EjectMax {
 		least = returnRate
 	}
-	if m.slow >= least && g.standsOut(m, (*member).slowRate, now) {
+	quick := func(o *member) bool { return o.quick.After(began) }
+	if m.slow >= least && g.standsOut(m, (*member).slowRate, now) && g.most(m, quick, now) && !g.othersBusy(m, now) {
 		g.eject(m, "is slow", now)
 	}
 }
@@ -49,6 +57,34 @@
 	return n > 0 && rate(m) > failingFactor*sum/float64(n)
 }
 
+// most reports whether is holds for at least half of the others that take work.
+func (g *group) most(m *member, is func(*member) bool, now time.Time) bool {
+	yes, n := 0, 0
+	for _, o := range g.subset {
+		if o == m || !o.usable(now) {
+			continue
+		}
+		n++
+		if is(o) {
+			yes++
+		}
+	}
+	return yes > 0 && 2*yes >= n
+}
+
+// othersBusy reports whether the others have too few slots left to take over
+// m's work.
+func (g *group) othersBusy(m *member, now time.Time) bool {
+	work, slots := 0.0, 0
+	for _, o := range g.subset {
+		if o != m && o.usable(now) {
+			work += float64(o.inFlight) + o.otherWork(g.cfg.LoadHalfLife, now)
+			slots += o.slots(0)
+		}
+	}
+	return work >= busyPart*float64(slots)
+}
+
 func (m *member) failureRate() float64 { return m.failures }
 
 func (m *member) slowRate() float64 { return m.slow }
--- a/internal/upstream/host.go
+++ b/internal/upstream/host.go
@@ -18,6 +18,9 @@
 	Leaving
 	// Dead upstreams refuse connections.
 	Dead
+	// Suspect upstreams fail or are slow. It is no state of its own: OnMark
+	// tells it of an ejection, and Mark ejects.
+	Suspect
 )
 
 // String returns the name of the state.
@@ -29,6 +32,8 @@
 		return "leaving"
 	case Dead:
 		return "dead"
+	case Suspect:
+		return "suspect"
 	}
 	return fmt.Sprintf("State(%d)", int(s))
 }
--- a/internal/upstream/mark.go
+++ b/internal/upstream/mark.go
@@ -13,6 +13,10 @@
 	if !ok {
 		return false
 	}
+	if mk.state == Suspect {
+		g.eject(m, mk.reason, now)
+		return true
+	}
 	if mk.state == Dead && now.Sub(m.lastOK) < freshOK && !m.lastOK.IsZero() {
 		return true
 	}
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -45,6 +45,8 @@
 	// from 0 to 1.
 	failures float64
 	slow     float64
+	// quick is the latest start of an attempt that ended in normal time.
+	quick    time.Time
 	lastDone time.Time
 	lastOK   time.Time
 
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -24,7 +24,15 @@
 	DataCentre string
 	group      *group
 	member     *member
-	started    time.Time
+	start      start
+}
+
+// start is the start of an attempt.
+type start struct {
+	at time.Time
+	// crowd is the work on the upstream in terms of its slots, at least one:
+	// how much longer than its own time an attempt takes for queueing.
+	crowd float64
 }
 
 // Pick chooses the upstream for one attempt and counts it as in flight until
@@ -54,6 +62,10 @@
 	if m.state(now) == Dead {
 		m.probing = true
 	}
+	st := start{
+		at:    now,
+		crowd: g.crowd(m, r, now),
+	}
 	m.inFlight++
 	m.startSum += now.Sub(g.epoch)
 	return Choice{
@@ -61,7 +73,7 @@
 		DataCentre: m.host.DataCentre,
 		group:      g,
 		member:     m,
-		started:    now,
+		start:      st,
 	}, nil
 }
 
@@ -143,7 +155,7 @@
 		if best != nil && h <= rank {
 			continue
 		}
-		if m := g.subset[i]; g.eligible(m, r, now) && g.load(m, now) <= bound && !g.suspect(m, now) {
+		if m := g.subset[i]; g.eligible(m, r, now) && g.load(m, now) <= min(bound, float64(m.slots(r.Pool.Concurrency)-1)) && !g.suspect(m, r, now) {
 			best, rank = m, h
 		}
 	}
@@ -175,13 +187,18 @@
 
 // suspect reports whether the attempts on m run for much longer than usual,
 // before any of them has ended.
-func (g *group) suspect(m *member, now time.Time) bool {
+func (g *group) suspect(m *member, r *Request, now time.Time) bool {
 	const several = 2
 	factor := slowFactor
 	if m.inFlight >= several {
 		factor = suspectAge
 	}
-	return g.latency > 0 && float64(m.meanAge(g.epoch, now)) > factor*g.latency
+	return g.latency > 0 && float64(m.meanAge(g.epoch, now)) > factor*g.latency*g.crowd(m, r, now)
+}
+
+func (g *group) crowd(m *member, r *Request, now time.Time) float64 {
+	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now) + 1
+	return max(work/float64(m.slots(r.Pool.Concurrency)), 1)
 }
 
 // load returns the work on m, scaled up while m returns from an ejection.
@@ -197,7 +214,7 @@
 	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now)
 	score := (work + 1) / (share * float64(m.slots(r.Pool.Concurrency)))
 	score *= m.slowness(g.latency, now)
-	if g.suspect(m, now) {
+	if g.suspect(m, r, now) {
 		score *= slowest
 	}
 	if m.host.DataCentre != g.cfg.DataCentre {
--- a/internal/upstream/script_test.go
+++ b/internal/upstream/script_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,12 +29,14 @@
 	"live":    Live,
 	"leaving": Leaving,
 	"dead":    Dead,
+	"suspect": Suspect,
 }
 
 // script runs the commands of one data file against a set.
 type script struct {
 	t     *testing.T
 	set   *Set
+	mu    sync.Mutex
 	marks []string
 }
 
@@ -55,6 +58,8 @@
 			DataCentre: "a",
 			Seed:       1,
 			OnMark: func(addr string, st State) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
 				s.marks = append(s.marks, fmt.Sprintf("marked %s %s", addr, st))
 			},
 		}
@@ -82,35 +87,48 @@
 	return ""
 }
 
-// attempts runs attempts one after another and counts them by upstream. The
-// input says how those at some upstreams end.
+// attempts runs attempts, a fixed time apart or one after another, and counts
+// them by upstream. The input says how those at some upstreams end.
 func (s *script) attempts(d *datadriven.TestData) string {
-	n := 0
-	var affinity uint64
+	n, everyMs := 0, 0
 	exclude := ""
+	r := Request{
+		Pool: pool(),
+	}
 	d.ScanArgs(s.t, "n", &n)
-	d.MaybeScanArgs(s.t, "affinity", &affinity)
+	d.MaybeScanArgs(s.t, "every_ms", &everyMs)
+	d.MaybeScanArgs(s.t, "affinity", &r.Affinity)
 	d.MaybeScanArgs(s.t, "exclude", &exclude)
+	r.Exclude = []string{exclude}
 	results := parseResults(s.t, d.Input)
 	counts := map[string]int{}
 	for range n {
-		c, err := s.set.Pick(Request{
-			Pool:     pool(),
-			Affinity: affinity,
-			Exclude:  []string{exclude},
-		})
+		c, err := s.set.Pick(r)
 		if err != nil {
 			counts[err.Error()]++
 			continue
 		}
-		r, ok := results[c.Addr]
+		counts[c.Addr]++
+		res, ok := results[c.Addr]
 		if !ok {
-			r.Latency = 10 * time.Millisecond
+			res.Latency = 10 * time.Millisecond
 		}
-		time.Sleep(r.Latency)
-		c.Done(r)
-		counts[c.Addr]++
+		if everyMs == 0 {
+			time.Sleep(res.Latency)
+			c.Done(res)
+			continue
+		}
+		time.AfterFunc(res.Latency, func() { c.Done(res) })
+		time.Sleep(time.Duration(everyMs) * time.Millisecond)
 	}
+	return s.describe(counts)
+}
+
+// describe lists the counts, and what the set told peers.
+func (s *script) describe(counts map[string]int) string {
+	time.Sleep(time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var lines []string
 	for what, count := range counts {
 		lines = append(lines, fmt.Sprintf("%s: %d", what, count))
--- a/internal/upstream/set.go
+++ b/internal/upstream/set.go
@@ -68,7 +68,7 @@
 	for _, g := range s.groups {
 		found = g.markAddr(addr, mk, now) || found
 	}
-	if !found && st != Live {
+	if !found && (st == Leaving || st == Dead) {
 		s.early[addr] = mk
 	}
 }
--- a/internal/upstream/status.go
+++ b/internal/upstream/status.go
@@ -9,8 +9,13 @@
 	"sequoiafork/internal/table"
 )
 
-// capacityFor is how long a computed capacity is used.
-const capacityFor = 10 * time.Millisecond
+const (
+	// capacityFor is how long a computed capacity is used.
+	capacityFor = 10 * time.Millisecond
+	// skewAllowance bounds this daemon's part of an upstream, as a multiple of
+	// an equal part: the reported work of the others is late.
+	skewAllowance = 2
+)
 
 type cachedCapacity struct {
 	concurrency int
@@ -55,7 +60,7 @@
 	}
 	equal := (concurrency + g.daemons - 1) / g.daemons
 	left := concurrency - int(math.Round(m.otherWork(g.cfg.LoadHalfLife, now)))
-	return max(equal, left)
+	return max(equal, min(left, skewAllowance*equal))
 }
 
 // Upstreams returns the status of every upstream, ordered by service and
