--- /dev/null
+++ b/internal/confsync/tenure.go
@@ -0,0 +1,56 @@
+package confsync
+
+import (
+	"time"
+
+	"sequoiafork/internal/fold"
+)
+
+// tenure is a lease that is relied on until a time of the local monotonic clock.
+type tenure struct {
+	fencing    uint64
+	validUntil time.Time
+}
+
+// confirm notes the effect of a grant that was read back. It counts from before
+// the grant was appended, less the margin.
+func (l *Leaser) confirm(offset, fencing uint64, start time.Time) {
+	lease, mine := l.ownLease()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !mine:
+		l.tenure = tenure{}
+	case lease.Fencing == offset || fencing != 0 && lease.Fencing == fencing:
+		l.tenure = tenure{
+			fencing:    lease.Fencing,
+			validUntil: start.Add(l.config.TTL - l.config.Margin),
+		}
+	}
+}
+
+// ownLease returns the lease's state if this holder has it on the log. It may have
+// expired, or be of a grant whose reply was lost: only a renewal tells how long it
+// can be relied on.
+func (l *Leaser) ownLease() (fold.Lease, bool) {
+	lease, ok := l.machine.Lease(l.config.Name)
+	return lease, ok && lease.Holder == l.config.Holder
+}
+
+// heldByOther reports whether another's tenure may still last. The log's time
+// stands still without records, so what remains of a tenure is counted by the local
+// clock from when the tenure was first seen.
+func (l *Leaser) heldByOther() bool {
+	lease, ok := l.machine.Lease(l.config.Name)
+	if !ok || lease.Holder == l.config.Holder {
+		return false
+	}
+	remaining := lease.Expires.Sub(l.machine.Clock())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if lease != l.other {
+		l.other = lease
+		l.otherUntil = time.Now().Add(remaining)
+	}
+	return time.Now().Before(l.otherUntil)
+}
--- a/internal/pipeline/executor.go
+++ b/internal/pipeline/executor.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,7 +55,6 @@
 	LateLimit    time.Duration
 	ReuseEntries int
 	ReuseFor     time.Duration
-	Seed         uint64
 }
 
 // Executor runs requests. It is safe for concurrent use.
@@ -64,9 +63,7 @@
 	budgets sync.Map // pool name to *budget.Budget
 	reuse   *reuseCache
 	daemons atomic.Int64
-
-	randMu sync.Mutex
-	rand   *rand.Rand
+	active  atomic.Int64
 }
 
 // New returns an executor.
@@ -92,7 +89,6 @@
 	return &Executor{
 		cfg:   cfg,
 		reuse: newReuseCache(cfg.ReuseEntries, cfg.ReuseFor),
-		rand:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1)),
 	}
 }
 
@@ -140,16 +136,48 @@
 	if refused := e.Check(req); refused != nil {
 		return *refused, nil
 	}
+	e.active.Add(1)
+	if !mayOutlive(req.Route) {
+		return e.runInline(ctx, req), nil
+	}
+	return e.runDetached(ctx, req)
+}
+
+// mayOutlive reports whether a run of the route may go on after its caller has
+// been answered.
+func mayOutlive(route table.Route) bool {
+	return slices.ContainsFunc(route.Stages, func(st table.Stage) bool { return st.NotRepeatable })
+}
+
+// runInline runs a request whose every call can be cancelled.
+func (e *Executor) runInline(ctx context.Context, req Request) outcome.Outcome {
+	defer e.active.Add(-1)
+	runCtx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	x := &execution{
+		executor:   e,
+		req:        req,
+		cancel:     cancel,
+		callerGone: func() bool { return ctx.Err() != nil },
+	}
+	return x.run(runCtx)
+}
+
+// runDetached runs a request with a call that may not be repeated. Such a call
+// goes on when the request is given up.
+func (e *Executor) runDetached(ctx context.Context, req Request) (outcome.Outcome, <-chan outcome.Outcome) {
 	waitCtx, stopWait := context.WithDeadline(ctx, req.Deadline)
 	defer stopWait()
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	x := &execution{
-		executor: e,
-		req:      req,
-		cancel:   cancel,
+		executor:   e,
+		req:        req,
+		cancel:     cancel,
+		callerGone: func() bool { return ctx.Err() != nil },
 	}
 	done := make(chan outcome.Outcome, 1)
 	go func() {
+		defer e.active.Add(-1)
 		defer cancel()
 		done <- x.run(runCtx)
 	}()
@@ -158,7 +186,6 @@
 		return o, nil
 	case <-waitCtx.Done():
 	}
-	x.callerGone.Store(ctx.Err() != nil)
 	if x.abandon() {
 		cancel()
 		return <-done, nil
@@ -171,6 +198,12 @@
 	}, done
 }
 
+// Active returns the number of requests that are being run, also those whose
+// callers have gone.
+func (e *Executor) Active() int {
+	return int(e.active.Load())
+}
+
 func (e *Executor) budget(pool string) *budget.Budget {
 	if b, ok := e.budgets.Load(pool); ok {
 		return b.(*budget.Budget)
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -54,6 +54,8 @@
 }
 
 func (p *player) run() *Run {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
 	r := &Run{
 		Results: p.results,
 		Costs:   make(map[string]Cost),
