Refuse early only when half the estimated wait is too long

Requests that wait ahead often give up, so the estimate was too high and slots stayed free at the end of a burst. Half keeps refusals early.

--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// hopelessPart is the part of the estimated wait that decides about an early
+// refusal. Requests ahead that give up make the real wait shorter.
+const hopelessPart = 0.5
+
 // checkPassed refuses a request whose latest start has passed.
 func (q *queue) checkPassed(a *account, latest, now time.Time) error {
 	if !latest.IsZero() && now.After(latest) {
@@ -21,7 +25,7 @@
 	}
 	if _, fair := q.cfg.Discipline.(Fair); fair && !latest.IsZero() {
 		wait := q.estimate(a, latest)
-		if now.Add(wait).After(latest) {
+		if now.Add(time.Duration(hopelessPart * float64(wait))).After(latest) {
 			return q.refusalLocked(a, CodeDeadline, fmt.Sprintf("the wait is about %v", wait.Round(time.Millisecond)))
 		}
 	}
