--- a/internal/upstream/done.go
+++ b/internal/upstream/done.go
@@ -75,6 +75,7 @@
 	g.observe(m, r.Latency)
 	if float64(r.Latency) <= slowFactor*g.latency && st.at.After(m.quick) {
 		m.quick = st.at
+		m.trial = false
 	}
 	g.ejectIfSlow(m, st.at, now)
 }
--- a/internal/upstream/eject.go
+++ b/internal/upstream/eject.go
@@ -105,6 +105,7 @@
 	m.why = why
 	m.failures = 0
 	m.slow = 0
+	m.trial = true
 	m.latency = returnLatency * g.latency
 }
 
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -53,6 +53,8 @@
 	ejected   time.Time // until when; zero: never ejected
 	why       string
 	ejections int
+	// trial allows one attempt at a time after an ejection until one is quick.
+	trial bool
 
 	// backoff is the time between probes while dead.
 	backoff time.Duration
@@ -78,7 +80,7 @@
 func (m *member) usable(now time.Time) bool {
 	switch m.state(now) {
 	case Live:
-		return !now.Before(m.ejected)
+		return !now.Before(m.ejected) && !(m.trial && m.inFlight > 0)
 	case Dead:
 		return !m.probing && !m.probeAt.IsZero() && now.After(m.probeAt)
 	}
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -155,7 +155,7 @@
 		if best != nil && h <= rank {
 			continue
 		}
-		if m := g.subset[i]; g.eligible(m, r, now) && g.load(m, now) <= min(bound, float64(m.slots(r.Pool.Concurrency)-1)) && !g.suspect(m, r, now) {
+		if m := g.subset[i]; g.eligible(m, r, now) && g.load(m, now) <= min(bound, float64(m.slots(r.Pool.Concurrency)-1)) && !m.trial && !g.suspect(m, r, now) {
 			best, rank = m, h
 		}
 	}
