Refuse a request at its start when a later stage would refuse it

Most refusals in a flood came at the engines, after the encoder and the retriever had run: the caller learnt late, and of a failure in place of a true not_run.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -77,6 +77,12 @@
 	return &w.account.slot, nil
 }
 
+// Check returns the *RefusedError that Acquire would return at once, or nil. It
+// takes no slot.
+func (c *Controller) Check(r Request) error {
+	return c.queue(r.Pool.Name).check(r, time.Now())
+}
+
 // Waiting returns the number of requests that wait for a slot of the pool.
 func (c *Controller) Waiting(pool string) int {
 	q := c.queue(pool)
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -9,6 +9,21 @@
 // refusal. Requests ahead that give up make the real wait shorter.
 const hopelessPart = 0.5
 
+// check returns the refusal that a request would get now.
+func (q *queue) check(r Request, now time.Time) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if _, unlimited := q.cfg.Discipline.(Unlimited); unlimited {
+		return nil
+	}
+	q.slots = r.Slots
+	a, latest := q.account(r), r.latestStart()
+	if err := q.checkPassed(a, latest, now); err != nil || (q.waiting == 0 && q.inUse < q.slots) {
+		return err
+	}
+	return q.checkWait(a, latest, now)
+}
+
 // checkPassed refuses a request whose latest start has passed.
 func (q *queue) checkPassed(a *account, latest, now time.Time) error {
 	if !latest.IsZero() && now.After(latest) {
@@ -20,14 +35,8 @@
 // checkQueue refuses a request that has to wait and can't, and makes room in a
 // full queue when another workspace fills more than its share of it.
 func (q *queue) checkQueue(a *account, latest, now time.Time) error {
-	if q.slots <= 0 {
-		return q.refusalLocked(a, CodeNoCapacity, "no upstream of the pool takes work")
-	}
-	if _, fair := q.cfg.Discipline.(Fair); fair && !latest.IsZero() {
-		wait := q.estimate(a, latest)
-		if now.Add(time.Duration(hopelessPart * float64(wait))).After(latest) {
-			return q.refusalLocked(a, CodeDeadline, fmt.Sprintf("the wait is about %v", wait.Round(time.Millisecond)))
-		}
+	if err := q.checkWait(a, latest, now); err != nil {
+		return err
 	}
 	if q.waiting < q.cfg.MaxQueue {
 		return nil
@@ -41,6 +50,20 @@
 	return nil
 }
 
+// checkWait refuses a request that would wait for too long.
+func (q *queue) checkWait(a *account, latest, now time.Time) error {
+	if q.slots <= 0 {
+		return q.refusalLocked(a, CodeNoCapacity, "no upstream of the pool takes work")
+	}
+	if _, fair := q.cfg.Discipline.(Fair); fair && !latest.IsZero() {
+		wait := q.estimate(a, latest)
+		if now.Add(time.Duration(hopelessPart * float64(wait))).After(latest) {
+			return q.refusalLocked(a, CodeDeadline, fmt.Sprintf("the wait is about %v", wait.Round(time.Millisecond)))
+		}
+	}
+	return nil
+}
+
 // estimate returns how long a request of a with the given latest start would
 // wait: the work of its workspace that goes first, served at its share.
 func (q *queue) estimate(a *account, latest time.Time) time.Duration {
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -73,6 +73,9 @@
 }
 
 func (x *execution) run(ctx context.Context) outcome.Outcome {
+	if st, err := x.foresee(); err != nil {
+		return x.explain(ctx, st, err)
+	}
 	input := x.req.Input
 	for i, st := range x.req.Route.Stages {
 		pool, ok := x.req.Tables.Pool(st.Pool)
@@ -95,6 +98,34 @@
 	}
 }
 
+// foresee returns the first stage after the first one that would refuse the
+// request now, so that it is given up before it costs anything.
+func (x *execution) foresee() (table.Stage, error) {
+	for i, st := range x.req.Route.Stages {
+		pool, ok := x.req.Tables.Pool(st.Pool)
+		if !ok || i == 0 {
+			continue
+		}
+		if err := x.executor.cfg.Admission.Check(x.admission(i, &pool.Value)); err != nil {
+			return st, err
+		}
+	}
+	return table.Stage{}, nil
+}
+
+// admission returns the request for a slot for a stage.
+func (x *execution) admission(index int, pool *table.Pool) admission.Request {
+	stages := x.req.Route.Stages
+	rest := x.executor.cfg.Times.Need(stageKeys(stages[index+1:]))
+	return admission.Request{
+		Pool:      pool,
+		Slots:     x.executor.slots(pool),
+		Workspace: x.req.Workspace,
+		Deadline:  x.req.Deadline.Add(-rest),
+		Need:      x.executor.typical(stages[index]),
+	}
+}
+
 // stage returns the output of one stage, from an earlier request where the stage
 // allows that.
 func (x *execution) stage(ctx context.Context, index int, st table.Stage, pool *table.Pool, input string) (string, error) {
@@ -121,13 +152,7 @@
 
 func (x *execution) runStage(ctx context.Context, index int, st table.Stage, pool *table.Pool, input string, report *outcome.StageReport) (string, error) {
 	rest := x.executor.cfg.Times.Need(stageKeys(x.req.Route.Stages[index+1:]))
-	slot, err := x.executor.cfg.Admission.Acquire(ctx, admission.Request{
-		Pool:      pool,
-		Slots:     x.executor.slots(pool),
-		Workspace: x.req.Workspace,
-		Deadline:  x.req.Deadline.Add(-rest),
-		Need:      x.executor.typical(st),
-	})
+	slot, err := x.executor.cfg.Admission.Acquire(ctx, x.admission(index, pool))
 	if err != nil {
 		return "", err
 	}
