Keep the time that slots are held free before the deadline in overload

In overload calls also queue at the engines, so those started with their typical time left were cut off at the deadline, having used a slot. Early refusal counts 0.3 of the wait in place of 0.5.

--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -84,14 +84,6 @@
 	Need time.Duration
 }
 
-// latestStart returns the last moment at which a slot is of use.
-func (r Request) latestStart() time.Time {
-	if r.Deadline.IsZero() {
-		return time.Time{}
-	}
-	return r.Deadline.Add(-r.Need)
-}
-
 // The codes of a RefusedError.
 const (
 	// CodeNoCapacity means that the pool has no slots at all.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -61,7 +61,7 @@
 	q.tick(now)
 	q.slots = r.Slots
 	a := q.account(r)
-	latest := r.latestStart()
+	latest := q.latestStart(r)
 	switch q.cfg.Discipline.(type) {
 	case Unlimited:
 		return nil, q.grant(a), nil
@@ -84,6 +84,20 @@
 	return q.enqueue(a, r.Deadline, latest), nil, nil
 }
 
+// latestStart returns the last moment at which a slot is of use to r, or zero if
+// there is none. While requests wait, the calls queue at the upstreams as well:
+// then the time that slots are held tells more than the request's own estimate.
+func (q *queue) latestStart(r Request) time.Time {
+	if r.Deadline.IsZero() {
+		return time.Time{}
+	}
+	need := r.Need
+	if q.waiting > 0 {
+		need = max(need, q.hold)
+	}
+	return r.Deadline.Add(-need)
+}
+
 // tick adds up the time that slots were held.
 func (q *queue) tick(now time.Time) {
 	if !q.changed.IsZero() && now.After(q.changed) {
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -7,7 +7,7 @@
 
 // hopelessPart is the part of the estimated wait that decides about an early
 // refusal. Requests ahead that give up make the real wait shorter.
-const hopelessPart = 0.5
+const hopelessPart = 0.3
 
 // check returns the refusal that a request would get now.
 func (q *queue) check(r Request, now time.Time) error {
@@ -17,7 +17,7 @@
 		return nil
 	}
 	q.slots = r.Slots
-	a, latest := q.account(r), r.latestStart()
+	a, latest := q.account(r), q.latestStart(r)
 	if err := q.checkPassed(a, latest, now); err != nil || (q.waiting == 0 && q.inUse < q.slots) {
 		return err
 	}
