Put work beyond the fair share last at the engines, hedge from the 0.98 quantile

The engines order by slack and don't know workspaces: a flood's nearly late calls went before the small workspaces' admitted ones. The priority of a workspace that has more than its fair share now comes after all others.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -33,6 +33,15 @@
 	s.queue.release(s.account, time.Now())
 }
 
+// OverShare reports whether the slot's workspace now has more than its fair share
+// of the pool's slots.
+func (s *Slot) OverShare() bool {
+	q := s.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return float64(s.account.inUse) > q.fair(s.account)
+}
+
 // Acquire waits for a slot. It returns a *RefusedError when the request can't
 // get one in time, and the context's error when ctx is done first.
 func (c *Controller) Acquire(ctx context.Context, r Request) (*Slot, error) {
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -86,21 +86,25 @@
 // share returns the number of slots that a can count on: its fair share, and
 // what the others leave of theirs.
 func (q *queue) share(a *account) float64 {
-	total := a.weight
+	own := q.fair(a)
+	left := float64(max(q.slots, 1))
 	for _, other := range q.accounts {
-		if other != a && other.wanted() > 0 {
-			total += other.weight
+		if other != a {
+			left -= min(float64(other.wanted()), own*float64(other.weight)/float64(a.weight))
 		}
 	}
-	slots := float64(max(q.slots, 1))
-	unit := slots / float64(total)
-	left := slots
+	return max(left, own)
+}
+
+// fair returns a's fair share of the slots among the workspaces that want some.
+func (q *queue) fair(a *account) float64 {
+	total := a.weight
 	for _, other := range q.accounts {
-		if other != a {
-			left -= min(float64(other.wanted()), unit*float64(other.weight))
+		if other != a && other.wanted() > 0 {
+			total += other.weight
 		}
 	}
-	return max(left, unit*float64(a.weight))
+	return float64(max(q.slots, 1)) * float64(a.weight) / float64(total)
 }
 
 // wanted returns the number of slots that a has or waits for.
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -167,6 +167,7 @@
 		pool:      pool,
 		input:     input,
 		rest:      rest,
+		slot:      slot,
 	}
 	if x.req.OnToken != nil && pool.Kind == table.Engine && index == len(x.req.Route.Stages)-1 {
 		run.splicer = &splicer{
--- a/internal/pipeline/executor.go
+++ b/internal/pipeline/executor.go
@@ -21,7 +21,7 @@
 // Defaults of Config.
 const (
 	DefaultMaxAttempts   = 4
-	DefaultHedgeQuantile = 0.95
+	DefaultHedgeQuantile = 0.98
 	DefaultLateLimit     = 30 * time.Second
 	DefaultReuseEntries  = 4096
 	DefaultReuseFor      = 2 * time.Minute
--- a/internal/pipeline/stagerun.go
+++ b/internal/pipeline/stagerun.go
@@ -5,11 +5,15 @@
 	"errors"
 	"time"
 
+	"sequoiafork/internal/admission"
 	"sequoiafork/internal/ident"
 	"sequoiafork/internal/table"
 	"sequoiafork/internal/upstream"
 )
 
+// overShareDelay is longer than any deadline.
+const overShareDelay = 24 * time.Hour
+
 // stageRun is one stage of one request while its attempts go on.
 type stageRun struct {
 	*execution
@@ -18,6 +22,7 @@
 	pool    *table.Pool
 	input   string
 	rest    time.Duration
+	slot    *admission.Slot
 	splicer *splicer
 
 	tried    []string
@@ -149,6 +154,16 @@
 	}, nil
 }
 
+// priority orders the engines' work by slack, that of workspaces which have more
+// than their fair share of the pool behind all other.
+func (r *stageRun) priority(remaining time.Duration) int {
+	slack := remaining - r.rest
+	if r.slot.OverShare() {
+		slack += overShareDelay
+	}
+	return int(slack.Milliseconds())
+}
+
 func (r *stageRun) call(ctx context.Context, t target) result {
 	began := time.Now()
 	remaining := time.Until(r.req.Deadline)
@@ -161,7 +176,7 @@
 		Kind:      r.pool.Kind,
 		Input:     r.input,
 		Remaining: remaining,
-		Priority:  int((remaining - r.rest).Milliseconds()),
+		Priority:  r.priority(remaining),
 	}
 	if r.splicer != nil {
 		c.OnToken = r.splicer.begin()
