--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -5,6 +5,25 @@
 	"time"
 )
 
+// hopelessPart is the part of the estimated wait that decides about an early
+// refusal. Requests ahead that give up make the real wait shorter.
+const hopelessPart = 0.3
+
+// check returns the refusal that a request would get now.
+func (q *queue) check(r Request, now time.Time) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if _, unlimited := q.cfg.Discipline.(Unlimited); unlimited {
+		return nil
+	}
+	q.slots = r.Slots
+	a, latest := q.account(r), q.latestStart(r)
+	if err := q.checkPassed(a, latest, now); err != nil || (q.waiting == 0 && q.inUse < q.slots) {
+		return err
+	}
+	return q.checkWait(a, latest, now)
+}
+
 // checkPassed refuses a request whose latest start has passed.
 func (q *queue) checkPassed(a *account, latest, now time.Time) error {
 	if !latest.IsZero() && now.After(latest) {
@@ -16,14 +35,8 @@
 // checkQueue refuses a request that has to wait and can't, and makes room in a
 // full queue when another workspace fills more than its share of it.
 func (q *queue) checkQueue(a *account, latest, now time.Time) error {
-	if q.slots <= 0 {
-		return q.refusalLocked(a, CodeNoCapacity, "no upstream of the pool takes work")
-	}
-	if _, fair := q.cfg.Discipline.(Fair); fair && !latest.IsZero() {
-		wait := q.estimate(a, latest)
-		if now.Add(wait).After(latest) {
-			return q.refusalLocked(a, CodeDeadline, fmt.Sprintf("the wait is about %v", wait.Round(time.Millisecond)))
-		}
+	if err := q.checkWait(a, latest, now); err != nil {
+		return err
 	}
 	if q.waiting < q.cfg.MaxQueue {
 		return nil
@@ -37,6 +50,20 @@
 	return nil
 }
 
+// checkWait refuses a request that would wait for too long.
+func (q *queue) checkWait(a *account, latest, now time.Time) error {
+	if q.slots <= 0 {
+		return q.refusalLocked(a, CodeNoCapacity, "no upstream of the pool takes work")
+	}
+	if _, fair := q.cfg.Discipline.(Fair); fair && !latest.IsZero() {
+		wait := q.estimate(a, latest)
+		if now.Add(time.Duration(hopelessPart * float64(wait))).After(latest) {
+			return q.refusalLocked(a, CodeDeadline, fmt.Sprintf("the wait is about %v", wait.Round(time.Millisecond)))
+		}
+	}
+	return nil
+}
+
 // estimate returns how long a request of a with the given latest start would
 // wait: the work of its workspace that goes first, served at its share.
 func (q *queue) estimate(a *account, latest time.Time) time.Duration {
@@ -47,23 +74,44 @@
 		}
 		ahead++
 	}
-	rate := q.share(a)
-	// The slots that a already has are released within one hold time.
-	return time.Duration(float64(ahead+1) / rate * float64(q.hold))
+	return q.waitFor(a, ahead+1)
+}
+
+// waitFor returns the time in which a gets n slots.
+func (q *queue) waitFor(a *account, n int) time.Duration {
+	part := q.share(a) / float64(max(q.slots, 1))
+	return time.Duration(float64(n) / part * float64(q.pace()))
 }
 
-// share returns the number of slots that a would have if every workspace with
-// waiters and a itself used its share.
+// share returns the number of slots that a can count on: its fair share, and
+// what the others leave of theirs.
 func (q *queue) share(a *account) float64 {
-	total := a.weight
-	for _, other := range q.active {
+	own := q.fair(a)
+	left := float64(max(q.slots, 1))
+	for _, other := range q.accounts {
 		if other != a {
+			left -= min(float64(other.wanted()), own*float64(other.weight)/float64(a.weight))
+		}
+	}
+	return max(left, own)
+}
+
+// fair returns a's fair share of the slots among the workspaces that want some.
+func (q *queue) fair(a *account) float64 {
+	total := a.weight
+	for _, other := range q.accounts {
+		if other != a && other.wanted() > 0 {
 			total += other.weight
 		}
 	}
 	return float64(max(q.slots, 1)) * float64(a.weight) / float64(total)
 }
 
+// wanted returns the number of slots that a has or waits for.
+func (a *account) wanted() int {
+	return a.inUse + len(a.waiters)
+}
+
 // longest returns the account that has the most waiters for its weight.
 func (q *queue) longest() *account {
 	best := q.active[0]
@@ -96,7 +144,7 @@
 // refusalLocked names the time that the waiters of a take at its share as the
 // time to come back.
 func (q *queue) refusalLocked(a *account, code, message string) *RefusedError {
-	after := time.Duration(float64(len(a.waiters)+1) / q.share(a) * float64(q.hold))
+	after := q.waitFor(a, len(a.waiters)+1)
 	return &RefusedError{
 		Code:       code,
 		Message:    message,
