--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -1,10 +1,13 @@
 package e2e
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"sequoiafork/internal/standin/oracle"
 	"sequoiafork/internal/wire/operatorapi"
@@ -160,26 +163,15 @@
 func (c *cluster) publishTables(t *testing.T) {
 	t.Helper()
 	c.daemons[0].waitReady(t)
+	var pools, edits errgroup.Group
 	for kind := range c.upstreams {
-		pool := &operatorapi.PoolSpec{
-			Kind:        kind,
-			Service:     kind,
-			Concurrency: 16,
-		}
-		if kind == oracle.EngineKind {
-			pool.Models = []string{model}
-		}
-		result, err := c.daemons[0].operators.SetPool(t.Context(), pool, operatorapi.SetPoolParams{
-			Name: kind,
-		})
-		requireAccepted(t, result, err)
+		pools.Go(func() error { return c.setPool(t.Context(), kind) })
 	}
-	for name, stages := range routes {
-		result, err := c.daemons[0].operators.SetRoute(t.Context(), routeSpec(stages), operatorapi.SetRouteParams{
-			Name: name,
-		})
-		requireAccepted(t, result, err)
+	require.NoError(t, pools.Wait())
+	for name := range routes {
+		edits.Go(func() error { return c.setRoute(t.Context(), name) })
 	}
+	require.NoError(t, edits.Wait())
 	for _, d := range c.daemons {
 		d.waitReady(t)
 		require.Eventually(t, func() bool { return d.holds(t, len(routes)) }, startTimeout, 20*time.Millisecond)
@@ -195,10 +187,35 @@
 	return err == nil && len(hosts.Upstreams) == len(d.cluster.allUpstreams()) && len(hosts.Daemons) >= len(d.cluster.daemons)
 }
 
-func requireAccepted(t *testing.T, result *operatorapi.EditResult, err error) {
-	t.Helper()
-	require.NoError(t, err)
-	require.Equal(t, operatorapi.EditResultStateAccepted, result.State, "%s %v", result.Message, result.Problems)
+func (c *cluster) setPool(ctx context.Context, kind string) error {
+	pool := &operatorapi.PoolSpec{
+		Kind:        kind,
+		Service:     kind,
+		Concurrency: 16,
+	}
+	if kind == oracle.EngineKind {
+		pool.Models = []string{model}
+	}
+	return accepted(c.daemons[0].operators.SetPool(ctx, pool, operatorapi.SetPoolParams{
+		Name: kind,
+	}))
+}
+
+func (c *cluster) setRoute(ctx context.Context, name string) error {
+	return accepted(c.daemons[0].operators.SetRoute(ctx, routeSpec(routes[name]), operatorapi.SetRouteParams{
+		Name: name,
+	}))
+}
+
+// accepted returns an error unless an edit was accepted.
+func accepted(result *operatorapi.EditResult, err error) error {
+	if err != nil {
+		return err
+	}
+	if result.State != operatorapi.EditResultStateAccepted {
+		return fmt.Errorf("edit is %s: %s %v", result.State, result.Message, result.Problems)
+	}
+	return nil
 }
 
 func routeSpec(stages []oracle.Stage) *operatorapi.RouteSpec {
--- a/internal/e2e/refusal_test.go
+++ b/internal/e2e/refusal_test.go
@@ -46,11 +46,10 @@
 			Name: dispatchRoute,
 		})
 		require.NoError(t, err)
-		result, err := c.daemons[0].operators.DeleteRoute(t.Context(), operatorapi.DeleteRouteParams{
+		require.NoError(t, accepted(c.daemons[0].operators.DeleteRoute(t.Context(), operatorapi.DeleteRouteParams{
 			Name:         dispatchRoute,
 			BaseRevision: row.Revision,
-		})
-		requireAccepted(t, result, err)
+		})))
 		for _, d := range c.daemons {
 			require.Eventually(t, func() bool { return d.holds(t, len(routes)-1) }, startTimeout, 20*time.Millisecond)
 		}
