--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -35,7 +35,7 @@
 func newCommand() *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "standin",
-		ShortUsage: "standin <log|hostlist|weights|engine|pool|service> [flags]",
+		ShortUsage: "standin <log|hostlist|weights|engine|pool|service|hosts|ledger|expect> [flags]",
 		FlagSet:    flag.NewFlagSet("standin", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
 			logCommand(),
@@ -44,6 +44,9 @@
 			engineCommand(),
 			poolCommand(),
 			serviceCommand(),
+			hostsCommand(),
+			ledgerCommand(),
+			expectCommand(),
 		},
 		Exec: func(context.Context, []string) error {
 			return flag.ErrHelp
