Place models on engines under a lease with a fencing number

Cause: nothing ordered models to engines and nothing used the leases. Change: internal/placement decides (every engine comes to hold all models of its pools, one load an order, the rarest first, at most two loads at a time, a wanted model never dropped); the holder of the placement lease reads the engines' states, orders whole states, one open an engine, and repairs in the next round. Ruled out: models on a part of the engines by demand, until the choice of upstream knows which holds what.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,7 @@
 	claimer   *idempotency.LogClaimer
 	executor  *pipeline.Executor
 	service   *request.Service
+	placer    *placer
 
 	callers   net.Listener
 	operators net.Listener
@@ -219,6 +220,7 @@
 		},
 		Daemons: func() int { return int(d.daemons.Load()) },
 	})
+	d.placer = newPlacer(d, engines)
 	current := &currency{
 		check: d.checkCurrent,
 	}
@@ -254,7 +256,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, background := errgroup.WithContext(background)
-	for _, run := range []func(context.Context) error{d.reader.Run, d.node.Serve, d.hosts.Run, d.claimer.Run, d.follow} {
+	for _, run := range []func(context.Context) error{d.reader.Run, d.node.Serve, d.hosts.Run, d.claimer.Run, d.follow, d.placer.run} {
 		g.Go(func() error { return ignoreStop(run(background)) })
 	}
 	g.Go(func() error { return ignoreStop(callerServer.Serve(d.limit(d.callers))) })
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,122 @@
+// Package placement decides which models each engine should hold. It does no I/O:
+// the holder of the placement lease feeds it what the engines hold and sends the
+// orders that it returns.
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Engine is what is known of one engine.
+type Engine struct {
+	Addr string
+	// Held lists the models that the engine holds.
+	Held []string
+	// Open says that an order to the engine has not been answered yet.
+	Open bool
+}
+
+// Service is a group of engines and the models that its pools want.
+type Service struct {
+	Name    string
+	Wanted  []string
+	Engines []Engine
+}
+
+// Order sets the whole state of one engine.
+type Order struct {
+	Addr   string
+	Models []string
+	// Load is the model that the engine has to load, or "".
+	Load string
+}
+
+// Next returns the orders to give now. Every engine comes to hold every wanted
+// model, one load an order, the model with the fewest copies first; a model that is
+// not wanted is dropped only once an engine holds all that are. At most loads models
+// are being loaded at a time, open orders included, and an engine with an open order
+// gets no other.
+func Next(services []Service, loads int) []Order {
+	var orders []Order
+	for _, s := range services {
+		loads -= countOpen(s.Engines)
+	}
+	for _, s := range services {
+		copies := countCopies(s)
+		for _, e := range byNeed(s) {
+			o, ok := next(s, e, copies)
+			if !ok || (o.Load != "" && loads <= 0) {
+				continue
+			}
+			if o.Load != "" {
+				loads--
+				copies[o.Load]++
+			}
+			orders = append(orders, o)
+		}
+	}
+	return orders
+}
+
+func countOpen(engines []Engine) int {
+	n := 0
+	for _, e := range engines {
+		if e.Open {
+			n++
+		}
+	}
+	return n
+}
+
+func countCopies(s Service) map[string]int {
+	copies := make(map[string]int, len(s.Wanted))
+	for _, e := range s.Engines {
+		for _, m := range e.Held {
+			copies[m]++
+		}
+	}
+	return copies
+}
+
+// byNeed returns the engines without an open order, the one that holds least first.
+func byNeed(s Service) []Engine {
+	var idle []Engine
+	for _, e := range s.Engines {
+		if !e.Open {
+			idle = append(idle, e)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(len(a.Held), len(b.Held)), cmp.Compare(a.Addr, b.Addr))
+	})
+	return idle
+}
+
+func next(s Service, e Engine, copies map[string]int) (Order, bool) {
+	missing := ""
+	for _, m := range s.Wanted {
+		if !slices.Contains(e.Held, m) && (missing == "" || copies[m] < copies[missing]) {
+			missing = m
+		}
+	}
+	if missing != "" {
+		return Order{
+			Addr:   e.Addr,
+			Models: sorted(append(slices.Clone(e.Held), missing)),
+			Load:   missing,
+		}, true
+	}
+	if len(s.Wanted) == 0 || len(e.Held) == len(s.Wanted) {
+		return Order{}, false
+	}
+	return Order{
+		Addr:   e.Addr,
+		Models: sorted(slices.Clone(s.Wanted)),
+	}, true
+}
+
+func sorted(models []string) []string {
+	slices.Sort(models)
+	return models
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,156 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"sequoiafork/internal/placement"
+)
+
+var models = []string{"a", "b", "c", "d"}
+
+func drawService(t *rapid.T, name string) placement.Service {
+	s := placement.Service{
+		Name:   name,
+		Wanted: rapid.SliceOfNDistinct(rapid.SampledFrom(models), 1, len(models), rapid.ID).Draw(t, "wanted"),
+	}
+	for i := range rapid.IntRange(1, 6).Draw(t, "engines") {
+		s.Engines = append(s.Engines, placement.Engine{
+			Addr: fmt.Sprintf("10.0.0.%d:%s", i, name),
+			Held: rapid.SliceOfNDistinct(rapid.SampledFrom(models), 0, len(models), rapid.ID).Draw(t, "held"),
+			Open: rapid.Bool().Draw(t, "open"),
+		})
+	}
+	return s
+}
+
+func copies(s placement.Service, model string) int {
+	n := 0
+	for _, e := range s.Engines {
+		if slices.Contains(e.Held, model) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestNextConverges carries out the orders in any order until none is left.
+func TestNextConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		services := []placement.Service{drawService(t, "x"), drawService(t, "y")}
+		loads := rapid.IntRange(1, 3).Draw(t, "loads")
+		before := make(map[string]bool)
+		for _, s := range services {
+			for _, m := range s.Wanted {
+				before[s.Name+m] = copies(s, m) > 0
+			}
+		}
+		for round := range 200 {
+			orders := placement.Next(services, loads)
+			if len(orders) == 0 && !finishOne(t, services) {
+				break
+			}
+			require.Less(t, round, 199, "no end of orders")
+			open := openOrders(services)
+			require.LessOrEqual(t, open+countLoads(orders), max(loads, open))
+			begin(t, services, orders)
+			finishOne(t, services)
+			for _, s := range services {
+				for _, m := range s.Wanted {
+					if before[s.Name+m] {
+						require.NotZero(t, copies(s, m), "copies of %s, which is in use", m)
+					}
+				}
+			}
+		}
+		for _, s := range services {
+			for _, e := range s.Engines {
+				require.ElementsMatch(t, s.Wanted, e.Held, "models of %s", e.Addr)
+			}
+		}
+	})
+}
+
+func begin(t *rapid.T, services []placement.Service, orders []placement.Order) {
+	for _, o := range orders {
+		for i := range services {
+			for j := range services[i].Engines {
+				e := &services[i].Engines[j]
+				if e.Addr != o.Addr {
+					continue
+				}
+				require.False(t, e.Open, "a second order to %s", e.Addr)
+				e.Open = true
+				e.Held = o.Models
+			}
+		}
+	}
+}
+
+// finishOne answers one open order and reports whether there was one.
+func finishOne(t *rapid.T, services []placement.Service) bool {
+	var open []*placement.Engine
+	for i := range services {
+		for j := range services[i].Engines {
+			if e := &services[i].Engines[j]; e.Open {
+				open = append(open, e)
+			}
+		}
+	}
+	if len(open) == 0 {
+		return false
+	}
+	open[rapid.IntRange(0, len(open)-1).Draw(t, "finished")].Open = false
+	return true
+}
+
+func openOrders(services []placement.Service) int {
+	n := 0
+	for _, s := range services {
+		for _, e := range s.Engines {
+			if e.Open {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestNextLoadsTheRarestModelFirst(t *testing.T) {
+	orders := placement.Next([]placement.Service{
+		{
+			Name:   "x",
+			Wanted: []string{"a", "b"},
+			Engines: []placement.Engine{
+				{
+					Addr: "1",
+					Held: []string{"a"},
+				},
+				{
+					Addr: "2",
+				},
+			},
+		},
+	}, 1)
+	require.Equal(t, []placement.Order{
+		{
+			Addr:   "2",
+			Models: []string{"b"},
+			Load:   "b",
+		},
+	}, orders)
+}
+
+func countLoads(orders []placement.Order) int {
+	n := 0
+	for _, o := range orders {
+		if o.Load != "" {
+			n++
+		}
+	}
+	return n
+}
