--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -33,6 +33,15 @@
 	s.queue.release(s.account, time.Now())
 }
 
+// OverShare reports whether the slot's workspace now has more than its fair share
+// of the pool's slots.
+func (s *Slot) OverShare() bool {
+	q := s.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return float64(s.account.inUse) > q.fair(s.account)
+}
+
 // Acquire waits for a slot. It returns a *RefusedError when the request can't
 // get one in time, and the context's error when ctx is done first.
 func (c *Controller) Acquire(ctx context.Context, r Request) (*Slot, error) {
@@ -76,3 +85,17 @@
 	}
 	return &w.account.slot, nil
 }
+
+// Check returns the *RefusedError that Acquire would return at once, or nil. It
+// takes no slot.
+func (c *Controller) Check(r Request) error {
+	return c.queue(r.Pool.Name).check(r, time.Now())
+}
+
+// Waiting returns the number of requests that wait for a slot of the pool.
+func (c *Controller) Waiting(pool string) int {
+	q := c.queue(pool)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting
+}
