Bound the bytes that polls of the host list receive

Cause: at 970 entries (630 servers, 340 daemons) one poll receives 90,763 bytes (BenchmarkPoll), 45 KB/s at one poll in 2 s, against a budget of 4 KB/s for all control. Change: a poll is followed by a pause that keeps the mean under 2 KB/s; lists under 4 KB are polled every 2 s as before. What that costs: a new entry of a list of 970 is seen up to 46 s later (paper: 90,763 / 2,048 and a twentieth). Leaving and dead upstreams come by rumor meanwhile.

--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -24,16 +25,20 @@
 
 // Defaults of Config.
 const (
-	DefaultInterval = 2 * time.Second
-	DefaultTimeout  = 5 * time.Second
+	DefaultInterval       = 2 * time.Second
+	DefaultTimeout        = 5 * time.Second
+	DefaultBytesPerSecond = 2048
 )
 
 // Config configures a List. Zero durations mean the defaults above.
 type Config struct {
 	// Addr is the IP:port of the host list.
 	Addr string
-	// Interval is the time between two polls.
+	// Interval is the least time between two polls.
 	Interval time.Duration
+	// BytesPerSecond bounds what the polls receive on the mean: a long list is read
+	// less often.
+	BytesPerSecond int
 	// Timeout bounds one poll.
 	Timeout time.Duration
 	// OnHosts is called with the whole list when its version has changed.
@@ -62,8 +67,9 @@
 
 // List follows the host list. A poll that fails leaves the last list in place.
 type List struct {
-	cfg    Config
-	client *platformapi.Client
+	cfg      Config
+	client   *platformapi.Client
+	received *countingTransport
 
 	mu     sync.Mutex
 	status Status
@@ -83,18 +89,24 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = DefaultTimeout
 	}
+	if cfg.BytesPerSecond == 0 {
+		cfg.BytesPerSecond = DefaultBytesPerSecond
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
+	received := &countingTransport{}
 	client, err := platformapi.NewClient("http://"+cfg.Addr, platformapi.WithClient(&http.Client{
-		Timeout: cfg.Timeout,
+		Timeout:   cfg.Timeout,
+		Transport: received,
 	}))
 	if err != nil {
 		return nil, fmt.Errorf("hostlist: client for %s: %w", cfg.Addr, err)
 	}
 	return &List{
-		cfg:    cfg,
-		client: client,
+		cfg:      cfg,
+		client:   client,
+		received: received,
 		status: Status{
 			Version: -1,
 		},
@@ -103,18 +115,27 @@
 
 // Run polls until ctx is done.
 func (l *List) Run(ctx context.Context) error {
-	ticker := time.NewTicker(l.cfg.Interval)
-	defer ticker.Stop()
 	for {
+		before := l.received.bytes.Load()
 		l.poll(ctx)
+		timer := time.NewTimer(l.pause(l.received.bytes.Load() - before))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
+// pause is the time until the next poll after one that received some bytes. It varies
+// by a tenth, so that daemons that start together don't stay together.
+func (l *List) pause(received int64) time.Duration {
+	d := time.Duration(received) * time.Second / time.Duration(l.cfg.BytesPerSecond)
+	d = max(d, l.cfg.Interval)
+	return d - d/20 + rand.N(d/10+1)
+}
+
 func (l *List) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Timeout)
 	defer cancel()
--- a/internal/hostlist/hostlist_test.go
+++ b/internal/hostlist/hostlist_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"sequoiafork/internal/upstream"
+	"sequoiafork/internal/wire/platformapi"
 )
 
 // TestRun polls a list that changes, then fails: the last hosts stay.
@@ -31,8 +33,9 @@
 	defer srv.Close()
 	got := make(chan []upstream.Host, 16)
 	l, err := New(Config{
-		Addr:     srv.Listener.Addr().String(),
-		Interval: 10 * time.Millisecond,
+		Addr:           srv.Listener.Addr().String(),
+		Interval:       10 * time.Millisecond,
+		BytesPerSecond: 1 << 20,
 		OnHosts: func(hosts []upstream.Host) {
 			got <- hosts
 		},
@@ -66,3 +69,48 @@
 	var addr *AddrError
 	require.True(t, errors.As(err, &addr), "%v is an *AddrError", err)
 }
+
+func TestPauseGrowsWithList(t *testing.T) {
+	l, err := New(Config{
+		Addr: "127.0.0.1:1",
+	})
+	require.NoError(t, err)
+	require.InDelta(t, DefaultInterval, l.pause(3000), float64(DefaultInterval)/19)
+	require.InDelta(t, 40*time.Second, l.pause(40*DefaultBytesPerSecond), float64(3*time.Second))
+}
+
+// BenchmarkPoll polls lists of several sizes over loopback.
+func BenchmarkPoll(b *testing.B) {
+	for _, n := range []int{50, 250, 500, 970} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			list := platformapi.HostList{
+				Version: 1,
+			}
+			for i := range n {
+				list.Hosts = append(list.Hosts, platformapi.Host{
+					Addr:       fmt.Sprintf("10.%d.%d.%d:7000", i%10, i/250, i%250),
+					DataCentre: fmt.Sprintf("region-%d/dc-%d", i%3, i%10),
+					Service:    fmt.Sprintf("service-%d", i%9),
+					State:      platformapi.HostStateLive,
+				})
+			}
+			data, err := list.MarshalJSON()
+			require.NoError(b, err)
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "application/json")
+				_, _ = w.Write(data)
+			}))
+			defer srv.Close()
+			l, err := New(Config{
+				Addr: srv.Listener.Addr().String(),
+			})
+			require.NoError(b, err)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.poll(b.Context())
+			}
+			require.Equal(b, n, l.Status().Hosts)
+			b.ReportMetric(float64(len(data)), "body_B")
+		})
+	}
+}
--- /dev/null
+++ b/internal/hostlist/transport.go
@@ -0,0 +1,36 @@
+package hostlist
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+)
+
+// countingTransport counts the bytes of the bodies that it receives.
+type countingTransport struct {
+	bytes atomic.Int64
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *countingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &countedBody{
+		ReadCloser: resp.Body,
+		bytes:      &t.bytes,
+	}
+	return resp, nil
+}
+
+type countedBody struct {
+	io.ReadCloser
+	bytes *atomic.Int64
+}
+
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.bytes.Add(int64(n))
+	return n, err
+}
