--- a/cmd/slopes/main.go
+++ b/cmd/slopes/main.go
@@ -1,8 +1,10 @@
 // Slopes measures what the control traffic between daemons costs as their number
 // grows. It runs daemons' peer sides in one process over loopback and prints one line
-// for each size, then a linear fit of each figure.
+// for each size, then a linear fit of each figure. "slopes log" does the same for the
+// reading of the log, by the rate of edits.
 //
 //	go run ./cmd/slopes -sizes 5,10,20,40,80
+//	go run ./cmd/slopes log -rates 0,1,5,20
 package main
 
 import (
@@ -45,6 +47,9 @@
 		Name:       "slopes",
 		ShortUsage: "slopes [flags]",
 		FlagSet:    fs,
+		Subcommands: []*ffcli.Command{
+			logCommand(),
+		},
 		Exec: func(ctx context.Context, _ []string) error {
 			list, err := parseSizes(*sizes)
 			if err != nil {
@@ -61,6 +66,43 @@
 	}
 }
 
+func logCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("slopes log", flag.ContinueOnError)
+	rates := fs.String("rates", "0,1,5,20", "edits a second, separated by commas")
+	readers := fs.Int("readers", 20, "number of daemons that read")
+	rounds := fs.Int("rounds", 2, "runs of each rate")
+	window := fs.Duration("window", 10*time.Second, "time over which the figures are taken")
+	return &ffcli.Command{
+		Name:       "log",
+		ShortUsage: "slopes log [flags]",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			list, err := parseRates(*rates)
+			if err != nil {
+				return err
+			}
+			return measureLogs(ctx, logSettings{
+				rates:   list,
+				readers: *readers,
+				rounds:  *rounds,
+				window:  *window,
+			})
+		},
+	}
+}
+
+func parseRates(s string) ([]float64, error) {
+	var rates []float64
+	for _, f := range strings.Split(s, ",") {
+		r, err := strconv.ParseFloat(f, 64)
+		if err != nil || r < 0 {
+			return nil, fmt.Errorf("flag -rates: %q is not a number of at least 0", f)
+		}
+		rates = append(rates, r)
+	}
+	return rates, nil
+}
+
 func parseSizes(s string) ([]int, error) {
 	var sizes []int
 	for _, f := range strings.Split(s, ",") {
