Tell peers of upstreams that were ejected

Each sight of a suspect is news, at most one a second and upstream, since the receiver avoids it for a while only.

--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -33,6 +33,8 @@
 		d.members.ReportUpstream(addr, membership.UpstreamLeaving)
 	case upstream.Dead:
 		d.members.ReportUpstream(addr, membership.UpstreamDead)
+	case upstream.Suspect:
+		d.members.ReportUpstream(addr, membership.UpstreamSuspect)
 	case upstream.Live:
 		d.members.ReportUpstream(addr, membership.UpstreamLive)
 	}
@@ -46,6 +48,8 @@
 		d.upstreams.Mark(addr, upstream.Leaving, reason)
 	case membership.UpstreamDead:
 		d.upstreams.Mark(addr, upstream.Dead, reason)
+	case membership.UpstreamSuspect:
+		d.upstreams.Mark(addr, upstream.Suspect, reason)
 	case membership.UpstreamLive, membership.UpstreamUnknown:
 		d.upstreams.Mark(addr, upstream.Live, reason)
 	}
--- a/internal/membership/commands.go
+++ b/internal/membership/commands.go
@@ -46,7 +46,7 @@
 // ReportUpstream tells the others what this process itself saw of an upstream. What
 // they know already is not told again, and the rate of rumors is bounded.
 func (t *Table) ReportUpstream(addr string, st UpstreamState) {
-	if st < UpstreamLive || st > UpstreamDead {
+	if st < UpstreamLive || st > UpstreamSuspect {
 		return
 	}
 	t.mu.Lock()
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -283,7 +283,7 @@
 }
 
 func upstreamState(s string) UpstreamState {
-	for _, st := range []UpstreamState{UpstreamUnknown, UpstreamLive, UpstreamLeaving, UpstreamDead} {
+	for _, st := range []UpstreamState{UpstreamUnknown, UpstreamLive, UpstreamLeaving, UpstreamDead, UpstreamSuspect} {
 		if st.String() == s {
 			return st
 		}
--- a/internal/membership/upstreams.go
+++ b/internal/membership/upstreams.go
@@ -16,8 +16,13 @@
 	UpstreamLive
 	UpstreamLeaving
 	UpstreamDead
+	// UpstreamSuspect says that the upstream fails or is slow.
+	UpstreamSuspect
 )
 
+// suspectQuiet is how long a suspect is not told of again.
+const suspectQuiet = time.Second
+
 // maxUpstreamRumors bounds the rumors that are remembered.
 const maxUpstreamRumors = 8192
 
@@ -30,6 +35,8 @@
 		return "leaving"
 	case UpstreamDead:
 		return "dead"
+	case UpstreamSuspect:
+		return "suspect"
 	}
 	return "unknown"
 }
@@ -84,7 +91,7 @@
 	u := &t.upstreams
 	state := UpstreamState(r.GetState())
 	age := time.Duration(max(r.GetAgeMs(), 0)) * time.Millisecond
-	if state < UpstreamLive || state > UpstreamDead || age >= t.cfg.UpstreamExpiry {
+	if state < UpstreamLive || state > UpstreamSuspect || age >= t.cfg.UpstreamExpiry {
 		return false
 	}
 	id := rumorID{
@@ -115,7 +122,8 @@
 		return
 	}
 	t.upstreams.sights[addr] = s
-	if !ok || old.state != s.state {
+	// Each sight of a suspect is news: it is avoided for a while only.
+	if !ok || old.state != s.state || s.state == UpstreamSuspect {
 		t.events = append(t.events, upstreamEvent{
 			addr:  addr,
 			state: s.state,
@@ -155,6 +163,9 @@
 	if !ok {
 		return state != UpstreamLive
 	}
+	if state == UpstreamSuspect {
+		return s.state != state || now.Sub(s.seen) >= suspectQuiet
+	}
 	return s.state != state || state != UpstreamLive && now.Sub(s.seen) >= t.cfg.UpstreamExpiry/2
 }
 
