--- a/internal/confsync/cluster_test.go
+++ b/internal/confsync/cluster_test.go
@@ -15,6 +15,8 @@
 	leaseName = "placement"
 	leaseTTL  = 6 * time.Second
 	peerDelay = time.Millisecond
+	// answerDelay makes the answers of peers late.
+	answerDelay = 700 * time.Millisecond
 )
 
 // cluster is several daemons' machines, readers, editors and leasers on one log.
@@ -85,9 +87,9 @@
 		OnRecords:      d.publish,
 		Writer:         p.name,
 		Seed:           uint64(incarnation)<<8 + uint64(d.name[1]),
-		SnapshotEvery:  10,
+		SnapshotEvery:  30,
 		SnapshotDelay:  2 * time.Second,
-		SnapshotMaxAge: time.Minute,
+		SnapshotMaxAge: 2 * time.Minute,
 	})
 	p.editor = confsync.NewEditor(confsync.EditorConfig{
 		Log:     d.link,
@@ -166,7 +168,9 @@
 	if best == nil {
 		return nil, errCut
 	}
-	return best.process().reader.CatchUp(ctx, from)
+	resp, err := best.process().reader.CatchUp(ctx, from)
+	time.Sleep(answerDelay)
+	return resp, err
 }
 
 // reaches reports whether the daemon could now learn of the record at an offset:
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -198,7 +198,7 @@
 	if !first && (l.differs < 2 || now.Sub(l.exchangedAt) < t.cfg.ExchangeEvery) {
 		return
 	}
-	if first && !l.dialed {
+	if first && !l.dialed && l.differs < 2 {
 		return // the end that dialed asks first
 	}
 	l.exchangedAt = now
