Let end-to-end tests set how long callers keep addresses

Cause: a rolling restart is judged by callers that keep their address for as long as they were told, and the harness fixed that time at 200 ms. Change: config.keepAnswers, 200 ms when zero, so that no other test changes.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -83,6 +83,7 @@
 	snapshotEvery int           // Records between snapshots; 1000 when zero.
 	window        time.Duration // For which keys are remembered; an hour when zero.
 	maxInFlight   int           // Requests in flight of a daemon; 2048 when zero.
+	keepAnswers   time.Duration // For which callers keep addresses; 200 ms when zero.
 	engineArgs    []string      // Further flags of the engines.
 	commitArgs    []string      // Further flags of the plain services.
 }
@@ -111,6 +112,9 @@
 	if cfg.maxInFlight == 0 {
 		cfg.maxInFlight = 2048
 	}
+	if cfg.keepAnswers == 0 {
+		cfg.keepAnswers = 200 * time.Millisecond
+	}
 	if cfg.window == 0 {
 		cfg.window = time.Hour
 	}
