--- a/internal/fold/bench_test.go
+++ b/internal/fold/bench_test.go
@@ -14,7 +14,7 @@
 
 const claimsPerBatch = 64
 
-// feed applies records at the next offsets, a second of the log's time apart.
+// feed applies records at the next offsets, a millisecond of the log's time apart.
 type feed struct {
 	b       *testing.B
 	machine *fold.Machine
