--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/upstream"
 )
 
 // script drives a network by lines of text. Its commands are:
@@ -19,18 +22,23 @@
 //	split dc|region NAME       cut a data centre or region off
 //	heal                       open all paths
 //	saw I ADDR STATE           host I reports an upstream
+//	storm N D B                every host reports the same N upstreams dead at once, and
+//	                           sends at most B bytes on the mean within D from then on
+//	list ADDR...               the host list names these upstreams as live
+//	left I ADDR                upstream ADDR tells host I that it is leaving
+//	no_work ADDR D [N]         within D no running daemon (but N) gives ADDR work
 //	revision I N               host I has folded revision N
 //	agree D [DC]               within D all running daemons (but those of DC) hold just
 //	                           the daemons living that they can reach
 //	upstream ADDR STATE D [N]  within D all running daemons (but N) hold the state
 //	in_force N D               within D all daemons know that revision N is everywhere
 //	resolvable I yes|no D      within D every answer of Resolve has host I, or none
+//	disputed I N               host I had to refute at most N times so far
+//	forgotten I D              within D no running daemon remembers one at host I
 //
 // Each line that states a bound yields "ok", or what was seen instead.
 type script struct {
 	net *network
-	// took is how long the last stated bound took in virtual time.
-	took time.Duration
 }
 
 // runScript plays lines in a bubble and returns the results of the lines that state
@@ -45,8 +53,12 @@
 		}
 		defer s.end()
 		for _, line := range lines {
-			if r := s.run(strings.Fields(line)); r != "" {
-				t.Logf("%s: %s after %v", line, r, s.took)
+			begin, sent := time.Now(), s.net.bytes
+			r := s.run(strings.Fields(line))
+			if took := time.Since(begin); took > 0 {
+				t.Logf("%s: %s after %v, %d bytes sent by each daemon", line, r, took, (s.net.bytes-sent)/len(s.net.hosts))
+			}
+			if r != "" {
 				results = append(results, r)
 			}
 		}
@@ -86,10 +98,22 @@
 		s.net.mu.Lock()
 		s.net.cuts = map[[2]int]bool{}
 		s.net.mu.Unlock()
+	case "storm":
+		return s.storm(number(f[1]), duration(f[2]), number(f[3]))
 	case "agree":
 		return s.within(duration(f[1]), func() string { return s.disagreement(f[2:]) })
 	case "upstream":
 		return s.within(duration(f[3]), func() string { return s.upstreamGap(f[1], f[2], f[4:]) })
+	case "list":
+		s.list(f[1:])
+	case "left":
+		work(s.net.hosts[number(f[1])].proc, f[2], upstream.LeftPool)
+	case "no_work":
+		return s.within(duration(f[2]), func() string { return s.workGap(f[1], f[3:]) })
+	case "disputed":
+		return s.disputes(s.net.hosts[number(f[1])], uint64(number(f[2])))
+	case "forgotten":
+		return s.within(duration(f[2]), func() string { return s.memoryOf(s.net.hosts[number(f[1])].addr()) })
 	case "in_force":
 		return s.within(duration(f[2]), func() string { return s.revisionGap(uint64(number(f[1]))) })
 	case "resolvable":
@@ -166,11 +190,10 @@
 	for {
 		synctest.Wait()
 		g := gap()
-		s.took = time.Since(begin)
 		if g == "" {
 			return "ok"
 		}
-		if s.took >= d {
+		if time.Since(begin) >= d {
 			return g
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -239,6 +262,72 @@
 	return ""
 }
 
+var testPool = &table.Pool{
+	Name:        "pool",
+	Service:     "service",
+	Concurrency: 1000,
+}
+
+func (s *script) storm(n int, d time.Duration, limit int) string {
+	before := s.net.bytes
+	for _, p := range s.net.running() {
+		for i := range n {
+			p.table.ReportUpstream(fmt.Sprintf("10.9.1.%d:80", i), UpstreamDead)
+		}
+	}
+	time.Sleep(d)
+	if sent := (s.net.bytes - before) / len(s.net.hosts); sent > limit {
+		return fmt.Sprintf("each daemon sent %d bytes", sent)
+	}
+	return "ok"
+}
+
+func (s *script) list(addrs []string) {
+	var hosts []upstream.Host
+	for _, addr := range addrs {
+		hosts = append(hosts, upstream.Host{
+			Addr:    addr,
+			Service: testPool.Service,
+		})
+	}
+	for _, p := range s.net.running() {
+		p.set.Replace(hosts)
+	}
+}
+
+// work lets a daemon choose upstreams many times. It reports whether addr was among
+// them, and ends the first attempt there with an outcome.
+func work(p *process, addr string, end upstream.Outcome) bool {
+	for range 100 {
+		c, err := p.set.Pick(upstream.Request{
+			Pool: testPool,
+		})
+		if err != nil {
+			return false
+		}
+		if c.Addr == addr {
+			c.Done(upstream.Result{
+				Outcome: end,
+			})
+			return true
+		}
+		c.Done(upstream.Result{
+			Outcome: upstream.OK,
+			Latency: time.Millisecond,
+		})
+	}
+	return false
+}
+
+func (s *script) workGap(addr string, but []string) string {
+	for _, p := range s.net.running() {
+		if !slices.Contains(but, strconv.Itoa(p.host.id)) && work(p, addr, upstream.Cancelled) {
+			return fmt.Sprintf("%s gives %s work", p.table.self, addr)
+		}
+	}
+	return ""
+}
+
 func (s *script) revisionGap(revision uint64) string {
 	procs := s.net.running()
 	for _, p := range procs {
@@ -249,6 +338,25 @@
 	return ""
 }
 
+func (s *script) disputes(h *host, limit uint64) string {
+	p := h.proc
+	if n := p.table.Self().Version - p.table.cfg.Self.Version; n > limit {
+		return fmt.Sprintf("%s refuted %d times", p.table.self, n)
+	}
+	return "ok"
+}
+
+func (s *script) memoryOf(addr string) string {
+	for _, p := range s.net.running() {
+		for _, m := range p.table.Members() {
+			if m.PeerAddr == addr {
+				return fmt.Sprintf("%s remembers %s", p.table.self, m.Incarnation)
+			}
+		}
+	}
+	return ""
+}
+
 func (s *script) resolveGap(id int, wanted bool) string {
 	addr := s.net.hosts[id].proc.table.Self().CallerAddr
 	for _, p := range s.net.running() {
--- a/internal/pipeline/hedge.go
+++ b/internal/pipeline/hedge.go
@@ -49,12 +49,13 @@
 	}
 }
 
-// pick chooses the second upstream unless the first call is over or the budget is
-// used up.
+// pick chooses the second upstream unless the first call is over, requests wait
+// for the pool or the budget is used up.
 func (h *hedge) pick(parent context.Context) (target, context.Context, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.stopped {
+	// A hedge must not take a slot that another request waits for.
+	if h.stopped || h.run.executor.cfg.Admission.Waiting(h.run.pool.Name) > 0 {
 		return target{}, nil, false
 	}
 	second, err := h.run.pick()
