--- a/internal/confsync/editor_query.go
+++ b/internal/confsync/editor_query.go
@@ -7,24 +7,6 @@
 	"sequoiafork/internal/table"
 )
 
-// DryRun says what an edit would do on the tables as they are here.
-func (e *Editor) DryRun(edit table.Edit) (Result, error) {
-	if !e.machine.Ready() {
-		return Result{}, &NotReadyError{}
-	}
-	if result, ok := e.reject(edit); ok {
-		return result, nil
-	}
-	tables := e.machine.Tables()
-	name, pool := edit.Target()
-	result := Result{
-		EditID:  edit.ID,
-		State:   DryRun,
-		Message: tables.Describe(edit),
-	}
-	return result.withRow(tables, name, pool), nil
-}
-
 // Edit returns how an edit was settled, NotFound if it is not known here, and
 // Unknown if this daemon appended it and has not read it back.
 func (e *Editor) Edit(id string) Result {
@@ -41,25 +23,6 @@
 	}
 }
 
-// reject returns the result of an edit that the tables as they are refuse.
-func (e *Editor) reject(edit table.Edit) (Result, bool) {
-	tables := e.machine.Tables()
-	name, pool := edit.Target()
-	if now := tables.RevisionOf(edit); now != edit.BaseRevision {
-		result := Result{
-			EditID:  edit.ID,
-			State:   Conflict,
-			Message: conflictMessage(now),
-		}
-		return result.withRow(tables, name, pool), true
-	}
-	problems := tables.Check(edit)
-	if len(problems) == 0 {
-		return Result{}, false
-	}
-	return refusedResult(edit.ID, problems), true
-}
-
 // settled returns the result of an edit that was read back. An ID that was used for
 // another row is refused.
 func (e *Editor) settled(edit table.Edit, outcome fold.EditOutcome) Result {
@@ -104,13 +67,6 @@
 	}
 }
 
-func conflictMessage(now uint64) string {
-	if now == 0 {
-		return "conflict: the row does not exist now"
-	}
-	return fmt.Sprintf("conflict: the row is now at revision %d", now)
-}
-
 func unknownResult(id string) Result {
 	return Result{
 		EditID:  id,
--- a/internal/confsync/result.go
+++ b/internal/confsync/result.go
@@ -13,8 +13,6 @@
 	// Conflict means that the row changed since the operator saw it.
 	Conflict
 	Refused
-	// DryRun means that the edit would be accepted, and nothing was done.
-	DryRun
 	// NotFound means that this daemon knows no edit with the ID.
 	NotFound
 )
@@ -24,7 +22,6 @@
 	Accepted: "accepted",
 	Conflict: "conflict",
 	Refused:  "refused",
-	DryRun:   "dry_run",
 	NotFound: "not_found",
 }
 
--- a/internal/daemon/edits.go
+++ b/internal/daemon/edits.go
@@ -51,7 +51,7 @@
 		s.State = operatorhttp.Refused
 	case confsync.Unknown:
 		s.State = operatorhttp.Unknown
-	case confsync.NotFound, confsync.DryRun:
+	case confsync.NotFound:
 		s.State = operatorhttp.NotFound
 	}
 	return s
--- a/internal/table/describe.go
+++ b/internal/table/describe.go
@@ -6,93 +6,101 @@
 	"strings"
 )
 
-// lineColumns is the width of a phone's line.
-const lineColumns = 40
-
 // Describe says what an edit would do: what changes, and which routes lose
-// capacity. Lines are at most 40 columns wide.
+// capacity. Lines are at most 40 columns wide, for a phone.
 func (t *Tables) Describe(e Edit) string {
-	var words []string
 	switch c := e.Change.(type) {
 	case SetRoute:
-		words = t.describeSetRoute(c.Route)
+		return wrap(t.describeSetRoute(c.Route))
 	case DeleteRoute:
-		words = []string{"delete route", c.Name + ":", "its requests are refused"}
+		return wrap("delete route " + c.Name + ": its requests are refused")
 	case SetPool:
-		words = t.describeSetPool(c.Pool)
+		return wrap(t.describeSetPool(c.Pool))
 	case DeletePool:
-		words = append([]string{"delete pool", c.Name}, t.describeLoss(c.Name)...)
+		return wrap("delete pool " + c.Name + "; " + t.describeLoss(c.Name))
 	}
-	return wrap(strings.Fields(strings.Join(words, " ")))
+	return "nothing changes"
 }
 
-func (t *Tables) describeSetRoute(r Route) []string {
-	old, ok := t.Route(r.Name)
+func (t *Tables) describeSetRoute(r Route) string {
+	row, ok := t.Route(r.Name)
 	if !ok {
-		return []string{"new route", r.Name, "with", count(len(r.Stages), "stage")}
+		return "new route " + r.Name + " with " + count(len(r.Stages), "stage")
 	}
-	words := []string{"change route", r.Name + ":"}
-	was := old.Value
+	was := row.Value
+	var changes []string
 	if was.Deadline != r.Deadline {
-		words = append(words, fmt.Sprintf("deadline %v to %v,", was.Deadline, r.Deadline))
+		changes = append(changes, fmt.Sprintf("deadline %v to %v", was.Deadline, r.Deadline))
 	}
 	if len(was.Stages) != len(r.Stages) {
-		words = append(words, fmt.Sprintf("%d to %s,", len(was.Stages), count(len(r.Stages), "stage")))
+		changes = append(changes, fmt.Sprintf("%d to %s", len(was.Stages), count(len(r.Stages), "stage")))
 	}
 	for i, s := range r.Stages {
 		if i < len(was.Stages) && was.Stages[i] != s {
-			words = append(words, "stage "+s.Name+" changed,")
+			changes = append(changes, "stage "+s.Name+" changed")
 		}
 	}
-	return endList(words)
+	return "change route " + r.Name + ": " + list(changes)
 }
 
-func (t *Tables) describeSetPool(p Pool) []string {
-	old, ok := t.Pool(p.Name)
+func (t *Tables) describeSetPool(p Pool) string {
+	row, ok := t.Pool(p.Name)
 	if !ok {
-		return []string{"new pool", p.Name, "on service", p.Service}
+		return "new pool " + p.Name + " on service " + p.Service
+	}
+	was := row.Value
+	text := "change pool " + p.Name + ": " + list(poolChanges(was, p))
+	if p.Concurrency < was.Concurrency || p.Service != was.Service {
+		text += "; " + t.describeLoss(p.Name)
 	}
-	words := []string{"change pool", p.Name + ":"}
-	was := old.Value
+	return text
+}
+
+func poolChanges(was, p Pool) []string {
+	var changes []string
 	if was.Kind != p.Kind {
-		words = append(words, fmt.Sprintf("%v to %v,", was.Kind, p.Kind))
+		changes = append(changes, fmt.Sprintf("%v to %v", was.Kind, p.Kind))
 	}
 	if was.Service != p.Service {
-		words = append(words, fmt.Sprintf("service %s to %s,", was.Service, p.Service))
+		changes = append(changes, fmt.Sprintf("service %s to %s", was.Service, p.Service))
 	}
 	if was.Concurrency != p.Concurrency {
-		words = append(words, fmt.Sprintf("concurrency %d to %d,", was.Concurrency, p.Concurrency))
-	}
-	words = append(words, describeLists(was, p)...)
-	words = endList(words)
-	if p.Concurrency < was.Concurrency || p.Service != was.Service {
-		words = append(words, t.describeLoss(p.Name)...)
+		changes = append(changes, fmt.Sprintf("concurrency %d to %d", was.Concurrency, p.Concurrency))
 	}
-	return words
-}
-
-func describeLists(was, p Pool) []string {
-	var words []string
 	if !slices.Equal(was.Shares, p.Shares) {
-		words = append(words, "shares changed,")
+		changes = append(changes, "shares changed")
 	}
 	if !slices.Equal(was.Models, p.Models) {
-		words = append(words, "models changed,")
+		changes = append(changes, "models changed")
 	}
 	if was.ChecksFencing != p.ChecksFencing {
-		words = append(words, "fencing changed,")
+		changes = append(changes, "fencing changed")
 	}
-	return words
+	return changes
 }
 
-func (t *Tables) describeLoss(pool string) []string {
+func (t *Tables) describeLoss(pool string) string {
 	routes := t.routesOn(pool)
 	if len(routes) == 0 {
-		return []string{"; no route uses it"}
+		return "no route uses it"
 	}
-	words := []string{"; less capacity for"}
+	names := make([]string, 0, len(routes))
 	for _, r := range routes {
-		words = append(words, r.Name+",")
+		names = append(names, r.Name)
+	}
+	return "less capacity for " + strings.Join(names, ", ")
+}
+
+func list(changes []string) string {
+	if len(changes) == 0 {
+		return "nothing changes"
+	}
+	return strings.Join(changes, ", ")
+}
+
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
 	}
-	return endList(words)
+	return fmt.Sprintf("%d %ss", n, noun)
 }
