--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -63,9 +63,9 @@
 		})
 		b.Run(fmt.Sprintf("change/members=%d", n), func(b *testing.B) {
 			b.ReportAllocs()
-			m := t.livingMembers()[n-1].Member
+			m := t.Members()[n-1]
 			for i := range b.N {
-				m = m.WithVersion(uint64(i + 2)).WithState(Alive + State(i%3))
+				m = m.WithVersion(m.Version + 1).WithState(Alive + State(i%3))
 				t.mu.Lock()
 				t.flood(t.merge(m.rumor()), nil)
 				t.choose()
