Refuse an edit ID that was used for another change

Cause: an ID that came again with another change of the same row was answered as accepted with the first change's revision, though the second was never made. Found by the operation 'reuse' of the fuzzing: 'said accepted at 3 for concurrency 2, the log accepted concurrency 1' after 17 scripts. Change: an outcome keeps the start of a digest of the change. Names that aren't UTF-8 can't reach the digest, since pools and models of stages are checked before; models may have a path and a version.

--- a/internal/confsync/editor_query.go
+++ b/internal/confsync/editor_query.go
@@ -24,15 +24,14 @@
 }
 
 // settled returns the result of an edit that was read back. An ID that was used for
-// another row is refused.
+// another change is refused.
 func (e *Editor) settled(edit table.Edit, outcome fold.EditOutcome) Result {
-	name, pool := edit.Target()
-	if name == outcome.Name && pool == outcome.Pool {
+	if outcome.Settles(edit) {
 		return e.result(outcome)
 	}
 	return refusedResult(edit.ID, []table.Problem{{
 		Field:   "edit_id",
-		Message: fmt.Sprintf("%q was used for row %q: take a new ID", edit.ID, outcome.Name),
+		Message: fmt.Sprintf("%q was used for another change of row %q: take a new ID", edit.ID, outcome.Name),
 	}})
 }
 
--- a/internal/confsync/oracle_test.go
+++ b/internal/confsync/oracle_test.go
@@ -21,7 +21,7 @@
 // model is the simple oracle: pools only, folded from the whole log.
 type model struct {
 	rows     map[string]modelRow
-	accepted map[string]uint64
+	accepted map[string]modelEdit
 	settled  map[string]bool
 }
 
@@ -30,10 +30,17 @@
 	concurrency int64
 }
 
+// modelEdit is an edit of the pool name; a concurrency of zero deletes it.
+type modelEdit struct {
+	offset      uint64
+	name        string
+	concurrency int64
+}
+
 func foldModel(records []logservice.Record) model {
 	m := model{
 		rows:     make(map[string]modelRow),
-		accepted: make(map[string]uint64),
+		accepted: make(map[string]modelEdit),
 		settled:  make(map[string]bool),
 	}
 	for _, rec := range records {
@@ -51,7 +58,11 @@
 		if row.revision != e.GetBaseRevision() || !valid {
 			continue
 		}
-		m.accepted[e.GetEditId()] = rec.Offset
+		m.accepted[e.GetEditId()] = modelEdit{
+			offset:      rec.Offset,
+			name:        e.GetName(),
+			concurrency: e.GetPool().GetConcurrency(),
+		}
 		if e.GetDelete() {
 			delete(m.rows, e.GetName())
 			continue
@@ -83,23 +94,26 @@
 // answer is what an operator was told.
 type answer struct {
 	id     string
+	edit   modelEdit
 	result confsync.Result
 	err    error
 }
 
 // check compares an answer with what the log says in the end.
 func (m model) check(a answer, sentBefore bool) error {
-	offset, accepted := m.accepted[a.id]
+	edit, accepted := m.accepted[a.id]
 	refused, _ := errors.AsType[*logservice.RefusedError](a.err)
+	a.edit.offset = edit.offset
+	accepted = accepted && a.edit == edit
 	switch {
 	case a.err != nil && refused != nil && !sentBefore && m.settled[a.id]:
 		return fmt.Errorf("edit %s: said to be not appended, but it was", a.id)
 	case a.err != nil || a.result.State == confsync.Unknown:
 		return nil
-	case a.result.State == confsync.Accepted && (!accepted || a.result.Revision != offset):
-		return fmt.Errorf("edit %s: said accepted at %d, the log says %v at %d", a.id, a.result.Revision, accepted, offset)
+	case a.result.State == confsync.Accepted && (!accepted || a.result.Revision != edit.offset):
+		return fmt.Errorf("edit %s: said accepted at %d for %+v, the log accepted %+v", a.id, a.result.Revision, a.edit, edit)
 	case a.result.State != confsync.Accepted && accepted:
-		return fmt.Errorf("edit %s: said %v, the log accepted it at %d", a.id, a.result.State, offset)
+		return fmt.Errorf("edit %s: said %v, the log accepted it at %d", a.id, a.result.State, edit.offset)
 	}
 	return nil
 }
--- a/internal/confsync/script_test.go
+++ b/internal/confsync/script_test.go
@@ -41,7 +41,7 @@
 }
 
 var operations = []string{
-	"edit", "edit", "edit", "race", "delete", "publish", "claim", "claim", "claim", "repeat", "repeat", "fault", "fault", "log_down", "log_up", "cut_log", "heal_log",
+	"edit", "edit", "edit", "race", "delete", "publish", "claim", "claim", "claim", "repeat", "repeat", "reuse", "fault", "fault", "log_down", "log_up", "cut_log", "heal_log",
 	"cut_peers", "heal_peers", "freeze", "thaw", "restart", "restart", "expire", "expire", "damage", "rubbish", "slow", "fast", "lone_restart",
 }
 
--- a/internal/confsync/steps_test.go
+++ b/internal/confsync/steps_test.go
@@ -21,6 +21,12 @@
 		if n := len(p.history); n > 0 {
 			p.submit(ctx, d, p.history[n-1-s.N%n])
 		}
+	case "reuse":
+		if n := len(p.history); n > 0 {
+			other := p.edit(d, s.N)
+			other.ID = p.history[n-1-s.N%n].ID
+			p.submit(ctx, d, other)
+		}
 	case "delete":
 		p.submit(ctx, d, p.deletion(d, s.N))
 	case "publish":
@@ -122,6 +128,17 @@
 	p.cluster.log.add(data)
 }
 
+func toModel(e table.Edit) modelEdit {
+	name, _ := e.Target()
+	m := modelEdit{
+		name: name,
+	}
+	if set, ok := e.Change.(table.SetPool); ok {
+		m.concurrency = int64(set.Pool.Concurrency)
+	}
+	return m
+}
+
 func (p *player) submit(ctx context.Context, d *daemon, e table.Edit) {
 	p.history = append(p.history, e)
 	p.mu.Lock()
@@ -134,6 +151,7 @@
 		defer p.mu.Unlock()
 		p.answers = append(p.answers, answer{
 			id:     e.ID,
+			edit:   toModel(e),
 			result: result,
 			err:    err,
 		})
--- a/internal/fold/apply.go
+++ b/internal/fold/apply.go
@@ -82,6 +82,7 @@
 		Name:   name,
 		Pool:   pool,
 		TimeMs: m.clockMs,
+		change: digestChange(edit),
 	}
 	if now := tables.RevisionOf(edit); now != edit.BaseRevision {
 		outcome.Conflict = true
--- a/internal/fold/convert.go
+++ b/internal/fold/convert.go
@@ -124,21 +124,53 @@
 	return edit, nil
 }
 
+// changeToProto returns what an edit does, without its ID, author and base.
+func changeToProto(e table.Edit) *recordpb.Edit {
+	switch c := e.Change.(type) {
+	case table.SetRoute:
+		return &recordpb.Edit{
+			Table: recordpb.Table_TABLE_ROUTES,
+			Name:  c.Route.Name,
+			Route: routeToProto(c.Route),
+		}
+	case table.SetPool:
+		return &recordpb.Edit{
+			Table: recordpb.Table_TABLE_POOLS,
+			Name:  c.Pool.Name,
+			Pool:  poolToProto(c.Pool),
+		}
+	case table.DeleteRoute:
+		return &recordpb.Edit{
+			Table:  recordpb.Table_TABLE_ROUTES,
+			Name:   c.Name,
+			Delete: true,
+		}
+	case table.DeletePool:
+		return &recordpb.Edit{
+			Table:  recordpb.Table_TABLE_POOLS,
+			Name:   c.Name,
+			Delete: true,
+		}
+	}
+	return &recordpb.Edit{}
+}
+
 func outcomeToProto(o EditOutcome) *recordpb.EditOutcome {
 	return &recordpb.EditOutcome{
-		EditId:   o.ID,
-		Offset:   o.Offset,
-		Accepted: o.Accepted,
-		Conflict: o.Conflict,
-		Reason:   o.Reason,
-		Table:    tableOf(o.Pool),
-		Name:     o.Name,
-		TimeMs:   o.TimeMs,
+		EditId:       o.ID,
+		Offset:       o.Offset,
+		Accepted:     o.Accepted,
+		Conflict:     o.Conflict,
+		Reason:       o.Reason,
+		Table:        tableOf(o.Pool),
+		Name:         o.Name,
+		TimeMs:       o.TimeMs,
+		ChangeDigest: o.change[:],
 	}
 }
 
 func outcomeFromProto(o *recordpb.EditOutcome) EditOutcome {
-	return EditOutcome{
+	outcome := EditOutcome{
 		ID:       o.GetEditId(),
 		Offset:   o.GetOffset(),
 		Accepted: o.GetAccepted(),
@@ -148,6 +180,8 @@
 		Pool:     o.GetTable() == recordpb.Table_TABLE_POOLS,
 		TimeMs:   o.GetTimeMs(),
 	}
+	copy(outcome.change[:], o.GetChangeDigest())
+	return outcome
 }
 
 func tableOf(pool bool) recordpb.Table {
--- a/internal/fold/digest.go
+++ b/internal/fold/digest.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"google.golang.org/protobuf/proto"
+
+	"sequoiafork/internal/table"
 )
 
 // Digest identifies the folded state after an offset.
@@ -38,6 +40,14 @@
 	return data
 }
 
+// changeDigest is the start of the sha256 of what an edit does.
+type changeDigest = [16]byte
+
+func digestChange(e table.Edit) changeDigest {
+	h := sha256.Sum256(canonical(changeToProto(e)))
+	return changeDigest(h[:])
+}
+
 // sums are the digests of the parts of the state, kept up to date by every change.
 type sums struct {
 	rows   sum
--- a/internal/fold/encode.go
+++ b/internal/fold/encode.go
@@ -11,24 +11,13 @@
 
 // EncodeEdit returns an edit as a record of the log.
 func EncodeEdit(e table.Edit) ([]byte, error) {
-	name, pool := e.Target()
-	p := &recordpb.Edit{
-		EditId:       e.ID,
-		Author:       e.Author,
-		BaseRevision: e.BaseRevision,
-		Table:        tableOf(pool),
-		Name:         name,
-	}
-	switch c := e.Change.(type) {
-	case table.SetRoute:
-		p.Route = routeToProto(c.Route)
-	case table.SetPool:
-		p.Pool = poolToProto(c.Pool)
-	case table.DeleteRoute, table.DeletePool:
-		p.Delete = true
-	default:
+	p := changeToProto(e)
+	if p.GetTable() == recordpb.Table_TABLE_UNSPECIFIED {
 		return nil, fmt.Errorf("encode edit %q: it has no change", e.ID)
 	}
+	p.EditId = e.ID
+	p.Author = e.Author
+	p.BaseRevision = e.BaseRevision
 	return encode(&recordpb.Record{
 		Kind: &recordpb.Record_Edit{
 			Edit: p,
--- a/internal/fold/state.go
+++ b/internal/fold/state.go
@@ -1,6 +1,10 @@
 package fold
 
-import "time"
+import (
+	"time"
+
+	"sequoiafork/internal/table"
+)
 
 // Key is the hash of a workspace and a key that a caller chose.
 type Key = [32]byte
@@ -48,6 +52,13 @@
 	Name   string
 	Pool   bool
 	TimeMs int64
+	change changeDigest
+}
+
+// Settles reports whether the outcome is of this edit, and not of another change
+// with the same ID.
+func (o EditOutcome) Settles(e table.Edit) bool {
+	return o.ID == e.ID && o.change == digestChange(e)
 }
 
 // Counters count what a machine met since it began. They aren't part of the state.
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 )
 
 // Bounds of the fields of routes and pools.
@@ -32,8 +35,8 @@
 func Validate(e Edit) []Problem {
 	var p problems
 	p.checkName("edit_id", e.ID)
-	if len(e.Author) > MaxNameBytes {
-		p.add("author", "is %d bytes long: use at most %d", len(e.Author), MaxNameBytes)
+	if len(e.Author) > MaxNameBytes || !utf8.ValidString(e.Author) {
+		p.add("author", "is %d bytes long: use at most %d, in UTF-8", len(e.Author), MaxNameBytes)
 	}
 	switch c := e.Change.(type) {
 	case SetRoute:
@@ -74,27 +77,34 @@
 }
 
 func (p *problems) checkName(field, name string) {
+	p.checkSigns(field, name, nameSigns)
+}
+
+// checkModelName allows the signs of a model's path and version as well.
+func (p *problems) checkModelName(field, name string) {
+	p.checkSigns(field, name, nameSigns+"/:@")
+}
+
+// nameSigns are allowed in a name after its first letter or digit.
+const nameSigns = "._-"
+
+func (p *problems) checkSigns(field, name, signs string) {
 	switch {
 	case name == "":
 		p.add(field, "is empty: give a name")
 	case len(name) > MaxNameBytes:
 		p.add(field, "is %d bytes long: use at most %d", len(name), MaxNameBytes)
-	case !isName(name):
-		p.add(field, "%q has other signs than letters, digits, '.', '_' and '-', or starts with one of the last three", name)
+	case !isLetter(name[0]):
+		p.add(field, "%q does not start with a letter or digit", name)
+	case strings.ContainsFunc(name, func(r rune) bool {
+		return r > unicode.MaxASCII || !isLetter(byte(r)) && !strings.ContainsRune(signs, r)
+	}):
+		p.add(field, "%q has other signs than letters, digits and %s", name, signs)
 	}
 }
 
-func isName(name string) bool {
-	for i, r := range []byte(name) {
-		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
-		if letter {
-			continue
-		}
-		if i == 0 || r != '.' && r != '_' && r != '-' {
-			return false
-		}
-	}
-	return true
+func isLetter(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
 }
 
 func (p *problems) checkRange(field string, n, low, high int) {
--- a/internal/table/check_pool.go
+++ b/internal/table/check_pool.go
@@ -44,7 +44,7 @@
 	}
 	for i, m := range pool.Models {
 		field := fmt.Sprintf("models[%d]", i)
-		p.checkName(field, m)
+		p.checkModelName(field, m)
 		if slices.Contains(pool.Models[:i], m) {
 			p.add(field, "%q is listed twice: keep one", m)
 		}
--- a/internal/table/check_route.go
+++ b/internal/table/check_route.go
@@ -30,6 +30,10 @@
 
 func validateStage(p *problems, field string, s Stage, deadline time.Duration) {
 	p.checkName(field+".name", s.Name)
+	p.checkName(field+".pool", s.Pool)
+	if s.Model != "" {
+		p.checkModelName(field+".model", s.Model)
+	}
 	if s.NotRepeatable && s.Reusable {
 		p.add(field+".reusable", "can't be set on a stage that is not repeatable: clear one of the two")
 	}
