Answer at every daemon what became of a key

Cause: GET /v1/keys/{key} said unknown at every daemon but the key's owner (TestKeyCanBeAskedFor, red). Change: a daemon that knows only the owner of a key asks it, running nothing.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,7 @@
 	claimer   *idempotency.LogClaimer
 	executor  *pipeline.Executor
 	service   *request.Service
+	registry  *idempotency.Registry
 	placer    *placer
 
 	callers   net.Listener
@@ -225,16 +226,18 @@
 		check: d.checkCurrent,
 	}
 	d.claimer = idempotency.NewLogClaimer(d.incarnation, d.log, d.machine, current.wait)
-	registry := idempotency.New(idempotency.Config{
+	d.registry = idempotency.New(idempotency.Config{
 		Self:   d.incarnation,
 		Claims: d.claimer,
 		Window: d.settings.Keys.Window,
 	})
 	d.service = request.New(request.Config{
+		Self:        d.incarnation,
 		Executor:    d.executor,
-		Registry:    registry,
+		Registry:    d.registry,
 		Tables:      d.tables,
 		Forward:     d.forward,
+		AskOwner:    d.askOwner,
 		MaxInFlight: int(d.settings.Limits.MaxInFlight),
 		Logger:      d.logger,
 	})
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -88,7 +88,7 @@
 		Revision:    d.machine.Revision(),
 		NextOffset:  next,
 		Digest:      fmt.Sprintf("%x", digest),
-		Keys:        d.service.Registry().Counts(),
+		Keys:        d.registry.Counts(),
 		Log:         dumpLog(d.reader.Status()),
 		Fold:        d.machine.Counters(),
 		HostList:    d.hosts.Status(),
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/jx"
 
 	"sequoiafork/internal/callerhttp"
+	"sequoiafork/internal/idempotency"
 	"sequoiafork/internal/ident"
 	"sequoiafork/internal/membership"
 	"sequoiafork/internal/outcome"
@@ -80,18 +81,58 @@
 	}
 }
 
-// forwarder runs requests that peers pass on.
+// askTimeout bounds a question about a key to the process that owns it.
+const askTimeout = time.Second
+
+// askOwner asks another process what became of a key.
+func (d *Daemon) askOwner(ctx context.Context, owner, workspace, key string) (idempotency.Status, bool) {
+	ctx, stop := context.WithTimeout(ctx, askTimeout)
+	defer stop()
+	res, err := d.node.ShowKey(ctx, membership.Member{
+		Incarnation: owner,
+		PeerAddr:    ident.PeerAddr(owner),
+	}, &peerpb.ShowKeyRequest{
+		Owner:     owner,
+		Workspace: workspace,
+		Key:       key,
+	})
+	if err != nil || res.GetWrongOwner() {
+		return idempotency.Status{}, false
+	}
+	st := idempotency.Status{
+		Owner:   owner,
+		Running: res.GetRunning(),
+		Expired: res.GetExpired(),
+	}
+	if len(res.GetOutcome()) > 0 {
+		st.Outcome, err = callerhttp.Decode(int(res.GetStatus()), res.GetOutcome())
+	}
+	return st, err == nil
+}
+
+// ShowKey implements peer.Forwarder.
+func (f forwarder) ShowKey(_ context.Context, req *peerpb.ShowKeyRequest) (*peerpb.ShowKeyResponse, error) {
+	st := f.daemon.registry.Status(req.GetWorkspace(), req.GetKey())
+	res := &peerpb.ShowKeyResponse{
+		Running: st.Running,
+		Expired: st.Expired,
+	}
+	if st.Outcome != nil {
+		status, body := callerhttp.Encode(st.Outcome)
+		res.Status = int32(status)
+		res.Outcome = body
+	}
+	return res, nil
+}
+
+// forwarder runs requests that peers pass on. The peer server has checked that this
+// process is the one they mean.
 type forwarder struct {
 	daemon *Daemon
 }
 
 // Forward implements peer.Forwarder.
 func (f forwarder) Forward(ctx context.Context, req *peerpb.ForwardRequest) (*peerpb.ForwardResponse, error) {
-	if req.GetOwner() != f.daemon.incarnation {
-		return &peerpb.ForwardResponse{
-			WrongOwner: true,
-		}, nil
-	}
 	var call callerapi.Call
 	if err := call.Decode(jx.DecodeBytes(req.GetBody())); err != nil {
 		return nil, err
--- a/internal/idempotency/query.go
+++ b/internal/idempotency/query.go
@@ -18,6 +18,11 @@
 	Expired bool
 }
 
+// Known reports whether st tells more than who owns the key.
+func (st Status) Known() bool {
+	return st.Running || st.Expired || st.Outcome != nil
+}
+
 // Status returns what is known of key, running nothing.
 func (r *Registry) Status(workspace, key string) Status {
 	st := Status{
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -58,6 +58,27 @@
 	return resp, nil
 }
 
+// ShowKey asks the process incarnation that owns a key what became of it. An error is
+// a *CallError.
+func (n *Node) ShowKey(ctx context.Context, m membership.Member, req *peerpb.ShowKeyRequest) (*peerpb.ShowKeyResponse, error) {
+	conn, err := n.conn(ctx, m.PeerAddr)
+	if err != nil {
+		return nil, &CallError{
+			Addr: m.PeerAddr,
+			Err:  err,
+		}
+	}
+	resp, err := peerpb.NewPeerClient(conn).ShowKey(ctx, req)
+	if err != nil {
+		return nil, &CallError{
+			Addr: m.PeerAddr,
+			Sent: true,
+			Err:  err,
+		}
+	}
+	return resp, nil
+}
+
 // conn returns the connection for calls to an address, and makes it ready.
 func (n *Node) conn(ctx context.Context, addr string) (*grpc.ClientConn, error) {
 	n.mu.Lock()
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -58,6 +58,7 @@
 // Forwarder runs requests whose key this process owns.
 type Forwarder interface {
 	Forward(ctx context.Context, req *peerpb.ForwardRequest) (*peerpb.ForwardResponse, error)
+	ShowKey(ctx context.Context, req *peerpb.ShowKeyRequest) (*peerpb.ShowKeyResponse, error)
 }
 
 // Config configures a Node. Table is needed, and Listen or Listener.
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -308,3 +308,10 @@
 	requireLinks(t, []*testNode{a, b}, 1)
 	requireState(t, a, b.table.Self().Incarnation, membership.Alive)
 }
+
+// ShowKey implements Forwarder.
+func (n *testNode) ShowKey(_ context.Context, req *peerpb.ShowKeyRequest) (*peerpb.ShowKeyResponse, error) {
+	return &peerpb.ShowKeyResponse{
+		WrongOwner: req.GetOwner() != n.table.Self().Incarnation,
+	}, nil
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -45,3 +45,16 @@
 	}
 	return s.node.cfg.Forwarder.Forward(ctx, req)
 }
+
+// ShowKey says what became of a key that this incarnation owns.
+func (s *server) ShowKey(ctx context.Context, req *peerpb.ShowKeyRequest) (*peerpb.ShowKeyResponse, error) {
+	if req.GetOwner() != s.node.cfg.Table.Self().Incarnation {
+		return &peerpb.ShowKeyResponse{
+			WrongOwner: true,
+		}, nil
+	}
+	if s.node.cfg.Forwarder == nil {
+		return nil, status.Error(codes.Unavailable, "no forwarder here")
+	}
+	return s.node.cfg.Forwarder.ShowKey(ctx, req)
+}
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -33,7 +33,10 @@
 	// Tables returns the tables in force, or nil while there are none.
 	Tables func() *table.Tables
 	// Forward passes a request on to the incarnation that owns its key.
-	Forward     func(ctx context.Context, owner string, r Request) outcome.Outcome
+	Forward func(ctx context.Context, owner string, r Request) outcome.Outcome
+	// AskOwner asks another process what became of a key that it owns. It returns
+	// false if that process did not answer.
+	AskOwner    func(ctx context.Context, owner, workspace, key string) (idempotency.Status, bool)
 	MaxInFlight int
 	Logger      *zap.Logger
 }
@@ -213,9 +216,16 @@
 	return int(s.inFlight.Load())
 }
 
-// Registry returns the registry of keys.
-func (s *Service) Registry() *idempotency.Registry {
-	return s.cfg.Registry
+// ShowKey returns what is known of a key here or, if another process owns it, there.
+func (s *Service) ShowKey(ctx context.Context, workspace, key string) idempotency.Status {
+	st := s.cfg.Registry.Status(workspace, key)
+	if st.Known() || st.Owner == "" || st.Owner == s.cfg.Self || s.cfg.AskOwner == nil {
+		return st
+	}
+	if there, ok := s.cfg.AskOwner(ctx, st.Owner, workspace, key); ok {
+		return there
+	}
+	return st
 }
 
 func ownerGone(id string) outcome.Outcome {
