--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -40,6 +40,10 @@
 	up.OnMark = func(addr string, st upstream.State) { p.gossip(e, addr, st) }
 	e.set = upstream.New(up)
 	e.set.Replace(cfg.Deployment.Hosts())
+	var reuseFor time.Duration
+	if cfg.Policy.NoReuse {
+		reuseFor = time.Nanosecond
+	}
 	e.executor = pipeline.New(pipeline.Config{
 		Engines:   f,
 		Services:  f,
@@ -49,6 +53,7 @@
 		Budget:    cfg.Policy.Budget,
 		Daemons:   p.living,
 		NoHedge:   cfg.Policy.NoHedge,
+		ReuseFor:  reuseFor,
 	})
 	return e
 }
--- a/internal/replay/playhttp.go
+++ b/internal/replay/playhttp.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 		}
 		clients[i] = c
 	}
+	// Keys are new in every play, so that no answer is one of an earlier play.
+	session := strconv.FormatInt(time.Now().UnixNano(), 36)
 	run := &Run{}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -30,6 +33,9 @@
 		if err := wait(ctx, time.Until(start.Add(a.At()))); err != nil {
 			break
 		}
+		if a.Key != "" {
+			a.Key = session + "-" + a.Key
+		}
 		wg.Go(func() {
 			res := callHTTP(ctx, a, clients, i)
 			mu.Lock()
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -13,6 +13,7 @@
 	Admission admission.Config
 	Budget    budget.Config
 	NoHedge   bool
+	NoReuse   bool
 }
 
 // Policies returns the system's own policy first and then the baselines: each
@@ -43,6 +44,10 @@
 			Name:    "no_hedge",
 			NoHedge: true,
 		},
+		{
+			Name:    "no_reuse",
+			NoReuse: true,
+		},
 		{
 			Name: "no_budget",
 			Budget: budget.Config{
