--- a/internal/confsync/editor_query.go
+++ b/internal/confsync/editor_query.go
@@ -7,24 +7,6 @@
 	"sequoiafork/internal/table"
 )
 
-// DryRun says what an edit would do on the tables as they are here.
-func (e *Editor) DryRun(edit table.Edit) (Result, error) {
-	if !e.machine.Ready() {
-		return Result{}, &NotReadyError{}
-	}
-	if result, ok := e.reject(edit); ok {
-		return result, nil
-	}
-	tables := e.machine.Tables()
-	name, pool := edit.Target()
-	result := Result{
-		EditID:  edit.ID,
-		State:   DryRun,
-		Message: tables.Describe(edit),
-	}
-	return result.withRow(tables, name, pool), nil
-}
-
 // Edit returns how an edit was settled, NotFound if it is not known here, and
 // Unknown if this daemon appended it and has not read it back.
 func (e *Editor) Edit(id string) Result {
@@ -41,30 +23,6 @@
 	}
 }
 
-// reject returns the result of an edit that the tables as they are refuse.
-func (e *Editor) reject(edit table.Edit) (Result, bool) {
-	tables := e.machine.Tables()
-	name, pool := edit.Target()
-	if now := tables.RevisionOf(edit); now != edit.BaseRevision {
-		result := Result{
-			EditID:  edit.ID,
-			State:   Conflict,
-			Message: conflictMessage(now),
-		}
-		return result.withRow(tables, name, pool), true
-	}
-	problems := tables.Check(edit)
-	if len(problems) == 0 {
-		return Result{}, false
-	}
-	return Result{
-		EditID:   edit.ID,
-		State:    Refused,
-		Message:  problems[0].String(),
-		Problems: problems,
-	}, true
-}
-
 // settled returns the result of an edit that was read back. An ID that was used for
 // another row is refused.
 func (e *Editor) settled(edit table.Edit, outcome fold.EditOutcome) Result {
@@ -72,16 +30,10 @@
 	if name == outcome.Name && pool == outcome.Pool {
 		return e.result(outcome)
 	}
-	problem := table.Problem{
+	return refusedResult(edit.ID, []table.Problem{{
 		Field:   "edit_id",
 		Message: fmt.Sprintf("%q was used for row %q: take a new ID", edit.ID, outcome.Name),
-	}
-	return Result{
-		EditID:   edit.ID,
-		State:    Refused,
-		Message:  problem.String(),
-		Problems: []table.Problem{problem},
-	}
+	}})
 }
 
 func (e *Editor) result(o fold.EditOutcome) Result {
@@ -106,11 +58,13 @@
 	return result.withRow(tables, o.Name, o.Pool)
 }
 
-func conflictMessage(now uint64) string {
-	if now == 0 {
-		return "conflict: the row does not exist now"
+func refusedResult(id string, problems []table.Problem) Result {
+	return Result{
+		EditID:   id,
+		State:    Refused,
+		Message:  problems[0].String(),
+		Problems: problems,
 	}
-	return fmt.Sprintf("conflict: the row is now at revision %d", now)
 }
 
 func unknownResult(id string) Result {
--- a/internal/membership/upstreams.go
+++ b/internal/membership/upstreams.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"time"
 
 	"sequoiafork/internal/wire/peerpb"
@@ -20,11 +21,16 @@
 	UpstreamSuspect
 )
 
-// suspectQuiet is how long a suspect is not told of again.
-const suspectQuiet = time.Second
-
-// maxUpstreamRumors bounds the rumors that are remembered.
-const maxUpstreamRumors = 8192
+const (
+	// suspectQuiet is how long a suspect is not told of again.
+	suspectQuiet = time.Second
+	// maxUpstreamRumors bounds the rumors that are remembered.
+	maxUpstreamRumors = 8192
+	// tellingSpread for each other daemon, up to maxTellingSpread, is the time over
+	// which daemons that saw the same thing tell it.
+	tellingSpread    = 10 * time.Millisecond
+	maxTellingSpread = time.Second
+)
 
 // String returns the state in lower case.
 func (s UpstreamState) String() string {
@@ -71,10 +77,16 @@
 	at       time.Time
 }
 
+// pendingSight is what this process saw and has not told yet.
+type pendingSight struct {
+	state UpstreamState
+	due   time.Time
+}
+
 type upstreamTable struct {
 	sights   map[string]upstreamSight
 	seen     map[rumorID]rumorMark
-	pending  map[string]UpstreamState
+	pending  map[string]pendingSight
 	sequence uint64
 }
 
@@ -82,16 +94,18 @@
 	return upstreamTable{
 		sights:  map[string]upstreamSight{},
 		seen:    map[rumorID]rumorMark{},
-		pending: map[string]UpstreamState{},
+		pending: map[string]pendingSight{},
 	}
 }
 
-// mergeUpstream takes in a rumor and says whether it is new here.
+// mergeUpstream takes in a rumor and says whether it is to be passed on. One that
+// tells what the daemons hold already stops here, so that an upstream's death costs
+// the same whether one daemon sees it or all of them do.
 func (t *Table) mergeUpstream(r *peerpb.UpstreamRumor, now time.Time) bool {
 	u := &t.upstreams
 	state := UpstreamState(r.GetState())
 	age := time.Duration(max(r.GetAgeMs(), 0)) * time.Millisecond
-	if state < UpstreamLive || state > UpstreamSuspect || age >= t.cfg.UpstreamExpiry {
+	if state < UpstreamLive || state > UpstreamSuspect || age >= t.cfg.upstreamExpiry(state) {
 		return false
 	}
 	id := rumorID{
@@ -106,13 +120,14 @@
 		sequence: r.GetSequence(),
 		at:       now,
 	}
+	news := t.worthTelling(r.GetAddr(), state, now.Add(-age))
 	t.see(r.GetAddr(), upstreamSight{
 		state:    state,
 		origin:   r.GetOrigin(),
 		sequence: r.GetSequence(),
 		seen:     now.Add(-age),
 	})
-	return true
+	return news
 }
 
 // see stores a sight unless a later one is known, and notes the change.
@@ -135,18 +150,21 @@
 func (t *Table) flushUpstreams(now time.Time) {
 	u := &t.upstreams
 	var rumors []*peerpb.Rumor
-	for addr, state := range u.pending {
-		if !t.worthTelling(addr, state, now) {
+	for addr, p := range u.pending {
+		if !t.worthTelling(addr, p.state, now) {
 			delete(u.pending, addr)
 			continue
 		}
+		if now.Before(p.due) {
+			continue
+		}
 		if !t.limiter.AllowN(now, 1) {
 			break
 		}
 		delete(u.pending, addr)
 		u.sequence++
 		t.see(addr, upstreamSight{
-			state:    state,
+			state:    p.state,
 			origin:   t.self,
 			sequence: u.sequence,
 			seen:     now,
@@ -156,6 +174,17 @@
 	t.flood(rumors, nil)
 }
 
+// tellingDelay spreads the daemons that see the same upstream die at one moment: a few
+// tell it early, and the others then need not. A notice of leaving is not held back.
+func (t *Table) tellingDelay(st UpstreamState) time.Duration {
+	others := len(t.livingMembers()) - 1
+	if st == UpstreamLeaving || others <= t.cfg.Neighbours {
+		return 0
+	}
+	spread := min(time.Duration(others)*tellingSpread, maxTellingSpread)
+	return time.Duration(float64(spread) * math.Sqrt(math.Sqrt(t.rand.Float64())))
+}
+
 // worthTelling leaves out what the others know already: the same state seen less
 // than half an expiry ago, or that an upstream lives of which nobody said otherwise.
 func (t *Table) worthTelling(addr string, state UpstreamState, now time.Time) bool {
@@ -166,7 +195,7 @@
 	if state == UpstreamSuspect {
 		return s.state != state || now.Sub(s.seen) >= suspectQuiet
 	}
-	return s.state != state || state != UpstreamLive && now.Sub(s.seen) >= t.cfg.UpstreamExpiry/2
+	return s.state != state || state != UpstreamLive && now.Sub(s.seen) >= t.cfg.upstreamExpiry(state)/2
 }
 
 func upstreamRumor(addr string, s upstreamSight, now time.Time) *peerpb.Rumor {
@@ -193,7 +222,7 @@
 func (t *Table) expireUpstreams(now time.Time) {
 	u := &t.upstreams
 	for addr, s := range u.sights {
-		if now.Sub(s.seen) >= t.cfg.UpstreamExpiry {
+		if now.Sub(s.seen) >= t.cfg.upstreamExpiry(s.state) {
 			delete(u.sights, addr)
 			t.events = append(t.events, upstreamEvent{
 				addr: addr,
@@ -201,7 +230,7 @@
 		}
 	}
 	for id, m := range u.seen {
-		if now.Sub(m.at) >= 2*t.cfg.UpstreamExpiry {
+		if now.Sub(m.at) >= 2*t.cfg.LeavingExpiry {
 			delete(u.seen, id)
 		}
 	}
