--- a/internal/e2e/call_test.go
+++ b/internal/e2e/call_test.go
@@ -14,6 +14,7 @@
 const (
 	answered = "answered"
 	notRun   = "not_run"
+	failed   = "failed"
 	unknown  = "unknown"
 	broken   = "broken" // The connection ended without an answer.
 )
--- a/internal/e2e/oracle_test.go
+++ b/internal/e2e/oracle_test.go
@@ -75,6 +75,8 @@
 		switch r.outcome {
 		case answered:
 			findings = append(findings, judgeAnswer(r, commits[r.commitInput()])...)
+		case failed:
+			findings = append(findings, judgeFailed(r, commits[r.commitInput()])...)
 		case notRun:
 			findings = append(findings, judgeNotRun(r, replies, entries, commits[r.commitInput()])...)
 		}
@@ -100,6 +102,18 @@
 	return nil
 }
 
+// judgeFailed checks that a request that is said to have failed left no effect
+// that may not be repeated.
+func judgeFailed(r reply, commits []standinapi.Entry) []string {
+	var findings []string
+	for _, e := range commits {
+		if e.RequestID == r.requestID {
+			findings = append(findings, fmt.Sprintf("failed, but %s ran at %s: %s", e.AttemptID, clock(e.TimeMs), r))
+		}
+	}
+	return findings
+}
+
 // judgeNotRun holds a refusal against everything that ever ran. Nothing may have
 // run for this request. For its input the stage that may not be repeated may run
 // later only if a caller sent the request again, and may have run before only
