Prove planned stops and mend two faults that they had

Callers that keep their address for as long as they were told send requests while daemons are restarted by SIGTERM: one after another, two at once, and during a log outage.

Faults, each seen red first: - A daemon that had just started answered resolve with its own address alone. Cause: it knows no other daemon yet. It now answers resolve with not_ready until it has tables, and callerclient asks the next address. - A daemon issued keys during its drain and ended before they ran out: it reckoned their end once, when the drain began. A key that it issued 0.5 s after SIGTERM, valid for 30 s, met a daemon that had gone after 2.5 s. Keys are now issued until callers have forgotten the address, the drain then waits for the last of them, and asks callers to get further keys elsewhere.

--- a/internal/callerclient/callerclient.go
+++ b/internal/callerclient/callerclient.go
@@ -160,7 +160,7 @@
 	return state, err
 }
 
-// query asks the addresses in turn until one answers.
+// query asks the addresses in turn until one answers that neither starts nor stops.
 func (c *Client) query(ctx context.Context, addrs []string, ask func(*callerapi.Client) error) error {
 	last := errors.New("no address to ask")
 	for _, addr := range addrs {
@@ -174,9 +174,13 @@
 			return nil
 		}
 		if errors.As(err, &status) {
-			return &OutcomeError{
+			refused := &OutcomeError{
 				Outcome: status.Response,
 			}
+			if !goOn(refused, false) {
+				return refused
+			}
+			err = refused
 		}
 		last = err
 		if ctx.Err() != nil {
@@ -186,6 +190,10 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return outcomeError(callerapi.OutcomeOutcomeNotRun, string(outcome.CodeDeadlinePast), errors.New("the deadline passed before a daemon answered"))
 	}
+	var refused *OutcomeError
+	if errors.As(last, &refused) {
+		return refused
+	}
 	return outcomeError(callerapi.OutcomeOutcomeNotRun, codeUnreachable, last)
 }
 
--- a/internal/callerclient/callerclient_test.go
+++ b/internal/callerclient/callerclient_test.go
@@ -91,6 +91,24 @@
 	require.Equal(t, "a roof", answer.Output)
 }
 
+func TestHostThatStartsOrStopsIsNotAsked(t *testing.T) {
+	starting := httptest.NewServer(reply(http.StatusServiceUnavailable, `{"outcome":"not_run","code":"not_ready","message":"no tables"}`))
+	t.Cleanup(starting.Close)
+	serving := httptest.NewServer(reply(http.StatusOK, `{"addresses":["192.0.2.1:7001"],"keep_ms":1000}`))
+	t.Cleanup(serving.Close)
+	client, err := callerclient.New(callerclient.Config{
+		Addrs: []string{
+			starting.Listener.Addr().String(),
+			serving.Listener.Addr().String(),
+		},
+		Caller: "desk-1",
+	})
+	require.NoError(t, err)
+	resolution, err := client.Resolve(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, []string{"192.0.2.1:7001"}, resolution.Addresses)
+}
+
 func TestOverloadIsFinal(t *testing.T) {
 	_, err := call(t, callerclient.Request{}, reply(http.StatusServiceUnavailable, full), reply(http.StatusOK, answered))
 	requireOutcome(t, err, callerapi.OutcomeOutcomeNotRun, "overloaded")
--- a/internal/callerhttp/handler.go
+++ b/internal/callerhttp/handler.go
@@ -15,6 +15,9 @@
 	"sequoiafork/internal/wire/callerapi"
 )
 
+// notReadyRetry is when to ask a daemon again that has just started.
+const notReadyRetry = time.Second
+
 // Resolver lists the addresses that a caller should use.
 type Resolver interface {
 	Resolve(caller, dataCentre string) (addrs []string, keep time.Duration)
@@ -110,8 +113,18 @@
 	}, nil
 }
 
-// Resolve lists the addresses that the caller should use.
+// Resolve lists the addresses that the caller should use. A daemon without tables
+// has just started: it may know no other daemon yet and would list only itself.
 func (h *Handler) Resolve(_ context.Context, params callerapi.ResolveParams) (*callerapi.Resolution, error) {
+	if !h.service.Ready() {
+		return nil, &failure{
+			outcome: outcome.NotRun{
+				Code:       outcome.CodeNotReady,
+				Message:    "this daemon has no tables yet: ask another address",
+				RetryAfter: notReadyRetry,
+			},
+		}
+	}
 	addrs, keep := h.resolver.Resolve(params.Caller, params.DataCentre.Or(""))
 	return &callerapi.Resolution{
 		Addresses: addrs,
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -51,16 +51,15 @@
 }
 
 // drain leaves the answers about addresses, serves until callers have forgotten
-// this one, and finishes what is in flight.
+// this one and the keys that it issued have run out, and finishes what is in flight.
 func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
 	d.state.Store(int32(stateLeaving))
 	d.members.SetLeaving()
 	d.logger.Info("drain begins", zap.Int("in_flight", d.service.InFlight()))
-	until := time.Now().Add(d.settings.Drain.KeepAnswers + noticeTime)
-	if keys := d.service.KeysValidUntil(); keys.After(until) {
-		until = keys
+	if !sleep(ctx, d.settings.Drain.KeepAnswers+noticeTime) {
+		return
 	}
-	if !sleep(ctx, time.Until(until)) {
+	if !sleep(ctx, time.Until(d.service.StopIssuing())) {
 		return
 	}
 	d.service.RefuseNew()
--- /dev/null
+++ b/internal/e2e/callers_test.go
@@ -0,0 +1,148 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/wire/callerapi"
+)
+
+const (
+	seedOfCallers = 6
+	// callerPause is the longest pause of a caller between two requests.
+	callerPause = 20 * time.Millisecond
+	// leastRequests is what a load must have sent to prove something.
+	leastRequests = 500
+)
+
+// callerLoad is a number of callers that resolve, keep the address for the whole
+// time that they were told and send one request after another to it.
+type callerLoad struct {
+	cluster *cluster
+	daemons map[string]int // By callers' address.
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+
+	// withoutClaims leaves out requests that need the log.
+	withoutClaims atomic.Bool
+	count         requestCount
+	mu            sync.Mutex
+	bad           []reply
+}
+
+func (c *cluster) startCallers(t *testing.T, n int, seed uint64) *callerLoad {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	load := &callerLoad{
+		cluster: c,
+		daemons: make(map[string]int),
+		stop:    stop,
+	}
+	for i, d := range c.daemons {
+		load.daemons[d.Caller] = i
+	}
+	for i := range n {
+		load.wg.Go(func() {
+			load.run(ctx, fmt.Sprintf("caller-%d", i), rand.New(rand.NewPCG(seed, uint64(i))))
+		})
+	}
+	return load
+}
+
+// finish ends the load. No request may have been cut, and each that was refused
+// must have been taken at another address.
+func (l *callerLoad) finish(t *testing.T) {
+	t.Helper()
+	l.stop()
+	l.wg.Wait()
+	t.Logf("%d answered, %d of them after a refusal elsewhere, %d cut or lost", l.count.answered.Load(), l.count.elsewhere.Load(), len(l.bad))
+	require.Empty(t, l.bad, "requests cut or refused everywhere")
+	require.Greater(t, l.count.answered.Load(), int64(leastRequests))
+}
+
+func (l *callerLoad) run(ctx context.Context, name string, r *rand.Rand) {
+	for n := 0; ctx.Err() == nil; {
+		addrs, keep := l.resolve(ctx, name, r)
+		for until := time.Now().Add(keep); time.Now().Before(until) && ctx.Err() == nil; n++ {
+			l.send(addrs, l.request(fmt.Sprintf("%s %d", name, n), r), r.IntN(2) == 0)
+			time.Sleep(time.Duration(r.Int64N(int64(callerPause))))
+		}
+	}
+}
+
+// resolve asks the daemons in a random order.
+func (l *callerLoad) resolve(ctx context.Context, name string, r *rand.Rand) ([]string, time.Duration) {
+	for _, i := range r.Perm(len(l.cluster.daemons)) {
+		res, err := l.cluster.daemons[i].callers.Resolve(ctx, callerapi.ResolveParams{
+			Caller: name,
+		})
+		if err == nil && len(res.Addresses) > 0 {
+			return res.Addresses, time.Duration(res.KeepMs) * time.Millisecond
+		}
+	}
+	return nil, 0
+}
+
+func (l *callerLoad) request(input string, r *rand.Rand) call {
+	req := call{
+		route: orderRoute,
+		input: input,
+	}
+	switch r.IntN(4) {
+	case 0:
+		return req
+	case 1:
+		req.route = encodeRoute
+	case 2:
+		req.route = dispatchRoute
+	case 3:
+		req.route = dispatchRoute
+		if !l.withoutClaims.Load() {
+			req.key = input
+		}
+	}
+	return req
+}
+
+// send sends a request to the first address, and to the next ones while it is
+// refused as not run.
+func (l *callerLoad) send(addrs []string, req call, streamed bool) {
+	var last reply
+	for i, addr := range addrs {
+		req.daemon = l.daemons[addr]
+		last = l.sendOnce(req, streamed)
+		if last.outcome == answered {
+			l.count.answered.Add(1)
+			if i > 0 {
+				l.count.elsewhere.Add(1)
+			}
+			return
+		}
+		if last.outcome != notRun {
+			break
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bad = append(l.bad, last)
+}
+
+// sendOnce takes the answer as a stream where it has many parts.
+func (l *callerLoad) sendOnce(req call, streamed bool) reply {
+	if streamed && req.route == orderRoute {
+		return l.cluster.stream(context.Background(), req)
+	}
+	return l.cluster.do(context.Background(), req)
+}
+
+// requestCount counts requests by what came of them.
+type requestCount struct {
+	answered, elsewhere atomic.Int64
+}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -84,6 +84,7 @@
 	window        time.Duration // For which keys are remembered; an hour when zero.
 	maxInFlight   int           // Requests in flight of a daemon; 2048 when zero.
 	keepAnswers   time.Duration // For which callers keep addresses; 200 ms when zero.
+	grace         time.Duration // Of a drain for requests in flight; a minute when zero.
 	engineArgs    []string      // Further flags of the engines.
 	commitArgs    []string      // Further flags of the plain services.
 }
@@ -115,6 +116,9 @@
 	if cfg.keepAnswers == 0 {
 		cfg.keepAnswers = 200 * time.Millisecond
 	}
+	if cfg.grace == 0 {
+		cfg.grace = time.Minute
+	}
 	if cfg.window == 0 {
 		cfg.window = time.Hour
 	}
--- a/internal/e2e/daemon_test.go
+++ b/internal/e2e/daemon_test.go
@@ -93,7 +93,7 @@
 	fmt.Fprintf(&b, "log_appends_per_second = 100\nhost_list_interval = 200ms\nsnapshot_every_records = %d\n", d.cluster.config.snapshotEvery)
 	fmt.Fprintf(&b, "[keys]\nwindow = %s\n", d.cluster.config.window)
 	fmt.Fprintf(&b, "[limits]\nmax_in_flight = %d\n", d.cluster.config.maxInFlight)
-	fmt.Fprintf(&b, "[drain]\nkeep_answers = %s\n", d.cluster.config.keepAnswers)
+	fmt.Fprintf(&b, "[drain]\nkeep_answers = %s\ngrace = %s\n", d.cluster.config.keepAnswers, d.cluster.config.grace)
 	fmt.Fprintf(&b, "[retry]\nratio = 1\nburst = 10000\n")
 	fmt.Fprintf(&b, "[log]\nlevel = info\nformat = json\n")
 	return b.String()
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,9 +60,11 @@
 	cfg      Config
 	inFlight atomic.Int64
 	// accepting turns false when a drain no longer takes new requests.
-	refusing   atomic.Bool
-	lastIssued atomic.Int64 // Unix milliseconds
-	issuedFor  atomic.Int64 // milliseconds that an issued key is valid
+	refusing atomic.Bool
+
+	keysMu     sync.Mutex
+	keysEnded  bool // No further keys are issued.
+	keysExpire time.Time
 }
 
 // New returns a service that takes requests.
@@ -188,19 +191,32 @@
 	if refused := s.refuse(Request{}, s.cfg.Tables()); refused != nil {
 		return "", 0, refused
 	}
+	s.keysMu.Lock()
+	defer s.keysMu.Unlock()
+	if s.keysEnded {
+		return "", 0, &outcome.NotRun{
+			Code:       outcome.CodeDraining,
+			Message:    "this daemon is stopping and issues no keys: use another address",
+			RetryAfter: refusedRetry,
+		}
+	}
 	key, valid := s.cfg.Registry.Issue()
-	s.lastIssued.Store(time.Now().UnixMilli())
-	s.issuedFor.Store(valid.Milliseconds())
+	s.keysExpire = time.Now().Add(valid)
 	return key, valid, nil
 }
 
-// KeysValidUntil returns when the last key that was issued runs out, or the zero time.
-func (s *Service) KeysValidUntil() time.Time {
-	last := s.lastIssued.Load()
-	if last == 0 {
-		return time.Time{}
-	}
-	return time.UnixMilli(last + s.issuedFor.Load())
+// StopIssuing makes s refuse to issue keys and returns when the last one that it
+// issued runs out, or the zero time.
+func (s *Service) StopIssuing() time.Time {
+	s.keysMu.Lock()
+	defer s.keysMu.Unlock()
+	s.keysEnded = true
+	return s.keysExpire
+}
+
+// Ready reports whether s has tables to serve by.
+func (s *Service) Ready() bool {
+	return s.cfg.Tables() != nil
 }
 
 // RefuseNew makes s refuse requests that it has not taken yet.
