Choose one neighbour in another region, so that a lost region is seen

Cause: of 340 daemons one had all its neighbours in its own region, and nobody outside chose it. When that region was cut off the others held it alive for good (TestConvergence/hosts=340 with 'split region r1': '10.0.0.1:7000/1 holds 10.0.1.78:7000/1 alive' after 30 s). Ruled out: strikes of earlier faults (none on it) and news in a wrong order (versions were equal everywhere). Change: the last neighbour is one in another region, as it was one in another data centre. What remains: a member whose every watcher fails at the same moment stays alive in the others' tables until one of them chooses it.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -26,6 +26,10 @@
 				t.Skip("340 tables take a while")
 			}
 			last := n - 1
+			away := "11m" // until the other region is forgotten
+			if n > 50 {
+				away = "20s"
+			}
 			lines := []string{
 				fmt.Sprintf("hosts %d %d %d", n, min(n, 10), min(n, 3)),
 				"agree 60s",
@@ -44,6 +48,7 @@
 				lines = append(lines, fmt.Sprintf("revision %d 7", i))
 			}
 			lines = append(lines, "in_force 7 16s", "split dc dc2", "agree 5s dc2", "wait 30s", "heal", "agree 15s", "wait 1m",
+				"split region r1", "agree 15s", "wait "+away, "heal", "agree 15s",
 				"storm 63 10s 40960", "upstream 10.9.1.62:80 dead 0s")
 			for _, r := range runScript(t, lines, nil) {
 				require.Equal(t, "ok", r)
--- a/internal/membership/neighbours.go
+++ b/internal/membership/neighbours.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -56,17 +57,21 @@
 	}
 }
 
-// chooseRemote swaps the last neighbour for one in another data centre when all
-// chosen ones are in this daemon's own.
+// chooseRemote makes sure that one neighbour is in another region, or where there is
+// none in another data centre. Else nobody outside would watch this daemon when its
+// data centre or region is cut off.
 func (t *Table) chooseRemote(others []*entry) {
 	own := t.selfMember().DataCentre
-	for i, e := range others {
-		if e.DataCentre == own {
+	for d := distanceRemote; d > distanceSame; d-- {
+		far := slices.IndexFunc(others, func(e *entry) bool {
+			return distance(own, e.DataCentre) >= d
+		})
+		if far < 0 {
 			continue
 		}
-		if i >= t.cfg.Neighbours {
+		if far >= t.cfg.Neighbours {
 			delete(t.chosen, others[t.cfg.Neighbours-1].Incarnation)
-			t.chosen[e.Incarnation] = true
+			t.chosen[others[far].Incarnation] = true
 		}
 		return
 	}
--- a/internal/membership/queries.go
+++ b/internal/membership/queries.go
@@ -122,14 +122,21 @@
 	return cmp.Compare(other.score, c.score)
 }
 
+// Distances between data centres.
+const (
+	distanceSame = iota
+	distanceRegion
+	distanceRemote
+)
+
 func distance(a, b string) int {
 	if a == b {
-		return 0
+		return distanceSame
 	}
 	if r := region(a); r != "" && r == region(b) {
-		return 1
+		return distanceRegion
 	}
-	return 2
+	return distanceRemote
 }
 
 func region(dataCentre string) string {
@@ -144,7 +151,7 @@
 // other data centres.
 func shorten(candidates []candidate, limit int) []string {
 	near := 0
-	for near < len(candidates) && candidates[near].distance == 0 {
+	for near < len(candidates) && candidates[near].distance == distanceSame {
 		near++
 	}
 	if remote := min(remotePlaces, len(candidates)-near, limit/2); near > limit-remote {
