--- a/internal/confsync/cluster_test.go
+++ b/internal/confsync/cluster_test.go
@@ -48,10 +48,10 @@
 	wg      sync.WaitGroup
 }
 
-func newCluster(ctx context.Context, n int) *cluster {
+func newCluster(ctx context.Context, n int, base uint64) *cluster {
 	c := &cluster{
 		ctx: ctx,
-		log: newFakeLog(),
+		log: newFakeLog(base),
 	}
 	for i := range n {
 		c.daemons = append(c.daemons, &daemon{
--- a/internal/confsync/fakelog_test.go
+++ b/internal/confsync/fakelog_test.go
@@ -14,16 +14,19 @@
 // fakeLog is the platform's log in memory, with the faults of a script. It keeps
 // what it has expired in all, for the oracle.
 type fakeLog struct {
-	mu       sync.Mutex
-	all      []logservice.Record
+	mu  sync.Mutex
+	all []logservice.Record
+	// base is the offset of the first record ever, zero or one.
+	base     uint64
 	first    uint64
 	down     bool
 	appended chan struct{}
 }
 
-func newFakeLog() *fakeLog {
+func newFakeLog(base uint64) *fakeLog {
 	return &fakeLog{
-		first:    1,
+		base:     base,
+		first:    base,
 		appended: make(chan struct{}),
 	}
 }
@@ -31,7 +34,7 @@
 func (l *fakeLog) add(data []byte) uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	offset := uint64(len(l.all)) + 1
+	offset := uint64(len(l.all)) + l.base
 	l.all = append(l.all, logservice.Record{
 		Offset: offset,
 		TimeMs: time.Now().UnixMilli(),
@@ -46,7 +49,7 @@
 func (l *fakeLog) expire(first uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.first = max(l.first, min(first, uint64(len(l.all))+1))
+	l.first = max(l.first, min(first, uint64(len(l.all))+l.base))
 }
 
 func (l *fakeLog) setDown(down bool) {
@@ -61,6 +64,13 @@
 	return l.down
 }
 
+// before returns the records before an offset, expired ones too.
+func (l *fakeLog) before(offset uint64) []logservice.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all[:offset-l.base]
+}
+
 func (l *fakeLog) firstKept() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -70,7 +80,7 @@
 func (l *fakeLog) end() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return uint64(len(l.all)) + 1
+	return uint64(len(l.all)) + l.base
 }
 
 func (l *fakeLog) batch(from uint64, maxRecords int) (logservice.Batch, <-chan struct{}, error) {
@@ -83,10 +93,10 @@
 	}
 	b := logservice.Batch{
 		First: l.first,
-		End:   uint64(len(l.all)) + 1,
+		End:   uint64(len(l.all)) + l.base,
 	}
 	if from < b.End {
-		records := l.all[from-1:]
+		records := l.all[from-l.base:]
 		b.Records = records[:min(len(records), maxRecords)]
 	}
 	return b, l.appended, nil
--- a/internal/confsync/script_test.go
+++ b/internal/confsync/script_test.go
@@ -109,7 +109,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		c := newCluster(ctx, daemons)
+		c := newCluster(ctx, daemons, uint64(len(steps)%2))
 		defer c.stop()
 		p := &player{
 			cluster: c,
@@ -189,17 +189,16 @@
 // checkEnd checks the daemons, which must have read the records before end, and all
 // answers.
 func (p *player) checkEnd(end uint64) error {
-	records := p.cluster.log.all
 	for _, d := range p.cluster.daemons {
 		m := d.process().machine
 		if !m.Ready() || m.NextOffset() < end {
 			return fmt.Errorf("%s: ready %v, next offset %d at the end, the log's was %d", d.name, m.Ready(), m.NextOffset(), end)
 		}
-		if err := foldModel(records[:m.NextOffset()-1]).compare(m.Tables()); err != nil {
+		if err := foldModel(p.cluster.log.before(m.NextOffset())).compare(m.Tables()); err != nil {
 			return fmt.Errorf("%s: %w", d.name, err)
 		}
 	}
-	whole := foldModel(records)
+	whole := foldModel(p.cluster.log.before(p.cluster.log.end()))
 	for _, a := range p.answers {
 		if err := whole.check(a, p.sent[a.id] > 1); err != nil {
 			return err
