--- a/internal/replay/bound.go
+++ b/internal/replay/bound.go
@@ -7,13 +7,14 @@
 	"time"
 )
 
-// Bound returns how many requests a scheduler that knows all arrivals,
-// deadlines and faults beforehand could answer in time, from the capacity of
-// each pool alone: a pool serves its calls one by one, each in the mean work
-// divided by all its slots, earliest deadline first, and every prefix is
-// cached. Other stages, the network, and the fact that a call can't use several
-// slots at once are left out, so the true number is lower. The pool that drops
-// the most requests decides.
+// Bound returns how many requests a scheduler that knows all arrivals, deadlines
+// and faults beforehand could answer in time, from the capacity of each pool
+// alone: a pool serves its calls one by one, each in the mean work divided by all
+// its slots, earliest deadline first, and every prefix is cached. Other stages,
+// the network, and the fact that a call can't use several slots at once are left
+// out. The pool that drops the most requests decides. Only a scheduler that knew
+// how long each call takes, and left out the long ones, could answer more; see
+// Central.
 func Bound(d Deployment, s Scenario, trace []Arrival) int {
 	most := 0
 	for _, p := range d.Pools {
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -56,7 +56,8 @@
 	var b strings.Builder
 	require.NoError(t, WriteComparison(&b, reports))
 	require.NoError(t, WriteDetails(&b, reports[0].Runs[0]))
-	t.Logf("%s: %d arrivals, bound %d\n%s", s.Name, len(trace), reports[0].Bound, b.String())
+	t.Logf("%s: %d arrivals, bound %d, central queue with foresight %v, without %v, of the bound\n%s", s.Name, len(trace),
+		reports[0].Bound, centralPart(c, reports[0].Bound, true), centralPart(c, reports[0].Bound, false), b.String())
 	t.Run("promises", func(t *testing.T) {
 		for _, r := range reports {
 			require.Zero(t, r.Broken(), "policy %s broke a promise", r.Policy)
@@ -67,6 +68,15 @@
 	})
 }
 
+// centralPart returns what one central queue answers, as part of the bound.
+func centralPart(c Comparison, bound int, foresight bool) Spread {
+	var parts []float64
+	for _, seed := range c.Seeds {
+		parts = append(parts, float64(Central(c.Deployment, c.Scenario, c.Trace, seed, foresight))/float64(bound))
+	}
+	return SpreadOf(parts)
+}
+
 func chosen() []Policy {
 	if *policies == "all" {
 		return Policies()
