--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -131,12 +132,9 @@
 	return max(g.cfg.SubsetSize, (coverage*len(g.order)+g.daemons-1)/g.daemons)
 }
 
-// mix spreads the bits of x (the finalizer of MurmurHash3).
+// mix spreads the bits of x by folding a product of twice its width.
 func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
+	const odd = 0x9e3779b97f4a7c15
+	hi, lo := bits.Mul64(x, odd)
+	return hi ^ lo
 }
