--- a/cmd/slopes/measure.go
+++ b/cmd/slopes/measure.go
@@ -51,6 +51,9 @@
 	p.joinMs = milliseconds(took)
 	_, out := c.traffic()
 	p.joinBytes = float64(out) / float64(n)
+	for _, d := range c.daemons {
+		d.Deliver(record(0))
+	}
 	time.Sleep(s.settle)
 	p.rest(c, s.window)
 	heapNow, stackNow := memory()
@@ -99,21 +102,29 @@
 	p.upstreamMs = milliseconds(took)
 
 	begin := time.Now()
-	first.Deliver([]*peerpb.LogRecord{{
-		Data: make([]byte, 500),
-	}})
-	if _, err = c.await("record", func(d *daemon) bool { return d.NextOffset() == 1 }); err != nil {
+	first.Deliver(record(1))
+	if _, err = c.await("record", func(d *daemon) bool { return d.NextOffset() == 2 }); err != nil {
 		return err
 	}
 	p.recordMs = milliseconds(time.Since(begin))
 	_, err = c.await("revision in force", func(d *daemon) bool {
-		have, _ := d.table.InForce(1)
+		have, _ := d.table.InForce(2)
 		return have == len(c.daemons)
 	})
 	p.inForceMs = milliseconds(time.Since(begin))
 	return err
 }
 
+// recordBytes is the size of a record about one row.
+const recordBytes = 500
+
+func record(offset uint64) []*peerpb.LogRecord {
+	return []*peerpb.LogRecord{{
+		Offset: offset,
+		Data:   make([]byte, recordBytes),
+	}}
+}
+
 func milliseconds(d time.Duration) float64 {
 	return float64(d) / float64(time.Millisecond)
 }
