--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,8 @@
 	claimer   *idempotency.LogClaimer
 	executor  *pipeline.Executor
 	service   *request.Service
+	registry  *idempotency.Registry
+	placer    *placer
 
 	callers   net.Listener
 	operators net.Listener
@@ -219,20 +221,23 @@
 		},
 		Daemons: func() int { return int(d.daemons.Load()) },
 	})
+	d.placer = newPlacer(d, engines)
 	current := &currency{
 		check: d.checkCurrent,
 	}
 	d.claimer = idempotency.NewLogClaimer(d.incarnation, d.log, d.machine, current.wait)
-	registry := idempotency.New(idempotency.Config{
+	d.registry = idempotency.New(idempotency.Config{
 		Self:   d.incarnation,
 		Claims: d.claimer,
 		Window: d.settings.Keys.Window,
 	})
 	d.service = request.New(request.Config{
+		Self:        d.incarnation,
 		Executor:    d.executor,
-		Registry:    registry,
+		Registry:    d.registry,
 		Tables:      d.tables,
 		Forward:     d.forward,
+		AskOwner:    d.askOwner,
 		MaxInFlight: int(d.settings.Limits.MaxInFlight),
 		Logger:      d.logger,
 	})
@@ -254,7 +259,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, background := errgroup.WithContext(background)
-	for _, run := range []func(context.Context) error{d.reader.Run, d.node.Serve, d.hosts.Run, d.claimer.Run, d.follow} {
+	for _, run := range []func(context.Context) error{d.reader.Run, d.node.Serve, d.hosts.Run, d.claimer.Run, d.follow, d.placer.run} {
 		g.Go(func() error { return ignoreStop(run(background)) })
 	}
 	g.Go(func() error { return ignoreStop(callerServer.Serve(d.limit(d.callers))) })
--- a/internal/e2e/oracle_test.go
+++ b/internal/e2e/oracle_test.go
@@ -22,6 +22,7 @@
 	t.Helper()
 	entries := c.settledEntries(t)
 	replies := c.history.all()
+	t.Log(tally(replies, entries))
 	findings := judge(replies, entries)
 	if len(findings) == 0 {
 		return
@@ -29,6 +30,15 @@
 	require.Fail(t, "the oracle objects", "%s\ntrace:\n%s", strings.Join(findings, "\n"), trace(replies, entries))
 }
 
+// tally counts what was checked.
+func tally(replies []reply, entries []standinapi.Entry) string {
+	counts := make(map[string]int)
+	for _, r := range replies {
+		counts[r.outcome]++
+	}
+	return fmt.Sprintf("replies %v, executions %d", counts, len(entries))
+}
+
 func (c *cluster) settledEntries(t *testing.T) []standinapi.Entry {
 	t.Helper()
 	last := -1
@@ -65,6 +75,8 @@
 		switch r.outcome {
 		case answered:
 			findings = append(findings, judgeAnswer(r, commits[r.commitInput()])...)
+		case failed:
+			findings = append(findings, judgeFailed(r, commits[r.commitInput()])...)
 		case notRun:
 			findings = append(findings, judgeNotRun(r, replies, entries, commits[r.commitInput()])...)
 		}
@@ -90,6 +102,18 @@
 	return nil
 }
 
+// judgeFailed checks that a request that is said to have failed left no effect
+// that may not be repeated.
+func judgeFailed(r reply, commits []standinapi.Entry) []string {
+	var findings []string
+	for _, e := range commits {
+		if e.RequestID == r.requestID {
+			findings = append(findings, fmt.Sprintf("failed, but %s ran at %s: %s", e.AttemptID, clock(e.TimeMs), r))
+		}
+	}
+	return findings
+}
+
 // judgeNotRun holds a refusal against everything that ever ran. Nothing may have
 // run for this request. For its input the stage that may not be repeated may run
 // later only if a caller sent the request again, and may have run before only
