Prove that a frozen lease holder gives no old order, and show what an old order can do

Change: the placement lease is a setting; two end-to-end tests with engines that check fencing numbers and engines that do not.

--- a/internal/daemon/placer.go
+++ b/internal/daemon/placer.go
@@ -19,7 +19,6 @@
 
 const (
 	placementLease = "placement"
-	placementTTL   = 30 * time.Second
 	placementEvery = 2 * time.Second
 	// stateTimeout bounds the reading of one engine's state, and orderTimeout one order.
 	stateTimeout = time.Second
@@ -52,7 +51,7 @@
 			Machine: d.machine,
 			Name:    placementLease,
 			Holder:  d.incarnation,
-			TTL:     placementTTL,
+			TTL:     d.settings.Platform.PlacementLease,
 			Logger:  d.logger,
 		}),
 		open: make(map[string]bool),
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -87,6 +87,7 @@
 	grace         time.Duration // Of a drain for requests in flight; a minute when zero.
 	engineArgs    []string      // Further flags of the engines.
 	commitArgs    []string      // Further flags of the plain services.
+	placement     time.Duration // Of the placement lease; none is taken when zero.
 }
 
 // cluster is a platform, its upstreams and the daemons under test.
--- a/internal/e2e/daemon_test.go
+++ b/internal/e2e/daemon_test.go
@@ -91,6 +91,9 @@
 	fmt.Fprintf(&b, "[peers]\nseeds = %s\n", strings.Join(seeds, ", "))
 	fmt.Fprintf(&b, "[platform]\nlog_addr = %s\nhost_list_addr = %s\n", d.cluster.log.addr, d.cluster.hosts.addr)
 	fmt.Fprintf(&b, "log_appends_per_second = 100\nhost_list_interval = 200ms\nsnapshot_every_records = %d\n", d.cluster.config.snapshotEvery)
+	if lease := d.cluster.config.placement; lease > 0 {
+		fmt.Fprintf(&b, "weight_store_addr = %s\nplacement_lease = %s\n", d.cluster.log.addr, lease)
+	}
 	fmt.Fprintf(&b, "[keys]\nwindow = %s\n", d.cluster.config.window)
 	fmt.Fprintf(&b, "[limits]\nmax_in_flight = %d\n", d.cluster.config.maxInFlight)
 	fmt.Fprintf(&b, "[drain]\nkeep_answers = %s\ngrace = %s\n", d.cluster.config.keepAnswers, d.cluster.config.grace)
--- /dev/null
+++ b/internal/e2e/placement_test.go
@@ -0,0 +1,141 @@
+package e2e
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/completion"
+	"sequoiafork/internal/invoke"
+	"sequoiafork/internal/standin/oracle"
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+const (
+	placementLease = 2 * time.Second
+	takeOver       = 15 * time.Second
+)
+
+// setModels changes the models of the engines' pool.
+func (c *cluster) setModels(t *testing.T, d *daemon, models ...string) {
+	t.Helper()
+	row, err := d.operators.ShowPool(t.Context(), operatorapi.ShowPoolParams{
+		Name: oracle.EngineKind,
+	})
+	require.NoError(t, err)
+	spec := row.Pool
+	spec.Models = models
+	require.NoError(t, accepted(d.operators.SetPool(t.Context(), &spec, operatorapi.SetPoolParams{
+		Name:         oracle.EngineKind,
+		BaseRevision: row.Revision,
+	})))
+}
+
+// waitModels waits until each engine holds all the models.
+func (c *cluster) waitModels(t *testing.T, engines *completion.Client, models ...string) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, e := range c.upstreams[oracle.EngineKind] {
+			held, err := engines.Models(t.Context(), e.addr)
+			if err != nil || len(held) != len(models) {
+				return false
+			}
+			for _, m := range models {
+				if !slices.Contains(held, m) {
+					return false
+				}
+			}
+		}
+		return true
+	}, takeOver, 50*time.Millisecond)
+}
+
+// order is one order that an engine carried out.
+type order struct {
+	holder  string
+	fencing int64
+}
+
+func (c *cluster) orders(t *testing.T, engine *standin) []order {
+	t.Helper()
+	var orders []order
+	for _, e := range engine.ledger(t) {
+		if e.Stage == "order" {
+			orders = append(orders, order{
+				holder:  e.RequestID,
+				fencing: e.Fencing.Or(0),
+			})
+		}
+	}
+	return orders
+}
+
+func (c *cluster) holder(t *testing.T) (*daemon, order) {
+	t.Helper()
+	orders := c.orders(t, c.upstreams[oracle.EngineKind][0])
+	require.NotEmpty(t, orders)
+	last := orders[len(orders)-1]
+	for _, d := range c.daemons {
+		if d.Peer == last.holder[:len(d.Peer)] {
+			return d, last
+		}
+	}
+	require.FailNow(t, "no daemon gave the order", last.holder)
+	return nil, order{}
+}
+
+// TestFrozenHolderGivesNoOldOrder freezes the holder of the placement lease past its
+// lease, lets another daemon take over, and wakes it.
+func TestFrozenHolderGivesNoOldOrder(t *testing.T) {
+	c := startCluster(t, config{
+		placement: placementLease,
+	})
+	engines, err := completion.New(invoke.Config{})
+	require.NoError(t, err)
+	c.setModels(t, c.daemons[0], model, "m2")
+	c.waitModels(t, engines, model, "m2")
+	first, _ := c.holder(t)
+	first.freeze(t)
+	other := c.daemons[(slices.Index(c.daemons, first)+1)%len(c.daemons)]
+	c.setModels(t, other, model, "m2", "m3")
+	c.waitModels(t, engines, model, "m2", "m3")
+	second, _ := c.holder(t)
+	require.NotEqual(t, first, second)
+	first.thaw(t)
+	c.setModels(t, other, model, "m2", "m3", "m4")
+	c.waitModels(t, engines, model, "m2", "m3", "m4")
+	for _, e := range c.upstreams[oracle.EngineKind] {
+		orders := c.orders(t, e)
+		require.True(t, slices.IsSortedFunc(orders, func(a, b order) int { return int(a.fencing - b.fencing) }), "fencing numbers of %v", orders)
+	}
+}
+
+// TestOldOrderIsRefusedOrRepaired sends an order with an old fencing number, as a
+// holder does that stood still between its last look at the lease and the sending.
+func TestOldOrderIsRefusedOrRepaired(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		cfg := config{
+			placement: placementLease,
+		}
+		if checks {
+			cfg.engineArgs = []string{"-checks-fencing"}
+		}
+		c := startCluster(t, cfg)
+		engines, err := completion.New(invoke.Config{})
+		require.NoError(t, err)
+		c.setModels(t, c.daemons[0], model, "m2")
+		c.waitModels(t, engines, model, "m2")
+		_, last := c.holder(t)
+		engine := c.upstreams[oracle.EngineKind][0]
+		err = engines.Order(t.Context(), engine.addr, []string{model}, uint64(last.fencing-1), "old")
+		var fenced *completion.FencedError
+		if checks {
+			require.ErrorAs(t, err, &fenced)
+		} else {
+			require.NoError(t, err, "an engine that does not check takes an old order")
+		}
+		c.waitModels(t, engines, model, "m2")
+	}
+}
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -87,11 +87,13 @@
 		func(s *Settings) *time.Duration { return &s.Platform.HostListInterval })
 	g.add(field{
 		key:     "weight_store_addr",
-		about:   "Address of the weight store. Checked, but not used so far: daemons place no models yet.",
+		about:   "Address of the weight store that engines load from. Empty: daemons order no models to engines.",
 		unit:    "IP:port",
 		allowed: allowedAddr + "; or empty",
 		set:     target(parseOptionalAddr, func(s *Settings) *string { return &s.Platform.WeightStoreAddr }),
 	})
+	g.duration("placement_lease", "How long the lease to order models lasts. Another daemon takes over after about as long.", 30*time.Second, time.Second, 10*time.Minute,
+		func(s *Settings) *time.Duration { return &s.Platform.PlacementLease })
 	return g.fields
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,6 +54,8 @@
 	HostListInterval     time.Duration
 	// WeightStoreAddr may be empty. Nothing uses it yet.
 	WeightStoreAddr string
+	// PlacementLease is how long the lease to order models lasts.
+	PlacementLease time.Duration
 }
 
 // Limits bounds what callers and operators can make the daemon hold.
