Count refusals of one moment once in the probe backoff

Each connection refused before the next probe doubled the backoff, so a burst of refusals, or the echo of the own report, put a briefly dead upstream off for 8 s.

The model of the upstream test was wrong for an upstream that leaves the host list with a mark and comes back: that is a new upstream, as Mark documents.

--- a/internal/upstream/mark.go
+++ b/internal/upstream/mark.go
@@ -39,6 +39,9 @@
 		m.backoff = 0
 	case Dead:
 		m.mark = mk
+		if current == Dead && marked && now.Before(m.probeAt) {
+			return // Seen again before the next probe; the backoff stays.
+		}
 		m.backoff = min(max(2*m.backoff, g.cfg.ProbeMin), g.cfg.ProbeMax)
 		m.probeAt = now.Add(m.backoff)
 	case Leaving:
--- a/internal/upstream/model_test.go
+++ b/internal/upstream/model_test.go
@@ -18,6 +18,7 @@
 // model is a set beside what a simple count says of it.
 type model struct {
 	set      *Set
+	listed   int
 	open     []Choice
 	inFlight map[string]int
 	leaving  map[string]time.Time
@@ -92,6 +93,11 @@
 			Service:    "s",
 		}
 	}
+	// One that left the list and comes back is a new upstream.
+	for i := n; i < m.listed; i++ {
+		delete(m.leaving, addr(i))
+	}
+	m.listed = n
 	m.set.Replace(list)
 }
 
