--- a/internal/callerhttp/handler.go
+++ b/internal/callerhttp/handler.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-faster/jx"
 	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/ogen-go/ogen/validate"
 
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/request"
@@ -190,10 +192,17 @@
 
 // invalid describes a request that the generated server could not take.
 func invalid(err error) *outcome.NotRun {
-	refused := badRequest("body", err.Error())
+	_, cause, found := strings.Cut(err.Error(), "decode application/json: ")
+	if !found {
+		cause = err.Error()
+	}
+	refused := badRequest("body", cause)
 	var tooLarge *http.MaxBytesError
 	var params *ogenerrors.DecodeParamsError
+	var fields *validate.Error
 	switch {
+	case errors.As(err, &fields) && len(fields.Fields) > 0:
+		refused = badRequest(fields.Fields[0].Name, fields.Fields[0].Error.Error())
 	case errors.As(err, &tooLarge):
 		refused.Message = "body: larger than this daemon takes: send a shorter input"
 	case errors.As(err, &params):
--- a/internal/pipeline/executor.go
+++ b/internal/pipeline/executor.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,18 +136,12 @@
 		return *refused, nil
 	}
 	e.active.Add(1)
-	if !mayOutlive(req.Route) {
+	if !req.Route.HasEffect() {
 		return e.runInline(ctx, req), nil
 	}
 	return e.runDetached(ctx, req)
 }
 
-// mayOutlive reports whether a run of the route may go on after its caller has
-// been answered.
-func mayOutlive(route table.Route) bool {
-	return slices.ContainsFunc(route.Stages, func(st table.Stage) bool { return st.NotRepeatable })
-}
-
 // runInline runs a request whose every call can be cancelled.
 func (e *Executor) runInline(ctx context.Context, req Request) outcome.Outcome {
 	defer e.active.Add(-1)
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -62,7 +62,7 @@
 type Service struct {
 	cfg      Config
 	inFlight atomic.Int64
-	// accepting turns false when a drain no longer takes new requests.
+	// refusing is set once a drain takes no new requests.
 	refusing atomic.Bool
 
 	keysMu     sync.Mutex
@@ -149,7 +149,7 @@
 		Key:       r.Key,
 		Body:      idempotency.BodyOf(r.Route, r.Workspace, r.Input),
 		// The stages of a route that is not known here may have effects.
-		Once:  p.Route.Name == "" || once(p.Route),
+		Once:  p.Route.Name == "" || p.Route.HasEffect(),
 		Check: func() *outcome.NotRun { return s.cfg.Executor.Check(p) },
 		Run: func(ctx context.Context) (outcome.Outcome, <-chan outcome.Outcome) {
 			return s.cfg.Executor.Run(ctx, p)
@@ -252,15 +252,6 @@
 	}
 }
 
-func once(route table.Route) bool {
-	for _, st := range route.Stages {
-		if st.NotRepeatable {
-			return true
-		}
-	}
-	return false
-}
-
 // deadline returns the earlier of the caller's deadline and the route's.
 func deadline(asked time.Time, limit time.Duration) time.Time {
 	latest := time.Now().Add(limit)
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -74,6 +75,11 @@
 	Deadline time.Duration
 }
 
+// HasEffect reports whether the route has a stage that may not be repeated.
+func (r Route) HasEffect() bool {
+	return slices.ContainsFunc(r.Stages, func(st Stage) bool { return st.NotRepeatable })
+}
+
 // Share is the weight of one workspace in a pool. A workspace without a share
 // has weight 1.
 type Share struct {
