--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// sent returns the bytes that all processes have sent.
+func (n *network) sent() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes
+}
+
 func (n *network) locked(f func() bool) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
