--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -8,7 +8,8 @@
 	"testing"
 )
 
-// binDir holds the binaries that the tests start.
+// binDir holds the binaries that the tests start. With E2E_RACE set they are
+// built with the race detector.
 var binDir string
 
 func TestMain(m *testing.M) {
@@ -23,7 +24,11 @@
 	}
 	defer os.RemoveAll(dir)
 	binDir = dir
-	build := exec.Command("go", "build", "-o", dir, "./cmd/standin", "./cmd/sequoiaforkd")
+	args := []string{"build", "-o", dir}
+	if os.Getenv("E2E_RACE") != "" {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "./cmd/standin", "./cmd/sequoiaforkd")...)
 	build.Dir = filepath.Join("..", "..")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -28,8 +28,9 @@
 	lines chan string
 	done  chan struct{}
 
-	mu   sync.Mutex
-	tail []string
+	mu    sync.Mutex
+	tail  []string
+	races []string // What the race detector or a panic wrote.
 }
 
 // startProcess starts a binary and ends it with the test. Lines of its standard
@@ -50,6 +51,7 @@
 	go p.read(r)
 	t.Cleanup(func() {
 		p.kill()
+		require.Empty(t, p.reports(), "the process wrote a report")
 		if t.Failed() && os.Getenv("E2E_LOGS") != "" {
 			t.Logf("last lines of %s %s:\n%s", name, strings.Join(args, " "), strings.Join(p.lastLines(), "\n"))
 		}
@@ -64,6 +66,9 @@
 	for scanner.Scan() {
 		p.mu.Lock()
 		p.tail = append(p.tail, scanner.Text())
+		if len(p.races) > 0 || isReport(scanner.Text()) {
+			p.races = append(p.races, scanner.Text())
+		}
 		if len(p.tail) > tailLines {
 			p.tail = p.tail[1:]
 		}
@@ -75,6 +80,18 @@
 	}
 }
 
+// isReport reports whether a line begins a report of a data race or a panic.
+func isReport(line string) bool {
+	return strings.HasPrefix(line, "WARNING: DATA RACE") || strings.HasPrefix(line, "panic: ") ||
+		strings.HasPrefix(line, "fatal error: ")
+}
+
+func (p *process) reports() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.races, "\n")
+}
+
 func (p *process) lastLines() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
