--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -10,6 +10,7 @@
 package admission
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -58,15 +59,9 @@
 	if c.Discipline == nil {
 		c.Discipline = Fair{}
 	}
-	if c.MaxQueue == 0 {
-		c.MaxQueue = defaultMaxQueue
-	}
-	if c.MinRetryAfter == 0 {
-		c.MinRetryAfter = defaultMinRetryAfter
-	}
-	if c.MaxRetryAfter == 0 {
-		c.MaxRetryAfter = defaultMaxRetryAfter
-	}
+	c.MaxQueue = cmp.Or(c.MaxQueue, defaultMaxQueue)
+	c.MinRetryAfter = cmp.Or(c.MinRetryAfter, defaultMinRetryAfter)
+	c.MaxRetryAfter = cmp.Or(c.MaxRetryAfter, defaultMaxRetryAfter)
 	return c
 }
 
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -6,7 +6,10 @@
 //	if b.Withdraw() { /* send one more attempt */ }
 package budget
 
-import "sync/atomic"
+import (
+	"cmp"
+	"sync/atomic"
+)
 
 const (
 	defaultRatio = 0.1
@@ -28,12 +31,8 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Ratio == 0 {
-		c.Ratio = defaultRatio
-	}
-	if c.Burst == 0 {
-		c.Burst = defaultBurst
-	}
+	c.Ratio = cmp.Or(c.Ratio, defaultRatio)
+	c.Burst = cmp.Or(c.Burst, defaultBurst)
 	c.Ratio = max(c.Ratio, 0)
 	c.Burst = max(c.Burst, 0)
 	return c
--- a/internal/confsync/editor.go
+++ b/internal/confsync/editor.go
@@ -1,6 +1,7 @@
 package confsync
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -38,7 +39,7 @@
 
 // NewEditor returns an editor.
 func NewEditor(c EditorConfig) *Editor {
-	setDefault(&c.SettleTimeout, DefaultSettleTimeout)
+	c.SettleTimeout = cmp.Or(c.SettleTimeout, DefaultSettleTimeout)
 	return &Editor{
 		config:    c,
 		machine:   c.Machine,
--- a/internal/confsync/leaser.go
+++ b/internal/confsync/leaser.go
@@ -1,6 +1,7 @@
 package confsync
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -55,8 +56,8 @@
 
 // NewLeaser returns a leaser that holds nothing.
 func NewLeaser(c LeaserConfig) *Leaser {
-	setDefault(&c.TTL, DefaultLeaseTTL)
-	setDefault(&c.Margin, c.TTL/defaultMarginShare)
+	c.TTL = cmp.Or(c.TTL, DefaultLeaseTTL)
+	c.Margin = cmp.Or(c.Margin, c.TTL/defaultMarginShare)
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
--- a/internal/confsync/reader.go
+++ b/internal/confsync/reader.go
@@ -1,6 +1,7 @@
 package confsync
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -61,26 +62,19 @@
 }
 
 func (c ReaderConfig) withDefaults() ReaderConfig {
-	setDefault(&c.PollWait, DefaultPollWait)
-	setDefault(&c.PeerInterval, DefaultPeerInterval)
-	setDefault(&c.SnapshotEvery, DefaultSnapshotEvery)
-	setDefault(&c.SnapshotMaxAge, DefaultSnapshotMaxAge)
-	setDefault(&c.SnapshotDelay, DefaultSnapshotDelay)
-	setDefault(&c.RecentRecords, DefaultRecentRecords)
-	setDefault(&c.MaxPending, DefaultMaxPending)
+	c.PollWait = cmp.Or(c.PollWait, DefaultPollWait)
+	c.PeerInterval = cmp.Or(c.PeerInterval, DefaultPeerInterval)
+	c.SnapshotEvery = cmp.Or(c.SnapshotEvery, DefaultSnapshotEvery)
+	c.SnapshotMaxAge = cmp.Or(c.SnapshotMaxAge, DefaultSnapshotMaxAge)
+	c.SnapshotDelay = cmp.Or(c.SnapshotDelay, DefaultSnapshotDelay)
+	c.RecentRecords = cmp.Or(c.RecentRecords, DefaultRecentRecords)
+	c.MaxPending = cmp.Or(c.MaxPending, DefaultMaxPending)
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Reader keeps a machine in step with the log and with peers. Its methods are safe
 // for concurrent use.
 type Reader struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -289,12 +289,7 @@
 	defer ticker.Stop()
 	for {
 		d.members.SetProgress(d.machine.NextOffset(), d.machine.Revision())
-		n := 0
-		for _, m := range d.members.Members() {
-			if m.State == membership.Alive {
-				n++
-			}
-		}
+		n, _ := d.members.Count()
 		if int64(n) != d.daemons.Swap(int64(n)) {
 			d.upstreams.SetDaemons(n)
 		}
--- a/internal/fold/machine.go
+++ b/internal/fold/machine.go
@@ -1,6 +1,7 @@
 package fold
 
 import (
+	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,18 +38,10 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.KeyWindow == 0 {
-		c.KeyWindow = DefaultKeyWindow
-	}
-	if c.EditWindow == 0 {
-		c.EditWindow = DefaultEditWindow
-	}
-	if c.EditLimit == 0 {
-		c.EditLimit = DefaultEditLimit
-	}
-	if c.DigestWindow == 0 {
-		c.DigestWindow = DefaultDigestWindow
-	}
+	c.KeyWindow = cmp.Or(c.KeyWindow, DefaultKeyWindow)
+	c.EditWindow = cmp.Or(c.EditWindow, DefaultEditWindow)
+	c.EditLimit = cmp.Or(c.EditLimit, DefaultEditLimit)
+	c.DigestWindow = cmp.Or(c.DigestWindow, DefaultDigestWindow)
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -5,6 +5,7 @@
 package hostlist
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -83,15 +84,9 @@
 			Addr: cfg.Addr,
 		}
 	}
-	if cfg.Interval == 0 {
-		cfg.Interval = DefaultInterval
-	}
-	if cfg.Timeout == 0 {
-		cfg.Timeout = DefaultTimeout
-	}
-	if cfg.BytesPerSecond == 0 {
-		cfg.BytesPerSecond = DefaultBytesPerSecond
-	}
+	cfg.Interval = cmp.Or(cfg.Interval, DefaultInterval)
+	cfg.Timeout = cmp.Or(cfg.Timeout, DefaultTimeout)
+	cfg.BytesPerSecond = cmp.Or(cfg.BytesPerSecond, DefaultBytesPerSecond)
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -5,6 +5,7 @@
 package idempotency
 
 import (
+	"cmp"
 	"container/list"
 	"context"
 	"crypto/sha256"
@@ -141,20 +142,12 @@
 
 // New returns a registry.
 func New(cfg Config) *Registry {
-	if cfg.Window == 0 {
-		cfg.Window = DefaultWindow
-	}
-	if cfg.ClaimWindow == 0 {
-		cfg.ClaimWindow = DefaultClaimWindow
-	}
-	if cfg.IssuedValid == 0 {
-		cfg.IssuedValid = DefaultIssuedValid
-	}
+	cfg.Window = cmp.Or(cfg.Window, DefaultWindow)
+	cfg.ClaimWindow = cmp.Or(cfg.ClaimWindow, DefaultClaimWindow)
+	cfg.IssuedValid = cmp.Or(cfg.IssuedValid, DefaultIssuedValid)
 	// An issued key must be remembered for longer than it may be used.
 	cfg.Window = max(cfg.Window, 2*cfg.IssuedValid)
-	if cfg.MaxResultBytes == 0 {
-		cfg.MaxResultBytes = DefaultMaxResultBytes
-	}
+	cfg.MaxResultBytes = cmp.Or(cfg.MaxResultBytes, DefaultMaxResultBytes)
 	r := &Registry{
 		cfg: cfg,
 	}
--- a/internal/invoke/invoke.go
+++ b/internal/invoke/invoke.go
@@ -3,6 +3,7 @@
 package invoke
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -71,12 +72,8 @@
 // NewTransport returns a transport that uses no proxy and, with fresh, no
 // connection twice.
 func NewTransport(cfg Config, fresh bool) *http.Transport {
-	if cfg.DialTimeout == 0 {
-		cfg.DialTimeout = DefaultDialTimeout
-	}
-	if cfg.IdlePerHost == 0 {
-		cfg.IdlePerHost = DefaultIdlePerHost
-	}
+	cfg.DialTimeout = cmp.Or(cfg.DialTimeout, DefaultDialTimeout)
+	cfg.IdlePerHost = cmp.Or(cfg.IdlePerHost, DefaultIdlePerHost)
 	dialer := &net.Dialer{
 		Timeout: cfg.DialTimeout,
 	}
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -8,6 +8,7 @@
 package logservice
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -58,12 +59,8 @@
 	if c.Stream == "" {
 		return nil, fmt.Errorf("log stream is empty: name the stream that holds routes and pools")
 	}
-	if c.Timeout == 0 {
-		c.Timeout = DefaultTimeout
-	}
-	if c.AppendsPerSecond == 0 {
-		c.AppendsPerSecond = DefaultAppendsPerSecond
-	}
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.AppendsPerSecond = cmp.Or(c.AppendsPerSecond, DefaultAppendsPerSecond)
 	if c.Metrics == nil {
 		c.Metrics = metrics.GetDefaultSet()
 	}
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -71,35 +72,23 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDuration(&c.Heartbeat, DefaultHeartbeat)
-	setDuration(&c.SilentAfter, DefaultSilentAfter)
-	setDuration(&c.UnreachableAfter, DefaultUnreachableAfter)
-	setDuration(&c.ForgetAfter, DefaultForgetAfter)
-	setDuration(&c.ReconnectFor, DefaultReconnectFor)
-	setDuration(&c.ProbeEvery, DefaultProbeEvery)
-	setDuration(&c.UnwantedAfter, DefaultUnwantedAfter)
-	setDuration(&c.ExchangeEvery, DefaultExchangeEvery)
-	setDuration(&c.DeadExpiry, DefaultDeadExpiry)
-	setDuration(&c.LeavingExpiry, DefaultLeavingExpiry)
-	setDuration(&c.ResolveKeep, DefaultResolveKeep)
-	if c.Neighbours == 0 {
-		c.Neighbours = DefaultNeighbours
-	}
-	if c.ResolveMax == 0 {
-		c.ResolveMax = DefaultResolveMax
-	}
-	if c.UpstreamRate == 0 {
-		c.UpstreamRate = DefaultUpstreamRate
-	}
-	if c.UpstreamBurst == 0 {
-		c.UpstreamBurst = DefaultUpstreamBurst
-	}
-	if c.Self.State == 0 {
-		c.Self.State = Alive
-	}
-	if c.Self.Version == 0 {
-		c.Self.Version = uint64(time.Now().UnixMilli())
-	}
+	c.Heartbeat = cmp.Or(c.Heartbeat, DefaultHeartbeat)
+	c.SilentAfter = cmp.Or(c.SilentAfter, DefaultSilentAfter)
+	c.UnreachableAfter = cmp.Or(c.UnreachableAfter, DefaultUnreachableAfter)
+	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
+	c.ReconnectFor = cmp.Or(c.ReconnectFor, DefaultReconnectFor)
+	c.ProbeEvery = cmp.Or(c.ProbeEvery, DefaultProbeEvery)
+	c.UnwantedAfter = cmp.Or(c.UnwantedAfter, DefaultUnwantedAfter)
+	c.ExchangeEvery = cmp.Or(c.ExchangeEvery, DefaultExchangeEvery)
+	c.DeadExpiry = cmp.Or(c.DeadExpiry, DefaultDeadExpiry)
+	c.LeavingExpiry = cmp.Or(c.LeavingExpiry, DefaultLeavingExpiry)
+	c.ResolveKeep = cmp.Or(c.ResolveKeep, DefaultResolveKeep)
+	c.Neighbours = cmp.Or(c.Neighbours, DefaultNeighbours)
+	c.ResolveMax = cmp.Or(c.ResolveMax, DefaultResolveMax)
+	c.UpstreamRate = cmp.Or(c.UpstreamRate, DefaultUpstreamRate)
+	c.UpstreamBurst = cmp.Or(c.UpstreamBurst, DefaultUpstreamBurst)
+	c.Self.State = cmp.Or(c.Self.State, Alive)
+	c.Self.Version = cmp.Or(c.Self.Version, uint64(time.Now().UnixMilli()))
 	return c
 }
 
@@ -110,9 +99,3 @@
 	}
 	return c.DeadExpiry
 }
-
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -87,18 +88,10 @@
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
-	if c.DialTimeout == 0 {
-		c.DialTimeout = DefaultDialTimeout
-	}
-	if c.MaxMessageBytes == 0 {
-		c.MaxMessageBytes = DefaultMaxMessageBytes
-	}
-	if c.CatchUpRate == 0 {
-		c.CatchUpRate = DefaultCatchUpRate
-	}
-	if c.RecentBytes == 0 {
-		c.RecentBytes = DefaultRecentBytes
-	}
+	c.DialTimeout = cmp.Or(c.DialTimeout, DefaultDialTimeout)
+	c.MaxMessageBytes = cmp.Or(c.MaxMessageBytes, DefaultMaxMessageBytes)
+	c.CatchUpRate = cmp.Or(c.CatchUpRate, DefaultCatchUpRate)
+	c.RecentBytes = cmp.Or(c.RecentBytes, DefaultRecentBytes)
 	return c
 }
 
--- a/internal/pipeline/executor.go
+++ b/internal/pipeline/executor.go
@@ -4,6 +4,7 @@
 package pipeline
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -67,21 +68,11 @@
 
 // New returns an executor.
 func New(cfg Config) *Executor {
-	if cfg.MaxAttempts == 0 {
-		cfg.MaxAttempts = DefaultMaxAttempts
-	}
-	if cfg.HedgeQuantile == 0 {
-		cfg.HedgeQuantile = DefaultHedgeQuantile
-	}
-	if cfg.LateLimit == 0 {
-		cfg.LateLimit = DefaultLateLimit
-	}
-	if cfg.ReuseEntries == 0 {
-		cfg.ReuseEntries = DefaultReuseEntries
-	}
-	if cfg.ReuseFor == 0 {
-		cfg.ReuseFor = DefaultReuseFor
-	}
+	cfg.MaxAttempts = cmp.Or(cfg.MaxAttempts, DefaultMaxAttempts)
+	cfg.HedgeQuantile = cmp.Or(cfg.HedgeQuantile, DefaultHedgeQuantile)
+	cfg.LateLimit = cmp.Or(cfg.LateLimit, DefaultLateLimit)
+	cfg.ReuseEntries = cmp.Or(cfg.ReuseEntries, DefaultReuseEntries)
+	cfg.ReuseFor = cmp.Or(cfg.ReuseFor, DefaultReuseFor)
 	if cfg.Daemons == nil {
 		cfg.Daemons = func() int { return 1 }
 	}
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -4,6 +4,7 @@
 package request
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -72,9 +73,7 @@
 
 // New returns a service that takes requests.
 func New(cfg Config) *Service {
-	if cfg.MaxInFlight == 0 {
-		cfg.MaxInFlight = DefaultMaxInFlight
-	}
+	cfg.MaxInFlight = cmp.Or(cfg.MaxInFlight, DefaultMaxInFlight)
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
@@ -86,9 +85,7 @@
 // Serve runs r and returns its outcome.
 func (s *Service) Serve(ctx context.Context, r Request) outcome.Outcome {
 	began := time.Now()
-	if r.ID == "" {
-		r.ID = ident.NewRequest()
-	}
+	r.ID = cmp.Or(r.ID, ident.NewRequest())
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	o := s.serve(ctx, r)
--- a/internal/stagetime/tracker.go
+++ b/internal/stagetime/tracker.go
@@ -3,6 +3,7 @@
 package stagetime
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -30,12 +31,8 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Window == 0 {
-		c.Window = defaultWindow
-	}
-	if c.Minimum == 0 {
-		c.Minimum = defaultMinimum
-	}
+	c.Window = cmp.Or(c.Window, defaultWindow)
+	c.Minimum = cmp.Or(c.Minimum, defaultMinimum)
 	return c
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -113,24 +114,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Capacity == 0 {
-		c.Capacity = DefaultCapacity
-	}
-	if c.MaxQueue == 0 {
-		c.MaxQueue = DefaultMaxQueue
-	}
-	if c.TokenTime == 0 {
-		c.TokenTime = DefaultTokenTime
-	}
-	if c.PrefillByte == 0 {
-		c.PrefillByte = DefaultPrefillByte
-	}
-	if c.CacheBlocks == 0 {
-		c.CacheBlocks = DefaultCacheBlocks
-	}
-	if c.Hold == 0 {
-		c.Hold = DefaultHold
-	}
+	c.Capacity = cmp.Or(c.Capacity, DefaultCapacity)
+	c.MaxQueue = cmp.Or(c.MaxQueue, DefaultMaxQueue)
+	c.TokenTime = cmp.Or(c.TokenTime, DefaultTokenTime)
+	c.PrefillByte = cmp.Or(c.PrefillByte, DefaultPrefillByte)
+	c.CacheBlocks = cmp.Or(c.CacheBlocks, DefaultCacheBlocks)
+	c.Hold = cmp.Or(c.Hold, DefaultHold)
 	return c
 }
 
--- a/internal/standin/invoke/invoke.go
+++ b/internal/standin/invoke/invoke.go
@@ -3,6 +3,7 @@
 package invoke
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -65,15 +66,9 @@
 
 // New returns an idle Upstream.
 func New(c Config) *Upstream {
-	if c.Capacity == 0 {
-		c.Capacity = DefaultCapacity
-	}
-	if c.MaxQueue == 0 {
-		c.MaxQueue = DefaultMaxQueue
-	}
-	if c.Service == 0 {
-		c.Service = DefaultService
-	}
+	c.Capacity = cmp.Or(c.Capacity, DefaultCapacity)
+	c.MaxQueue = cmp.Or(c.MaxQueue, DefaultMaxQueue)
+	c.Service = cmp.Or(c.Service, DefaultService)
 	return &Upstream{
 		control: c.Control,
 		kind:    c.Kind,
--- a/internal/standin/logservice/log.go
+++ b/internal/standin/logservice/log.go
@@ -2,6 +2,7 @@
 package logservice
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -38,12 +39,8 @@
 
 // New returns an empty Log.
 func New(c Config) *Log {
-	if c.AppendsPerSecond == 0 {
-		c.AppendsPerSecond = DefaultAppendsPerSecond
-	}
-	if c.Burst == 0 {
-		c.Burst = DefaultBurst
-	}
+	c.AppendsPerSecond = cmp.Or(c.AppendsPerSecond, DefaultAppendsPerSecond)
+	c.Burst = cmp.Or(c.Burst, DefaultBurst)
 	return &Log{
 		control: c.Control,
 		limiter: rate.NewLimiter(rate.Limit(c.AppendsPerSecond), c.Burst),
--- a/internal/standin/weightstore/weightstore.go
+++ b/internal/standin/weightstore/weightstore.go
@@ -2,6 +2,7 @@
 package weightstore
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -44,12 +45,8 @@
 
 // New returns a Store.
 func New(c Config) *Store {
-	if c.FetchesPerSecond == 0 {
-		c.FetchesPerSecond = DefaultFetchesPerSecond
-	}
-	if c.Service == 0 {
-		c.Service = DefaultService
-	}
+	c.FetchesPerSecond = cmp.Or(c.FetchesPerSecond, DefaultFetchesPerSecond)
+	c.Service = cmp.Or(c.Service, DefaultService)
 	return &Store{
 		control: c.Control,
 		limiter: rate.NewLimiter(rate.Limit(c.FetchesPerSecond), 1),
--- a/internal/upstream/config.go
+++ b/internal/upstream/config.go
@@ -11,7 +11,10 @@
 //	c.Done(upstream.Result{Outcome: upstream.OK, Latency: took})
 package upstream
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	defaultSubsetSize    = 32
@@ -98,23 +101,16 @@
 	if c.Policy == nil {
 		c.Policy = TwoChoices{}
 	}
-	setDefault(&c.SubsetSize, defaultSubsetSize)
-	setDefault(&c.DeadTTL, defaultDeadTTL)
-	setDefault(&c.LeavingTTL, defaultLeavingTTL)
-	setDefault(&c.ProbeMin, defaultProbeMin)
-	setDefault(&c.ProbeMax, defaultProbeMax)
-	setDefault(&c.EjectMin, defaultEjectMin)
-	setDefault(&c.EjectMax, defaultEjectMax)
-	setDefault(&c.ReturnTime, defaultReturnTime)
-	setDefault(&c.LoadHalfLife, defaultLoadHalfLife)
-	setDefault(&c.AffinityBound, defaultAffinityBound)
-	setDefault(&c.RemotePenalty, defaultRemotePenalty)
+	c.SubsetSize = cmp.Or(c.SubsetSize, defaultSubsetSize)
+	c.DeadTTL = cmp.Or(c.DeadTTL, defaultDeadTTL)
+	c.LeavingTTL = cmp.Or(c.LeavingTTL, defaultLeavingTTL)
+	c.ProbeMin = cmp.Or(c.ProbeMin, defaultProbeMin)
+	c.ProbeMax = cmp.Or(c.ProbeMax, defaultProbeMax)
+	c.EjectMin = cmp.Or(c.EjectMin, defaultEjectMin)
+	c.EjectMax = cmp.Or(c.EjectMax, defaultEjectMax)
+	c.ReturnTime = cmp.Or(c.ReturnTime, defaultReturnTime)
+	c.LoadHalfLife = cmp.Or(c.LoadHalfLife, defaultLoadHalfLife)
+	c.AffinityBound = cmp.Or(c.AffinityBound, defaultAffinityBound)
+	c.RemotePenalty = cmp.Or(c.RemotePenalty, defaultRemotePenalty)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
