Prove that racing edits agree on all daemons under faults

The oracle takes what operators were told and read: no daemon goes back, accepted edits of a row stand on one another, a conflict has a cause, nothing is shown that was not accepted, every accepted edit is shown at each reachable daemon within 5 s, and one told as unknown is settled the same at every daemon. One that never arrived stays not_found, or unknown at the daemon that sent it; the oracle then holds that it is never shown.

Shown failing: a fold that accepts an edit on an older base (seeds 0 and 1). Not shown failing: with what peers push thrown away (peerRecords.Deliver) both seeds pass, as the catch-up from peers covers it; so the 5 s bound and the reads that go back have not been seen red.

--- /dev/null
+++ b/internal/e2e/edits_test.go
@@ -0,0 +1,122 @@
+package e2e
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/wire/standinapi"
+)
+
+const (
+	// editSnapshots and editRetention let the log take everything before a snapshot
+	// several times in a run.
+	editSnapshots = 20
+	editRetention = 60
+)
+
+// logBehind returns a copy of the cluster whose log stands behind the address.
+// Daemons started with it join the others.
+func (c *cluster) logBehind(addr string) *cluster {
+	return &cluster{
+		config: c.config,
+		log: &standin{
+			process: c.log.process,
+			addr:    addr,
+			api:     c.log.api,
+		},
+		hosts:     c.hosts,
+		upstreams: c.upstreams,
+		daemons:   c.daemons,
+	}
+}
+
+// logFaults puts faults on the log, with its retention as it is in these tests.
+func (c *cluster) logFaults(t *testing.T, faults standinapi.Faults) {
+	t.Helper()
+	faults.RetainRecords = standinapi.NewOptInt64(editRetention)
+	c.log.setFaults(t, faults)
+}
+
+// TestEditsUnderFaults lets operators race through all daemons while the log loses
+// replies and fails, one daemon is cut from the log, one is frozen, and one starts
+// during the outage.
+func TestEditsUnderFaults(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			c := startCluster(t, config{
+				upstreams:     1,
+				snapshotEvery: editSnapshots,
+			})
+			link := startForwarder(t, c.log.addr)
+			c.daemons = append(c.daemons, startDaemon(t, c.logBehind(link.addr)))
+			for _, d := range c.daemons {
+				d.waitReady(t)
+			}
+			c.logFaults(t, standinapi.Faults{})
+			o := c.startOperators(t, 16, seed)
+			frozen := c.playEdits(t, o, link)
+			o.finish(t)
+			o.judge(t, frozen)
+		})
+	}
+}
+
+// playEdits plays the faults and returns the time in which daemon 1 was frozen.
+func (c *cluster) playEdits(t *testing.T, o *operators, link *forwarder) outage {
+	t.Helper()
+	time.Sleep(time.Second)
+	c.loseReplies(t, 4)
+	link.setCut(true)
+	time.Sleep(time.Second)
+	c.daemons[1].freeze(t)
+	frozen := outage{
+		daemon: 1,
+		from:   time.Now(),
+	}
+	c.loseReplies(t, 6)
+	time.Sleep(time.Second)
+	c.daemons[1].thaw(t)
+	frozen.to = time.Now()
+	time.Sleep(time.Second)
+	c.logFaults(t, standinapi.Faults{
+		Down: standinapi.NewOptBool(true),
+	})
+	c.startReader(t, o)
+	time.Sleep(500 * time.Millisecond)
+	c.logFaults(t, standinapi.Faults{})
+	time.Sleep(time.Second)
+	link.setCut(false)
+	time.Sleep(time.Second)
+	return frozen
+}
+
+// loseReplies lets the log lose some replies, and some more a little later.
+func (c *cluster) loseReplies(t *testing.T, times int) {
+	t.Helper()
+	for range times {
+		c.logFaults(t, standinapi.Faults{
+			LoseReplies: standinapi.NewOptInt(3),
+		})
+		time.Sleep(250 * time.Millisecond)
+	}
+	c.logFaults(t, standinapi.Faults{})
+}
+
+// startReader starts one more daemon, which must get the tables from its peers, and
+// reads it from then on.
+func (c *cluster) startReader(t *testing.T, o *operators) {
+	t.Helper()
+	began := time.Now()
+	d := startDaemon(t, c)
+	d.waitReady(t)
+	d.useOperatorTimeout(t)
+	t.Logf("a daemon that started during the outage was ready after %s", time.Since(began).Round(time.Millisecond))
+	require.Less(t, time.Since(began), inForceBound)
+	o.watch(len(c.daemons), d)
+	c.daemons = append(c.daemons, d)
+}
--- /dev/null
+++ b/internal/e2e/operators_test.go
@@ -0,0 +1,247 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/wire/operatorapi"
+)
+
+const (
+	// operatorTimeout bounds one call of an operator.
+	operatorTimeout = 2 * time.Second
+	readPause       = 20 * time.Millisecond
+	editPause       = 60 * time.Millisecond
+	// firstValue keeps the deadlines of edits apart from that of other routes.
+	firstValue = 10_000
+)
+
+// edit is one edit of an operator and what it was told.
+type edit struct {
+	id       string
+	row      string
+	base     int64
+	value    int64 // The route's deadline, of this edit only.
+	daemon   int
+	state    operatorapi.EditResultState
+	revision int64
+	told     time.Time
+	message  string
+}
+
+func (e edit) String() string {
+	return fmt.Sprintf("%s edit %s of %s on %d to %d at daemon %d: %s %d %s", e.told.Format("05.000"), e.id, e.row, e.base, e.value, e.daemon, e.state, e.revision, e.message)
+}
+
+// notSent is the state of an edit of which the daemon said that nothing was changed.
+const notSent operatorapi.EditResultState = "not_sent"
+
+// sight is one read of the routes at one daemon.
+type sight struct {
+	began, ended time.Time
+	revision     int64
+	rows         map[string]operatorapi.RouteRow
+}
+
+// operators edit rows of the routes and read them at every daemon.
+type operators struct {
+	cluster *cluster
+	rows    []string
+	ended   <-chan struct{}
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu     sync.Mutex
+	edits  []edit
+	sights [][]sight // By daemon, in the order of reading.
+}
+
+// startOperators starts n operators and one reader for each daemon.
+func (c *cluster) startOperators(t *testing.T, n int, seed uint64) *operators {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	o := &operators{
+		cluster: c,
+		rows:    []string{"row-0", "row-1", "row-2"},
+		ended:   ctx.Done(),
+		stop:    stop,
+	}
+	for i, d := range c.daemons {
+		d.useOperatorTimeout(t)
+		o.watch(i, d)
+	}
+	for i := range n {
+		o.wg.Go(func() {
+			o.operate(ctx, i, rand.New(rand.NewPCG(seed, uint64(i))))
+		})
+	}
+	return o
+}
+
+func (d *daemon) useOperatorTimeout(t *testing.T) {
+	t.Helper()
+	client, err := operatorapi.NewClient("http://"+d.Operator, operatorapi.WithClient(&http.Client{
+		Timeout: operatorTimeout,
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}))
+	require.NoError(t, err)
+	d.operators = client
+}
+
+// watch reads the routes at a daemon until the operators stop.
+func (o *operators) watch(i int, d *daemon) {
+	o.mu.Lock()
+	o.sights = append(o.sights, nil)
+	o.mu.Unlock()
+	o.wg.Go(func() {
+		for !o.isEnded() {
+			if s, err := d.read(context.Background()); err == nil {
+				o.mu.Lock()
+				o.sights[i] = append(o.sights[i], s)
+				o.mu.Unlock()
+			}
+			time.Sleep(readPause)
+		}
+	})
+}
+
+func (o *operators) isEnded() bool {
+	select {
+	case <-o.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *daemon) read(ctx context.Context) (sight, error) {
+	s := sight{
+		began: time.Now(),
+		rows:  make(map[string]operatorapi.RouteRow),
+	}
+	list, err := d.operators.ListRoutes(ctx)
+	if err != nil {
+		return s, err
+	}
+	s.ended = time.Now()
+	s.revision = list.Revision
+	for _, row := range list.Rows {
+		s.rows[row.Name] = row
+	}
+	return s, nil
+}
+
+// operate edits rows against what some daemon shows. Daemons that come later than
+// the operators are only read.
+func (o *operators) operate(ctx context.Context, operator int, r *rand.Rand) {
+	daemons := o.cluster.daemons
+	for n := 0; ctx.Err() == nil; n++ {
+		e := edit{
+			id:     fmt.Sprintf("edit-%d-%d", operator, n),
+			row:    o.rows[r.IntN(len(o.rows))],
+			value:  firstValue + int64(n*100+operator),
+			daemon: r.IntN(len(daemons)),
+		}
+		s, err := daemons[r.IntN(len(daemons))].read(ctx)
+		if err == nil {
+			e.base = s.rows[e.row].Revision
+			o.submit(ctx, daemons[e.daemon], e)
+		}
+		time.Sleep(time.Duration(r.Int64N(int64(editPause))))
+	}
+}
+
+func (o *operators) submit(ctx context.Context, d *daemon, e edit) {
+	spec := routeSpec(routes[encodeRoute])
+	spec.DeadlineMs = e.value
+	result, err := d.operators.SetRoute(context.WithoutCancel(ctx), spec, operatorapi.SetRouteParams{
+		Name:         e.row,
+		BaseRevision: e.base,
+		EditID:       operatorapi.NewOptString(e.id),
+	})
+	e.told = time.Now()
+	var status *operatorapi.ErrorStatusCode
+	switch {
+	case err == nil:
+		e.state = result.State
+		e.revision = result.Revision.Or(0)
+		e.message = result.Message
+	case errors.As(err, &status):
+		e.state = notSent
+		e.message = status.Response.Message
+	default:
+		e.state = operatorapi.EditResultStateUnknown
+		e.message = err.Error()
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.edits = append(o.edits, e)
+}
+
+// finish ends the operators and settles what they were not told, by asking every
+// daemon, which must all say the same. One that never arrived stays not found, and
+// must never be shown.
+func (o *operators) finish(t *testing.T) {
+	t.Helper()
+	o.stop()
+	o.wg.Wait()
+	// Edits may have been accepted after the last read.
+	for i, d := range o.cluster.daemons {
+		s, err := d.read(t.Context())
+		require.NoError(t, err)
+		o.sights[i] = append(o.sights[i], s)
+	}
+	for i := range o.edits {
+		if o.edits[i].state == operatorapi.EditResultStateUnknown {
+			o.settle(t, &o.edits[i])
+		}
+	}
+}
+
+func (o *operators) settle(t *testing.T, e *edit) {
+	t.Helper()
+	var states []operatorapi.EditResultState
+	var problem error
+	for until := time.Now().Add(startTimeout); time.Now().Before(until); time.Sleep(readPause) {
+		states, problem = o.ask(t.Context(), e)
+		if problem == nil && len(slices.Compact(slices.Clone(states))) == 1 {
+			break
+		}
+	}
+	require.NoError(t, problem)
+	require.Len(t, slices.Compact(slices.Clone(states)), 1, "daemons say %s: %s", states, e)
+	e.state = states[0]
+	e.message = "settled later"
+}
+
+// ask returns how each daemon says that an edit was settled.
+func (o *operators) ask(ctx context.Context, e *edit) ([]operatorapi.EditResultState, error) {
+	var states []operatorapi.EditResultState
+	for i, d := range o.cluster.daemons {
+		result, err := d.operators.ShowEdit(ctx, operatorapi.ShowEditParams{
+			EditID: e.id,
+		})
+		if err != nil {
+			return nil, fmt.Errorf("daemon %d: %w", i, err)
+		}
+		state := result.State
+		if state == operatorapi.EditResultStateUnknown {
+			// The daemon that sent it can't know that it will never arrive.
+			state = operatorapi.EditResultStateNotFound
+		}
+		states = append(states, state)
+		e.revision = max(e.revision, result.Revision.Or(0))
+	}
+	return states, nil
+}
