Prove that a leaving upstream gets no work, and heed load reports that say so

Change: three end-to-end tests; a load report that says leaving counts as a sign. Ruled out: a host list set back to an age before the test began; it was empty and took all upstreams away, which is a fault of the test and not of a lagging list.

--- /dev/null
+++ b/internal/e2e/leaving_test.go
@@ -0,0 +1,113 @@
+package e2e
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/standin/oracle"
+	"sequoiafork/internal/wire/standinapi"
+)
+
+const (
+	// leavingBound is how long after the first sign at any daemon an upstream may
+	// still get new work.
+	leavingBound = 3 * time.Second
+	// loadTime is how long the daemons send after the bound.
+	loadTime = 2 * time.Second
+)
+
+// TestLeavingUpstreamGetsNoWork lets one daemon see that two upstreams leave. The host
+// list does not say so while the test lasts, as if it were a minute late. The upstreams then take work again without saying
+// so, so that their ledgers show whoever still sends some.
+func TestLeavingUpstreamGetsNoWork(t *testing.T) {
+	c := startCluster(t, config{})
+	leaving := []*standin{c.upstreams["encoder"][0], c.upstreams[oracle.EngineKind][0]}
+	for _, u := range leaving {
+		u.setFaults(t, standinapi.Faults{
+			Leaving: standinapi.NewOptBool(true),
+		})
+	}
+	seen := time.Now()
+	c.sendFrom(t, "sign", leavingBound/3, 0)
+	for _, u := range leaving {
+		u.setFaults(t, standinapi.Faults{})
+	}
+	time.Sleep(time.Until(seen.Add(leavingBound)))
+	c.sendFrom(t, "after", loadTime, 0, 1, 2)
+	for _, u := range leaving {
+		for _, e := range u.ledger(t) {
+			require.Less(t, e.TimeMs, seen.Add(leavingBound).UnixMilli(), "work for %s, which leaves: %s", u.addr, e.AttemptID)
+		}
+	}
+	c.check(t)
+}
+
+// TestLeavingUpstreamOfDaemonWithoutPeers lets an upstream leave in the sight of a
+// daemon that has no peers and whose host list does not say so while the test lasts.
+func TestLeavingUpstreamOfDaemonWithoutPeers(t *testing.T) {
+	c := startCluster(t, config{
+		daemons: 1,
+	})
+	u := c.upstreams["encoder"][0]
+	u.setFaults(t, standinapi.Faults{
+		Leaving: standinapi.NewOptBool(true),
+	})
+	c.sendFrom(t, "sign", leavingBound/3, 0)
+	seen := time.Now()
+	u.setFaults(t, standinapi.Faults{})
+	c.sendFrom(t, "after", loadTime, 0)
+	for _, e := range u.ledger(t) {
+		require.Less(t, e.TimeMs, seen.UnixMilli(), "work for %s, which leaves: %s", u.addr, e.AttemptID)
+	}
+	c.check(t)
+}
+
+// TestLeavingEngineFinishesItsStream lets an engine leave while it streams.
+func TestLeavingEngineFinishesItsStream(t *testing.T) {
+	c := startCluster(t, config{
+		upstreams:  1,
+		engineArgs: []string{"-service-ms", "100"},
+	})
+	done := make(chan reply)
+	go func() {
+		done <- c.stream(t.Context(), call{
+			route: orderRoute,
+			input: "stays open",
+		})
+	}()
+	engine := c.upstreams[oracle.EngineKind][0]
+	require.Eventually(t, func() bool { return len(engine.ledger(t)) == 1 }, startTimeout, 5*time.Millisecond)
+	engine.setFaults(t, standinapi.Faults{
+		Leaving: standinapi.NewOptBool(true),
+	})
+	r := <-done
+	require.Equal(t, answered, r.outcome, r)
+	require.Len(t, engine.ledger(t), 1)
+}
+
+// sendFrom sends requests through each of the daemons for a time and requires that
+// all are answered.
+func (c *cluster) sendFrom(t *testing.T, name string, length time.Duration, daemons ...int) {
+	t.Helper()
+	end := time.Now().Add(length)
+	var wg sync.WaitGroup
+	for _, d := range daemons {
+		wg.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				r := c.do(t.Context(), call{
+					daemon: d,
+					route:  orderRoute,
+					input:  fmt.Sprintf("%s %d %d", name, d, n),
+				})
+				if r.outcome != answered {
+					t.Errorf("not answered: %s", r)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/invoke/invoke.go
+++ b/internal/invoke/invoke.go
@@ -176,6 +176,7 @@
 		Queued:   l.Queued,
 		Capacity: l.Capacity,
 		Age:      time.Duration(l.AgeMs) * time.Millisecond,
+		Leaving:  l.Leaving.Or(false),
 	}
 }
 
--- a/internal/upstream/done.go
+++ b/internal/upstream/done.go
@@ -47,6 +47,9 @@
 		m.others = float64(m.slots(0))
 		m.reported = now
 	}
+	if r.Load != nil && r.Load.Leaving {
+		g.setMark(m, g.own(Leaving, "reported that it leaves", now), now)
+	}
 	after := m.state(now)
 	if after != before {
 		g.refill(now)
--- a/internal/upstream/host.go
+++ b/internal/upstream/host.go
@@ -86,6 +86,8 @@
 	Capacity int
 	// Age is the time since the load was sampled.
 	Age time.Duration
+	// Leaving says that the upstream takes no new work.
+	Leaving bool
 }
 
 // Result is the end of an attempt.
