--- a/internal/daemon/placer.go
+++ b/internal/daemon/placer.go
@@ -25,6 +25,10 @@
 	orderTimeout = time.Minute
 	// loadsAtOnce bounds what is asked of the weight store at a time.
 	loadsAtOnce = 2
+	// verifyEach is how many engines that should be right are read again each round,
+	// and readsEach how many of the others.
+	verifyEach = 4
+	readsEach  = 16
 )
 
 var (
@@ -34,18 +38,25 @@
 
 // placer orders models to engines while this process holds the placement lease.
 type placer struct {
-	daemon  *Daemon
-	engines *completion.Client
-	leaser  *confsync.Leaser
+	daemon *Daemon
+	client *completion.Client
+	leaser *confsync.Leaser
 
 	mu   sync.Mutex
 	open map[string]bool // addresses of engines with an open order
+	seen map[string]engineSight
+}
+
+// engineSight is what an engine held when it was last read.
+type engineSight struct {
+	held []string
+	at   time.Time
 }
 
 func newPlacer(d *Daemon, engines *completion.Client) *placer {
 	return &placer{
-		daemon:  d,
-		engines: engines,
+		daemon: d,
+		client: engines,
 		leaser: confsync.NewLeaser(confsync.LeaserConfig{
 			Log:     d.log,
 			Machine: d.machine,
@@ -55,6 +66,7 @@
 			Logger:  d.logger,
 		}),
 		open: make(map[string]bool),
+		seen: make(map[string]engineSight),
 	}
 }
 
@@ -84,6 +96,7 @@
 // round reads what the engines hold and gives the orders that are due.
 func (p *placer) round(ctx context.Context) {
 	if _, held := p.leaser.Held(); !held || !p.daemon.machine.Ready() {
+		p.forget()
 		return
 	}
 	for _, o := range placement.Next(p.services(ctx), loadsAtOnce) {
@@ -105,7 +118,7 @@
 		return
 	}
 	ordersTotal.Inc()
-	err := p.engines.Order(ctx, o.Addr, o.Models, fencing, p.daemon.incarnation)
+	err := p.client.Order(ctx, o.Addr, o.Models, fencing, p.daemon.incarnation)
 	if err == nil {
 		return
 	}
@@ -118,6 +131,7 @@
 func (p *placer) setOpen(addr string, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.seen, addr)
 	if open {
 		p.open[addr] = true
 		return
@@ -125,10 +139,11 @@
 	delete(p.open, addr)
 }
 
-func (p *placer) isOpen(addr string) bool {
+// forget drops what was seen of engines while this process holds no lease.
+func (p *placer) forget() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open[addr]
+	clear(p.seen)
 }
 
 // services returns the engines that could be read, by service, with the models that
@@ -154,37 +169,80 @@
 		services[i] = placement.Service{
 			Name:    name,
 			Wanted:  wanted[name],
-			Engines: p.read(ctx, name),
+			Engines: p.engines(ctx, name, wanted[name]),
 		}
 	}
 	return services
 }
 
-func (p *placer) read(ctx context.Context, service string) []placement.Engine {
-	ctx, stop := context.WithTimeout(ctx, stateTimeout)
-	defer stop()
-	var mu sync.Mutex
-	var engines []placement.Engine
-	var g errgroup.Group
+// engines returns the engines of a service as they were last read. Those that may
+// lack a model are read again first, and of the others a few, the oldest sight first.
+func (p *placer) engines(ctx context.Context, service string, wanted []string) []placement.Engine {
+	var addrs []string
 	for _, u := range p.daemon.upstreams.Upstreams() {
-		if u.Service != service || u.State != upstream.Live {
-			continue
+		if u.Service == service && u.State == upstream.Live {
+			addrs = append(addrs, u.Addr)
 		}
-		g.Go(func() error {
-			held, err := p.engines.Models(ctx, u.Addr)
-			if err != nil {
-				return nil // read again in the next round
-			}
-			mu.Lock()
-			defer mu.Unlock()
+	}
+	p.read(ctx, p.due(addrs, wanted))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var engines []placement.Engine
+	for _, addr := range addrs {
+		if sight, ok := p.seen[addr]; ok || p.open[addr] {
 			engines = append(engines, placement.Engine{
-				Addr: u.Addr,
-				Held: held,
-				Open: p.isOpen(u.Addr),
+				Addr: addr,
+				Held: sight.held,
+				Open: p.open[addr],
 			})
-			return nil
-		})
+		}
 	}
-	_ = g.Wait()
 	return engines
 }
+
+// due returns the addresses to read in this round.
+func (p *placer) due(addrs, wanted []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var lacking, right []string
+	for _, addr := range addrs {
+		switch sight, ok := p.seen[addr]; {
+		case p.open[addr]:
+		case ok && sameSet(sight.held, wanted):
+			right = append(right, addr)
+		default:
+			lacking = append(lacking, addr)
+		}
+	}
+	oldest := func(a, b string) int { return p.seen[a].at.Compare(p.seen[b].at) }
+	slices.SortFunc(lacking, oldest)
+	slices.SortFunc(right, oldest)
+	return append(lacking[:min(len(lacking), readsEach)], right[:min(len(right), verifyEach)]...)
+}
+
+// read reads the state of engines. One that does not answer is left out until it does.
+func (p *placer) read(ctx context.Context, addrs []string) {
+	ctx, stop := context.WithTimeout(ctx, stateTimeout)
+	defer stop()
+	var wg sync.WaitGroup
+	for _, addr := range addrs {
+		wg.Go(func() {
+			held, err := p.client.Models(ctx, addr)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if err != nil {
+				delete(p.seen, addr)
+				return
+			}
+			p.seen[addr] = engineSight{
+				held: held,
+				at:   time.Now(),
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func sameSet(a, b []string) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(m string) bool { return !slices.Contains(b, m) })
+}
