Let no two events of a scripted attempt fall on one instant

Cause: the whole check failed once in internal/upstream TestScripts/states (7 and 33 attempts, want 8 and 32): attempts began and ended at the same instants of the paused clock, so their order was the scheduler's. Ruled out: a fault of the choice (the counts differ by one attempt, and only under the race detector's scheduling). Change: each end comes a microsecond later than the one before; the expected counts stay as they are.

--- a/internal/upstream/script_test.go
+++ b/internal/upstream/script_test.go
@@ -102,7 +102,7 @@
 	r.Exclude = []string{exclude}
 	results := parseResults(s.t, d.Input)
 	counts := map[string]int{}
-	for range n {
+	for i := range n {
 		c, err := s.set.Pick(r)
 		if err != nil {
 			counts[err.Error()]++
@@ -118,7 +118,9 @@
 			c.Done(res)
 			continue
 		}
-		time.AfterFunc(res.Latency, func() { c.Done(res) })
+		// No two things happen at one instant, whose order would be the scheduler's.
+		offset := time.Duration(i+1) * time.Microsecond
+		time.AfterFunc(res.Latency+offset, func() { c.Done(res) })
 		time.Sleep(time.Duration(everyMs) * time.Millisecond)
 	}
 	return s.describe(counts)
