Show the last event of a stream with its key, and drop a status that was never sent

Cause: read as a newcomer: last_event stood in the schema and was never filled, and one status in the table was looked up only to be passed over. Change: an answered key shows the event that ends its stream, for a caller whose stream broke; the entry is gone.

--- a/internal/callerhttp/convert.go
+++ b/internal/callerhttp/convert.go
@@ -22,12 +22,11 @@
 	outcome.CodeKeyExpired:      http.StatusGone,
 	outcome.CodeResultExpired:   http.StatusGone,
 	outcome.CodeOwnerGone:       http.StatusGone,
-	outcome.CodeKeyRunning:      http.StatusAccepted,
 }
 
 // status returns the HTTP status for o.
 func status(o outcome.Outcome) int {
-	if s, ok := statuses[outcome.CodeOf(o)]; ok && s != http.StatusAccepted {
+	if s, ok := statuses[outcome.CodeOf(o)]; ok {
 		return s
 	}
 	switch o.(type) {
--- a/internal/callerhttp/handler.go
+++ b/internal/callerhttp/handler.go
@@ -142,6 +142,10 @@
 		return &callerapi.KeyState{
 			State:  callerapi.KeyStateStateAnswered,
 			Answer: callerapi.NewOptAnswer(*answer(o)),
+			LastEvent: callerapi.NewOptStreamEvent(callerapi.StreamEvent{
+				RequestID: o.RequestID,
+				Done:      callerapi.NewOptAnswer(*answer(o)),
+			}),
 		}, nil
 	case nil:
 	default:
--- a/internal/wire/callerapi/oas_schemas_gen.go
+++ b/internal/wire/callerapi/oas_schemas_gen.go
@@ -185,9 +185,10 @@
 
 // Ref: #/components/schemas/KeyState
 type KeyState struct {
-	State     KeyStateState  `json:"state"`
-	Answer    OptAnswer      `json:"answer"`
-	Outcome   OptOutcome     `json:"outcome"`
+	State   KeyStateState `json:"state"`
+	Answer  OptAnswer     `json:"answer"`
+	Outcome OptOutcome    `json:"outcome"`
+	// The event that ends the stream of an answered request, for a caller whose stream broke.
 	LastEvent OptStreamEvent `json:"last_event"`
 }
 
