Give the kept answer of an issued key after the key's time

The design says: same key after, the same answer. Change: what is known of a key goes before its age. The race detector then showed that an idle entry's channel was read without the lock when its run began anew; it is read under the lock now.

--- a/internal/idempotency/do.go
+++ b/internal/idempotency/do.go
@@ -16,6 +16,9 @@
 // a run in progress, returns the kept outcome of an earlier one, or passes it on
 // to the owner of the key.
 func (r *Registry) Do(ctx context.Context, req Request) outcome.Outcome {
+	if o, ok := r.joinKnown(ctx, req); ok {
+		return o
+	}
 	issued := ident.IsIssued(req.Key)
 	if issued {
 		key, err := ident.ParseIssued(req.Key)
@@ -63,10 +66,26 @@
 	}
 }
 
+// joinKnown returns the outcome of a key whose request runs here or has run, however
+// old the key is.
+func (r *Registry) joinKnown(ctx context.Context, req Request) (outcome.Outcome, bool) {
+	key := KeyOf(req.Workspace, req.Key)
+	s := r.shard(key)
+	e, ok := s.known(key)
+	switch {
+	case !ok:
+		return nil, false
+	case e.body != req.Body:
+		return mismatch(req.ID), true
+	}
+	o := r.join(ctx, s, e, req.ID)
+	return o, outcome.CodeOf(o) != outcome.CodeCallerGone
+}
+
 // join waits for the run in progress or returns the settled outcome.
 func (r *Registry) join(ctx context.Context, s *shard, e *entry, id string) outcome.Outcome {
 	select {
-	case <-e.done:
+	case <-s.ended(e):
 	case <-ctx.Done():
 		return outcome.Unknown{
 			RequestID:  id,
--- a/internal/idempotency/refuse.go
+++ b/internal/idempotency/refuse.go
@@ -15,15 +15,11 @@
 // refusal only if no process may have run the key; otherwise it is what is known of
 // the key, which may be its answer.
 func (r *Registry) Refuse(ctx context.Context, req Request, refusal outcome.NotRun) outcome.Outcome {
-	key := KeyOf(req.Workspace, req.Key)
-	if e, ok := r.shard(key).known(key); ok {
-		if e.body != req.Body {
-			return mismatch(req.ID)
-		}
-		return r.join(ctx, r.shard(key), e, req.ID)
+	if o, ok := r.joinKnown(ctx, req); ok {
+		return o
 	}
 	if !ident.IsIssued(req.Key) {
-		return r.refuse(ctx, key, req, refusal)
+		return r.refuse(ctx, KeyOf(req.Workspace, req.Key), req, refusal)
 	}
 	issued, err := ident.ParseIssued(req.Key)
 	if err != nil || issued.Owner == r.cfg.Self {
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -117,8 +117,8 @@
 	bytes   int
 }
 
-// entry is one key. Its fields are guarded by the shard's lock, and result may
-// also be read once done is closed.
+// entry is one key. Its fields are guarded by the shard's lock, but for key and body,
+// which never change.
 type entry struct {
 	key      Key
 	body     Body
@@ -192,6 +192,14 @@
 	return e, true, ok
 }
 
+// ended returns a channel that is closed once the run in progress has ended. An entry
+// that was idle has a new one for each run.
+func (s *shard) ended(e *entry) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return e.done
+}
+
 // drop ends a run that left nothing behind: the key may be used again.
 func (s *shard) drop(e *entry, o outcome.Outcome) {
 	s.mu.Lock()
