--- /dev/null
+++ b/internal/idempotency/main_test.go
@@ -0,0 +1,9 @@
+package idempotency_test
+
+import (
+	"testing"
+
+	"sequoiafork/internal/bubble"
+)
+
+func TestMain(m *testing.M) { bubble.Main(m) }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -14,7 +14,7 @@
 var long = flag.Bool("long", false, "let many daemons rest for longer between faults, to measure them")
 
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			return strings.Join(runScript(t, strings.Split(strings.TrimSpace(d.Input), "\n"), nil), "\n") + "\n"
 		})
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -188,7 +188,7 @@
 	p.dials[addr] = true
 	n.wg.Go(func() {
 		time.Sleep(2 * n.latency(p.host, q.host))
-		if n.open(p.host, q.host) && n.open(q.host, p.host) && !n.locked(func() bool { return p.gone || q.gone }) {
+		if n.open(p.host, q.host) && n.open(q.host, p.host) {
 			n.connect(p, q)
 		}
 		n.locked(func() bool {
@@ -198,6 +198,8 @@
 	})
 }
 
+// connect joins two processes unless one has ended. The check and the entry into
+// conns are one step: stop closes just the connections that it finds there.
 func (n *network) connect(p, q *process) {
 	a := &pipeEnd{
 		net:   n,
@@ -213,9 +215,16 @@
 		queue: make(chan delivery, pipeQueue),
 	}
 	a.other = b
-	n.mu.Lock()
-	p.conns[a], q.conns[b] = true, true
-	n.mu.Unlock()
+	entered := n.locked(func() bool {
+		if p.gone || q.gone {
+			return false
+		}
+		p.conns[a], q.conns[b] = true, true
+		return true
+	})
+	if !entered {
+		return
+	}
 	a.link = p.table.OpenLink(a, true)
 	b.link = q.table.OpenLink(b, false)
 	n.wg.Go(a.deliver)
--- /dev/null
+++ b/internal/pipeline/main_test.go
@@ -0,0 +1,9 @@
+package pipeline_test
+
+import (
+	"testing"
+
+	"sequoiafork/internal/bubble"
+)
+
+func TestMain(m *testing.M) { bubble.Main(m) }
