--- /dev/null
+++ b/cmd/sequoiaforkd/keyedlog.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/settings"
+	"sequoiafork/platform"
+)
+
+// settingsEvery is how often the settings file is looked at, since it may change
+// without a signal.
+const settingsEvery = time.Second
+
+// serveKeyedLog serves on the users' platform until SIGTERM.
+func serveKeyedLog(cmd settings.Command, logger *zap.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	r := &reloader{
+		path:    cmd.Path,
+		logger:  logger,
+		changed: make(chan settings.Settings, 1),
+	}
+	go r.run(ctx)
+	return platform.Run(ctx, platform.Config{
+		Settings: cmd.Settings,
+		Logger:   logger,
+		Reload:   r.changed,
+	})
+}
+
+// reloader reads the settings file again when it changes or SIGHUP comes. A file with
+// errors is refused whole, and the settings before it stay in force.
+type reloader struct {
+	path    string
+	logger  *zap.Logger
+	changed chan settings.Settings
+	seen    time.Time
+}
+
+func (r *reloader) run(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	r.modified()
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			r.reload()
+		case <-ticker.C:
+			if r.modified() {
+				r.reload()
+			}
+		}
+	}
+}
+
+// modified reports whether the file has another time of change than before.
+func (r *reloader) modified() bool {
+	info, err := os.Stat(r.path)
+	if err != nil || info.ModTime().Equal(r.seen) {
+		return false
+	}
+	r.seen = info.ModTime()
+	return true
+}
+
+func (r *reloader) reload() {
+	s, err := settings.Load(r.path, nil, settings.EnvPrefix)
+	if err != nil {
+		r.logger.Error("settings refused, those before stay in force", zap.String("path", r.path), zap.Error(err))
+		return
+	}
+	r.logger.Info("settings reloaded", zap.String("path", r.path), zap.Strings("seeds", s.Peers.Seeds))
+	select {
+	case r.changed <- s:
+	default: // The one before was not taken yet; the next change brings this one.
+	}
+}
--- a/cmd/sequoiaforkd/main.go
+++ b/cmd/sequoiaforkd/main.go
@@ -3,6 +3,9 @@
 //	sequoiaforkd -config sequoiaforkd.ini
 //	sequoiaforkd -config sequoiaforkd.ini -check
 //
+// The kind of platform in the settings decides whether it serves pipelines of the
+// operators' tables or forwards the opaque requests of the users' platform.
+//
 // SIGTERM and SIGINT begin a graceful stop, and a second one changes nothing.
 // SIGUSR1 writes a state dump to the standard error.
 package main
@@ -56,14 +59,15 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
-	if err := serve(cmd.Settings); err != nil {
+	if err := serve(cmd); err != nil {
 		fmt.Fprintln(os.Stderr, "sequoiaforkd:", err)
 		return exitFailed
 	}
 	return 0
 }
 
-func serve(s settings.Settings) error {
+func serve(cmd settings.Command) error {
+	s := cmd.Settings
 	logger, err := logging.New(logging.Config{
 		Level:  s.Log.Level,
 		Format: s.Log.Format,
@@ -72,6 +76,9 @@
 		return err
 	}
 	defer func() { _ = logger.Sync() }()
+	if s.Platform.Kind == settings.KindKeyedLog {
+		return serveKeyedLog(cmd, logger)
+	}
 	d, err := daemon.New(daemon.Config{
 		Settings: s,
 		Logger:   logger,
--- a/generate.sh
+++ b/generate.sh
@@ -9,7 +9,7 @@
 trap 'rm -rf "$bin"' EXIT
 go build -o "$bin/ogen" github.com/ogen-go/ogen/cmd/ogen
 GOFLAGS=-mod=mod go build -modfile=tools/go.mod -o "$bin/" github.com/bufbuild/buf/cmd/buf google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
-for name in caller operator platform upstream standin; do
+for name in caller operator platform upstream standin keyedlog; do
   "$bin/ogen" --loglevel error --clean --config api/ogen.yaml --package "${name}api" --target "$out/${name}api" "api/$name.yaml"
 done
 sed "s|out: .*|out: $out/gen|" api/buf.gen.yaml > "$bin/buf.gen.yaml"
--- /dev/null
+++ b/internal/entryhost/entryhost.go
@@ -0,0 +1,295 @@
+// Package entryhost is the daemon of an entry host that forwards opaque requests. It
+// joins the parts: routes and upstreams that an adapter follows on the platform, the
+// other daemons, the owner of the stage upstreams, and the forwarder of requests.
+//
+//	h, err := entryhost.New(cfg)
+//	h.SetTable(table, raw)
+//	h.SetUpstreams(list)
+//	err = h.Run(ctx)
+package entryhost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"sequoiafork/internal/forward"
+	"sequoiafork/internal/ident"
+	"sequoiafork/internal/membership"
+	"sequoiafork/internal/peer"
+	"sequoiafork/internal/routing"
+	"sequoiafork/internal/settings"
+	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/upstream"
+)
+
+const (
+	// heartbeat and silentAfter find a dead daemon before callers have tried it often.
+	heartbeat   = 400 * time.Millisecond
+	silentAfter = 1600 * time.Millisecond
+	// unreachableAfter covers a daemon that starts a little later than the others.
+	unreachableAfter = 2500 * time.Millisecond
+	// probeEvery is the time between two probes of addresses without a live daemon.
+	probeEvery = 2 * time.Second
+	// maxAddresses bounds an answer to a caller that asks where to connect.
+	maxAddresses = 64
+	// allUpstreams is above the number of upstreams of any service: requests that
+	// share a prompt meet on one engine only if all daemons choose among all engines.
+	allUpstreams = 1 << 16
+	// burstPart is the part of the deployment's burst of retries that the daemons use
+	// together, and ratioPart that of its ratio. The rest is for the daemons that
+	// start anew, each with a full part of the burst.
+	burstPart = 0.5
+	ratioPart = 0.7
+	// followEvery is how often figures are taken over between parts.
+	followEvery = 100 * time.Millisecond
+)
+
+// Config configures a Host. All fields are required.
+type Config struct {
+	Settings settings.Settings
+	Logger   *zap.Logger
+	// Caller and Invoker speak with the upstreams.
+	Caller  forward.Caller
+	Invoker stagework.Invoker
+	// Decode reads a table that another daemon has passed on.
+	Decode func(raw []byte) (*routing.Table, error)
+}
+
+// Host is one daemon. It is safe for concurrent use.
+type Host struct {
+	cfg       Config
+	logger    *zap.Logger
+	members   *membership.Table
+	node      *peer.Node
+	listener  net.Listener
+	upstreams *upstream.Set
+	scheduler *stagework.Scheduler
+	forwarder *forward.Forwarder
+	stages    *stages
+	daemons   atomic.Int64
+	leaving   atomic.Bool
+
+	mu    sync.Mutex // orders the changes of table and raw
+	table atomic.Pointer[routing.Table]
+	raw   []byte
+	hosts []upstream.Host
+}
+
+// New builds a host and binds its address for the other daemons.
+func New(cfg Config) (*Host, error) {
+	listener, err := net.Listen("tcp", cfg.Settings.Daemon.PeerAddr)
+	if err != nil {
+		return nil, fmt.Errorf("[daemon] peer_addr: %w", err)
+	}
+	incarnation := ident.NewIncarnation(listener.Addr().String())
+	h := &Host{
+		cfg:      cfg,
+		logger:   cfg.Logger.With(zap.String("incarnation", incarnation)),
+		listener: listener,
+	}
+	h.daemons.Store(1)
+	h.members = membership.New(membership.Config{
+		Self: membership.Member{
+			Incarnation:  incarnation,
+			PeerAddr:     listener.Addr().String(),
+			CallerAddr:   cfg.Settings.Daemon.CallerAddr,
+			OperatorAddr: cfg.Settings.Daemon.OperatorAddr,
+			DataCentre:   cfg.Settings.Daemon.DataCentre,
+		},
+		Seeds:            cfg.Settings.Peers.Seeds,
+		Seed:             hash(incarnation),
+		Heartbeat:        heartbeat,
+		SilentAfter:      silentAfter,
+		UnreachableAfter: unreachableAfter,
+		ProbeEvery:       probeEvery,
+		ResolveKeep:      cfg.Settings.Drain.KeepAnswers,
+		ResolveMax:       maxAddresses,
+	})
+	h.upstreams = upstream.New(upstream.Config{
+		DataCentre: cfg.Settings.Daemon.DataCentre,
+		Seed:       hash(incarnation),
+		Self:       incarnation,
+		SubsetSize: allUpstreams,
+	})
+	h.scheduler = stagework.New(stagework.Config{
+		Invoker: cfg.Invoker,
+		Logger:  h.logger,
+	})
+	h.node = peer.New(peer.Config{
+		Listener:    listener,
+		Table:       h.members,
+		Records:     tableRecords{host: h},
+		StageWorker: h.scheduler,
+		Logger:      h.logger,
+	})
+	h.stages = &stages{
+		host: h,
+	}
+	h.forwarder = forward.New(forward.Config{
+		Caller:     cfg.Caller,
+		Stages:     h.stages,
+		Upstreams:  h.upstreams,
+		Table:      h.table.Load,
+		RetryRatio: ratioPart * cfg.Settings.Retry.Ratio,
+		RetryBurst: burstPart * float64(cfg.Settings.Retry.Burst),
+		Daemons:    func() int { return int(h.daemons.Load()) },
+		Logger:     h.logger,
+	})
+	return h, nil
+}
+
+// Forwarder returns the forwarder of requests.
+func (h *Host) Forwarder() *forward.Forwarder { return h.forwarder }
+
+// Logger returns the logger with the process's incarnation.
+func (h *Host) Logger() *zap.Logger { return h.logger }
+
+// Table returns the routes in force, or nil before any are known.
+func (h *Host) Table() *routing.Table { return h.table.Load() }
+
+// Ready reports whether this daemon takes new callers.
+func (h *Host) Ready() bool { return h.table.Load() != nil && !h.leaving.Load() }
+
+// Leaving reports whether a graceful stop has begun.
+func (h *Host) Leaving() bool { return h.leaving.Load() }
+
+// Leave begins a graceful stop: all daemons leave this one out of their answers.
+func (h *Host) Leave() {
+	if h.leaving.Swap(true) {
+		return
+	}
+	h.members.SetLeaving()
+	h.logger.Info("graceful stop begins", zap.Int("in_flight", h.forwarder.Active()))
+}
+
+// Resolve returns the addresses that a caller should use, and for how long.
+func (h *Host) Resolve(caller, dataCentre string) ([]string, time.Duration) {
+	return h.members.Resolve(caller, dataCentre)
+}
+
+// AddPeers adds addresses to find other daemons by.
+func (h *Host) AddPeers(addrs []string) { h.members.AddSeeds(addrs) }
+
+// PeerAddr returns the address for the other daemons.
+func (h *Host) PeerAddr() string { return h.listener.Addr().String() }
+
+// SetTable puts newer routes in force. Older ones are ignored, so that a daemon never
+// goes back. raw is what other daemons are given.
+func (h *Host) SetTable(t *routing.Table, raw []byte, source string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.table.Load()
+	if old != nil && old.Version() >= t.Version() {
+		return
+	}
+	h.raw = raw
+	h.table.Store(t)
+	h.scheduler.SetServices(t.Services())
+	h.applyUpstreams()
+	h.members.SetProgress(t.Version(), t.Version())
+	h.logger.Info("routes in force", zap.Uint64("config_version", t.Version()), zap.String("source", source))
+}
+
+// SetUpstreams takes over the upstreams that are there.
+func (h *Host) SetUpstreams(list []upstream.Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hosts = list
+	h.applyUpstreams()
+}
+
+// applyUpstreams tells the parts which upstreams there are. The lock is held.
+func (h *Host) applyUpstreams() {
+	h.upstreams.Replace(h.hosts)
+	var workers []stagework.Upstream
+	for _, u := range h.hosts {
+		if u.State != upstream.Live {
+			continue
+		}
+		workers = append(workers, stagework.Upstream{
+			Incarnation: u.Incarnation,
+			Addr:        u.Addr,
+			DataCentre:  u.DataCentre,
+			Service:     u.Service,
+		})
+	}
+	h.scheduler.SetUpstreams(workers)
+}
+
+// Run speaks with the other daemons until ctx ends.
+func (h *Host) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return h.node.Serve(ctx) })
+	g.Go(func() error { return h.follow(ctx) })
+	err := g.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// follow keeps the figures up to date that parts take from each other.
+func (h *Host) follow(ctx context.Context) error {
+	ticker := time.NewTicker(followEvery)
+	defer ticker.Stop()
+	for {
+		n, _ := h.members.Count()
+		if int64(n) != h.daemons.Swap(int64(max(n, 1))) {
+			h.upstreams.SetDaemons(n)
+			h.logger.Info("daemons", zap.Int("alive", n), zap.String("stage_owner", h.stages.owner().Incarnation))
+		}
+		h.catchUp(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// catchUp fetches newer routes from a neighbour that has them. It covers a daemon
+// that the platform does not serve.
+func (h *Host) catchUp(ctx context.Context) {
+	own := uint64(0)
+	if t := h.table.Load(); t != nil {
+		own = t.Version()
+	}
+	ahead := slices.ContainsFunc(h.members.Neighbours(), func(m membership.Member) bool { return m.Revision > own })
+	if !ahead {
+		return
+	}
+	const patience = time.Second
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	resp, err := h.node.CatchUp(ctx, own)
+	if err != nil || len(resp.GetSnapshot()) == 0 {
+		h.logger.Info("routes not fetched from a peer", zap.Uint64("own_version", own), zap.Error(err))
+		return
+	}
+	t, err := h.cfg.Decode(resp.GetSnapshot())
+	if err != nil {
+		h.logger.Warn("routes of a peer can't be read", zap.Error(err))
+		return
+	}
+	h.SetTable(t, resp.GetSnapshot(), "peer")
+}
+
+func hash(s string) uint64 {
+	f := fnv.New64a()
+	_, _ = f.Write([]byte(s))
+	return f.Sum64()
+}
+
+// StageJobs returns the number of jobs that this daemon's stage scheduler holds, its
+// own and those of other daemons.
+func (h *Host) StageJobs() int { return h.scheduler.Len() }
--- /dev/null
+++ b/internal/eventstream/eventstream.go
@@ -0,0 +1,74 @@
+// Package eventstream cuts a text/event-stream into its events without changing
+// their bytes.
+package eventstream
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// maxEventBytes bounds one event, so that an upstream can't fill the memory.
+const maxEventBytes = 1 << 20
+
+// ErrTooLong reports an event over the bound.
+var ErrTooLong = errors.New("event is longer than 1 MiB")
+
+// Event is one event with the blank line that ends it.
+type Event struct {
+	Raw []byte
+	// ID is the event's id if HasID is set.
+	ID    int64
+	HasID bool
+}
+
+// Reader reads events. It is not safe for concurrent use.
+type Reader struct {
+	r *bufio.Reader
+}
+
+// NewReader returns a reader of the events in r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{
+		r: bufio.NewReader(r),
+	}
+}
+
+// Next returns the next event. The error is io.EOF at the end of a stream that
+// ends after a whole event, and io.ErrUnexpectedEOF if it ends within one.
+func (r *Reader) Next() (Event, error) {
+	var e Event
+	for {
+		line, err := r.r.ReadBytes('\n')
+		if errors.Is(err, io.EOF) && len(e.Raw)+len(line) > 0 {
+			return Event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return Event{}, err
+		}
+		e.Raw = append(e.Raw, line...)
+		if len(e.Raw) > maxEventBytes {
+			return Event{}, ErrTooLong
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return e, nil
+		}
+		e.parseID(text)
+	}
+}
+
+func (e *Event) parseID(line []byte) {
+	value, ok := bytes.CutPrefix(line, []byte("id:"))
+	if !ok {
+		return
+	}
+	id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+	if err != nil {
+		return
+	}
+	e.ID = id
+	e.HasID = true
+}
--- /dev/null
+++ b/internal/forward/observe.go
@@ -0,0 +1,60 @@
+package forward
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/outcome"
+)
+
+// sampleOf is the part of answered requests whose outcome is logged, as 1 in so many.
+// Every other outcome is logged.
+const sampleOf = 16
+
+// observe counts and logs the end of a request.
+func (x *run) observe(o outcome.Outcome) {
+	took := time.Since(x.req.Received)
+	name := outcome.Name(o)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`sequoiafork_requests_total{route=%q,outcome=%q,code=%q}`, x.route.Name, name, outcome.CodeOf(o))).Inc()
+	metrics.GetOrCreatePrometheusHistogram(fmt.Sprintf(`sequoiafork_request_seconds{route=%q}`, x.route.Name)).Update(took.Seconds())
+	_, answered := o.(outcome.Answered)
+	if answered && xxhash.Sum64String(x.req.ID)%sampleOf != 0 {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("request_id", x.req.ID),
+		zap.String("outcome", name),
+		zap.String("code", string(outcome.CodeOf(o))),
+		zap.String("route", x.route.Name),
+		zap.String("kind", x.route.Kind.String()),
+		zap.String("workspace", x.workspace.Name),
+		zap.Duration("took_ms", took),
+		zap.Duration("time_limit_ms", x.deadline.Sub(x.req.Received)),
+		zap.Ints("pieces", x.req.Pieces),
+		zap.Strings("upstreams", x.tried),
+	}
+	if x.table != nil {
+		fields = append(fields, zap.Uint64("config_version", x.table.Version()))
+	}
+	if !answered {
+		message, retry := detail(o)
+		fields = append(fields, zap.String("detail", message), zap.Duration("retry_after_ms", retry))
+	}
+	x.forwarder.cfg.Logger.Info("request ended", fields...)
+}
+
+func detail(o outcome.Outcome) (string, time.Duration) {
+	switch o := o.(type) {
+	case outcome.NotRun:
+		return o.Message, o.RetryAfter
+	case outcome.Failed:
+		return o.Message, o.RetryAfter
+	case outcome.Unknown:
+		return o.Message, o.RetryAfter
+	}
+	return "", 0
+}
--- /dev/null
+++ b/internal/forward/run.go
@@ -0,0 +1,351 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/routing"
+	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/table"
+	"sequoiafork/internal/upstream"
+)
+
+const (
+	// notReadyRetry is when to come back to a daemon that knows no routes yet.
+	notReadyRetry = 300 * time.Millisecond
+	// noUpstreamRetry is when to come back if no upstream is known to return sooner.
+	noUpstreamRetry = 500 * time.Millisecond
+	// firstAnswerGuess is the time to a first event before any was seen.
+	firstAnswerGuess = 200 * time.Millisecond
+	// firstAnswerQuantile is the part of recent times that the time kept for the
+	// upstream behind the stages covers.
+	firstAnswerQuantile = 0.75
+	// maxRefusals bounds how often one request is offered after refusals.
+	maxRefusals = 3
+)
+
+// run is one request while it is served.
+type run struct {
+	forwarder *Forwarder
+	req       *Request
+	answer    Answer
+
+	table     *routing.Table
+	route     routing.Route
+	service   routing.Service
+	workspace routing.Workspace
+	priority  int
+	deadline  time.Time
+
+	ticket Ticket
+	inputs []string
+
+	tried    []string
+	attempts int // attempts that an upstream may have acted on
+	refusals int
+	begun    bool
+	lastID   int64
+	hasLast  bool
+	// failure is the last attempt that failed, for the outcome.
+	failure *pipeline.CallError
+}
+
+// prepare finds the route, the workspace and the deadline, or refuses the request.
+func (x *run) prepare() *outcome.NotRun {
+	x.table = x.forwarder.cfg.Table()
+	if x.table == nil {
+		return x.notRun(outcome.CodeNotReady, "no routes are known yet", notReadyRetry)
+	}
+	route, ok := x.table.Match(x.req.Host, x.req.Path)
+	if !ok {
+		return x.notRun(outcome.CodeRouteUnknown, "no route for this host and path", 0)
+	}
+	x.route = route
+	x.priority = route.Priority
+	if x.table.RequiresKey() && !route.Public {
+		x.workspace, ok = x.table.Workspace(x.req.Key)
+		if !ok {
+			return x.notRun(outcome.CodeKeyUnknown, "the API key is not known", 0)
+		}
+		if x.workspace.HasPriority {
+			x.priority = x.workspace.Priority
+		}
+	}
+	service := route.Target(xxhash.Sum64String(x.req.ID))
+	x.service, ok = x.table.Service(service)
+	if !ok {
+		return x.notRun(outcome.CodeNoUpstream, "the route's service is not known", noUpstreamRetry)
+	}
+	limit := route.Timeout
+	if x.req.TimeLimit > 0 && (limit <= 0 || x.req.TimeLimit < limit) {
+		limit = x.req.TimeLimit
+	}
+	x.deadline = x.req.Received.Add(limit)
+	if !time.Now().Before(x.deadline) {
+		return x.notRun(outcome.CodeDeadlinePast, "the deadline has passed", 0)
+	}
+	x.lastID, x.hasLast = x.req.LastEventID, x.req.HasLastEvent
+	return nil
+}
+
+func (x *run) notRun(code outcome.Code, message string, retryAfter time.Duration) *outcome.NotRun {
+	return &outcome.NotRun{
+		RequestID:  x.req.ID,
+		Code:       code,
+		Message:    message,
+		RetryAfter: retryAfter,
+	}
+}
+
+func (x *run) serve(ctx context.Context) outcome.Outcome {
+	if !x.route.Kind.Repeatable() && !x.route.Kind.Streams() {
+		// A call that may not be repeated runs to its end, so that its effect and its
+		// answer stay together.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	if stopped := x.runStages(ctx); stopped != nil {
+		return stopped
+	}
+	defer x.release()
+	x.forwarder.budget(x.service.Name).Deposit()
+	if x.route.Kind.Streams() {
+		return x.stream(ctx)
+	}
+	return x.whole(ctx)
+}
+
+// runStages has the stages done, and returns why not.
+func (x *run) runStages(ctx context.Context) outcome.Outcome {
+	stages := x.stages()
+	if stages == nil {
+		return nil
+	}
+	ticket, err := x.forwarder.cfg.Stages.Submit(ctx, stagework.Job{
+		RequestID:  x.req.ID,
+		Key:        x.req.PieceKey,
+		Priority:   x.priority,
+		Objective:  x.req.Received.Add(x.route.Objective),
+		Deadline:   x.deadline,
+		Remaining:  x.firstAnswerTime(),
+		DataCentre: x.forwarder.cfg.Upstreams.Prefer(x.upstreamRequest()),
+		Stages:     stages,
+	})
+	if err == nil {
+		x.ticket = ticket
+		x.inputs, err = ticket.Wait(ctx)
+	}
+	if err == nil {
+		return nil
+	}
+	x.release()
+	return x.stagesFailed(ctx, err)
+}
+
+func (x *run) stagesFailed(ctx context.Context, err error) outcome.Outcome {
+	var refused *stagework.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return x.stopped(outcome.CodeOverloaded, refused.Message, refused.RetryAfter)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return x.stopped(outcome.CodeCallerGone, "the caller went away", 0)
+	case ctx.Err() != nil:
+		return x.stopped(outcome.CodeDeadline, "the deadline passed during the stages", noUpstreamRetry)
+	}
+	return x.stopped(outcome.CodeUpstreamFailed, err.Error(), noUpstreamRetry)
+}
+
+// stages returns the stages that the request has, or nil.
+func (x *run) stages() []stagework.Stage {
+	var stages []stagework.Stage
+	some := false
+	for i, st := range x.route.Stages {
+		pieces := 0
+		if i < len(x.req.Pieces) {
+			pieces = x.req.Pieces[i]
+		}
+		some = some || pieces > 0
+		stages = append(stages, stagework.Stage{
+			Service:     st.Service,
+			After:       st.After,
+			Pieces:      pieces,
+			ResultBytes: st.ResultBytes,
+		})
+	}
+	if !some {
+		return nil
+	}
+	return stages
+}
+
+func (x *run) release() {
+	if x.ticket != nil {
+		x.ticket.Release()
+		x.ticket = nil
+	}
+}
+
+// firstAnswerTime is the time from a call to the first event on this route.
+func (x *run) firstAnswerTime() time.Duration {
+	if d, ok := x.forwarder.times.Quantile(x.route.Name, firstAnswerQuantile); ok {
+		return d
+	}
+	return firstAnswerGuess
+}
+
+// affinity names the longest beginning of the prompt that other requests share.
+func (x *run) affinity() uint64 {
+	if len(x.req.Prompt) < 2 {
+		return 0
+	}
+	return xxhash.Sum64String(x.req.Prompt[len(x.req.Prompt)-2].ID)
+}
+
+func (x *run) upstreamRequest() upstream.Request {
+	slots := 0
+	if x.service.Engine != nil {
+		slots = x.service.Engine.Slots
+	}
+	return upstream.Request{
+		Pool: &table.Pool{
+			Name:        x.service.Name,
+			Service:     x.service.Name,
+			Concurrency: slots,
+		},
+		Affinity: x.affinity(),
+		Exclude:  x.tried,
+	}
+}
+
+// pick chooses an upstream that the request has not been offered to.
+func (x *run) pick() (upstream.Choice, error) {
+	choice, err := x.forwarder.cfg.Upstreams.Pick(x.upstreamRequest())
+	if err != nil {
+		return choice, err
+	}
+	x.tried = append(slices.Clip(x.tried), choice.Addr)
+	return choice, nil
+}
+
+func (x *run) call(choice upstream.Choice) Call {
+	return Call{
+		Addr:        choice.Addr,
+		Incarnation: choice.Incarnation,
+		Request:     x.req,
+		Workspace:   x.workspace.Name,
+		Remaining:   time.Until(x.deadline),
+		Priority:    x.priority,
+		Engine:      x.service.Engine != nil,
+		Inputs:      x.inputs,
+		ResumeAfter: x.lastID,
+		Resume:      x.hasLast,
+		Repeatable:  x.route.Kind.Repeatable(),
+	}
+}
+
+// mayRetry reports whether the request may be offered once more after a failure. An
+// offer that did not reach an upstream is free; any other draws on the budget.
+func (x *run) mayRetry(failure *pipeline.CallError) bool {
+	x.failure = failure
+	switch {
+	case failure.Reach == pipeline.NotSent:
+		return len(x.tried) <= x.route.MaxAttempts+maxRefusals
+	case failure.Reach < pipeline.MayHaveRun:
+		x.refusals++
+		if x.refusals > maxRefusals {
+			return false
+		}
+	default:
+		x.attempts++
+		if !x.route.Kind.Repeatable() || x.attempts >= max(x.route.MaxAttempts, 1) {
+			return false
+		}
+	}
+	return x.forwarder.budget(x.service.Name).Withdraw()
+}
+
+// stopped is the one place where a request that was prepared gets an outcome without
+// an answer. It is NotRun only if no upstream may have acted on it.
+func (x *run) stopped(code outcome.Code, message string, retryAfter time.Duration) outcome.Outcome {
+	if x.attempts == 0 && !x.begun {
+		return *x.notRun(code, message, retryAfter)
+	}
+	if x.route.Kind.Repeatable() {
+		return outcome.Failed{
+			RequestID:  x.req.ID,
+			Code:       code,
+			Message:    message,
+			RetryAfter: retryAfter,
+		}
+	}
+	return outcome.Unknown{
+		RequestID: x.req.ID,
+		Code:      code,
+		Message:   message,
+	}
+}
+
+// explain turns the end of the last attempt into an outcome.
+func (x *run) explain(ctx context.Context, err error) outcome.Outcome {
+	var none *upstream.NoneError
+	var failure *pipeline.CallError
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return x.stopped(outcome.CodeCallerGone, "the caller went away", 0)
+	case ctx.Err() != nil:
+		return x.stopped(outcome.CodeDeadline, "the deadline passed", noUpstreamRetry)
+	case errors.As(err, &none):
+		retry := none.RetryAfter
+		if retry == 0 {
+			retry = noUpstreamRetry
+		}
+		if x.failure != nil {
+			return x.stopped(outcome.CodeUpstreamBroken, fmt.Sprintf("%v, after %v", none, x.failure), retry)
+		}
+		return x.stopped(outcome.CodeNoUpstream, none.Error(), retry)
+	case errors.As(err, &failure) && failure.Reach < pipeline.MayHaveRun:
+		return x.stopped(outcome.CodeOverloaded, failure.Error(), noUpstreamRetry)
+	}
+	return x.stopped(outcome.CodeUpstreamBroken, err.Error(), noUpstreamRetry)
+}
+
+// note records the end of an attempt with the upstream's state.
+func (x *run) note(choice upstream.Choice, began time.Time, first time.Duration, failure *pipeline.CallError, load *upstream.Load) {
+	res := upstream.Result{
+		Outcome: upstream.OK,
+		Latency: first,
+		Load:    load,
+	}
+	if failure == nil {
+		choice.Done(res)
+		return
+	}
+	res.Latency = time.Since(began)
+	switch {
+	case errors.Is(failure.Err, context.Canceled):
+		res.Outcome = upstream.Cancelled
+	case failure.TimedOut:
+		res.Outcome = upstream.TimedOut
+	case failure.Reach == pipeline.RefusedLeaving:
+		res.Outcome = upstream.LeftPool
+	case failure.Reach == pipeline.NotSent:
+		res.Outcome = upstream.Refused
+	case failure.Reach == pipeline.Refused:
+		res.Outcome = upstream.Overloaded
+	default:
+		res.Outcome = upstream.Failed
+	}
+	choice.Done(res)
+	x.forwarder.cfg.Logger.Info("attempt failed",
+		zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("addr", choice.Addr),
+		zap.Int("reach", int(failure.Reach)), zap.Duration("took_ms", res.Latency), zap.Error(failure.Err))
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,152 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/eventstream"
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/upstream"
+)
+
+// errNoEvents reports a stream that ended before its first event.
+var errNoEvents = errors.New("the stream ended without an event")
+
+// errCallerGone reports that the caller takes no more events.
+var errCallerGone = errors.New("the caller takes no more events")
+
+// stream serves a request whose answer is a stream of events.
+func (x *run) stream(ctx context.Context) outcome.Outcome {
+	for {
+		choice, err := x.pick()
+		if err != nil {
+			return x.explain(ctx, err)
+		}
+		failure := x.streamFrom(ctx, choice)
+		if failure == nil {
+			return x.answered()
+		}
+		if ctx.Err() != nil || !x.mayRetry(failure) {
+			return x.explain(ctx, failure)
+		}
+		if stopped := x.renewInputs(ctx); stopped != nil {
+			return stopped
+		}
+		x.forwarder.cfg.Logger.Info("stream goes on at another upstream",
+			zap.String("request_id", x.req.ID), zap.Int64("last_event_id", x.lastID), zap.Bool("begun", x.begun))
+	}
+}
+
+// renewInputs has the stages done again if their results were given up already.
+func (x *run) renewInputs(ctx context.Context) outcome.Outcome {
+	if x.inputs == nil || x.ticket != nil {
+		return nil
+	}
+	return x.runStages(ctx)
+}
+
+// streamFrom passes on the events of one upstream until the stream ends.
+func (x *run) streamFrom(ctx context.Context, choice upstream.Choice) *pipeline.CallError {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	began := time.Now()
+	var first time.Duration
+	reply, err := x.forwarder.cfg.Caller.Call(ctx, x.call(choice))
+	if err != nil {
+		failure := callError(choice, err)
+		x.note(choice, began, 0, failure, nil)
+		return failure
+	}
+	defer reply.Body.Close()
+	if failure := x.streamRefusal(choice, reply); failure != nil {
+		x.note(choice, began, 0, failure, reply.Load)
+		return failure
+	}
+	if reply.Status != http.StatusOK || !reply.Genuine {
+		return x.streamWithoutEvents(choice, began, reply)
+	}
+	x.release()
+	err = x.pass(reply, func() {
+		first = time.Since(began)
+		x.forwarder.times.Observe(x.route.Name, first)
+	})
+	var failure *pipeline.CallError
+	if err != nil {
+		failure = broken(choice, err)
+		if errors.Is(err, errCallerGone) {
+			failure.Err = context.Canceled
+		}
+	}
+	x.note(choice, began, first, failure, reply.Load)
+	return failure
+}
+
+func (x *run) streamRefusal(choice upstream.Choice, reply *Reply) *pipeline.CallError {
+	failure := x.refusal(choice, reply)
+	if failure == nil {
+		return nil
+	}
+	drain(reply.Body)
+	if reply.InputGone {
+		x.release()
+	}
+	return failure
+}
+
+// streamWithoutEvents passes on an answer that is no stream: the upstream's failure.
+func (x *run) streamWithoutEvents(choice upstream.Choice, began time.Time, reply *Reply) *pipeline.CallError {
+	failure := broken(choice, errNotGenuine)
+	if reply.Genuine {
+		body, err := io.ReadAll(io.LimitReader(reply.Body, x.forwarder.cfg.MaxAnswerBytes))
+		failure = x.upstreamFailed(choice, began, reply, wholeAnswer{}).failure
+		if err == nil && !x.begun && !promisesNotRun(reply.Status) && !x.route.Kind.Repeatable() {
+			x.answer.Whole(reply.Status, reply.Header, body)
+			return nil
+		}
+		return failure
+	}
+	x.note(choice, began, 0, failure, reply.Load)
+	return failure
+}
+
+// pass passes events on until the stream ends whole. The answer begins with the first
+// event, so that until then another upstream can take over without a trace.
+func (x *run) pass(reply *Reply, onFirst func()) error {
+	events := eventstream.NewReader(reply.Body)
+	some := false
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if !x.begun {
+				return errNoEvents
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if !some {
+			some = true
+			onFirst()
+		}
+		if e.HasID && x.hasLast && e.ID <= x.lastID {
+			continue // The caller has it already.
+		}
+		if !x.begun {
+			x.begun = true
+			x.answer.Begin(reply.Status, reply.Header)
+		}
+		if err := x.answer.Event(e.Raw); err != nil {
+			return errCallerGone
+		}
+		if e.HasID {
+			x.lastID, x.hasLast = e.ID, true
+		}
+	}
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -11,13 +11,14 @@
 )
 
 // Config says what is logged and where. Its zero value logs JSON lines of level
-// info and above to the standard error.
+// info and above to the standard output.
 type Config struct {
 	// Level is debug, info, warn or error. Empty means info.
 	Level string
 	// Format is json or console. Empty means json.
 	Format string
-	// Output receives the lines. Nil means the standard error.
+	// Output receives the lines. Nil means the standard output, through a queue that
+	// drops lines rather than hold up the process.
 	Output io.Writer
 }
 
@@ -37,7 +38,7 @@
 	}
 	output := config.Output
 	if output == nil {
-		output = os.Stderr
+		output = newQueue(os.Stdout)
 	}
 	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(output)), level)
 	return zap.New(core), nil
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -72,6 +72,8 @@
 	// Records and Forwarder may be nil; calls that need them are then refused.
 	Records   Records
 	Forwarder Forwarder
+	// StageWorker may be nil.
+	StageWorker StageWorker
 	// Logger may be nil.
 	Logger *zap.Logger
 	// DialTimeout bounds the making of one connection.
--- /dev/null
+++ b/internal/peer/stagework.go
@@ -0,0 +1,215 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"sequoiafork/internal/membership"
+	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// StageWorker does the stages of requests for peers.
+type StageWorker interface {
+	Submit(j stagework.Job) (*stagework.Ticket, error)
+}
+
+// StageTicket is a job that a peer has taken.
+type StageTicket struct {
+	stream grpc.BidiStreamingClient[peerpb.StageWorkRequest, peerpb.StageWorkResponse]
+	cancel context.CancelFunc
+	addr   string
+}
+
+// StageWork hands a job to the member that owns the stage upstreams. The error is a
+// *stagework.RefusedError if the owner refused it, and else a *CallError. patience
+// bounds the wait for the owner's word on whether it takes the job.
+func (n *Node) StageWork(ctx context.Context, m membership.Member, j stagework.Job, patience time.Duration) (*StageTicket, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	t := &StageTicket{
+		cancel: cancel,
+		addr:   m.PeerAddr,
+	}
+	late := time.AfterFunc(patience, cancel)
+	err := t.open(ctx, n, j)
+	if !late.Stop() && err == nil {
+		err = context.DeadlineExceeded
+	}
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *StageTicket) open(ctx context.Context, n *Node, j stagework.Job) error {
+	conn, err := n.conn(ctx, t.addr)
+	if err != nil {
+		return t.failed(err)
+	}
+	t.stream, err = peerpb.NewPeerClient(conn).StageWork(ctx)
+	if err != nil {
+		return t.failed(err)
+	}
+	if err := t.stream.Send(stageWorkRequest(j)); err != nil {
+		return t.failed(err)
+	}
+	resp, err := t.stream.Recv()
+	if err != nil {
+		return t.failed(err)
+	}
+	if resp.GetTaken() {
+		return nil
+	}
+	return stageWorkError(resp)
+}
+
+func (t *StageTicket) failed(err error) error {
+	return &CallError{
+		Addr: t.addr,
+		Sent: t.stream != nil,
+		Err:  err,
+	}
+}
+
+// Wait returns the handles of the results of the final stages. The error is a
+// *stagework.RefusedError, a *stagework.FailedError or a *CallError.
+func (t *StageTicket) Wait() ([]string, error) {
+	resp, err := t.stream.Recv()
+	if err != nil {
+		return nil, t.failed(err)
+	}
+	if resp.GetRefused() != nil || resp.GetFailed() != "" {
+		return nil, stageWorkError(resp)
+	}
+	return resp.GetHandles(), nil
+}
+
+// Release ends the job; the owner frees its results.
+func (t *StageTicket) Release() { t.cancel() }
+
+func stageWorkError(resp *peerpb.StageWorkResponse) error {
+	if r := resp.GetRefused(); r != nil {
+		return &stagework.RefusedError{
+			Message:    r.GetMessage(),
+			RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		}
+	}
+	return &stagework.FailedError{
+		Service: resp.GetFailedService(),
+		Message: resp.GetFailed(),
+	}
+}
+
+// StageWork does a job for a peer until the peer ends the call.
+func (s *server) StageWork(st grpc.BidiStreamingServer[peerpb.StageWorkRequest, peerpb.StageWorkResponse]) error {
+	if s.node.cfg.StageWorker == nil {
+		return status.Error(codes.Unavailable, "no stage work here")
+	}
+	req, err := st.Recv()
+	if err != nil {
+		return err
+	}
+	ticket, err := s.node.cfg.StageWorker.Submit(stageJob(req, time.Now()))
+	if err != nil {
+		return st.Send(stageWorkResponse(nil, err))
+	}
+	defer ticket.Release()
+	if err := st.Send(&peerpb.StageWorkResponse{
+		Taken: true,
+	}); err != nil {
+		return err
+	}
+	handles, err := ticket.Wait(st.Context())
+	if st.Context().Err() != nil {
+		return st.Context().Err()
+	}
+	if err := st.Send(stageWorkResponse(handles, err)); err != nil {
+		return err
+	}
+	<-st.Context().Done()
+	return nil
+}
+
+func stageWorkResponse(handles []string, err error) *peerpb.StageWorkResponse {
+	var refused *stagework.RefusedError
+	var failed *stagework.FailedError
+	switch {
+	case err == nil:
+		return &peerpb.StageWorkResponse{
+			Handles: handles,
+		}
+	case errors.As(err, &refused):
+		return &peerpb.StageWorkResponse{
+			Refused: &peerpb.StageWorkRefusal{
+				Message:      refused.Message,
+				RetryAfterMs: refused.RetryAfter.Milliseconds(),
+			},
+		}
+	case errors.As(err, &failed):
+		return &peerpb.StageWorkResponse{
+			Failed:        failed.Message,
+			FailedService: failed.Service,
+		}
+	}
+	return &peerpb.StageWorkResponse{
+		Failed: fmt.Sprint(err),
+	}
+}
+
+func stageWorkRequest(j stagework.Job) *peerpb.StageWorkRequest {
+	now := time.Now()
+	req := &peerpb.StageWorkRequest{
+		RequestId:   j.RequestID,
+		Key:         j.Key,
+		Priority:    int32(j.Priority),
+		ObjectiveMs: j.Objective.Sub(now).Milliseconds(),
+		DeadlineMs:  j.Deadline.Sub(now).Milliseconds(),
+		RemainingMs: j.Remaining.Milliseconds(),
+		DataCentre:  j.DataCentre,
+	}
+	for _, st := range j.Stages {
+		after := make([]int32, len(st.After))
+		for i, a := range st.After {
+			after[i] = int32(a)
+		}
+		req.Stages = append(req.Stages, &peerpb.StageWorkStage{
+			Service:     st.Service,
+			After:       after,
+			Pieces:      int32(st.Pieces),
+			ResultBytes: st.ResultBytes,
+		})
+	}
+	return req
+}
+
+func stageJob(req *peerpb.StageWorkRequest, now time.Time) stagework.Job {
+	j := stagework.Job{
+		RequestID:  req.GetRequestId(),
+		Key:        req.GetKey(),
+		Priority:   int(req.GetPriority()),
+		Objective:  now.Add(time.Duration(req.GetObjectiveMs()) * time.Millisecond),
+		Deadline:   now.Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond),
+		Remaining:  time.Duration(req.GetRemainingMs()) * time.Millisecond,
+		DataCentre: req.GetDataCentre(),
+	}
+	for _, st := range req.GetStages() {
+		after := make([]int, len(st.GetAfter()))
+		for i, a := range st.GetAfter() {
+			after[i] = int(a)
+		}
+		j.Stages = append(j.Stages, stagework.Stage{
+			Service:     st.GetService(),
+			After:       after,
+			Pieces:      int(st.GetPieces()),
+			ResultBytes: st.GetResultBytes(),
+		})
+	}
+	return j
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -29,8 +29,12 @@
 // check fills Settings from the texts and the defaults and notes every problem.
 func (l *loader) check() Settings {
 	var s Settings
+	kind := l.platformKind()
 	for i, f := range l.fields {
 		given := l.texts[i]
+		if !given.given && f.required && f.kind != "" && f.kind != kind {
+			continue
+		}
 		if !given.given && f.required {
 			l.problem(f.section, f.key, "", "missing", f.allowed)
 			continue
@@ -51,6 +55,20 @@
 	return s
 }
 
+// platformKind returns the kind of platform that the texts name.
+func (l *loader) platformKind() string {
+	for i, f := range l.fields {
+		if f.section != "platform" || f.key != "kind" {
+			continue
+		}
+		if l.texts[i].given {
+			return l.texts[i].value
+		}
+		return f.text
+	}
+	return ""
+}
+
 // checkTogether notes fields that are allowed alone but not together.
 func (l *loader) checkTogether(s Settings) {
 	seen := map[string]string{}
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -16,6 +16,8 @@
 	// text is the default, or an example where the field is required.
 	text     string
 	required bool
+	// kind is the kind of platform that needs the field. Empty means every kind.
+	kind string
 	set      func(s *Settings, text string) error
 }
 
@@ -103,7 +105,8 @@
 	})
 }
 
-func (g *group) requiredAddr(key, about, example string, place func(*Settings) *string) {
+// requiredAddr adds the address of a peer that a kind of platform has.
+func (g *group) requiredAddr(kind, key, about, example string, place func(*Settings) *string) {
 	g.add(field{
 		key:      key,
 		about:    about,
@@ -111,6 +114,7 @@
 		allowed:  allowedAddr,
 		text:     example,
 		required: true,
+		kind:     kind,
 		set:      target(parseAddr, place),
 	})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,12 @@
 // reads: SEQUOIAFORKD_LIMITS_MAX_IN_FLIGHT sets max_in_flight of [limits].
 const EnvPrefix = "SEQUOIAFORKD"
 
+// Kinds of platform.
+const (
+	KindLog      = "log"
+	KindKeyedLog = "keyed_log"
+)
+
 // Settings is everything a daemon is told when it starts.
 type Settings struct {
 	Daemon   Daemon
@@ -45,6 +51,11 @@
 
 // Platform says where the platform's services are and how much to ask of them.
 type Platform struct {
+	// Kind is KindLog or KindKeyedLog. It says which of the addresses are set.
+	Kind                 string
+	StoreAddr            string
+	ReadyAddr            string
+	DirectoryAddr        string
 	LogAddr              string
 	LogStream            string
 	LogTimeout           time.Duration
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -70,6 +70,9 @@
 	want.Daemon = got.Daemon
 	want.Platform.LogAddr = got.Platform.LogAddr
 	want.Platform.HostListAddr = got.Platform.HostListAddr
+	want.Platform.StoreAddr = got.Platform.StoreAddr
+	want.Platform.ReadyAddr = got.Platform.ReadyAddr
+	want.Platform.DirectoryAddr = got.Platform.DirectoryAddr
 	require.Equal(t, want, got)
 }
 
--- /dev/null
+++ b/internal/stagework/dispatch.go
@@ -0,0 +1,233 @@
+package stagework
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sequoiafork/internal/routing"
+)
+
+const (
+	// largeResult is the size from which results are made near where they go.
+	largeResult = 100 << 10
+	// slowPace is the pace from which an upstream gets work only when no other can
+	// take it.
+	slowPace = 2.0
+	// dispatchAgain is the pause before another look while upstreams pause or have no
+	// room.
+	dispatchAgain = 25 * time.Millisecond
+)
+
+// callTime is the expected time of a call.
+func callTime(spec routing.Batch, items int) time.Duration {
+	return spec.CallTime + time.Duration(items)*spec.ItemTime
+}
+
+// dispatch starts every call that can be started. The lock is held.
+func (s *Scheduler) dispatch() {
+	now := time.Now()
+	again := false
+	for _, svc := range s.services {
+		s.expire(svc, now)
+		again = s.dispatchService(svc, now) || again
+	}
+	if again && s.wake == nil {
+		s.wake = time.AfterFunc(dispatchAgain, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.wake = nil
+			s.dispatch()
+		})
+	}
+}
+
+// expire gives up the jobs in the queue that can't meet their deadline any longer.
+func (s *Scheduler) expire(svc *service, now time.Time) {
+	var late []*job
+	for _, p := range svc.queue {
+		if !p.job.finished && p.job.left(now) < s.leastTime(p.job, p.stage) {
+			late = append(late, p.job)
+		}
+	}
+	for _, j := range late {
+		s.finish(j, &RefusedError{
+			Message:    "the stages can't be done before the deadline",
+			RetryAfter: s.comeBack(svc.name),
+		})
+	}
+}
+
+// leastTime is the least time that the stages from st on take.
+func (s *Scheduler) leastTime(j *job, st *stage) time.Duration {
+	var least time.Duration
+	if svc, ok := s.services[st.Service]; ok {
+		least = callTime(svc.spec, 1)
+	}
+	var after time.Duration
+	for _, next := range j.stages {
+		if next.Pieces > 0 && slices.Contains(next.After, st.index) {
+			after = max(after, s.leastTime(j, next))
+		}
+	}
+	return least + after
+}
+
+// dispatchService starts calls of one service and reports whether work is left that
+// nothing but time will start.
+func (s *Scheduler) dispatchService(svc *service, now time.Time) bool {
+	if len(svc.queue) == 0 {
+		return false
+	}
+	svc.sort(now)
+	idle := svc.idle(now)
+	for len(svc.queue) > 0 && len(idle) > 0 {
+		u := svc.choose(idle, svc.queue[0], now)
+		pieces := svc.fill(u, idle, now)
+		if len(pieces) == 0 {
+			idle = slices.DeleteFunc(idle, func(o *upstream) bool { return o == u })
+			continue
+		}
+		s.start(svc, u, pieces, now)
+		if u.calls >= svc.spec.Concurrency {
+			idle = slices.DeleteFunc(idle, func(o *upstream) bool { return o == u })
+		}
+	}
+	return len(svc.queue) > 0
+}
+
+// sort orders the queue: what can still meet its objective first, then by priority,
+// then by objective. The pieces of one job stay together.
+func (svc *service) sort(now time.Time) {
+	if !svc.unsorted {
+		return
+	}
+	svc.unsorted = false
+	slices.SortStableFunc(svc.queue, func(a, b *piece) int { return compareJobs(a.job, b.job, now) })
+}
+
+func compareJobs(a, b *job, now time.Time) int {
+	return cmp.Or(
+		cmp.Compare(lateness(a, now), lateness(b, now)),
+		cmp.Compare(a.Priority, b.Priority),
+		a.Objective.Compare(b.Objective),
+		cmp.Compare(a.RequestID, b.RequestID),
+	)
+}
+
+func lateness(j *job, now time.Time) int {
+	if now.Add(j.Remaining).After(j.Objective) {
+		return 1
+	}
+	return 0
+}
+
+// idle returns the upstreams that can take a call. Slow ones are left out while the
+// others can take what waits.
+func (svc *service) idle(now time.Time) []*upstream {
+	var idle, slow []*upstream
+	for _, u := range svc.upstreams {
+		switch {
+		case u.leaving || u.calls >= svc.spec.Concurrency || now.Before(u.pauseTill):
+		case u.pace >= slowPace:
+			slow = append(slow, u)
+		default:
+			idle = append(idle, u)
+		}
+	}
+	if len(idle) == 0 || len(svc.queue) > len(idle)*svc.spec.Size {
+		idle = append(idle, slow...)
+	}
+	slices.SortFunc(idle, func(a, b *upstream) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return idle
+}
+
+// choose returns the best upstream for a piece: near, then with the most room.
+func (svc *service) choose(idle []*upstream, p *piece, now time.Time) *upstream {
+	place := p.place()
+	var best *upstream
+	better := func(u *upstream) bool {
+		if best == nil {
+			return true
+		}
+		if (u.pace >= slowPace) != (best.pace >= slowPace) {
+			return u.pace < slowPace
+		}
+		if near := u.DataCentre == place; near != (best.DataCentre == place) {
+			return near
+		}
+		return u.room(svc.spec.RoomBytes, now) > best.room(svc.spec.RoomBytes, now)
+	}
+	for _, u := range idle {
+		if u.room(svc.spec.RoomBytes, now) >= p.stage.ResultBytes && better(u) {
+			best = u
+		}
+	}
+	if best == nil {
+		return idle[0]
+	}
+	return best
+}
+
+// fill takes the pieces of one call out of the queue. A large piece is left for an
+// idle upstream that is nearer to where its result goes. Once a piece has found no
+// room, no later one that is as large goes before it.
+func (svc *service) fill(u *upstream, idle []*upstream, now time.Time) []*piece {
+	room := u.room(svc.spec.RoomBytes, now)
+	var pieces []*piece
+	barrier := svc.spec.RoomBytes + 1
+	rest := svc.queue[:0]
+	for _, p := range svc.queue {
+		size := p.stage.ResultBytes
+		switch {
+		case len(pieces) == svc.spec.Size || size >= barrier:
+			rest = append(rest, p)
+		case size > room:
+			barrier = size
+			rest = append(rest, p)
+		case size >= largeResult && svc.nearer(u, idle, p, now):
+			rest = append(rest, p)
+		default:
+			room -= size
+			pieces = append(pieces, p)
+		}
+	}
+	svc.queue = rest
+	return pieces
+}
+
+// nearer reports whether another idle upstream with room is where p is best made.
+func (svc *service) nearer(u *upstream, idle []*upstream, p *piece, now time.Time) bool {
+	place := p.place()
+	if place == "" || u.DataCentre == place {
+		return false
+	}
+	for _, o := range idle {
+		if o.DataCentre == place && o.pace < slowPace && o.room(svc.spec.RoomBytes, now) >= p.stage.ResultBytes {
+			return true
+		}
+	}
+	return false
+}
+
+// start makes one call in a goroutine of its own.
+func (s *Scheduler) start(svc *service, u *upstream, pieces []*piece, now time.Time) {
+	items := make([]Item, len(pieces))
+	for i, p := range pieces {
+		p.state = running
+		p.job.begun = true
+		u.held += p.stage.ResultBytes
+		items[i] = Item{
+			RequestID: p.job.RequestID,
+			Stage:     p.stage.index,
+			Piece:     p.index,
+			Left:      p.job.left(now),
+			Inputs:    p.job.inputs(p.stage),
+		}
+		if len(p.stage.After) == 0 {
+			items[i].Key = p.job.Key
+		}
+	}
+	u.calls++
+	go s.runCall(u, svc.spec, pieces, items)
+}
--- /dev/null
+++ b/internal/stagework/job.go
@@ -0,0 +1,170 @@
+package stagework
+
+import (
+	"context"
+	"time"
+)
+
+// job is a Job while it is worked on. The scheduler's lock guards it.
+type job struct {
+	Job
+	stages   []*stage
+	unfinal  int // pieces of final stages that are not done
+	waiting  int // pieces that are neither done nor in a call
+	finished bool
+	done     chan struct{}
+	err      error
+	handles  []string
+	begun    bool
+	// final says of each stage whether no other stage takes its results.
+	final []bool
+}
+
+// stage is one stage of a job.
+type stage struct {
+	Stage
+	index  int
+	pieces []*piece
+	// open is the number of pieces that are not done.
+	open int
+	// readers is the number of pieces of later stages that still need the results.
+	readers int
+}
+
+type pieceState int
+
+const (
+	blocked pieceState = iota // waits for the results of other stages
+	queued
+	running
+	finished
+	freed
+)
+
+// piece is one unit of work.
+type piece struct {
+	job   *job
+	stage *stage
+	index int
+	state pieceState
+	tries int
+	// at holds the result once state is finished.
+	at     *upstream
+	handle string
+}
+
+func newJob(j Job) *job {
+	x := &job{
+		Job:   j,
+		done:  make(chan struct{}),
+		final: make([]bool, len(j.Stages)),
+	}
+	for i, st := range j.Stages {
+		s := &stage{
+			Stage: st,
+			index: i,
+			open:  st.Pieces,
+		}
+		for n := range st.Pieces {
+			s.pieces = append(s.pieces, &piece{
+				job:   x,
+				stage: s,
+				index: n,
+			})
+		}
+		x.stages = append(x.stages, s)
+		x.final[i] = st.Pieces > 0
+		x.waiting += st.Pieces
+	}
+	for _, s := range x.stages {
+		for _, input := range s.After {
+			x.stages[input].readers += s.Pieces
+			if s.Pieces > 0 {
+				x.final[input] = false
+			}
+		}
+	}
+	for i, s := range x.stages {
+		if x.final[i] {
+			x.unfinal += s.Pieces
+		}
+	}
+	return x
+}
+
+// check reports stages that take results of themselves or of later stages.
+func (j Job) check() error {
+	for i, st := range j.Stages {
+		for _, input := range st.After {
+			if input < 0 || input >= i {
+				return &FailedError{
+					Service: st.Service,
+					Message: "the stage takes the results of a stage that is not before it",
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// ready reports whether all inputs of s are done.
+func (j *job) ready(s *stage) bool {
+	for _, input := range s.After {
+		if j.stages[input].open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// inputs returns the handles that a piece of s takes.
+func (j *job) inputs(s *stage) []string {
+	var handles []string
+	for _, input := range s.After {
+		for _, p := range j.stages[input].pieces {
+			handles = append(handles, p.handle)
+		}
+	}
+	return handles
+}
+
+// place returns the data centre where a piece is best made: where its inputs are, or
+// where the results go.
+func (p *piece) place() string {
+	for _, input := range p.stage.After {
+		for _, q := range p.job.stages[input].pieces {
+			if q.at != nil {
+				return q.at.DataCentre
+			}
+		}
+	}
+	return p.job.DataCentre
+}
+
+// Ticket is a job that was taken. Release must be called once nobody needs its
+// results any longer, also when it failed.
+type Ticket struct {
+	scheduler *Scheduler
+	job       *job
+}
+
+// Wait returns the handles of the results of all final stages, in order, or why
+// there are none: a *RefusedError, a *FailedError or the error of ctx.
+func (t *Ticket) Wait(ctx context.Context) ([]string, error) {
+	select {
+	case <-t.job.done:
+		return t.job.handles, t.job.err
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+// Release ends the job: what is queued is dropped and what is done is freed.
+func (t *Ticket) Release() {
+	t.scheduler.release(t.job)
+}
+
+// left is the time that the job's stages may still take.
+func (j *job) left(now time.Time) time.Duration {
+	return j.Deadline.Sub(now) - j.Remaining
+}
--- /dev/null
+++ b/internal/stagework/scheduler.go
@@ -0,0 +1,384 @@
+package stagework
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/routing"
+)
+
+// Scheduler owns the upstreams of all stage services. It is safe for concurrent use.
+type Scheduler struct {
+	cfg Config
+
+	mu       sync.Mutex
+	services map[string]*service
+	jobs     map[*job]struct{}
+	wake     *time.Timer
+}
+
+// service is the upstreams of one service and the pieces that wait for them.
+type service struct {
+	name      string
+	spec      routing.Batch
+	upstreams map[string]*upstream
+	queue     []*piece
+	unsorted  bool
+}
+
+// New returns a scheduler without services.
+func New(cfg Config) *Scheduler {
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	return &Scheduler{
+		cfg:      cfg,
+		services: make(map[string]*service),
+		jobs:     make(map[*job]struct{}),
+	}
+}
+
+// SetServices takes over the stage services of new tables. Services without a batch
+// are left out.
+func (s *Scheduler) SetServices(list []routing.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, svc := range list {
+		if svc.Batch == nil {
+			continue
+		}
+		if known, ok := s.services[svc.Name]; ok {
+			known.spec = *svc.Batch
+			continue
+		}
+		x := serviceOf(svc)
+		x.upstreams = make(map[string]*upstream)
+		s.services[svc.Name] = x
+	}
+	s.dispatch()
+}
+
+// SetUpstreams takes over the upstreams that may get work. Those that are missing
+// finish the calls that they have.
+func (s *Scheduler) SetUpstreams(list []Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	named := make(map[string]bool, len(list))
+	for _, u := range list {
+		svc, ok := s.services[u.Service]
+		if !ok {
+			continue
+		}
+		named[u.Incarnation] = true
+		if known, ok := svc.upstreams[u.Incarnation]; ok {
+			known.leaving = false
+			continue
+		}
+		svc.upstreams[u.Incarnation] = newUpstream(u)
+	}
+	for _, svc := range s.services {
+		for id, u := range svc.upstreams {
+			if named[id] {
+				continue
+			}
+			u.leaving = true
+			if u.calls == 0 && u.held == 0 {
+				delete(svc.upstreams, id)
+			}
+		}
+	}
+	s.dispatch()
+}
+
+// Submit takes a job, or returns a *RefusedError if it can't be expected to be done
+// in time.
+func (s *Scheduler) Submit(j Job) (*Ticket, error) {
+	if err := j.check(); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if err := s.admit(j, now); err != nil {
+		return nil, err
+	}
+	x := newJob(j)
+	s.jobs[x] = struct{}{}
+	if x.unfinal == 0 {
+		s.finish(x, nil)
+	}
+	s.enqueueReady(x)
+	s.dispatch()
+	return &Ticket{
+		scheduler: s,
+		job:       x,
+	}, nil
+}
+
+// Len returns the number of jobs that were not released.
+func (s *Scheduler) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.jobs)
+}
+
+// enqueueReady queues the pieces whose inputs are done.
+func (s *Scheduler) enqueueReady(j *job) {
+	for _, st := range j.stages {
+		if !j.ready(st) {
+			continue
+		}
+		for _, p := range st.pieces {
+			if p.state == blocked {
+				s.enqueue(p)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) enqueue(p *piece) {
+	svc, ok := s.services[p.stage.Service]
+	if !ok {
+		s.finish(p.job, &FailedError{
+			Service: p.stage.Service,
+			Message: "the service has no batches",
+		})
+		return
+	}
+	p.state = queued
+	svc.queue = append(svc.queue, p)
+	svc.unsorted = true
+}
+
+// finish ends the wait for a job. Its results stay until it is released.
+func (s *Scheduler) finish(j *job, err error) {
+	if j.finished {
+		return
+	}
+	j.finished = true
+	j.err = err
+	if err == nil {
+		for i, st := range j.stages {
+			if !j.final[i] {
+				continue
+			}
+			for _, p := range st.pieces {
+				j.handles = append(j.handles, p.handle)
+			}
+		}
+	}
+	close(j.done)
+	if err != nil {
+		s.drop(j)
+	}
+}
+
+func (s *Scheduler) release(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.jobs[j]; !ok {
+		return
+	}
+	delete(s.jobs, j)
+	s.finish(j, context.Canceled)
+	s.drop(j)
+	s.dispatch()
+}
+
+// drop takes a job's pieces out of the queues and frees its results. Pieces that are
+// in a call are freed when the call ends.
+func (s *Scheduler) drop(j *job) {
+	for _, svc := range s.services {
+		svc.queue = slices.DeleteFunc(svc.queue, func(p *piece) bool { return p.job == j })
+	}
+	for _, st := range j.stages {
+		for _, p := range st.pieces {
+			s.freePiece(p)
+		}
+	}
+}
+
+// freePiece gives up the result of a piece that is done.
+func (s *Scheduler) freePiece(p *piece) {
+	if p.state != finished {
+		return
+	}
+	p.state = freed
+	s.free(p.at, p.handle, p.stage.ResultBytes)
+}
+
+// complete takes in the result of a piece.
+func (s *Scheduler) complete(p *piece, u *upstream, handle string) {
+	p.state = finished
+	p.at = u
+	p.handle = handle
+	j := p.job
+	if j.finished {
+		s.freePiece(p)
+		return
+	}
+	p.stage.open--
+	s.freeInputs(p)
+	if j.final[p.stage.index] {
+		j.unfinal--
+	}
+	if j.unfinal == 0 {
+		s.finish(j, nil)
+		return
+	}
+	if p.stage.open == 0 {
+		s.enqueueReady(j)
+	}
+}
+
+// freeInputs frees the results of the stages that p was the last piece to take.
+func (s *Scheduler) freeInputs(p *piece) {
+	for _, index := range p.stage.After {
+		input := p.job.stages[index]
+		input.readers--
+		if input.readers > 0 || p.job.final[index] {
+			continue
+		}
+		for _, q := range input.pieces {
+			s.freePiece(q)
+		}
+	}
+}
+
+// runCall makes one call and takes in what came of it.
+func (s *Scheduler) runCall(u *upstream, spec routing.Batch, pieces []*piece, items []Item) {
+	began := time.Now()
+	expected := callTime(spec, len(items))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(callPatience*float64(expected))+callMargin)
+	results, err := s.cfg.Invoker.Run(ctx, u.Upstream, items)
+	cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u.calls--
+	if err == nil && len(results) == len(items) {
+		u.observe(time.Since(began), expected)
+		s.takeResults(u, pieces, results)
+	} else {
+		s.callFailed(u, spec, pieces, err)
+	}
+	s.dispatch()
+}
+
+func (s *Scheduler) takeResults(u *upstream, pieces []*piece, results []ItemResult) {
+	u.failures = 0
+	for i, p := range pieces {
+		switch r := results[i]; r.Reason {
+		case Done:
+			s.complete(p, u, r.Handle)
+		case NoRoom:
+			u.held -= p.stage.ResultBytes
+			u.noteNoRoom(time.Now(), p.stage.ResultBytes)
+			s.cfg.Logger.Info("stage upstream has no room",
+				zap.String("request_id", p.job.RequestID), zap.String("upstream", u.Incarnation), zap.Int64("held_bytes", u.held))
+			s.retry(p, false, "no room for results")
+		case Late:
+			u.held -= p.stage.ResultBytes
+			s.finish(p.job, &RefusedError{
+				Message:    "the time for a stage has passed",
+				RetryAfter: s.comeBack(p.stage.Service),
+			})
+		case InputGone:
+			u.held -= p.stage.ResultBytes
+			s.remakeInputs(p)
+		case ItemFailed:
+			u.held -= p.stage.ResultBytes
+			s.retry(p, true, "a piece failed")
+		}
+	}
+}
+
+// callFailed takes in a call without an answer, whose results may come to be held on
+// the upstream unseen.
+func (s *Scheduler) callFailed(u *upstream, spec routing.Batch, pieces []*piece, err error) {
+	now := time.Now()
+	var full *FullError
+	refused := errors.As(err, &full)
+	u.noteFailure(now, refused)
+	s.cfg.Logger.Info("stage call failed", zap.String("upstream", u.Incarnation), zap.String("addr", u.Addr),
+		zap.Int("pieces", len(pieces)), zap.Int("failures", u.failures), zap.Error(err))
+	for _, p := range pieces {
+		u.held -= p.stage.ResultBytes
+		if !refused {
+			u.noteUnseen(now.Add(spec.ResultLifetime), p.stage.ResultBytes)
+		}
+		s.retry(p, !refused, "the upstream did not answer")
+	}
+}
+
+// retry queues a piece again, unless it has been worked on too often.
+func (s *Scheduler) retry(p *piece, worked bool, message string) {
+	if worked {
+		p.tries++
+	}
+	if p.job.finished {
+		p.state = freed
+		return
+	}
+	if p.tries >= maxTries {
+		s.finish(p.job, &FailedError{
+			Service: p.stage.Service,
+			Message: message,
+		})
+		return
+	}
+	s.enqueue(p)
+}
+
+// remakeInputs makes the inputs of a piece again, because one of them is gone.
+func (s *Scheduler) remakeInputs(p *piece) {
+	p.tries++
+	j := p.job
+	if j.finished || p.tries >= maxTries {
+		s.finish(j, &FailedError{
+			Service: p.stage.Service,
+			Message: "an input is gone",
+		})
+		return
+	}
+	p.state = blocked
+	for _, index := range p.stage.After {
+		input := j.stages[index]
+		if input.open > 0 {
+			continue // Another piece has asked for it already.
+		}
+		s.remake(j, input)
+	}
+	for _, q := range p.stage.pieces {
+		if q.state == queued {
+			q.state = blocked
+		}
+	}
+	for _, svc := range s.services {
+		svc.queue = slices.DeleteFunc(svc.queue, func(q *piece) bool { return q.state == blocked })
+	}
+	s.enqueueReady(j)
+}
+
+// remake queues all pieces of a stage again.
+func (s *Scheduler) remake(j *job, st *stage) {
+	for _, q := range st.pieces {
+		s.freePiece(q)
+		q.state = blocked
+		q.at = nil
+		st.open++
+		for _, index := range st.After {
+			j.stages[index].readers++
+		}
+	}
+	for _, index := range st.After {
+		input := j.stages[index]
+		if input.open == 0 && len(input.pieces) > 0 && input.pieces[0].state == freed {
+			s.remake(j, input)
+		}
+	}
+}
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -20,6 +20,7 @@
 	cfg     *Config
 	service string
 	rng     *rand.Rand
+	// members are the upstreams by the key of their host.
 	members map[string]*member
 	// order is every member, in the order in which this daemon takes them
 	// into its subset.
@@ -55,10 +56,10 @@
 	defer g.mu.Unlock()
 	members := make(map[string]*member, len(hosts))
 	for _, h := range hosts {
-		m, ok := g.members[h.Addr]
+		m, ok := g.members[h.key()]
 		if !ok {
 			m = &member{
-				hash: xxhash.Sum64String(h.Addr),
+				hash: xxhash.Sum64String(h.key()),
 			}
 			if mk, marked := marks[h.Addr]; marked {
 				g.setMark(m, mk, now)
@@ -68,7 +69,7 @@
 			m.mark = mark{}
 		}
 		m.host = h
-		members[h.Addr] = m
+		members[h.key()] = m
 	}
 	g.members = members
 	g.reorder()
--- a/internal/upstream/host.go
+++ b/internal/upstream/host.go
@@ -40,10 +40,21 @@
 
 // Host is one entry of the host list.
 type Host struct {
-	Addr       string
-	DataCentre string
-	Service    string
-	State      State
+	Addr string
+	// Incarnation names the process at the address, where the host list tells it.
+	// Another process at the same address starts with a clean record.
+	Incarnation string
+	DataCentre  string
+	Service     string
+	State       State
+}
+
+// key identifies a host over host lists.
+func (h Host) key() string {
+	if h.Incarnation == "" {
+		return h.Addr
+	}
+	return h.Addr + "/" + h.Incarnation
 }
 
 // Request asks for an upstream.
--- a/internal/upstream/mark.go
+++ b/internal/upstream/mark.go
@@ -9,8 +9,8 @@
 func (g *group) markAddr(addr string, mk mark, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m, ok := g.members[addr]
-	if !ok {
+	m := g.memberAt(addr)
+	if m == nil {
 		return false
 	}
 	if mk.state == Suspect {
@@ -25,6 +25,19 @@
 	return true
 }
 
+// memberAt returns the member at an address, or nil.
+func (g *group) memberAt(addr string) *member {
+	if m, ok := g.members[addr]; ok {
+		return m
+	}
+	for _, m := range g.members {
+		if m.host.Addr == addr {
+			return m
+		}
+	}
+	return nil
+}
+
 // setMark changes m's mark. A leaving upstream stays so: it may refuse
 // connections next, but will not take work again.
 func (g *group) setMark(m *member, mk mark, now time.Time) {
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -20,11 +20,12 @@
 
 // Choice is the upstream for one attempt.
 type Choice struct {
-	Addr       string
-	DataCentre string
-	group      *group
-	member     *member
-	start      start
+	Addr        string
+	Incarnation string
+	DataCentre  string
+	group       *group
+	member      *member
+	start       start
 }
 
 // start is the start of an attempt.
@@ -49,6 +50,22 @@
 	return g.pick(&r, time.Now())
 }
 
+// Prefer returns the data centre of the upstream that Pick would be likely to choose
+// for the request's affinity, or "" if any will do. It counts nothing as in flight.
+func (s *Set) Prefer(r Request) string {
+	g := s.group(r.Pool.Service)
+	if g == nil || r.Affinity == 0 {
+		return ""
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.affine(&r, now); m != nil {
+		return m.host.DataCentre
+	}
+	return ""
+}
+
 func (g *group) pick(r *Request, now time.Time) (Choice, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -69,11 +86,12 @@
 	m.inFlight++
 	m.startSum += now.Sub(g.epoch)
 	return Choice{
-		Addr:       m.host.Addr,
-		DataCentre: m.host.DataCentre,
-		group:      g,
-		member:     m,
-		start:      st,
+		Addr:        m.host.Addr,
+		Incarnation: m.host.Incarnation,
+		DataCentre:  m.host.DataCentre,
+		group:       g,
+		member:      m,
+		start:       st,
 	}, nil
 }
 
--- /dev/null
+++ b/internal/upstreamhttp/pool.go
@@ -0,0 +1,173 @@
+// Package upstreamhttp exchanges HTTP/1.1 requests and answers with upstreams over
+// kept connections, one request at a time on each. It reports exactly how far a
+// request may have come, never repeats one, and never gives an answer to a request
+// that it was not for.
+package upstreamhttp
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Defaults of Config.
+const (
+	// DefaultDialTimeout covers several round trips within a region.
+	DefaultDialTimeout = 400 * time.Millisecond
+	// DefaultSilence is how long written bytes may stay unacknowledged.
+	DefaultSilence = 1500 * time.Millisecond
+	// DefaultIdle is how long a connection is kept whose upstream names no time.
+	DefaultIdle = 4 * time.Second
+)
+
+const (
+	// keepAliveIdle and keepAliveEvery find a connection that went silent.
+	keepAliveIdle  = time.Second
+	keepAliveEvery = 500 * time.Millisecond
+	keepAliveCount = 3
+	// repeatableIdlePart and onceIdlePart are the parts of an upstream's idle time
+	// during which a kept connection takes a request that may be repeated, or not.
+	repeatableIdlePart = 0.8
+	onceIdlePart       = 0.4
+)
+
+// Config configures a Pool. Zero fields mean the defaults.
+type Config struct {
+	DialTimeout time.Duration
+	Silence     time.Duration
+	Idle        time.Duration
+	// OnDial is called for each connection that is made.
+	OnDial func(peer Peer)
+}
+
+// Peer is one process at an address. Connections are never shared between two
+// processes that have the same address one after the other.
+type Peer struct {
+	Addr        string
+	Incarnation string
+}
+
+// Pool keeps connections. It is safe for concurrent use.
+type Pool struct {
+	cfg Config
+
+	mu   sync.Mutex
+	idle map[Peer][]*conn
+}
+
+// New returns a pool.
+func New(cfg Config) *Pool {
+	cfg.DialTimeout = cmp.Or(cfg.DialTimeout, DefaultDialTimeout)
+	cfg.Silence = cmp.Or(cfg.Silence, DefaultSilence)
+	cfg.Idle = cmp.Or(cfg.Idle, DefaultIdle)
+	return &Pool{
+		cfg:  cfg,
+		idle: make(map[Peer][]*conn),
+	}
+}
+
+// Forget closes the idle connections to a peer.
+func (p *Pool) Forget(peer Peer) {
+	p.mu.Lock()
+	list := p.idle[peer]
+	delete(p.idle, peer)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.close()
+	}
+}
+
+// take returns a kept connection that is still open, or a new one.
+func (p *Pool) take(ctx context.Context, peer Peer, repeatable bool) (*conn, error) {
+	for {
+		c := p.pop(peer)
+		if c == nil {
+			return p.dial(ctx, peer)
+		}
+		if c.usable(time.Now(), repeatable) {
+			return c, nil
+		}
+		c.close()
+	}
+}
+
+func (p *Pool) pop(peer Peer) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[peer]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[peer] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[c.peer] = append(p.idle[c.peer], c)
+}
+
+func (p *Pool) dial(ctx context.Context, peer Peer) (*conn, error) {
+	d := net.Dialer{
+		Timeout: p.cfg.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveEvery,
+			Count:    keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return limitSilence(raw, p.cfg.Silence)
+		},
+	}
+	nc, err := d.DialContext(ctx, "tcp", peer.Addr)
+	if err != nil {
+		return nil, err
+	}
+	if p.cfg.OnDial != nil {
+		p.cfg.OnDial(peer)
+	}
+	return newConn(nc, peer, p.cfg.Idle), nil
+}
+
+// limitSilence ends the connection when the other end acknowledges nothing.
+func limitSilence(raw syscall.RawConn, silence time.Duration) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+	})
+	return cmp.Or(err, failed)
+}
+
+// Sweep closes connections that have been idle for too long. Call it now and then.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	var old []*conn
+	p.mu.Lock()
+	for peer, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if c.fresh(now, repeatableIdlePart) {
+				kept = append(kept, c)
+			} else {
+				old = append(old, c)
+			}
+		}
+		p.idle[peer] = kept
+		if len(kept) == 0 {
+			delete(p.idle, peer)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.close()
+	}
+}
