Count an attempt as possibly run before the deadline is looked at

Streams and repeatable calls had the same fault. Ruled out: the classification of the call's error (it said MayHaveRun). Change: count and mayRetry apart; count comes first. Test: internal/forward testdata, whose lines 'hang' said not_run before.

--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,362 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/routing"
+	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/upstream"
+)
+
+// TestScripts plays testdata: "serve" sends one request on a route with the given kind,
+// attempts, timeout and objective to upstreams that behave as the lines of the input
+// say, one line a call, and prints the outcome, the calls and what the caller got.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var result string
+			synctest.Test(t, func(t *testing.T) {
+				result = serveScript(t, d)
+			})
+			return result
+		})
+	})
+}
+
+func serveScript(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	opts := map[string]string{
+		"kind":      "idempotent",
+		"attempts":  "2",
+		"timeout":   "800ms",
+		"objective": "300ms",
+		"leaves":    "0s",
+		"stages":    "0",
+		"key":       "k1",
+		"path":      "/a/x",
+		"tables":    "yes",
+	}
+	for _, arg := range d.CmdArgs {
+		opts[arg.Key] = arg.Vals[0]
+	}
+	script := &scriptedCaller{
+		lines: strings.Split(strings.TrimSpace(d.Input), "\n"),
+	}
+	if strings.TrimSpace(d.Input) == "" {
+		script.lines = nil
+	}
+	stages := &scriptedStages{}
+	f := New(Config{
+		Caller:     script,
+		Stages:     stages,
+		Upstreams:  threeUpstreams(),
+		Table:      tableOf(t, opts),
+		RetryRatio: 0.2,
+		RetryBurst: 10,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if d := durationOf(t, opts["leaves"]); d > 0 {
+		time.AfterFunc(d, cancel)
+	}
+	a := &recordedAnswer{}
+	began := time.Now()
+	req := Request{
+		ID:       "r1",
+		Method:   http.MethodPost,
+		Target:   opts["path"],
+		Path:     opts["path"],
+		Host:     "h",
+		Key:      opts["key"],
+		Received: began,
+	}
+	if opts["stages"] != "0" {
+		req.Pieces = []int{numberOf(t, opts["stages"])}
+	}
+	o := f.Serve(ctx, req, a)
+	took := time.Since(began)
+	cancel()
+	synctest.Wait()
+	return fmt.Sprintf("%s %s after %v\ncalls: %s\ncaller got: %s\nstages: %d submitted, %d released\n",
+		outcome.Name(o), outcome.CodeOf(o), took.Round(time.Millisecond), strings.Join(script.calls, "; "), a, stages.submitted, stages.released)
+}
+
+func tableOf(t *testing.T, opts map[string]string) func() *routing.Table {
+	if opts["tables"] == "no" {
+		return func() *routing.Table { return nil }
+	}
+	kinds := map[string]routing.Kind{
+		"idempotent":       routing.Idempotent,
+		"not_repeatable":   routing.NotRepeatable,
+		"stream":           routing.Stream,
+		"resumable_stream": routing.ResumableStream,
+	}
+	route := routing.Route{
+		Name:        "route",
+		Host:        "h",
+		PathPrefix:  "/a/",
+		Kind:        kinds[opts["kind"]],
+		Timeout:     durationOf(t, opts["timeout"]),
+		Objective:   durationOf(t, opts["objective"]),
+		MaxAttempts: numberOf(t, opts["attempts"]),
+		Targets: []routing.Target{
+			{
+				Service: "s",
+				Weight:  1,
+			},
+		},
+		Stages: []routing.Stage{
+			{
+				Service: "w",
+			},
+		},
+	}
+	table := routing.New(routing.Config{
+		Version: 1,
+		Routes:  []routing.Route{route},
+		Services: []routing.Service{
+			{
+				Name: "s",
+			},
+		},
+		Workspaces: []routing.Workspace{
+			{
+				Name: "ws",
+				Keys: []string{"k1"},
+			},
+		},
+	})
+	return func() *routing.Table { return table }
+}
+
+func threeUpstreams() *upstream.Set {
+	set := upstream.New(upstream.Config{
+		Seed: 1,
+	})
+	var hosts []upstream.Host
+	for i := range 3 {
+		hosts = append(hosts, upstream.Host{
+			Addr:        fmt.Sprintf("10.0.0.%d:80", i+1),
+			Incarnation: fmt.Sprintf("i-%d", i+1),
+			Service:     "s",
+		})
+	}
+	set.Replace(hosts)
+	return set
+}
+
+func durationOf(t *testing.T, text string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatalf("ParseDuration(%q): %v", text, err)
+	}
+	return d
+}
+
+func numberOf(t *testing.T, text string) int {
+	t.Helper()
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("Atoi(%q): %v", text, err)
+	}
+	return n
+}
+
+// scriptedCaller answers each call as its line says.
+type scriptedCaller struct {
+	mu    sync.Mutex
+	lines []string
+	calls []string
+	seen  map[string]bool
+}
+
+func (c *scriptedCaller) Call(ctx context.Context, call Call) (*Reply, error) {
+	c.mu.Lock()
+	line := "hang"
+	if len(c.calls) < len(c.lines) {
+		line = c.lines[len(c.calls)]
+	}
+	if c.seen == nil {
+		c.seen = make(map[string]bool)
+	}
+	where := "another"
+	if c.seen[call.Addr] {
+		where = "the same"
+	}
+	c.seen[call.Addr] = true
+	note := line
+	if call.Resume {
+		note += fmt.Sprintf(" (after event %d)", call.ResumeAfter)
+	}
+	if len(c.calls) > 0 {
+		note = "to " + where + ": " + note
+	}
+	if call.Workspace != "ws" {
+		note += " for workspace " + call.Workspace
+	}
+	if len(call.Inputs) > 0 {
+		note += fmt.Sprintf(" with %d inputs", len(call.Inputs))
+	}
+	c.calls = append(c.calls, note)
+	c.mu.Unlock()
+	return replyOf(ctx, call, strings.Fields(line))
+}
+
+func replyOf(ctx context.Context, call Call, words []string) (*Reply, error) {
+	fail := func(reach pipeline.Reach, err error) (*Reply, error) {
+		return nil, &pipeline.CallError{
+			Addr:     call.Addr,
+			Reach:    reach,
+			TimedOut: errors.Is(err, context.DeadlineExceeded),
+			Err:      err,
+		}
+	}
+	reply := &Reply{
+		Status:  http.StatusOK,
+		Genuine: true,
+		Body:    io.NopCloser(strings.NewReader("body")),
+	}
+	switch words[0] {
+	case "hang":
+		<-ctx.Done()
+		return fail(pipeline.MayHaveRun, ctx.Err())
+	case "not_sent":
+		return fail(pipeline.NotSent, errors.New("connection refused"))
+	case "reset":
+		return fail(pipeline.MayHaveRun, io.ErrUnexpectedEOF)
+	case "refuse":
+		reply.Status = http.StatusServiceUnavailable
+		reply.NotRun = true
+	case "fail":
+		reply.Status = http.StatusInternalServerError
+	case "fail_as_refusal":
+		reply.Status = http.StatusServiceUnavailable
+	case "forged":
+		reply.Genuine = false
+	case "cut":
+		reply.Body = io.NopCloser(io.MultiReader(strings.NewReader("bo"), failingReader{err: io.ErrUnexpectedEOF}))
+	case "events":
+		reply.Body = eventsOf(ctx, words[1:])
+	}
+	return reply, nil
+}
+
+// eventsOf is a stream of the events from one number to another, with an end: whole,
+// cut (between events), torn (within one) or hang.
+func eventsOf(ctx context.Context, words []string) io.ReadCloser {
+	from, _ := strconv.Atoi(words[0])
+	to, _ := strconv.Atoi(words[1])
+	var text strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&text, "id: %d\ndata: t%d\n\n", i, i)
+	}
+	var end io.Reader = failingReader{
+		err: io.ErrUnexpectedEOF,
+	}
+	switch words[2] {
+	case "whole":
+		end = strings.NewReader("")
+	case "torn":
+		fmt.Fprintf(&text, "id: %d\nda", to+1)
+	case "hang":
+		end = hangingReader{ctx: ctx}
+	}
+	return io.NopCloser(io.MultiReader(strings.NewReader(text.String()), end))
+}
+
+type failingReader struct {
+	err error
+}
+
+func (r failingReader) Read([]byte) (int, error) { return 0, r.err }
+
+type hangingReader struct {
+	ctx context.Context
+}
+
+func (r hangingReader) Read([]byte) (int, error) {
+	<-r.ctx.Done()
+	return 0, r.ctx.Err()
+}
+
+// scriptedStages has one result for each piece after 100 ms.
+type scriptedStages struct {
+	submitted int
+	released  int
+}
+
+func (s *scriptedStages) Submit(_ context.Context, j stagework.Job) (Ticket, error) {
+	s.submitted++
+	return &scriptedTicket{
+		stages: s,
+		pieces: j.Stages[0].Pieces,
+	}, nil
+}
+
+type scriptedTicket struct {
+	stages *scriptedStages
+	pieces int
+}
+
+func (t *scriptedTicket) Wait(ctx context.Context) ([]string, error) {
+	const stageTime = 100 * time.Millisecond
+	select {
+	case <-time.After(stageTime):
+		return make([]string, t.pieces), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (t *scriptedTicket) Release() { t.stages.released++ }
+
+// recordedAnswer is what the caller got.
+type recordedAnswer struct {
+	status int
+	body   bytes.Buffer
+	events int
+	begun  bool
+}
+
+func (a *recordedAnswer) Whole(status int, _ http.Header, body []byte) {
+	a.status = status
+	a.body.Write(body)
+}
+
+func (a *recordedAnswer) Begin(status int, _ http.Header) {
+	a.status = status
+	a.begun = true
+}
+
+func (a *recordedAnswer) Event(raw []byte) error {
+	a.events++
+	a.body.Write(raw)
+	return nil
+}
+
+func (a *recordedAnswer) String() string {
+	switch {
+	case a.begun:
+		ids := strings.ReplaceAll(strings.Join(strings.Fields(a.body.String()), " "), "id: ", "")
+		return fmt.Sprintf("%d, events %s", a.status, ids)
+	case a.status == 0:
+		return "nothing"
+	}
+	return fmt.Sprintf("%d %s", a.status, a.body.String())
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -252,23 +252,33 @@
 	}
 }
 
+// count notes how far an attempt that failed may have come.
+func (x *run) count(failure *pipeline.CallError) {
+	x.failure = failure
+	switch {
+	case failure.Reach >= pipeline.MayHaveRun:
+		x.attempts++
+	case failure.Reach > pipeline.NotSent:
+		x.refusals++
+	}
+}
+
 // mayRetry reports whether the request may be offered once more after a failure. An
 // offer that did not reach an upstream is free; any other draws on the budget.
-func (x *run) mayRetry(failure *pipeline.CallError) bool {
-	x.failure = failure
+func (x *run) mayRetry(ctx context.Context, failure *pipeline.CallError) bool {
+	x.count(failure)
+	if ctx.Err() != nil {
+		return false
+	}
 	switch {
 	case failure.Reach == pipeline.NotSent:
 		return len(x.tried) <= x.route.MaxAttempts+maxRefusals
 	case failure.Reach < pipeline.MayHaveRun:
-		x.refusals++
 		if x.refusals > maxRefusals {
 			return false
 		}
-	default:
-		x.attempts++
-		if !x.route.Kind.Repeatable() || x.attempts >= max(x.route.MaxAttempts, 1) {
-			return false
-		}
+	case !x.route.Kind.Repeatable() || x.attempts >= max(x.route.MaxAttempts, 1):
+		return false
 	}
 	return x.forwarder.budget(x.service.Name).Withdraw()
 }
@@ -308,6 +318,9 @@
 		if retry == 0 {
 			retry = noUpstreamRetry
 		}
+		if x.failure != nil && x.failure.Reach < pipeline.MayHaveRun {
+			return x.stopped(outcome.CodeOverloaded, x.failure.Error(), retry)
+		}
 		if x.failure != nil {
 			return x.stopped(outcome.CodeUpstreamBroken, fmt.Sprintf("%v, after %v", none, x.failure), retry)
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -32,7 +32,7 @@
 		if failure == nil {
 			return x.answered()
 		}
-		if ctx.Err() != nil || !x.mayRetry(failure) {
+		if !x.mayRetry(ctx, failure) {
 			return x.explain(ctx, failure)
 		}
 		if stopped := x.renewInputs(ctx); stopped != nil {
