Tell the wait for a stream's beginning from the stream

Cause: an engine whose streams had run for longer than several first answers was taken for stuck, so requests left the engine that holds their prompt. Change: Choice.Begun ends the wait that suspicion looks at; bound 4 stays.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -45,6 +45,9 @@
 	// allUpstreams is above the number of upstreams of any service: requests that
 	// share a prompt meet on one engine only if all daemons choose among all engines.
 	allUpstreams = 1 << 16
+	// affinityBound is the load, as a multiple of the mean, above which an engine gets
+	// no work for the prompts that it holds.
+	affinityBound = 4
 	// burstPart is the part of the deployment's burst of retries that the daemons use
 	// together, and ratioPart that of its ratio. The rest is for the daemons that
 	// start anew, each with a full part of the burst.
@@ -120,6 +123,9 @@
 		Seed:       hash(incarnation),
 		Self:       incarnation,
 		SubsetSize: allUpstreams,
+		// Engines are far from full, so reading a prompt again costs more than a
+		// longer queue on the engine that holds it.
+		AffinityBound: affinityBound,
 	})
 	h.scheduler = stagework.New(stagework.Config{
 		Invoker: cfg.Invoker,
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -60,12 +60,12 @@
 	reply, err := x.forwarder.cfg.Caller.Call(ctx, x.call(choice))
 	if err != nil {
 		failure := callError(choice, err)
-		x.note(choice, began, 0, failure, nil)
+		x.note(choice, began, 0, false, failure, nil)
 		return failure
 	}
 	defer reply.Body.Close()
 	if failure := x.streamRefusal(choice, reply); failure != nil {
-		x.note(choice, began, 0, failure, reply.Load)
+		x.note(choice, began, 0, false, failure, reply.Load)
 		return failure
 	}
 	if reply.Status != http.StatusOK || !reply.Genuine {
@@ -73,7 +73,8 @@
 	}
 	x.release()
 	err = x.pass(reply, func() {
-		first = time.Since(began)
+		first = max(time.Since(began), 1)
+		choice.Begun()
 		x.forwarder.times.Observe(x.route.Name, first)
 	})
 	var failure *pipeline.CallError
@@ -83,7 +84,7 @@
 			failure.Err = context.Canceled
 		}
 	}
-	x.note(choice, began, first, failure, reply.Load)
+	x.note(choice, began, first, first > 0, failure, reply.Load)
 	return failure
 }
 
@@ -111,7 +112,7 @@
 		}
 		return failure
 	}
-	x.note(choice, began, 0, failure, reply.Load)
+	x.note(choice, began, 0, false, failure, reply.Load)
 	return failure
 }
 
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -143,14 +143,14 @@
 	if reply.Status >= http.StatusInternalServerError || promisesNotRun(reply.Status) {
 		return x.upstreamFailed(choice, began, reply, answer)
 	}
-	x.note(choice, began, time.Since(began), nil, reply.Load)
+	x.note(choice, began, time.Since(began), false, nil, reply.Load)
 	return attemptResult{
 		answer: answer,
 	}
 }
 
 func (x *run) attemptFailed(choice upstream.Choice, began time.Time, failure *pipeline.CallError) attemptResult {
-	x.note(choice, began, 0, failure, nil)
+	x.note(choice, began, 0, false, failure, nil)
 	return attemptResult{
 		failure: failure,
 		err:     failure,
@@ -165,7 +165,7 @@
 		Reach: pipeline.RanAndFailed,
 		Err:   fmt.Errorf("the upstream answered %d", reply.Status),
 	}
-	x.note(choice, began, 0, failure, reply.Load)
+	x.note(choice, began, 0, false, failure, reply.Load)
 	return attemptResult{
 		answer:  answer,
 		failed:  !promisesNotRun(reply.Status),
--- a/internal/upstream/done.go
+++ b/internal/upstream/done.go
@@ -14,12 +14,31 @@
 	}
 }
 
+// Begun reports that the answer to the attempt has begun, so that a long stream is not
+// taken for a slow answer. Result.Begun must then be set at its end.
+func (c Choice) Begun() {
+	if c.member == nil {
+		return
+	}
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	c.member.answering(c.start, c.group.epoch)
+}
+
+// answering takes an attempt out of those whose answer has not begun.
+func (m *member) answering(st start, epoch time.Time) {
+	m.waiting--
+	m.startSum -= st.at.Sub(epoch)
+}
+
 // done returns the new state of m and whether this attempt changed it.
 func (g *group) done(m *member, st start, r Result, now time.Time) (State, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.inFlight--
-	m.startSum -= st.at.Sub(g.epoch)
+	if !r.Begun {
+		m.answering(st, g.epoch)
+	}
 	r.Latency = time.Duration(float64(r.Latency) / st.crowd)
 	m.probing = false
 	m.lastDone = now
--- a/internal/upstream/host.go
+++ b/internal/upstream/host.go
@@ -104,8 +104,11 @@
 // Result is the end of an attempt.
 type Result struct {
 	Outcome Outcome
-	// Latency is the time from the start to the end of the attempt.
+	// Latency is the time from the start to the end of the attempt, or to the
+	// beginning of a stream.
 	Latency time.Duration
+	// Begun says that Choice.Begun was called.
+	Begun bool
 	// Load is the upstream's load, where the answer carried one.
 	Load *Load
 }
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -31,8 +31,9 @@
 	mark mark
 
 	inFlight int
-	// startSum is the sum of the start times of what is in flight, since the
-	// epoch of the group.
+	// waiting counts those in flight whose answer has not begun, and startSum is the
+	// sum of their start times since the epoch of the group.
+	waiting int
 	startSum time.Duration
 	// others is the reported work of other daemons at reported.
 	others   float64
@@ -100,12 +101,12 @@
 	return float64(halfLife) / float64(halfLife+max(age, 0))
 }
 
-// meanAge returns the mean time that the attempts in flight have run.
+// meanAge returns the mean time that attempts have waited for their answer to begin.
 func (m *member) meanAge(epoch, now time.Time) time.Duration {
-	if m.inFlight == 0 {
+	if m.waiting == 0 {
 		return 0
 	}
-	return now.Sub(epoch) - m.startSum/time.Duration(m.inFlight)
+	return now.Sub(epoch) - m.startSum/time.Duration(m.waiting)
 }
 
 // slowness is the factor by which m's recent speed and failures raise its
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -84,6 +84,7 @@
 		crowd: g.crowd(m, r, now),
 	}
 	m.inFlight++
+	m.waiting++
 	m.startSum += now.Sub(g.epoch)
 	return Choice{
 		Addr:        m.host.Addr,
@@ -208,7 +209,7 @@
 func (g *group) suspect(m *member, r *Request, now time.Time) bool {
 	const several = 2
 	factor := slowFactor
-	if m.inFlight >= several {
+	if m.waiting >= several {
 		factor = suspectAge
 	}
 	return g.latency > 0 && float64(m.meanAge(g.epoch, now)) > factor*g.latency*g.crowd(m, r, now)
