Count attempts under way against a route's attempts

Ruled out: the retry budget of the service (27 repeats of 493 arrivals). Change: mayRetry counts what is pending. Test: testdata/repeatable, 'slow, fail, ok' made three calls before, two now.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -236,6 +236,9 @@
 	case "hang":
 		<-ctx.Done()
 		return fail(pipeline.MayHaveRun, ctx.Err())
+	case "slow":
+		d, _ := time.ParseDuration(words[1])
+		time.Sleep(d)
 	case "not_sent":
 		return fail(pipeline.NotSent, errors.New("connection refused"))
 	case "reset":
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -264,8 +264,9 @@
 }
 
 // mayRetry reports whether the request may be offered once more after a failure. An
-// offer that did not reach an upstream is free; any other draws on the budget.
-func (x *run) mayRetry(ctx context.Context, failure *pipeline.CallError) bool {
+// offer that did not reach an upstream is free; any other draws on the budget. pending
+// is the number of attempts that are still under way.
+func (x *run) mayRetry(ctx context.Context, failure *pipeline.CallError, pending int) bool {
 	x.count(failure)
 	if ctx.Err() != nil {
 		return false
@@ -277,7 +278,7 @@
 		if x.refusals > maxRefusals {
 			return false
 		}
-	case !x.route.Kind.Repeatable() || x.attempts >= max(x.route.MaxAttempts, 1):
+	case !x.route.Kind.Repeatable() || x.attempts+pending >= max(x.route.MaxAttempts, 1):
 		return false
 	}
 	return x.forwarder.budget(x.service.Name).Withdraw()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -32,7 +32,7 @@
 		if failure == nil {
 			return x.answered()
 		}
-		if !x.mayRetry(ctx, failure) {
+		if !x.mayRetry(ctx, failure, 0) {
 			return x.explain(ctx, failure)
 		}
 		if stopped := x.renewInputs(ctx); stopped != nil {
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -72,7 +72,7 @@
 				return x.answered()
 			}
 			last = x.better(last, r)
-			if !x.mayRetry(ctx, r.failure) {
+			if !x.mayRetry(ctx, r.failure, pending) {
 				continue
 			}
 			if err := start(); err != nil && pending == 0 && !last.failed {
