--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -11,9 +11,8 @@
 const (
 	// largeResult is the size from which results are made near where they go.
 	largeResult = 100 << 10
-	// slowPace is the pace from which an upstream gets work only when no other can
-	// take it.
-	slowPace = 2.0
+	// trialPieces is the size of a call to a slow upstream.
+	trialPieces = 2
 	// dispatchAgain is the pause before another look while upstreams pause or have no
 	// room.
 	dispatchAgain = 25 * time.Millisecond
@@ -79,30 +78,46 @@
 	if len(svc.queue) == 0 {
 		return false
 	}
+	s.refreshRoom(svc, now)
 	svc.sort(now)
 	idle := svc.idle(now)
 	for len(svc.queue) > 0 && len(idle) > 0 {
-		u := svc.choose(idle, svc.queue[0], now)
-		pieces := svc.fill(u, idle, now)
-		if len(pieces) == 0 {
-			idle = slices.DeleteFunc(idle, func(o *upstream) bool { return o == u })
-			continue
+		u := svc.choose(idle, svc.queue[0])
+		pieces := svc.fill(u, idle)
+		if len(pieces) > 0 {
+			s.start(svc, u, pieces, now)
 		}
-		s.start(svc, u, pieces, now)
-		if u.calls >= svc.spec.Concurrency {
+		if len(pieces) == 0 || u.calls >= svc.spec.Concurrency {
 			idle = slices.DeleteFunc(idle, func(o *upstream) bool { return o == u })
 		}
 	}
+	s.trySlow(svc, now)
 	return len(svc.queue) > 0
 }
 
+// trySlow gives the last pieces in the queue to slow upstreams: they would wait anyway,
+// and if they take too long they are made elsewhere too.
+func (s *Scheduler) trySlow(svc *service, now time.Time) {
+	for _, u := range svc.available(now, true) {
+		var pieces []*piece
+		room := u.room(svc.spec.RoomBytes)
+		for i := len(svc.queue) - 1; i >= 0 && len(pieces) < trialPieces; i-- {
+			if p := svc.queue[i]; p.stage.ResultBytes <= room {
+				room -= p.stage.ResultBytes
+				pieces = append(pieces, p)
+			}
+		}
+		if len(pieces) == 0 {
+			continue
+		}
+		svc.queue = slices.DeleteFunc(svc.queue, func(p *piece) bool { return slices.Contains(pieces, p) })
+		s.start(svc, u, pieces, now)
+	}
+}
+
 // sort orders the queue: what can still meet its objective first, then by priority,
 // then by objective. The pieces of one job stay together.
 func (svc *service) sort(now time.Time) {
-	if !svc.unsorted {
-		return
-	}
-	svc.unsorted = false
 	slices.SortStableFunc(svc.queue, func(a, b *piece) int { return compareJobs(a.job, b.job, now) })
 }
 
@@ -122,44 +137,61 @@
 	return 0
 }
 
-// idle returns the upstreams that can take a call. Slow ones are left out while the
-// others can take what waits.
-func (svc *service) idle(now time.Time) []*upstream {
-	var idle, slow []*upstream
+// idle returns the upstreams that can take a call, without the slow ones.
+func (svc *service) idle(now time.Time) []*upstream { return svc.available(now, false) }
+
+// available returns the upstreams that can take a call and are slow, or are not.
+func (svc *service) available(now time.Time, slow bool) []*upstream {
+	var list []*upstream
+	best := svc.bestPace()
 	for _, u := range svc.upstreams {
-		switch {
-		case u.leaving || u.calls >= svc.spec.Concurrency || now.Before(u.pauseTill):
-		case u.pace >= slowPace:
-			slow = append(slow, u)
-		default:
-			idle = append(idle, u)
+		if u.leaving || !u.known || u.calls >= svc.spec.Concurrency || now.Before(u.pauseTill) || (u.pace >= slowPace*best) != slow {
+			continue
+		}
+		list = append(list, u)
+	}
+	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return list
+}
+
+// bestPace returns the pace of the fastest upstream that gets work, but at least one:
+// the pieces of some stages are quicker than the service's figure.
+func (svc *service) bestPace() float64 {
+	best := 0.0
+	for _, u := range svc.upstreams {
+		if !u.leaving && (best == 0 || u.pace < best) {
+			best = u.pace
 		}
 	}
-	if len(idle) == 0 || len(svc.queue) > len(idle)*svc.spec.Size {
-		idle = append(idle, slow...)
+	return max(best, 1)
+}
+
+// hasOther reports whether another upstream than u can be expected to take work soon.
+func (svc *service) hasOther(u *upstream) bool {
+	best := svc.bestPace()
+	for _, o := range svc.upstreams {
+		if o != u && !o.leaving && o.failures == 0 && o.pace < slowPace*best {
+			return true
+		}
 	}
-	slices.SortFunc(idle, func(a, b *upstream) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
-	return idle
+	return false
 }
 
 // choose returns the best upstream for a piece: near, then with the most room.
-func (svc *service) choose(idle []*upstream, p *piece, now time.Time) *upstream {
+func (svc *service) choose(idle []*upstream, p *piece) *upstream {
 	place := p.place()
 	var best *upstream
 	better := func(u *upstream) bool {
 		if best == nil {
 			return true
 		}
-		if (u.pace >= slowPace) != (best.pace >= slowPace) {
-			return u.pace < slowPace
-		}
 		if near := u.DataCentre == place; near != (best.DataCentre == place) {
 			return near
 		}
-		return u.room(svc.spec.RoomBytes, now) > best.room(svc.spec.RoomBytes, now)
+		return u.room(svc.spec.RoomBytes) > best.room(svc.spec.RoomBytes)
 	}
 	for _, u := range idle {
-		if u.room(svc.spec.RoomBytes, now) >= p.stage.ResultBytes && better(u) {
+		if u.room(svc.spec.RoomBytes) >= p.stage.ResultBytes && better(u) {
 			best = u
 		}
 	}
@@ -172,8 +204,8 @@
 // fill takes the pieces of one call out of the queue. A large piece is left for an
 // idle upstream that is nearer to where its result goes. Once a piece has found no
 // room, no later one that is as large goes before it.
-func (svc *service) fill(u *upstream, idle []*upstream, now time.Time) []*piece {
-	room := u.room(svc.spec.RoomBytes, now)
+func (svc *service) fill(u *upstream, idle []*upstream) []*piece {
+	room := u.room(svc.spec.RoomBytes)
 	var pieces []*piece
 	barrier := svc.spec.RoomBytes + 1
 	rest := svc.queue[:0]
@@ -185,7 +217,7 @@
 		case size > room:
 			barrier = size
 			rest = append(rest, p)
-		case size >= largeResult && svc.nearer(u, idle, p, now):
+		case size >= largeResult && svc.nearer(u, idle, p):
 			rest = append(rest, p)
 		default:
 			room -= size
@@ -197,13 +229,13 @@
 }
 
 // nearer reports whether another idle upstream with room is where p is best made.
-func (svc *service) nearer(u *upstream, idle []*upstream, p *piece, now time.Time) bool {
+func (svc *service) nearer(u *upstream, idle []*upstream, p *piece) bool {
 	place := p.place()
 	if place == "" || u.DataCentre == place {
 		return false
 	}
 	for _, o := range idle {
-		if o.DataCentre == place && o.pace < slowPace && o.room(svc.spec.RoomBytes, now) >= p.stage.ResultBytes {
+		if o.DataCentre == place && o.room(svc.spec.RoomBytes) >= p.stage.ResultBytes {
 			return true
 		}
 	}
@@ -212,12 +244,18 @@
 
 // start makes one call in a goroutine of its own.
 func (s *Scheduler) start(svc *service, u *upstream, pieces []*piece, now time.Time) {
-	items := make([]Item, len(pieces))
-	for i, p := range pieces {
+	c := &call{
+		service:  svc,
+		upstream: u,
+		pieces:   pieces,
+		began:    now,
+		expected: callTime(svc.spec, len(pieces)),
+	}
+	for _, p := range pieces {
 		p.state = running
-		p.job.begun = true
+		p.calls++
 		u.held += p.stage.ResultBytes
-		items[i] = Item{
+		item := Item{
 			RequestID: p.job.RequestID,
 			Stage:     p.stage.index,
 			Piece:     p.index,
@@ -225,9 +263,11 @@
 			Inputs:    p.job.inputs(p.stage),
 		}
 		if len(p.stage.After) == 0 {
-			items[i].Key = p.job.Key
+			item.Key = p.job.Key
 		}
+		c.items = append(c.items, item)
 	}
 	u.calls++
-	go s.runCall(u, svc.spec, pieces, items)
+	u.freeAt = now.Add(time.Duration(u.pace * float64(c.expected)))
+	go s.run(c)
 }
--- /dev/null
+++ b/internal/stagework/fake_test.go
@@ -0,0 +1,147 @@
+package stagework
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// fakeUpstreams are stage upstreams on a paused clock, with slots, memory for results
+// and faults. They are the Invoker of a scheduler under test.
+type fakeUpstreams struct {
+	mu    sync.Mutex
+	began time.Time
+	list  map[string]*fakeUpstream
+	trace []string
+	// worked is the time that upstreams have worked on pieces, in total and on those
+	// whose results were never taken.
+	worked time.Duration
+	calls  int
+	noRoom int
+}
+
+type fakeUpstream struct {
+	turn     sync.Mutex // held by the call that is worked on
+	callTime time.Duration
+	itemTime time.Duration
+	lifetime time.Duration
+	room     int64
+	held     map[string]int64
+	sizes    func(Item) int64
+	factor   float64
+	mute     bool
+	full     bool
+	serial   int
+}
+
+func (f *fakeUpstreams) at(u Upstream) *fakeUpstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.list[u.Incarnation]
+}
+
+func (f *fakeUpstreams) note(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.trace = append(f.trace, fmt.Sprintf("%6d ms ", time.Since(f.began).Milliseconds())+fmt.Sprintf(format, args...))
+}
+
+// Run implements Invoker.
+func (f *fakeUpstreams) Run(ctx context.Context, u Upstream, items []Item) ([]ItemResult, error) {
+	s := f.at(u)
+	f.mu.Lock()
+	full, mute, factor := s.full, s.mute, s.factor
+	f.mu.Unlock()
+	if full {
+		return nil, &FullError{
+			Addr: u.Addr,
+		}
+	}
+	if mute {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	s.turn.Lock()
+	f.note("%s begins %s", u.Incarnation, itemNames(items))
+	results := f.take(s, u, items)
+	work := time.Duration(factor * float64(s.callTime+time.Duration(len(items))*s.itemTime))
+	time.Sleep(work)
+	s.turn.Unlock()
+	f.mu.Lock()
+	f.calls++
+	f.worked += work
+	f.mu.Unlock()
+	time.AfterFunc(s.lifetime, func() { f.expire(s, results) })
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return results, nil
+}
+
+func itemNames(items []Item) string {
+	var names []string
+	for _, it := range items {
+		names = append(names, fmt.Sprintf("%s/%d.%d", it.RequestID, it.Stage, it.Piece))
+	}
+	return strings.Join(names, " ")
+}
+
+func (f *fakeUpstreams) take(s *fakeUpstream, u Upstream, items []Item) []ItemResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	results := make([]ItemResult, len(items))
+	var used int64
+	for _, n := range s.held {
+		used += n
+	}
+	for i, it := range items {
+		size := s.sizes(it)
+		if used+size > s.room {
+			results[i].Reason = NoRoom
+			f.noRoom++
+			continue
+		}
+		used += size
+		s.serial++
+		handle := fmt.Sprintf("%s/%d", u.Incarnation, s.serial)
+		s.held[handle] = size
+		results[i].Handle = handle
+	}
+	return results
+}
+
+func (f *fakeUpstreams) expire(s *fakeUpstream, results []ItemResult) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range results {
+		delete(s.held, r.Handle)
+	}
+}
+
+// Free implements Invoker.
+func (f *fakeUpstreams) Free(_ context.Context, u Upstream, handles []string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range handles {
+		if _, ok := f.list[u.Incarnation].held[h]; !ok {
+			return errors.New("freed twice or never made: " + h)
+		}
+		delete(f.list[u.Incarnation].held, h)
+	}
+	return nil
+}
+
+// RoomLeft implements Invoker.
+func (f *fakeUpstreams) RoomLeft(_ context.Context, u Upstream) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.list[u.Incarnation]
+	left := s.room
+	for _, n := range s.held {
+		left -= n
+	}
+	return left, nil
+}
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -15,7 +15,6 @@
 	done     chan struct{}
 	err      error
 	handles  []string
-	begun    bool
 	// final says of each stage whether no other stage takes its results.
 	final []bool
 }
@@ -48,6 +47,8 @@
 	index int
 	state pieceState
 	tries int
+	// calls is the number of calls that it is in.
+	calls int
 	// at holds the result once state is finished.
 	at     *upstream
 	handle string
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -20,6 +20,8 @@
 	services map[string]*service
 	jobs     map[*job]struct{}
 	wake     *time.Timer
+	// idleSince is when the last job was released.
+	idleSince time.Time
 }
 
 // service is the upstreams of one service and the pieces that wait for them.
@@ -28,7 +30,6 @@
 	spec      routing.Batch
 	upstreams map[string]*upstream
 	queue     []*piece
-	unsorted  bool
 }
 
 // New returns a scheduler without services.
@@ -79,7 +80,9 @@
 			known.leaving = false
 			continue
 		}
-		svc.upstreams[u.Incarnation] = newUpstream(u)
+		x := newUpstream(u)
+		svc.upstreams[u.Incarnation] = x
+		s.askRoom(svc, x)
 	}
 	for _, svc := range s.services {
 		for id, u := range svc.upstreams {
@@ -107,6 +110,7 @@
 	if err := s.admit(j, now); err != nil {
 		return nil, err
 	}
+	s.forgetRoom(now)
 	x := newJob(j)
 	s.jobs[x] = struct{}{}
 	if x.unfinal == 0 {
@@ -152,7 +156,6 @@
 	}
 	p.state = queued
 	svc.queue = append(svc.queue, p)
-	svc.unsorted = true
 }
 
 // finish ends the wait for a job. Its results stay until it is released.
@@ -178,6 +181,13 @@
 	}
 }
 
+// unqueue takes a piece out of its queue.
+func (s *Scheduler) unqueue(p *piece) {
+	if svc, ok := s.services[p.stage.Service]; ok {
+		svc.queue = slices.DeleteFunc(svc.queue, func(q *piece) bool { return q == p })
+	}
+}
+
 func (s *Scheduler) release(j *job) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -185,6 +195,7 @@
 		return
 	}
 	delete(s.jobs, j)
+	s.idleSince = time.Now()
 	s.finish(j, context.Canceled)
 	s.drop(j)
 	s.dispatch()
@@ -212,8 +223,15 @@
 	s.free(p.at, p.handle, p.stage.ResultBytes)
 }
 
-// complete takes in the result of a piece.
+// complete takes in the result of a piece. A second one is freed at once.
 func (s *Scheduler) complete(p *piece, u *upstream, handle string) {
+	if p.state == finished || p.state == freed || p.state == blocked {
+		s.free(u, handle, p.stage.ResultBytes)
+		return
+	}
+	if p.state == queued {
+		s.unqueue(p)
+	}
 	p.state = finished
 	p.at = u
 	p.handle = handle
@@ -250,78 +268,118 @@
 	}
 }
 
-// runCall makes one call and takes in what came of it.
-func (s *Scheduler) runCall(u *upstream, spec routing.Batch, pieces []*piece, items []Item) {
-	began := time.Now()
-	expected := callTime(spec, len(items))
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(callPatience*float64(expected))+callMargin)
-	results, err := s.cfg.Invoker.Run(ctx, u.Upstream, items)
+// call is one call to an upstream.
+type call struct {
+	service  *service
+	upstream *upstream
+	pieces   []*piece
+	items    []Item
+	began    time.Time
+	expected time.Duration
+	ended    bool
+}
+
+// run makes the call and takes in what came of it.
+func (s *Scheduler) run(c *call) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(callPatience*float64(c.expected))+callMargin)
+	overdue := time.AfterFunc(time.Duration(overdueFactor*float64(c.expected))+overdueMargin, func() { s.overdue(c) })
+	results, err := s.cfg.Invoker.Run(ctx, c.upstream.Upstream, c.items)
 	cancel()
+	overdue.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u.calls--
-	if err == nil && len(results) == len(items) {
-		u.observe(time.Since(began), expected)
-		s.takeResults(u, pieces, results)
+	c.ended = true
+	c.upstream.calls--
+	for _, p := range c.pieces {
+		p.calls--
+	}
+	if err == nil && len(results) == len(c.items) {
+		c.upstream.observe(time.Since(c.began), c.expected)
+		s.takeResults(c, results)
 	} else {
-		s.callFailed(u, spec, pieces, err)
+		s.callFailed(c, err)
+	}
+	s.dispatch()
+}
+
+// overdue queues the pieces of a call that takes far too long for another upstream as
+// well. The first result counts.
+func (s *Scheduler) overdue(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.ended || !c.service.hasOther(c.upstream) {
+		return
+	}
+	c.upstream.observeOverdue(time.Since(c.began), c.expected)
+	s.cfg.Logger.Info("stage call is overdue", zap.String("upstream", c.upstream.Incarnation),
+		zap.Int("pieces", len(c.pieces)), zap.Duration("expected_ms", c.expected))
+	for _, p := range c.pieces {
+		if p.state == running && p.calls == 1 && !p.job.finished {
+			s.enqueue(p)
+		}
 	}
 	s.dispatch()
 }
 
-func (s *Scheduler) takeResults(u *upstream, pieces []*piece, results []ItemResult) {
+func (s *Scheduler) takeResults(c *call, results []ItemResult) {
+	u := c.upstream
 	u.failures = 0
-	for i, p := range pieces {
+	for i, p := range c.pieces {
+		if results[i].Reason != Done {
+			u.held -= p.stage.ResultBytes
+		}
 		switch r := results[i]; r.Reason {
 		case Done:
 			s.complete(p, u, r.Handle)
 		case NoRoom:
-			u.held -= p.stage.ResultBytes
-			u.noteNoRoom(time.Now(), p.stage.ResultBytes)
-			s.cfg.Logger.Info("stage upstream has no room",
-				zap.String("request_id", p.job.RequestID), zap.String("upstream", u.Incarnation), zap.Int64("held_bytes", u.held))
-			s.retry(p, false, "no room for results")
+			s.noRoom(c, p)
 		case Late:
-			u.held -= p.stage.ResultBytes
 			s.finish(p.job, &RefusedError{
 				Message:    "the time for a stage has passed",
 				RetryAfter: s.comeBack(p.stage.Service),
 			})
 		case InputGone:
-			u.held -= p.stage.ResultBytes
 			s.remakeInputs(p)
 		case ItemFailed:
-			u.held -= p.stage.ResultBytes
 			s.retry(p, true, "a piece failed")
 		}
 	}
 }
 
+func (s *Scheduler) noRoom(c *call, p *piece) {
+	u := c.upstream
+	u.claim(p.stage.ResultBytes, time.Now().Add(roomPause))
+	s.cfg.Logger.Info("stage upstream has no room",
+		zap.String("request_id", p.job.RequestID), zap.String("upstream", u.Incarnation), zap.Int64("held_bytes", u.held))
+	s.retry(p, false, "no room for results")
+}
+
 // callFailed takes in a call without an answer, whose results may come to be held on
 // the upstream unseen.
-func (s *Scheduler) callFailed(u *upstream, spec routing.Batch, pieces []*piece, err error) {
-	now := time.Now()
+func (s *Scheduler) callFailed(c *call, err error) {
+	u := c.upstream
 	var full *FullError
 	refused := errors.As(err, &full)
+	now := time.Now()
 	u.noteFailure(now, refused)
 	s.cfg.Logger.Info("stage call failed", zap.String("upstream", u.Incarnation), zap.String("addr", u.Addr),
-		zap.Int("pieces", len(pieces)), zap.Int("failures", u.failures), zap.Error(err))
-	for _, p := range pieces {
+		zap.Int("pieces", len(c.pieces)), zap.Int("failures", u.failures), zap.Error(err))
+	for _, p := range c.pieces {
 		u.held -= p.stage.ResultBytes
 		if !refused {
-			u.noteUnseen(now.Add(spec.ResultLifetime), p.stage.ResultBytes)
+			u.claim(p.stage.ResultBytes, now.Add(c.service.spec.ResultLifetime))
 		}
 		s.retry(p, !refused, "the upstream did not answer")
 	}
 }
 
-// retry queues a piece again, unless it has been worked on too often.
+// retry queues a piece again, unless another call has it or it has been worked on too
+// often.
 func (s *Scheduler) retry(p *piece, worked bool, message string) {
 	if worked {
 		p.tries++
 	}
-	if p.job.finished {
-		p.state = freed
+	if p.job.finished || p.state != running || p.calls > 0 {
 		return
 	}
 	if p.tries >= maxTries {
@@ -336,9 +394,12 @@
 
 // remakeInputs makes the inputs of a piece again, because one of them is gone.
 func (s *Scheduler) remakeInputs(p *piece) {
-	p.tries++
 	j := p.job
-	if j.finished || p.tries >= maxTries {
+	if j.finished || p.state != running || p.calls > 0 {
+		return
+	}
+	p.tries++
+	if p.tries >= maxTries {
 		s.finish(j, &FailedError{
 			Service: p.stage.Service,
 			Message: "an input is gone",
--- /dev/null
+++ b/internal/stagework/script_test.go
@@ -0,0 +1,262 @@
+package stagework
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"sequoiafork/internal/routing"
+)
+
+// TestScripts plays testdata on a paused clock. "play" reads lines:
+//
+//	service NAME batch=N call=D item=D room=BYTES lifetime=D
+//	upstream NAME SERVICE dc=NAME factor=X [mute] [full] [taken=BYTES]
+//	job NAME at=D priority=N objective=D deadline=D remaining=D hold=D dc=NAME SERVICE:PIECES:BYTES[<STAGE] ...
+//	mend NAME at=D
+//
+// and prints the calls of the upstreams and what became of the jobs. A job holds its
+// results for hold, as an engine does until it has fetched them. With the argument
+// "quiet" only the jobs are printed.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var result string
+			synctest.Test(t, func(t *testing.T) {
+				p := newPlay(t)
+				for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+					p.line(strings.Fields(line))
+				}
+				result = p.finish(d.HasArg("quiet"))
+			})
+			return result
+		})
+	})
+}
+
+// play is one script while it runs.
+type play struct {
+	t         *testing.T
+	fakes     *fakeUpstreams
+	scheduler *Scheduler
+	services  []routing.Service
+	upstreams []Upstream
+	mu        sync.Mutex // guards sizes
+	sizes     map[string]int64
+	wg        sync.WaitGroup
+}
+
+func newPlay(t *testing.T) *play {
+	f := &fakeUpstreams{
+		began: time.Now(),
+		list:  make(map[string]*fakeUpstream),
+	}
+	return &play{
+		t:     t,
+		fakes: f,
+		scheduler: New(Config{
+			Invoker: f,
+		}),
+		sizes: make(map[string]int64),
+	}
+}
+
+// options reads words of the form key=value; a lone word is its own value.
+func options(words []string) map[string]string {
+	opts := make(map[string]string)
+	for _, w := range words {
+		key, value, ok := strings.Cut(w, "=")
+		if !ok {
+			value = key
+		}
+		opts[key] = value
+	}
+	return opts
+}
+
+func (p *play) duration(text string) time.Duration {
+	if text == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		p.t.Fatalf("ParseDuration(%q): %v", text, err)
+	}
+	return d
+}
+
+func (p *play) number(text string) int64 {
+	if text == "" {
+		return 0
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		p.t.Fatalf("ParseInt(%q): %v", text, err)
+	}
+	return n
+}
+
+func (p *play) line(words []string) {
+	opts := options(words[2:])
+	switch words[0] {
+	case "service":
+		p.services = append(p.services, routing.Service{
+			Name: words[1],
+			Batch: &routing.Batch{
+				Concurrency:    1,
+				Size:           int(p.number(opts["batch"])),
+				CallTime:       p.duration(opts["call"]),
+				ItemTime:       p.duration(opts["item"]),
+				RoomBytes:      p.number(opts["room"]),
+				ResultLifetime: p.duration(opts["lifetime"]),
+			},
+		})
+		p.scheduler.SetServices(p.services)
+	case "upstream":
+		p.upstream(words[1], words[2], opts)
+	case "mend":
+		time.AfterFunc(p.duration(opts["at"]), func() {
+			p.fakes.mu.Lock()
+			defer p.fakes.mu.Unlock()
+			s := p.fakes.list[words[1]]
+			s.factor, s.mute, s.full = 1, false, false
+		})
+	case "job":
+		p.job(words[1], words[2:], opts)
+	default:
+		p.t.Fatalf("unknown line %q", words)
+	}
+}
+
+func (p *play) upstream(name, service string, opts map[string]string) {
+	i := slices.IndexFunc(p.services, func(s routing.Service) bool { return s.Name == service })
+	spec := p.services[i].Batch
+	factor := 1.0
+	if opts["factor"] != "" {
+		factor, _ = strconv.ParseFloat(opts["factor"], 64)
+	}
+	s := &fakeUpstream{
+		callTime: spec.CallTime,
+		itemTime: spec.ItemTime,
+		lifetime: spec.ResultLifetime,
+		room:     spec.RoomBytes,
+		held:     make(map[string]int64),
+		factor:   factor,
+		mute:     opts["mute"] != "",
+		full:     opts["full"] != "",
+		sizes: func(it Item) int64 {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.sizes[fmt.Sprintf("%s/%d", it.RequestID, it.Stage)]
+		},
+	}
+	if n := p.number(opts["taken"]); n > 0 {
+		s.held["before"] = n
+		time.AfterFunc(spec.ResultLifetime, func() { p.fakes.expire(s, []ItemResult{{Handle: "before"}}) })
+	}
+	p.fakes.mu.Lock()
+	p.fakes.list[name] = s
+	p.fakes.mu.Unlock()
+	p.upstreams = append(p.upstreams, Upstream{
+		Incarnation: name,
+		Addr:        name,
+		DataCentre:  opts["dc"],
+		Service:     service,
+	})
+	p.scheduler.SetUpstreams(p.upstreams)
+}
+
+func (p *play) job(name string, words []string, opts map[string]string) {
+	j := Job{
+		RequestID:  name,
+		Key:        "k",
+		Priority:   int(p.number(opts["priority"])),
+		Remaining:  p.duration(opts["remaining"]),
+		DataCentre: opts["dc"],
+	}
+	for _, w := range words {
+		if !strings.Contains(w, ":") {
+			continue
+		}
+		spec, after, chained := strings.Cut(w, "<")
+		f := strings.Split(spec, ":")
+		st := Stage{
+			Service:     f[0],
+			Pieces:      int(p.number(f[1])),
+			ResultBytes: p.number(f[2]),
+		}
+		if chained {
+			st.After = []int{int(p.number(after))}
+		}
+		p.mu.Lock()
+		p.sizes[fmt.Sprintf("%s/%d", name, len(j.Stages))] = st.ResultBytes
+		p.mu.Unlock()
+		j.Stages = append(j.Stages, st)
+	}
+	at, hold := p.duration(opts["at"]), p.duration(opts["hold"])
+	j.Objective = p.fakes.began.Add(at + p.duration(opts["objective"]))
+	j.Deadline = p.fakes.began.Add(at + p.duration(opts["deadline"]))
+	p.wg.Go(func() {
+		time.Sleep(at)
+		p.run(j, hold)
+	})
+}
+
+func (p *play) run(j Job, hold time.Duration) {
+	ticket, err := p.scheduler.Submit(j)
+	if err != nil {
+		p.fakes.note("job %s refused: %s", j.RequestID, p.reason(err))
+		return
+	}
+	defer ticket.Release()
+	handles, err := ticket.Wait(p.t.Context())
+	if err != nil {
+		p.fakes.note("job %s given up: %s", j.RequestID, p.reason(err))
+		return
+	}
+	late := ""
+	if time.Now().Add(j.Remaining).After(j.Objective) {
+		late = ", late"
+	}
+	p.fakes.note("job %s done with %d results%s", j.RequestID, len(handles), late)
+	time.Sleep(hold)
+}
+
+func (p *play) reason(err error) string {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return fmt.Sprintf("come back in %v", refused.RetryAfter.Round(10*time.Millisecond))
+	}
+	return err.Error()
+}
+
+// finish waits for the jobs and for every result to be freed or to expire.
+func (p *play) finish(quiet bool) string {
+	p.wg.Wait()
+	time.Sleep(10 * time.Second)
+	synctest.Wait()
+	for name, s := range p.fakes.list {
+		if len(s.held) > 0 {
+			p.fakes.note("%s still holds %d results", name, len(s.held))
+		}
+	}
+	if n := p.scheduler.Len(); n > 0 {
+		p.fakes.note("%d jobs left", n)
+	}
+	slices.Sort(p.fakes.trace) // What happens at one instant has no order.
+	var out []string
+	for _, line := range p.fakes.trace {
+		if !quiet || !strings.Contains(line, " begins ") {
+			out = append(out, line)
+		}
+	}
+	return strings.Join(out, "\n") + fmt.Sprintf("\n%d calls, worked %v, %d without room\n", p.fakes.calls, p.fakes.worked, p.fakes.noRoom)
+}
--- a/internal/stagework/stagework.go
+++ b/internal/stagework/stagework.go
@@ -80,7 +80,7 @@
 	Run(ctx context.Context, u Upstream, items []Item) ([]ItemResult, error)
 	// Free gives results up.
 	Free(ctx context.Context, u Upstream, handles []string) error
-	// RoomLeft returns the memory for results that is not taken, in bytes.
+	// RoomLeft returns the most memory for results that can be free, in bytes.
 	RoomLeft(ctx context.Context, u Upstream) (int64, error)
 }
 
--- a/internal/stagework/upstream.go
+++ b/internal/stagework/upstream.go
@@ -2,26 +2,44 @@
 
 import (
 	"context"
+	"slices"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
-	// callPatience is how much longer than expected a call may take before its pieces
-	// are made elsewhere; callMargin covers the network.
-	callPatience = 2.5
-	callMargin   = 250 * time.Millisecond
+	// overdueFactor and overdueMargin say when a call takes far too long: its pieces are
+	// then made elsewhere too. The margin covers the network.
+	overdueFactor = 1.5
+	overdueMargin = 80 * time.Millisecond
+	// callPatience and callMargin bound a call altogether.
+	callPatience = 5.0
+	callMargin   = time.Second
 	// maxTries is how often a piece may be worked on.
 	maxTries = 3
 	// fullPause and failurePause are the first pauses after a refusal and a failure.
 	fullPause    = 60 * time.Millisecond
 	failurePause = 250 * time.Millisecond
 	failureMost  = 4 * time.Second
-	// roomPause is how long memory that was found taken is believed to be taken.
-	roomPause = 400 * time.Millisecond
-	// freeTimeout bounds one call that frees results.
+	// roomAgain is how often an upstream is asked for its memory while others than
+	// this scheduler take some of it.
+	roomAgain = 250 * time.Millisecond
+	// roomTimeout bounds that question, freeTimeout a call that frees results.
+	roomTimeout = 500 * time.Millisecond
 	freeTimeout = time.Second
+	// roomKnown is how long without any job the account of memory is believed, since
+	// another scheduler may have worked meanwhile.
+	roomKnown = 2 * time.Second
+	// roomPause is how long memory that was found taken is believed to be taken.
+	roomPause = 300 * time.Millisecond
+	// resultLifetime stands in for the lifetime of results that could not be freed.
+	resultLifetime = 4 * time.Second
 	// paceWeight is the weight of the newest call in an upstream's pace.
 	paceWeight = 0.3
+	// slowPace is the pace, against the best of the service, from which an upstream is
+	// only tried with work that would wait anyway.
+	slowPace = 2.0
 )
 
 // upstream is one process that does stages, with the account of its memory.
@@ -31,12 +49,22 @@
 	leaving bool
 	// held is the memory of results that this scheduler has there or expects there.
 	held int64
-	// unseen is memory taken by results that this scheduler has no handles for.
-	unseen    []claim
+	// foreign is the memory that results of another scheduler were found to take at
+	// foreignAt; it only falls until foreignTill. known is false until the upstream has
+	// been asked.
+	foreign     int64
+	foreignAt   time.Time
+	foreignTill time.Time
+	known       bool
+	asking      bool
+	// claims is memory that is believed to be taken by results without a handle.
+	claims    []claim
 	pauseTill time.Time
 	failures  int
 	// pace is the time of its calls against what is expected, one for an exact fit.
 	pace float64
+	// freeAt is when its call under way is expected to end.
+	freeAt time.Time
 
 	freeing bool
 	toFree  []string
@@ -60,6 +88,11 @@
 	u.pace += paceWeight * (float64(took)/float64(expected) - u.pace)
 }
 
+// observeOverdue notes a call that has not ended yet.
+func (u *upstream) observeOverdue(soFar, expected time.Duration) {
+	u.pace = max(u.pace, slowPace*float64(soFar)/float64(expected))
+}
+
 func (u *upstream) noteFailure(now time.Time, refused bool) {
 	u.failures++
 	pause := failurePause
@@ -69,31 +102,86 @@
 	u.pauseTill = now.Add(min(pause<<min(u.failures-1, 8), failureMost))
 }
 
-func (u *upstream) noteNoRoom(now time.Time, bytes int64) {
-	u.noteUnseen(now.Add(roomPause), bytes)
-}
-
-func (u *upstream) noteUnseen(until time.Time, bytes int64) {
-	u.unseen = append(u.unseen, claim{
+func (u *upstream) claim(bytes int64, until time.Time) {
+	u.claims = append(u.claims, claim{
 		bytes: bytes,
 		until: until,
 	})
 }
 
+// expire drops the claims that are over.
+func (u *upstream) expire(now time.Time) {
+	u.claims = slices.DeleteFunc(u.claims, func(c claim) bool { return !now.Before(c.until) })
+	if !now.Before(u.foreignTill) {
+		u.foreign = 0
+	}
+}
+
 // room returns the memory that a call may count on.
-func (u *upstream) room(total int64, now time.Time) int64 {
-	left := total - u.held
-	kept := u.unseen[:0]
-	for _, c := range u.unseen {
-		if now.Before(c.until) {
-			kept = append(kept, c)
-			left -= c.bytes
-		}
+func (u *upstream) room(total int64) int64 {
+	left := total - u.held - u.foreign
+	for _, c := range u.claims {
+		left -= c.bytes
 	}
-	u.unseen = kept
 	return left
 }
 
+// askRoom asks an upstream how much memory others than this scheduler take. The lock
+// is held.
+func (s *Scheduler) askRoom(svc *service, u *upstream) {
+	if u.asking {
+		return
+	}
+	u.asking = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), roomTimeout)
+		defer cancel()
+		left, err := s.cfg.Invoker.RoomLeft(ctx, u.Upstream)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		now := time.Now()
+		taken := max(svc.spec.RoomBytes-left-u.held, 0)
+		switch {
+		case err != nil:
+			s.cfg.Logger.Info("memory of a stage upstream not known", zap.String("upstream", u.Incarnation), zap.Error(err))
+		case !u.known:
+			s.cfg.Logger.Info("memory of a stage upstream", zap.String("upstream", u.Incarnation),
+				zap.Int64("free_bytes", left), zap.Int64("room_bytes", svc.spec.RoomBytes), zap.Int64("held_bytes", u.held))
+			u.foreign = taken
+			u.foreignTill = now.Add(svc.spec.ResultLifetime)
+		default: // The answer is a little old, so that it may count what was freed.
+			u.foreign = min(u.foreign, taken)
+		}
+		u.asking = false
+		u.known = true
+		u.foreignAt = now
+		s.dispatch()
+	}()
+}
+
+// refreshRoom asks the upstreams whose memory is not known, or was found taken a while
+// ago.
+func (s *Scheduler) refreshRoom(svc *service, now time.Time) {
+	for _, u := range svc.upstreams {
+		u.expire(now)
+		if !u.leaving && (!u.known || u.foreign > 0 && now.Sub(u.foreignAt) >= roomAgain) {
+			s.askRoom(svc, u)
+		}
+	}
+}
+
+// forgetRoom drops the account of memory after a time without any job.
+func (s *Scheduler) forgetRoom(now time.Time) {
+	if len(s.jobs) > 0 || now.Sub(s.idleSince) < roomKnown {
+		return
+	}
+	for _, svc := range s.services {
+		for _, u := range svc.upstreams {
+			u.known = false
+		}
+	}
+}
+
 // free gives up a result; frees that come while a call is under way share the next.
 // The memory counts as taken until the upstream has answered.
 func (s *Scheduler) free(u *upstream, handle string, bytes int64) {
@@ -130,10 +218,8 @@
 	defer s.mu.Unlock()
 	u.held -= bytes
 	if err != nil {
-		s.cfg.Logger.Info("freeing results failed: " + err.Error())
-		if svc, ok := s.services[u.Service]; ok {
-			u.noteUnseen(time.Now().Add(svc.spec.ResultLifetime), bytes)
-		}
+		s.cfg.Logger.Info("freeing results failed", zap.String("upstream", u.Incarnation), zap.Error(err))
+		u.claim(bytes, time.Now().Add(resultLifetime))
 	}
 	s.dispatch()
 }
