Let jobs move to the next owner of the stage upstreams with what is made

Change: the owner is the first by a hash of the address (two moves in a restart of all in turn); a job moves, once no call has its pieces, with its results; the owner tells results as they come, so that they survive its death; those of a dead owner are freed.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -255,6 +255,9 @@
 			h.logger.Info("daemons", zap.Int("alive", n), zap.String("stage_owner", h.stages.owner().Incarnation))
 		}
 		h.catchUp(ctx)
+		if !h.stages.owns() {
+			h.scheduler.Move()
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/internal/entryhost/stages.go
+++ b/internal/entryhost/stages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,28 +36,29 @@
 	avoided map[string]time.Time
 }
 
-// owner returns the daemon that owns the stage upstreams: the one that has been alive
-// for longest. A daemon that joins never takes the duty over, so that it moves only
-// when its holder ends.
+// owner returns the daemon that owns the stage upstreams: the first in the order of a
+// hash of their addresses, among those that are alive and know the routes. A daemon
+// that is restarted takes the duty up again, so that a restart of all daemons in turn
+// moves it twice only.
 func (s *stages) owner() membership.Member {
 	self := s.host.members.Self()
 	owner := self
+	found := false
 	for _, m := range s.host.members.Members() {
-		if m.State != membership.Alive || s.avoid(m.Incarnation) {
+		if m.State != membership.Alive || m.Revision == 0 || s.avoid(m.Incarnation) {
 			continue
 		}
-		if owner.State != membership.Alive || older(m, owner) {
+		if !found || hash(m.PeerAddr) < hash(owner.PeerAddr) {
 			owner = m
+			found = true
 		}
 	}
 	return owner
 }
 
-func older(a, b membership.Member) bool {
-	if a.Version != b.Version {
-		return a.Version < b.Version
-	}
-	return a.Incarnation < b.Incarnation
+// owns reports whether this daemon owns the stage upstreams.
+func (s *stages) owns() bool {
+	return s.owner().Incarnation == s.host.members.Self().Incarnation
 }
 
 func (s *stages) avoid(incarnation string) bool {
@@ -88,11 +90,11 @@
 		}
 		t, err := s.host.node.StageWork(ctx, owner, j, ownerPatience)
 		if err == nil {
-			return &remoteTicket{
+			return &ticket{
 				stages: s,
 				owner:  owner,
 				job:    j,
-				ticket: t,
+				remote: t,
 			}, nil
 		}
 		var refused *stagework.RefusedError
@@ -103,15 +105,25 @@
 		s.host.logger.Info("stage owner not reached",
 			zap.String("request_id", j.RequestID), zap.String("stage_owner", owner.Incarnation), zap.Error(err))
 	}
-	return s.host.scheduler.Submit(j)
+	t, err := s.host.scheduler.Submit(j)
+	if err != nil {
+		return nil, err
+	}
+	return &ticket{
+		stages: s,
+		job:    j,
+		local:  t,
+	}, nil
 }
 
-// remoteTicket is a job at the owner. If the owner ends, the job goes to the next.
-type remoteTicket struct {
+// ticket is a job at the owner or at this daemon's own scheduler. If the owner ends or
+// gives it up to another, it goes to the next with the results that it has.
+type ticket struct {
 	stages *stages
 	owner  membership.Member
 	job    stagework.Job
-	ticket *peer.StageTicket
+	remote *peer.StageTicket
+	local  *stagework.Ticket
 	next   forward.Ticket
 }
 
@@ -121,14 +133,16 @@
 }
 
 // Wait implements forward.Ticket.
-func (t *remoteTicket) Wait(ctx context.Context) ([]string, error) {
+func (t *ticket) Wait(ctx context.Context) ([]string, error) {
 	done := make(chan stageResult, 1)
 	go func() {
-		handles, err := t.ticket.Wait()
-		done <- stageResult{
-			handles: handles,
-			err:     err,
+		r := stageResult{}
+		if t.remote != nil {
+			r.handles, r.err = t.remote.Wait()
+		} else {
+			r.handles, r.err = t.local.Wait(ctx)
 		}
+		done <- r
 	}()
 	watch := time.NewTicker(ownerWatch)
 	defer watch.Stop()
@@ -136,15 +150,15 @@
 		select {
 		case r := <-done:
 			var lost *peer.CallError
-			if errors.As(r.err, &lost) && ctx.Err() == nil {
+			var moved *stagework.MovedError
+			if (errors.As(r.err, &lost) || errors.As(r.err, &moved)) && ctx.Err() == nil {
 				return t.again(ctx, r.err)
 			}
 			return r.handles, r.err
 		case <-ctx.Done():
 			return nil, context.Cause(ctx)
 		case <-watch.C:
-			m, ok := t.stages.host.members.Lookup(t.owner.Incarnation)
-			if !ok || m.State == membership.Dead {
+			if t.ownerDead() {
 				return t.again(ctx, errOwnerDead)
 			}
 		}
@@ -153,12 +167,25 @@
 
 var errOwnerDead = errors.New("the owner of the stage upstreams is dead")
 
+func (t *ticket) ownerDead() bool {
+	if t.remote == nil {
+		return false
+	}
+	m, ok := t.stages.host.members.Lookup(t.owner.Incarnation)
+	return !ok || m.State == membership.Dead
+}
+
 // again gives the job to the next owner.
-func (t *remoteTicket) again(ctx context.Context, why error) ([]string, error) {
-	t.ticket.Release()
-	t.stages.avoidFor(t.owner.Incarnation, ownerPause)
-	t.stages.host.logger.Info("stage owner lost, its job goes to the next",
-		zap.String("request_id", t.job.RequestID), zap.String("stage_owner", t.owner.Incarnation), zap.Error(why))
+func (t *ticket) again(ctx context.Context, why error) ([]string, error) {
+	t.job.Made = t.made()
+	var moved *stagework.MovedError
+	if !errors.As(why, &moved) {
+		t.stages.avoidFor(t.owner.Incarnation, ownerPause)
+	}
+	t.release()
+	t.stages.host.logger.Info("job goes to the next stage owner",
+		zap.String("request_id", t.job.RequestID), zap.String("stage_owner", t.owner.Incarnation),
+		zap.Int("results", len(t.job.Made)), zap.Error(why))
 	next, err := t.stages.Submit(ctx, t.job)
 	if err != nil {
 		return nil, err
@@ -167,10 +194,31 @@
 	return next.Wait(ctx)
 }
 
-// Release implements forward.Ticket.
-func (t *remoteTicket) Release() {
-	t.ticket.Release()
+func (t *ticket) made() []stagework.Made {
+	if t.remote != nil {
+		return t.remote.Made()
+	}
+	made, _ := t.local.Made(0)
+	return append(slices.Clone(t.job.Made), made...)
+}
+
+func (t *ticket) release() {
+	if t.remote != nil {
+		t.remote.Release()
+		return
+	}
+	t.local.Release()
+}
+
+// Release implements forward.Ticket. The results of a job whose owner has ended are
+// freed by this daemon.
+func (t *ticket) Release() {
 	if t.next != nil {
 		t.next.Release()
+		return
+	}
+	t.release()
+	if t.ownerDead() {
+		t.stages.host.scheduler.Free(t.made())
 	}
 }
--- a/internal/peer/stagework.go
+++ b/internal/peer/stagework.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -25,6 +27,9 @@
 	stream grpc.BidiStreamingClient[peerpb.StageWorkRequest, peerpb.StageWorkResponse]
 	cancel context.CancelFunc
 	addr   string
+
+	mu   sync.Mutex
+	made []stagework.Made
 }
 
 // StageWork hands a job to the member that owns the stage upstreams. The error is a
@@ -35,11 +40,12 @@
 	t := &StageTicket{
 		cancel: cancel,
 		addr:   m.PeerAddr,
+		made:   slices.Clone(j.Made),
 	}
 	late := time.AfterFunc(patience, cancel)
 	err := t.open(ctx, n, j)
 	if !late.Stop() && err == nil {
-		err = context.DeadlineExceeded
+		err = t.failed(context.DeadlineExceeded)
 	}
 	if err != nil {
 		cancel()
@@ -79,16 +85,35 @@
 }
 
 // Wait returns the handles of the results of the final stages. The error is a
-// *stagework.RefusedError, a *stagework.FailedError or a *CallError.
+// *stagework.RefusedError, a *stagework.FailedError, a *stagework.MovedError or a
+// *CallError.
 func (t *StageTicket) Wait() ([]string, error) {
-	resp, err := t.stream.Recv()
-	if err != nil {
-		return nil, t.failed(err)
-	}
-	if resp.GetRefused() != nil || resp.GetFailed() != "" {
-		return nil, stageWorkError(resp)
+	for {
+		resp, err := t.stream.Recv()
+		if err != nil {
+			return nil, t.failed(err)
+		}
+		t.note(resp.GetMade())
+		switch {
+		case resp.GetRefused() != nil || resp.GetFailed() != "" || resp.GetMoved():
+			return nil, stageWorkError(resp)
+		case len(resp.GetHandles()) > 0:
+			return resp.GetHandles(), nil
+		}
 	}
-	return resp.GetHandles(), nil
+}
+
+func (t *StageTicket) note(made []*peerpb.StageResult) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.made = append(t.made, stageMade(made)...)
+}
+
+// Made returns the results that the owner has told of so far.
+func (t *StageTicket) Made() []stagework.Made {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.made)
 }
 
 // Release ends the job; the owner frees its results.
@@ -101,6 +126,9 @@
 			RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
 		}
 	}
+	if resp.GetMoved() {
+		return &stagework.MovedError{}
+	}
 	return &stagework.FailedError{
 		Service: resp.GetFailedService(),
 		Message: resp.GetFailed(),
@@ -126,10 +154,10 @@
 	}); err != nil {
 		return err
 	}
-	handles, err := ticket.Wait(st.Context())
-	if st.Context().Err() != nil {
-		return st.Context().Err()
+	if err := tellMade(st, ticket); err != nil {
+		return err
 	}
+	handles, err := ticket.Wait(st.Context())
 	if err := st.Send(stageWorkResponse(handles, err)); err != nil {
 		return err
 	}
@@ -137,10 +165,67 @@
 	return nil
 }
 
+// tellMade sends the results of pieces as they come, until the job is done.
+func tellMade(st grpc.BidiStreamingServer[peerpb.StageWorkRequest, peerpb.StageWorkResponse], ticket *stagework.Ticket) error {
+	sent := 0
+	for done := false; !done; {
+		made, changed := ticket.Made(sent)
+		if len(made) > 0 {
+			sent += len(made)
+			if err := st.Send(&peerpb.StageWorkResponse{
+				Made: stageResults(made),
+			}); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-changed:
+		case <-ticket.Done():
+			done = true
+		case <-st.Context().Done():
+			return st.Context().Err()
+		}
+	}
+	return nil
+}
+
+func stageResults(made []stagework.Made) []*peerpb.StageResult {
+	list := make([]*peerpb.StageResult, len(made))
+	for i, m := range made {
+		list[i] = &peerpb.StageResult{
+			Stage:        int32(m.Stage),
+			Piece:        int32(m.Piece),
+			Handle:       m.Handle,
+			Upstream:     m.Incarnation,
+			UpstreamAddr: m.Addr,
+		}
+	}
+	return list
+}
+
+func stageMade(list []*peerpb.StageResult) []stagework.Made {
+	made := make([]stagework.Made, len(list))
+	for i, r := range list {
+		made[i] = stagework.Made{
+			Stage:       int(r.GetStage()),
+			Piece:       int(r.GetPiece()),
+			Handle:      r.GetHandle(),
+			Incarnation: r.GetUpstream(),
+			Addr:        r.GetUpstreamAddr(),
+		}
+	}
+	return made
+}
+
 func stageWorkResponse(handles []string, err error) *peerpb.StageWorkResponse {
 	var refused *stagework.RefusedError
 	var failed *stagework.FailedError
+	var moved *stagework.MovedError
 	switch {
+	case errors.As(err, &moved):
+		return &peerpb.StageWorkResponse{
+			Moved: true,
+		}
 	case err == nil:
 		return &peerpb.StageWorkResponse{
 			Handles: handles,
@@ -173,6 +258,7 @@
 		DeadlineMs:  j.Deadline.Sub(now).Milliseconds(),
 		RemainingMs: j.Remaining.Milliseconds(),
 		DataCentre:  j.DataCentre,
+		Made:        stageResults(j.Made),
 	}
 	for _, st := range j.Stages {
 		after := make([]int32, len(st.After))
@@ -198,6 +284,7 @@
 		Deadline:   now.Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond),
 		Remaining:  time.Duration(req.GetRemainingMs()) * time.Millisecond,
 		DataCentre: req.GetDataCentre(),
+		Made:       stageMade(req.GetMade()),
 	}
 	for _, st := range req.GetStages() {
 		after := make([]int, len(st.GetAfter()))
--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -79,6 +79,9 @@
 		return false
 	}
 	s.refreshRoom(svc, now)
+	if svc.awaitsRoom(now) {
+		return true
+	}
 	svc.sort(now)
 	idle := svc.idle(now)
 	for len(svc.queue) > 0 && len(idle) > 0 {
@@ -102,7 +105,7 @@
 		var pieces []*piece
 		room := u.room(svc.spec.RoomBytes)
 		for i := len(svc.queue) - 1; i >= 0 && len(pieces) < trialPieces; i-- {
-			if p := svc.queue[i]; p.stage.ResultBytes <= room {
+			if p := svc.queue[i]; p.stage.ResultBytes <= room && !p.job.moving {
 				room -= p.stage.ResultBytes
 				pieces = append(pieces, p)
 			}
@@ -212,7 +215,7 @@
 	for _, p := range svc.queue {
 		size := p.stage.ResultBytes
 		switch {
-		case len(pieces) == svc.spec.Size || size >= barrier:
+		case len(pieces) == svc.spec.Size || size >= barrier || p.job.moving:
 			rest = append(rest, p)
 		case size > room:
 			barrier = size
--- a/internal/stagework/fake_test.go
+++ b/internal/stagework/fake_test.go
@@ -24,7 +24,7 @@
 }
 
 type fakeUpstream struct {
-	turn     sync.Mutex // held by the call that is worked on
+	turn     chan struct{} // holds the call that is worked on
 	callTime time.Duration
 	itemTime time.Duration
 	lifetime time.Duration
@@ -64,12 +64,12 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	s.turn.Lock()
+	s.turn <- struct{}{}
 	f.note("%s begins %s", u.Incarnation, itemNames(items))
 	results := f.take(s, u, items)
 	work := time.Duration(factor * float64(s.callTime+time.Duration(len(items))*s.itemTime))
 	time.Sleep(work)
-	s.turn.Unlock()
+	<-s.turn
 	f.mu.Lock()
 	f.calls++
 	f.worked += work
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -10,11 +11,14 @@
 	Job
 	stages   []*stage
 	unfinal  int // pieces of final stages that are not done
-	waiting  int // pieces that are neither done nor in a call
 	finished bool
 	done     chan struct{}
 	err      error
 	handles  []string
+	// made are the results so far; changed tells of a new one.
+	made    []Made
+	changed chan struct{}
+	moving  bool
 	// final says of each stage whether no other stage takes its results.
 	final []bool
 }
@@ -56,15 +60,15 @@
 
 func newJob(j Job) *job {
 	x := &job{
-		Job:   j,
-		done:  make(chan struct{}),
-		final: make([]bool, len(j.Stages)),
+		Job:     j,
+		done:    make(chan struct{}),
+		changed: make(chan struct{}, 1),
+		final:   make([]bool, len(j.Stages)),
 	}
 	for i, st := range j.Stages {
 		s := &stage{
 			Stage: st,
 			index: i,
-			open:  st.Pieces,
 		}
 		for n := range st.Pieces {
 			s.pieces = append(s.pieces, &piece{
@@ -75,22 +79,57 @@
 		}
 		x.stages = append(x.stages, s)
 		x.final[i] = st.Pieces > 0
-		x.waiting += st.Pieces
 	}
 	for _, s := range x.stages {
 		for _, input := range s.After {
-			x.stages[input].readers += s.Pieces
 			if s.Pieces > 0 {
 				x.final[input] = false
 			}
 		}
 	}
-	for i, s := range x.stages {
-		if x.final[i] {
-			x.unfinal += s.Pieces
+	return x
+}
+
+// adopt takes over the results that another owner has had made, as far as their
+// upstreams are known here, and counts what is left to do.
+func (j *job) adopt(find func(Made) *upstream) {
+	for _, m := range j.Made {
+		if m.Stage < 0 || m.Stage >= len(j.stages) || m.Piece < 0 || m.Piece >= len(j.stages[m.Stage].pieces) {
+			continue
+		}
+		if u := find(m); u != nil {
+			p := j.stages[m.Stage].pieces[m.Piece]
+			p.state = finished
+			p.at = u
+			p.handle = m.Handle
+			u.held += p.stage.ResultBytes
 		}
 	}
-	return x
+	for i := len(j.stages) - 1; i >= 0; i-- {
+		j.stages[i].count(j)
+	}
+}
+
+// count sets what is open of a stage whose later stages have been counted.
+func (s *stage) count(j *job) {
+	for _, next := range j.stages {
+		if slices.Contains(next.After, s.index) {
+			s.readers += next.open
+		}
+	}
+	needed := j.final[s.index] || s.readers > 0
+	for _, p := range s.pieces {
+		switch {
+		case p.state == finished:
+		case needed:
+			s.open++
+		default:
+			p.state = freed // Later stages have taken it already.
+		}
+	}
+	if j.final[s.index] {
+		j.unfinal += s.open
+	}
 }
 
 // check reports stages that take results of themselves or of later stages.
@@ -150,7 +189,7 @@
 }
 
 // Wait returns the handles of the results of all final stages, in order, or why
-// there are none: a *RefusedError, a *FailedError or the error of ctx.
+// there are none: a *RefusedError, a *FailedError, a *MovedError or the error of ctx.
 func (t *Ticket) Wait(ctx context.Context) ([]string, error) {
 	select {
 	case <-t.job.done:
@@ -160,6 +199,17 @@
 	}
 }
 
+// Made returns the results that have come since a number of them, and a channel that
+// tells of the next.
+func (t *Ticket) Made(since int) ([]Made, <-chan struct{}) {
+	t.scheduler.mu.Lock()
+	defer t.scheduler.mu.Unlock()
+	return slices.Clone(t.job.made[since:]), t.job.changed
+}
+
+// Done is closed when Wait would return at once.
+func (t *Ticket) Done() <-chan struct{} { return t.job.done }
+
 // Release ends the job: what is queued is dropped and what is done is freed.
 func (t *Ticket) Release() {
 	t.scheduler.release(t.job)
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -112,7 +112,15 @@
 	}
 	s.forgetRoom(now)
 	x := newJob(j)
+	x.adopt(s.find)
 	s.jobs[x] = struct{}{}
+	for _, st := range x.stages {
+		if st.open == 0 && st.readers == 0 && !x.final[st.index] {
+			for _, p := range st.pieces {
+				s.freePiece(p)
+			}
+		}
+	}
 	if x.unfinal == 0 {
 		s.finish(x, nil)
 	}
@@ -124,6 +132,55 @@
 	}, nil
 }
 
+// find returns the upstream that holds a result, or nil.
+func (s *Scheduler) find(m Made) *upstream {
+	for _, svc := range s.services {
+		if u, ok := svc.upstreams[m.Incarnation]; ok {
+			return u
+		}
+	}
+	return nil
+}
+
+// Move gives up the jobs that are not done, since another daemon owns the upstreams
+// now. A job moves once none of its pieces is in a call, so that no work is lost.
+func (s *Scheduler) Move() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for j := range s.jobs {
+		if !j.finished && !j.moving {
+			j.moving = true
+			s.move(j)
+		}
+	}
+}
+
+// move ends a job that is to move, unless a call has some of its pieces.
+func (s *Scheduler) move(j *job) {
+	if !j.moving || j.finished {
+		return
+	}
+	for _, st := range j.stages {
+		for _, p := range st.pieces {
+			if p.calls > 0 {
+				return
+			}
+		}
+	}
+	for _, svc := range s.services {
+		svc.queue = slices.DeleteFunc(svc.queue, func(p *piece) bool { return p.job == j })
+	}
+	for _, st := range j.stages {
+		for _, p := range st.pieces {
+			if p.state == finished { // The next owner accounts for it.
+				p.state = freed
+				p.at.held -= p.stage.ResultBytes
+			}
+		}
+	}
+	s.finish(j, &MovedError{})
+}
+
 // Len returns the number of jobs that were not released.
 func (s *Scheduler) Len() int {
 	s.mu.Lock()
@@ -236,6 +293,17 @@
 	p.at = u
 	p.handle = handle
 	j := p.job
+	j.made = append(j.made, Made{
+		Stage:       p.stage.index,
+		Piece:       p.index,
+		Handle:      handle,
+		Incarnation: u.Incarnation,
+		Addr:        u.Addr,
+	})
+	select {
+	case j.changed <- struct{}{}:
+	default: // A change is already told.
+	}
 	if j.finished {
 		s.freePiece(p)
 		return
@@ -299,6 +367,9 @@
 	} else {
 		s.callFailed(c, err)
 	}
+	for _, p := range c.pieces {
+		s.move(p.job)
+	}
 	s.dispatch()
 }
 
--- a/internal/stagework/script_test.go
+++ b/internal/stagework/script_test.go
@@ -22,6 +22,7 @@
 //	upstream NAME SERVICE dc=NAME factor=X [mute] [full] [taken=BYTES]
 //	job NAME at=D priority=N objective=D deadline=D remaining=D hold=D dc=NAME SERVICE:PIECES:BYTES[<STAGE] ...
 //	mend NAME at=D
+//	move all at=D
 //
 // and prints the calls of the upstreams and what became of the jobs. A job holds its
 // results for hold, as an engine does until it has fetched them. With the argument
@@ -47,6 +48,7 @@
 	t         *testing.T
 	fakes     *fakeUpstreams
 	scheduler *Scheduler
+	next      *Scheduler // takes the jobs that move
 	services  []routing.Service
 	upstreams []Upstream
 	mu        sync.Mutex // guards sizes
@@ -65,6 +67,9 @@
 		scheduler: New(Config{
 			Invoker: f,
 		}),
+		next: New(Config{
+			Invoker: f,
+		}),
 		sizes: make(map[string]int64),
 	}
 }
@@ -120,6 +125,7 @@
 			},
 		})
 		p.scheduler.SetServices(p.services)
+		p.next.SetServices(p.services)
 	case "upstream":
 		p.upstream(words[1], words[2], opts)
 	case "mend":
@@ -129,6 +135,8 @@
 			s := p.fakes.list[words[1]]
 			s.factor, s.mute, s.full = 1, false, false
 		})
+	case "move":
+		time.AfterFunc(p.duration(opts["at"]), p.scheduler.Move)
 	case "job":
 		p.job(words[1], words[2:], opts)
 	default:
@@ -144,6 +152,7 @@
 		factor, _ = strconv.ParseFloat(opts["factor"], 64)
 	}
 	s := &fakeUpstream{
+		turn:     make(chan struct{}, 1),
 		callTime: spec.CallTime,
 		itemTime: spec.ItemTime,
 		lifetime: spec.ResultLifetime,
@@ -172,6 +181,7 @@
 		Service:     service,
 	})
 	p.scheduler.SetUpstreams(p.upstreams)
+	p.next.SetUpstreams(p.upstreams)
 }
 
 func (p *play) job(name string, words []string, opts map[string]string) {
@@ -206,18 +216,25 @@
 	j.Deadline = p.fakes.began.Add(at + p.duration(opts["deadline"]))
 	p.wg.Go(func() {
 		time.Sleep(at)
-		p.run(j, hold)
+		p.run(p.scheduler, j, hold)
 	})
 }
 
-func (p *play) run(j Job, hold time.Duration) {
-	ticket, err := p.scheduler.Submit(j)
+func (p *play) run(s *Scheduler, j Job, hold time.Duration) {
+	ticket, err := s.Submit(j)
 	if err != nil {
 		p.fakes.note("job %s refused: %s", j.RequestID, p.reason(err))
 		return
 	}
 	defer ticket.Release()
 	handles, err := ticket.Wait(p.t.Context())
+	var moved *MovedError
+	if errors.As(err, &moved) {
+		j.Made, _ = ticket.Made(0)
+		p.fakes.note("job %s moves with %d results", j.RequestID, len(j.Made))
+		p.run(p.next, j, hold)
+		return
+	}
 	if err != nil {
 		p.fakes.note("job %s given up: %s", j.RequestID, p.reason(err))
 		return
@@ -248,7 +265,7 @@
 			p.fakes.note("%s still holds %d results", name, len(s.held))
 		}
 	}
-	if n := p.scheduler.Len(); n > 0 {
+	if n := p.scheduler.Len() + p.next.Len(); n > 0 {
 		p.fakes.note("%d jobs left", n)
 	}
 	slices.Sort(p.fakes.trace) // What happens at one instant has no order.
--- a/internal/stagework/stagework.go
+++ b/internal/stagework/stagework.go
@@ -107,8 +107,26 @@
 	// DataCentre is where the results will be fetched to. Empty means anywhere.
 	DataCentre string
 	Stages     []Stage
+	// Made are results that another owner has had made for this job.
+	Made []Made
 }
 
+// Made is the result of one piece.
+type Made struct {
+	Stage       int
+	Piece       int
+	Handle      string
+	Incarnation string
+	Addr        string
+}
+
+// MovedError reports a job that is to be given to another owner with the results that
+// it has.
+type MovedError struct{}
+
+// Error implements error.
+func (*MovedError) Error() string { return "another daemon owns the stage upstreams" }
+
 // RefusedError reports a job that was not taken or was given up, because it can't be
 // done in time.
 type RefusedError struct {
--- a/internal/stagework/upstream.go
+++ b/internal/stagework/upstream.go
@@ -28,6 +28,8 @@
 	// roomTimeout bounds that question, freeTimeout a call that frees results.
 	roomTimeout = 500 * time.Millisecond
 	freeTimeout = time.Second
+	// roomPatience is how long all work waits for the first answer of an upstream.
+	roomPatience = 20 * time.Millisecond
 	// roomKnown is how long without any job the account of memory is believed, since
 	// another scheduler may have worked meanwhile.
 	roomKnown = 2 * time.Second
@@ -57,6 +59,7 @@
 	foreignTill time.Time
 	known       bool
 	asking      bool
+	askedAt     time.Time
 	// claims is memory that is believed to be taken by results without a handle.
 	claims    []claim
 	pauseTill time.Time
@@ -133,6 +136,7 @@
 		return
 	}
 	u.asking = true
+	u.askedAt = time.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), roomTimeout)
 		defer cancel()
@@ -170,6 +174,16 @@
 	}
 }
 
+// awaitsRoom reports whether an upstream was asked for the first time just now.
+func (svc *service) awaitsRoom(now time.Time) bool {
+	for _, u := range svc.upstreams {
+		if u.asking && !u.known && !u.leaving && now.Sub(u.askedAt) < roomPatience {
+			return true
+		}
+	}
+	return false
+}
+
 // forgetRoom drops the account of memory after a time without any job.
 func (s *Scheduler) forgetRoom(now time.Time) {
 	if len(s.jobs) > 0 || now.Sub(s.idleSince) < roomKnown {
@@ -194,6 +208,17 @@
 	go s.freeAll(u)
 }
 
+// Free gives up results of another owner that has ended.
+func (s *Scheduler) Free(made []Made) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range made {
+		if u := s.find(m); u != nil {
+			s.free(u, m.Handle, 0)
+		}
+	}
+}
+
 func (s *Scheduler) freeAll(u *upstream) {
 	for {
 		s.mu.Lock()
