Give the stage upstreams to the daemon that started last, and let admission learn

Change: the owner keeps the duty for a term; without one the daemon that started last takes it. A job with results is not refused, and a refused one's results are freed. The delay beyond what was foreseen is added, by priority; slow upstreams are not counted on; late jobs that others crowd out are given up at once.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -255,6 +255,7 @@
 			h.logger.Info("daemons", zap.Int("alive", n), zap.String("stage_owner", h.stages.owner().Incarnation))
 		}
 		h.catchUp(ctx)
+		h.stages.take()
 		if !h.stages.owns() {
 			h.scheduler.Move()
 		}
--- a/internal/entryhost/stages.go
+++ b/internal/entryhost/stages.go
@@ -36,26 +36,50 @@
 	avoided map[string]time.Time
 }
 
-// owner returns the daemon that owns the stage upstreams: the first in the order of a
-// hash of their addresses, among those that are alive and know the routes. A daemon
-// that is restarted takes the duty up again, so that a restart of all daemons in turn
-// moves it twice only.
+// owner returns the daemon that owns the stage upstreams: the one that took the duty
+// last among those that are alive and know the routes, or else the one that is to take
+// it. That is the one that started last, since a restart of all daemons in turn comes
+// to it last.
 func (s *stages) owner() membership.Member {
-	self := s.host.members.Self()
-	owner := self
-	found := false
+	var owner membership.Member
 	for _, m := range s.host.members.Members() {
 		if m.State != membership.Alive || m.Revision == 0 || s.avoid(m.Incarnation) {
 			continue
 		}
-		if !found || hash(m.PeerAddr) < hash(owner.PeerAddr) {
+		if owner.Incarnation == "" || goesBefore(m, owner) {
 			owner = m
-			found = true
 		}
 	}
+	if owner.Incarnation == "" {
+		return s.host.members.Self()
+	}
 	return owner
 }
 
+func goesBefore(a, b membership.Member) bool {
+	if a.Term != b.Term {
+		return a.Term > b.Term
+	}
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	return a.Incarnation < b.Incarnation
+}
+
+// take takes the duty if this daemon is to have it and has not taken it yet.
+func (s *stages) take() {
+	self := s.host.members.Self()
+	if self.Term > 0 || self.State != membership.Alive || s.owner().Incarnation != self.Incarnation {
+		return
+	}
+	last := uint64(0)
+	for _, m := range s.host.members.Members() {
+		last = max(last, m.Term)
+	}
+	s.host.members.SetTerm(last + 1)
+	s.host.logger.Info("stage upstreams owned by this daemon", zap.Uint64("term", last+1))
+}
+
 // owns reports whether this daemon owns the stage upstreams.
 func (s *stages) owns() bool {
 	return s.owner().Incarnation == s.host.members.Self().Incarnation
@@ -188,6 +212,7 @@
 		zap.Int("results", len(t.job.Made)), zap.Error(why))
 	next, err := t.stages.Submit(ctx, t.job)
 	if err != nil {
+		t.stages.host.scheduler.Free(t.job.Made)
 		return nil, err
 	}
 	t.next = next
--- a/internal/membership/commands.go
+++ b/internal/membership/commands.go
@@ -44,6 +44,17 @@
 	t.flood([]*peerpb.Rumor{memberRumor(self)}, nil)
 }
 
+// SetTerm tells the others that this process takes the duty that one daemon has at a
+// time.
+func (t *Table) SetTerm(term uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	self := t.selfMember()
+	self = self.WithTerm(term).WithVersion(self.Version + 1)
+	t.put(self)
+	t.flood([]*peerpb.Rumor{memberRumor(self)}, nil)
+}
+
 // SetProgress sets the next offset and the revision that this process has folded.
 // A lower value than before is ignored.
 func (t *Table) SetProgress(next, rev uint64) {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -46,6 +46,9 @@
 	State        State  `json:"state"`
 	// Version grows with each change that the incarnation makes to its own entry.
 	Version uint64 `json:"version"`
+	// Term is the term in which the incarnation took the duty that one daemon has at a
+	// time, or zero. The highest among the living has it.
+	Term uint64 `json:"term,omitempty"`
 	// NextOffset and Revision are the last known progress of the member.
 	NextOffset uint64 `json:"next_offset"`
 	Revision   uint64 `json:"revision"`
@@ -63,6 +66,12 @@
 	return m
 }
 
+// WithTerm returns a copy of m with another term.
+func (m Member) WithTerm(term uint64) Member {
+	m.Term = term
+	return m
+}
+
 // WithProgress returns a copy of m with another progress.
 func (m Member) WithProgress(next, revision uint64) Member {
 	m.NextOffset = next
@@ -99,6 +108,7 @@
 	r.OperatorAddr = m.OperatorAddr
 	r.DataCentre = m.DataCentre
 	r.Revision = m.Revision
+	r.Term = m.Term
 	return r
 }
 
@@ -122,6 +132,7 @@
 		Version:      r.GetVersion(),
 		NextOffset:   r.GetNextOffset(),
 		Revision:     r.GetRevision(),
+		Term:         r.GetTerm(),
 	}, true
 }
 
--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -1,6 +1,8 @@
 package stagework
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -9,27 +11,43 @@
 	// leastComeBack and mostComeBack bound the time to come back.
 	leastComeBack = 100 * time.Millisecond
 	mostComeBack  = 5 * time.Second
+	// delayWeight is the weight of the newest job in the delay, and mostDelay bounds it.
+	delayWeight = 0.1
+	mostDelay   = time.Second
 	// roomHold is the time that a large result is held beside its own call: until
 	// the engine has fetched it.
 	roomHold = 250 * time.Millisecond
 )
 
 // admit refuses a job that can't be expected to meet its objective behind what is
-// there already.
-func (s *Scheduler) admit(j Job, now time.Time) error {
+// there already, and returns when one that it takes is foreseen to be done. A job that
+// has results already is taken.
+func (s *Scheduler) admit(j Job, now time.Time) (time.Time, error) {
 	end, bottleneck := s.foresee(j, now)
-	if !end.Add(j.Remaining).After(j.Objective) {
-		return nil
+	answer := end.Add(j.Remaining + s.delay[j.Priority])
+	if !answer.After(j.Objective) || len(j.Made) > 0 {
+		return end, nil
 	}
-	if !s.busy(j) && !end.Add(j.Remaining).After(j.Deadline) {
-		return nil // Nothing else waits, so a late answer costs nobody anything.
+	if !s.busy(j) && !answer.After(j.Deadline) {
+		return end, nil // Nothing else waits, so a late answer costs nobody anything.
 	}
-	return &RefusedError{
-		Message:    fmt.Sprintf("the stages would take until %s past the objective; %s is the bottleneck", end.Add(j.Remaining).Sub(j.Objective).Round(time.Millisecond), bottleneck),
+	return end, &RefusedError{
+		Message:    fmt.Sprintf("the answer would begin %s past the objective; %s is the bottleneck", answer.Sub(j.Objective).Round(time.Millisecond), bottleneck),
 		RetryAfter: s.comeBack(bottleneck),
 	}
 }
 
+// learn compares when a job was done with when it was foreseen to be done.
+func (s *Scheduler) learn(j *job, err error) {
+	var moved *MovedError
+	if errors.Is(err, context.Canceled) || errors.As(err, &moved) {
+		return
+	}
+	late := min(max(time.Since(j.expected), 0), mostDelay)
+	old := s.delay[j.Priority]
+	s.delay[j.Priority] = old + time.Duration(delayWeight*float64(late-old))
+}
+
 // foresee returns when the job's stages can be expected to be done, and the service
 // that it waits for longest.
 func (s *Scheduler) foresee(j Job, now time.Time) (time.Time, string) {
@@ -95,26 +113,33 @@
 
 // backlog returns how long the usable upstreams take to come to an end of a load.
 func (svc *service) backlog(l load) time.Duration {
-	n := 0
-	for _, u := range svc.upstreams {
-		if !u.leaving && u.failures < 3 {
-			n++
-		}
-	}
+	n := svc.strength()
 	if n == 0 {
 		return mostComeBack
 	}
 	full := callTime(svc.spec, svc.spec.Size)
-	byWork := time.Duration(l.pieces) * full / time.Duration(svc.spec.Size*n)
+	byWork := time.Duration(float64(l.pieces) * float64(full) / (float64(svc.spec.Size) * n))
 	resident := full + roomHold
-	byRoom := time.Duration(float64(l.bytes) / float64(max(svc.spec.RoomBytes, 1)) / float64(n) * float64(resident))
+	byRoom := time.Duration(float64(l.bytes) / float64(max(svc.spec.RoomBytes, 1)) / n * float64(resident))
 	wait := max(byWork, byRoom)
 	if svc.allBusy() {
-		wait += full / 2 / time.Duration(n)
+		wait += time.Duration(float64(full) / 2 / n)
 	}
 	return wait
 }
 
+// strength returns the number of upstreams that can be counted on, each by its pace.
+func (svc *service) strength() float64 {
+	n := 0.0
+	best := svc.bestPace()
+	for _, u := range svc.upstreams {
+		if !u.leaving && u.failures == 0 && u.pace < slowPace*best {
+			n += 1 / max(u.pace, 1)
+		}
+	}
+	return n
+}
+
 func (svc *service) allBusy() bool {
 	for _, u := range svc.upstreams {
 		if !u.leaving && u.calls < svc.spec.Concurrency {
--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -41,15 +41,21 @@
 	}
 }
 
-// expire gives up the jobs in the queue that can't meet their deadline any longer.
+// expire gives up the jobs in the queue that can't meet their deadline any longer, and
+// those that are late and would not be done in time behind what is more urgent.
 func (s *Scheduler) expire(svc *service, now time.Time) {
-	var late []*job
+	var hopeless []*job
+	var last *job
 	for _, p := range svc.queue {
-		if !p.job.finished && p.job.left(now) < s.leastTime(p.job, p.stage) {
-			late = append(late, p.job)
+		if p.job == last || p.job.finished || p.job.moving {
+			continue
+		}
+		last = p.job
+		if last.left(now) < s.leastTime(last, p.stage) || lateness(last, now) > 0 && s.crowdedOut(svc, last, now) {
+			hopeless = append(hopeless, last)
 		}
 	}
-	for _, j := range late {
+	for _, j := range hopeless {
 		s.finish(j, &RefusedError{
 			Message:    "the stages can't be done before the deadline",
 			RetryAfter: s.comeBack(svc.name),
@@ -57,6 +63,11 @@
 	}
 }
 
+// crowdedOut reports whether what goes before a late job takes up its time.
+func (s *Scheduler) crowdedOut(svc *service, j *job, now time.Time) bool {
+	return svc.backlog(s.ahead(svc, j.Job, now)) > j.left(now)
+}
+
 // leastTime is the least time that the stages from st on take.
 func (s *Scheduler) leastTime(j *job, st *stage) time.Duration {
 	var least time.Duration
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -22,6 +22,8 @@
 	wake     *time.Timer
 	// idleSince is when the last job was released.
 	idleSince time.Time
+	// delay is, by priority, how much later than foreseen jobs have been done.
+	delay map[int]time.Duration
 }
 
 // service is the upstreams of one service and the pieces that wait for them.
@@ -41,6 +43,7 @@
 		cfg:      cfg,
 		services: make(map[string]*service),
 		jobs:     make(map[*job]struct{}),
+		delay:    make(map[int]time.Duration),
 	}
 }
 
@@ -107,11 +110,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if err := s.admit(j, now); err != nil {
+	s.forgetRoom(now)
+	end, err := s.admit(j, now)
+	if err != nil {
 		return nil, err
 	}
-	s.forgetRoom(now)
 	x := newJob(j)
+	x.expected = end
 	x.adopt(s.find)
 	s.jobs[x] = struct{}{}
 	for _, st := range x.stages {
@@ -222,6 +227,7 @@
 	}
 	j.finished = true
 	j.err = err
+	s.learn(j, err)
 	if err == nil {
 		for i, st := range j.stages {
 			if !j.final[i] {
