--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -39,7 +39,7 @@
 	// unreachableAfter covers a daemon that starts a little later than the others.
 	unreachableAfter = 2500 * time.Millisecond
 	// probeEvery is the time between two probes of addresses without a live daemon.
-	probeEvery = 2 * time.Second
+	probeEvery = 500 * time.Millisecond
 	// maxAddresses bounds an answer to a caller that asks where to connect.
 	maxAddresses = 64
 	// allUpstreams is above the number of upstreams of any service: requests that
@@ -78,6 +78,7 @@
 	upstreams *upstream.Set
 	scheduler *stagework.Scheduler
 	forwarder *forward.Forwarder
+	started   time.Time
 	stages    *stages
 	daemons   atomic.Int64
 	leaving   atomic.Bool
@@ -99,6 +100,7 @@
 		cfg:      cfg,
 		logger:   cfg.Logger.With(zap.String("incarnation", incarnation)),
 		listener: listener,
+		started:  time.Now(),
 	}
 	h.daemons.Store(1)
 	h.members = membership.New(membership.Config{
--- a/internal/entryhost/stages.go
+++ b/internal/entryhost/stages.go
@@ -22,6 +22,9 @@
 	ownerPause = time.Second
 	// ownerWatch is how often a daemon looks whether the owner of its jobs lives.
 	ownerWatch = 100 * time.Millisecond
+	// joinTime is how long after its start a daemon takes no duty, so that it has heard
+	// of the daemon that has it.
+	joinTime = 700 * time.Millisecond
 	// submitTries is how many owners are asked before this daemon does the work.
 	submitTries = 2
 )
@@ -69,7 +72,7 @@
 // take takes the duty if this daemon is to have it and has not taken it yet.
 func (s *stages) take() {
 	self := s.host.members.Self()
-	if self.Term > 0 || self.State != membership.Alive || s.owner().Incarnation != self.Incarnation {
+	if time.Since(s.host.started) < joinTime || self.Term > 0 || self.State != membership.Alive || s.owner().Incarnation != self.Incarnation {
 		return
 	}
 	last := uint64(0)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -20,7 +20,7 @@
 	queueLength = 256
 	// dialAgainMin and dialAgainMax bound the pause between two tries of an address.
 	dialAgainMin = 250 * time.Millisecond
-	dialAgainMax = 2 * time.Second
+	dialAgainMax = time.Second
 	// connectBackoffMin and connectBackoffMax bound the pause within one connection.
 	connectBackoffMin = 100 * time.Millisecond
 	connectBackoffMax = time.Second
