--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -22,6 +22,8 @@
 	wake     *time.Timer
 	// idleSince is when the last job was released.
 	idleSince time.Time
+	// tookOver is when the first job came after a time without any.
+	tookOver time.Time
 	// delay is, by priority, how much later than foreseen jobs have been done.
 	delay map[int]time.Duration
 }
@@ -405,11 +407,14 @@
 		if results[i].Reason != Done {
 			u.held -= p.stage.ResultBytes
 		}
+	}
+	measured := s.measureRoom(c, results)
+	for i, p := range c.pieces {
 		switch r := results[i]; r.Reason {
 		case Done:
 			s.complete(p, u, r.Handle)
 		case NoRoom:
-			s.noRoom(c, p)
+			s.noRoom(c, p, measured)
 		case Late:
 			s.finish(p.job, &RefusedError{
 				Message:    "the time for a stage has passed",
@@ -423,9 +428,23 @@
 	}
 }
 
-func (s *Scheduler) noRoom(c *call, p *piece) {
+// measureRoom takes from a call that found no room, soon after this scheduler took over,
+// how much memory the results of the owner before take.
+func (s *Scheduler) measureRoom(c *call, results []ItemResult) bool {
+	now := time.Now()
+	full := slices.ContainsFunc(results, func(r ItemResult) bool { return r.Reason == NoRoom })
+	if !full || now.Sub(s.tookOver) > c.service.spec.ResultLifetime {
+		return false
+	}
+	c.upstream.measure(c.service.spec.RoomBytes, now)
+	return true
+}
+
+func (s *Scheduler) noRoom(c *call, p *piece, measured bool) {
 	u := c.upstream
-	u.claim(p.stage.ResultBytes, time.Now().Add(roomPause))
+	if !measured {
+		u.claim(p.stage.ResultBytes, time.Now().Add(roomPause))
+	}
 	s.cfg.Logger.Info("stage upstream has no room",
 		zap.String("request_id", p.job.RequestID), zap.String("upstream", u.Incarnation), zap.Int64("held_bytes", u.held))
 	s.retry(p, false, "no room for results")
--- a/internal/stagework/upstream.go
+++ b/internal/stagework/upstream.go
@@ -33,6 +33,9 @@
 	// roomKnown is how long without any job the account of memory is believed, since
 	// another scheduler may have worked meanwhile.
 	roomKnown = 2 * time.Second
+	// leftPause is how long memory that a call found taken by results of another owner
+	// is believed to be; after it half of it is.
+	leftPause = 500 * time.Millisecond
 	// roomPause is how long memory that was found taken is believed to be taken.
 	roomPause = 300 * time.Millisecond
 	// resultLifetime stands in for the lifetime of results that could not be freed.
@@ -60,6 +63,10 @@
 	known       bool
 	asking      bool
 	askedAt     time.Time
+	// left is memory that a call found taken by results of an owner before this one.
+	// It lapses, so half of it is forgotten at leftTill and again after each pause.
+	left     int64
+	leftTill time.Time
 	// claims is memory that is believed to be taken by results without a handle.
 	claims    []claim
 	pauseTill time.Time
@@ -118,11 +125,21 @@
 	if !now.Before(u.foreignTill) {
 		u.foreign = 0
 	}
+	if !now.Before(u.leftTill) {
+		u.left /= 2
+		u.leftTill = now.Add(leftPause)
+	}
+}
+
+// measure notes that there was no room beside what this scheduler holds.
+func (u *upstream) measure(total int64, now time.Time) {
+	u.left = max(total-u.held, 0)
+	u.leftTill = now.Add(leftPause)
 }
 
 // room returns the memory that a call may count on.
 func (u *upstream) room(total int64) int64 {
-	left := total - u.held - u.foreign
+	left := total - u.held - max(u.foreign, u.left)
 	for _, c := range u.claims {
 		left -= c.bytes
 	}
@@ -189,6 +206,7 @@
 	if len(s.jobs) > 0 || now.Sub(s.idleSince) < roomKnown {
 		return
 	}
+	s.tookOver = now
 	for _, svc := range s.services {
 		for _, u := range svc.upstreams {
 			u.known = false
