--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -28,6 +28,8 @@
 	// firstAnswerQuantile is the part of recent times that the time kept for the
 	// upstream behind the stages covers.
 	firstAnswerQuantile = 0.75
+	// leastMakers stands in for data centres that make no stage results.
+	leastMakers = 0.1
 	// maxRefusals bounds how often one request is offered after refusals.
 	maxRefusals = 3
 )
@@ -222,10 +224,27 @@
 			Concurrency: slots,
 		},
 		Affinity: x.affinity(),
+		Weights:  x.weights(),
 		Exclude:  x.tried,
 	}
 }
 
+// weights spreads the prompts of a route with large stage results over the data centres
+// as the upstreams that make these results are spread, so that few results travel.
+func (x *run) weights() map[string]float64 {
+	i := slices.IndexFunc(x.route.Stages, func(s routing.Stage) bool { return s.ResultBytes >= stagework.LargeResult })
+	if i < 0 || x.service.Engine == nil {
+		return nil
+	}
+	makers := x.forwarder.cfg.Upstreams.Centres(x.route.Stages[i].Service)
+	engines := x.forwarder.cfg.Upstreams.Centres(x.service.Name)
+	weights := make(map[string]float64, len(engines))
+	for centre, n := range engines {
+		weights[centre] = max(float64(makers[centre]), leastMakers) / float64(n)
+	}
+	return weights
+}
+
 // pick chooses an upstream that the request has not been offered to.
 func (x *run) pick() (upstream.Choice, error) {
 	choice, err := x.forwarder.cfg.Upstreams.Pick(x.upstreamRequest())
--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// largeResult is the size from which results are made near where they go.
-	largeResult = 100 << 10
+	// LargeResult is the size from which results are made near where they go.
+	LargeResult = 100 << 10
 	// trialPieces is the size of a call to a slow upstream.
 	trialPieces = 2
 	// dispatchAgain is the pause before another look while upstreams pause or have no
@@ -97,7 +97,7 @@
 	idle := svc.idle(now)
 	for len(svc.queue) > 0 && len(idle) > 0 {
 		u := svc.choose(idle, svc.queue[0])
-		pieces := svc.fill(u, idle)
+		pieces := s.fill(svc, u, idle, now)
 		if len(pieces) > 0 {
 			s.start(svc, u, pieces, now)
 		}
@@ -216,12 +216,13 @@
 }
 
 // fill takes the pieces of one call out of the queue. A large piece is left for an
-// idle upstream that is nearer to where its result goes. Once a piece has found no
-// room, no later one that is as large goes before it.
-func (svc *service) fill(u *upstream, idle []*upstream) []*piece {
+// upstream that is nearer to where its result goes, if that one is idle or will be in
+// time. Once a piece has found no room, no later one that is as large goes before it.
+func (s *Scheduler) fill(svc *service, u *upstream, idle []*upstream, now time.Time) []*piece {
 	room := u.room(svc.spec.RoomBytes)
 	var pieces []*piece
 	barrier := svc.spec.RoomBytes + 1
+	left := make(map[*upstream]int)
 	rest := svc.queue[:0]
 	for _, p := range svc.queue {
 		size := p.stage.ResultBytes
@@ -231,7 +232,7 @@
 		case size > room:
 			barrier = size
 			rest = append(rest, p)
-		case size >= largeResult && svc.nearer(u, idle, p):
+		case size >= LargeResult && s.leave(svc, u, idle, p, left, now):
 			rest = append(rest, p)
 		default:
 			room -= size
@@ -242,20 +243,35 @@
 	return pieces
 }
 
-// nearer reports whether another idle upstream with room is where p is best made.
-func (svc *service) nearer(u *upstream, idle []*upstream, p *piece) bool {
+// leave reports whether a piece is left for a nearer upstream. left counts the pieces
+// that are left for each.
+func (s *Scheduler) leave(svc *service, u *upstream, idle []*upstream, p *piece, left map[*upstream]int, now time.Time) bool {
 	place := p.place()
 	if place == "" || u.DataCentre == place {
 		return false
 	}
-	for _, o := range idle {
-		if o.DataCentre == place && o.room(svc.spec.RoomBytes) >= p.stage.ResultBytes {
-			return true
+	for _, o := range svc.upstreams {
+		if o.DataCentre != place || left[o] >= svc.spec.Size || !s.inTime(svc, o, idle, p, now) {
+			continue
 		}
+		left[o]++
+		return true
 	}
 	return false
 }
 
+// inTime reports whether an upstream that may be busy can make a piece in its time.
+func (s *Scheduler) inTime(svc *service, o *upstream, idle []*upstream, p *piece, now time.Time) bool {
+	if slices.Contains(idle, o) {
+		return o.room(svc.spec.RoomBytes) >= p.stage.ResultBytes
+	}
+	if o.leaving || !o.known || o.failures > 0 || o.calls == 0 || o.pace >= slowPace*svc.bestPace() {
+		return false
+	}
+	end := o.freeAt.Add(callTime(svc.spec, svc.spec.Size) + s.leastTime(p.job, p.stage) + p.job.Remaining)
+	return o.freeAt.After(now) && end.Before(p.job.Objective)
+}
+
 // start makes one call in a goroutine of its own.
 func (s *Scheduler) start(svc *service, u *upstream, pieces []*piece, now time.Time) {
 	c := &call{
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -168,19 +169,37 @@
 func (g *group) affine(r *Request, now time.Time) *member {
 	bound := g.cfg.AffinityBound * (g.meanLoad(now) + 1)
 	var best *member
-	var rank uint64
+	var rank float64
 	for i, hash := range g.hashes {
-		h := mix(hash ^ r.Affinity)
+		m := g.subset[i]
+		h := weightedRank(mix(hash^r.Affinity), r.weight(m.host.DataCentre))
 		if best != nil && h <= rank {
 			continue
 		}
-		if m := g.subset[i]; g.eligible(m, r, now) && g.load(m, now) <= min(bound, float64(m.slots(r.Pool.Concurrency)-1)) && !m.trial && !g.suspect(m, r, now) {
+		if g.eligible(m, r, now) && g.load(m, now) <= min(bound, float64(m.slots(r.Pool.Concurrency)-1)) && !m.trial && !g.suspect(m, r, now) {
 			best, rank = m, h
 		}
 	}
 	return best
 }
 
+func (r *Request) weight(dataCentre string) float64 {
+	if w, ok := r.Weights[dataCentre]; ok {
+		return w
+	}
+	return 1
+}
+
+// weightedRank turns a hash into a rank, so that the member with the highest rank is
+// chosen in proportion to its weight. Without weights it keeps the order of the hashes.
+func weightedRank(hash uint64, weight float64) float64 {
+	if weight <= 0 {
+		return math.Inf(-1)
+	}
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
+	return math.Log(uniform) / weight
+}
+
 // meanLoad returns the mean load of the usable members, as of a moment ago.
 func (g *group) meanLoad(now time.Time) float64 {
 	if now.Before(g.mean.expiry) {
--- a/internal/upstream/set.go
+++ b/internal/upstream/set.go
@@ -73,6 +73,24 @@
 	}
 }
 
+// Centres returns the number of live upstreams of a service in each data centre.
+func (s *Set) Centres(service string) map[string]int {
+	counts := make(map[string]int)
+	g := s.group(service)
+	if g == nil {
+		return counts
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if m.state(now) == Live {
+			counts[m.host.DataCentre]++
+		}
+	}
+	return counts
+}
+
 // SetDaemons tells how many daemons share the upstreams; it sizes subsets and
 // this daemon's part of their concurrency.
 func (s *Set) SetDaemons(n int) {
