Do not count the memory of large results against small ones in the forecast

Cause: after the owner's death large results of before filled the memory (1 to 4 of 18 MB free), and the forecast refused jobs with results of 8 kB for it.

--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -14,6 +14,8 @@
 	// delayWeight is the weight of the newest job in the delay, and mostDelay bounds it.
 	delayWeight = 0.1
 	mostDelay   = time.Second
+	// smallParts is the part of an upstream's memory below which a result is small.
+	smallParts = 100
 	// roomHold is the time that a large result is held beside its own call: until
 	// the engine has fetched it.
 	roomHold = 250 * time.Millisecond
@@ -67,7 +69,11 @@
 		if !ok || st.Pieces == 0 {
 			continue
 		}
-		wait := max(svc.backlog(s.ahead(svc, j, now))-start.Sub(now), 0)
+		ahead := s.ahead(svc, j, now)
+		if st.ResultBytes*smallParts < svc.spec.RoomBytes {
+			ahead.bytes = 0 // Such results fit in where larger ones wait for memory.
+		}
+		wait := max(svc.backlog(ahead)-start.Sub(now), 0)
 		if wait >= longest {
 			longest, bottleneck = wait, st.Service
 		}
@@ -120,7 +126,7 @@
 	full := callTime(svc.spec, svc.spec.Size)
 	byWork := time.Duration(float64(l.pieces) * float64(full) / (float64(svc.spec.Size) * n))
 	resident := full + roomHold
-	byRoom := time.Duration(float64(l.bytes) / float64(max(svc.spec.RoomBytes, 1)) / n * float64(resident))
+	byRoom := time.Duration(float64(l.bytes) / float64(max(svc.memory(), 1)) * float64(resident))
 	wait := max(byWork, byRoom)
 	if svc.allBusy() {
 		wait += time.Duration(float64(full) / 2 / n)
@@ -128,6 +134,18 @@
 	return wait
 }
 
+// memory returns the memory for results of the usable upstreams, less what another owner
+// has left there.
+func (svc *service) memory() int64 {
+	sum := int64(0)
+	for _, u := range svc.upstreams {
+		if !u.leaving && u.failures == 0 {
+			sum += svc.spec.RoomBytes - max(u.foreign, u.left)
+		}
+	}
+	return sum
+}
+
 // strength returns the number of upstreams that can be counted on, each by its pace.
 func (svc *service) strength() float64 {
 	n := 0.0
