--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -89,6 +89,7 @@
 		a.keyCommand(),
 		a.resolveCommand(),
 		a.checkCommand(),
+		a.traceCommand(),
 	)
 	root.LongHelp = "exit: 0 ok, 1 other, 2 bad input,\n 3 refused, 4 conflict, 5 unknown,\n 6 not run, 7 failed"
 	root.Options = []ff.Option{
--- /dev/null
+++ b/internal/entryhost/entryhost_test.go
@@ -0,0 +1,279 @@
+package entryhost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/forward"
+	"sequoiafork/internal/routing"
+	"sequoiafork/internal/settings"
+	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/upstream"
+)
+
+const (
+	// patience bounds what daemons take to agree.
+	patience = 20 * time.Second
+	look     = 20 * time.Millisecond
+)
+
+// invoker makes every piece after a short time and counts what is held.
+type invoker struct {
+	mu    sync.Mutex
+	made  int
+	freed int
+	work  time.Duration
+}
+
+func (v *invoker) Run(ctx context.Context, _ stagework.Upstream, items []stagework.Item) ([]stagework.ItemResult, error) {
+	select {
+	case <-time.After(v.work):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	results := make([]stagework.ItemResult, len(items))
+	for i := range items {
+		v.made++
+		results[i].Handle = fmt.Sprint("r", v.made)
+	}
+	return results, nil
+}
+
+func (v *invoker) Free(_ context.Context, _ stagework.Upstream, handles []string) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.freed += len(handles)
+	return nil
+}
+
+func (*invoker) RoomLeft(context.Context, stagework.Upstream) (int64, error) { return 1 << 30, nil }
+
+func (v *invoker) counts() (made, freed int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.made, v.freed
+}
+
+type noCaller struct{}
+
+func (noCaller) Call(context.Context, forward.Call) (*forward.Reply, error) {
+	return nil, errors.New("no upstream in this test")
+}
+
+func tableOf(version uint64) *routing.Table {
+	return routing.New(routing.Config{
+		Version: version,
+		Services: []routing.Service{
+			{
+				Name: "w",
+				Batch: &routing.Batch{
+					Concurrency:    1,
+					Size:           8,
+					CallTime:       100 * time.Millisecond,
+					ItemTime:       time.Millisecond,
+					RoomBytes:      1 << 30,
+					ResultLifetime: 4 * time.Second,
+				},
+			},
+		},
+	})
+}
+
+func decodeVersion(raw []byte) (*routing.Table, error) {
+	version, err := strconv.ParseUint(string(raw), 10, 64)
+	return tableOf(version), err
+}
+
+// running is a host that can be stopped.
+type running struct {
+	*Host
+	stop context.CancelFunc
+	done chan error
+}
+
+func start(t *testing.T, v *invoker, seeds ...string) *running {
+	t.Helper()
+	s := settings.Default()
+	s.Daemon.PeerAddr = "127.0.0.1:0"
+	s.Daemon.CallerAddr = fmt.Sprintf("192.0.2.%d:80", len(seeds)+1)
+	s.Daemon.DataCentre = "a"
+	s.Peers.Seeds = seeds
+	h, err := New(Config{
+		Settings: s,
+		Logger:   zap.NewNop(),
+		Caller:   noCaller{},
+		Invoker:  v,
+		Decode:   decodeVersion,
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{
+		Host: h,
+		stop: cancel,
+		done: make(chan error, 1),
+	}
+	go func() { r.done <- h.Run(ctx) }()
+	t.Cleanup(r.end)
+	h.SetTable(tableOf(1), []byte("1"), "test")
+	h.SetUpstreams([]upstream.Host{
+		{
+			Addr:        "192.0.2.99:80",
+			Incarnation: "i-1",
+			Service:     "w",
+		},
+	})
+	return r
+}
+
+func (r *running) end() {
+	r.stop()
+	<-r.done
+	r.done <- nil
+}
+
+func cluster(t *testing.T, v *invoker) []*running {
+	var hosts []*running
+	var seeds []string
+	for range 3 {
+		h := start(t, v, seeds...)
+		hosts = append(hosts, h)
+		seeds = append(seeds, h.PeerAddr())
+	}
+	return hosts
+}
+
+// owners returns whom the hosts hold for the owner of the stage upstreams.
+func owners(hosts []*running) map[string]bool {
+	found := make(map[string]bool)
+	for _, h := range hosts {
+		found[h.stages.owner().Incarnation] = true
+	}
+	return found
+}
+
+func agreed(t *testing.T, hosts []*running) *running {
+	t.Helper()
+	var owner *running
+	require.Eventually(t, func() bool {
+		found := owners(hosts)
+		for _, h := range hosts {
+			n, _ := h.members.Count()
+			if len(found) == 1 && n == len(hosts) && found[h.members.Self().Incarnation] && h.members.Self().Term > 0 {
+				owner = h
+			}
+		}
+		return owner != nil
+	}, patience, look)
+	return owner
+}
+
+func without(hosts []*running, gone *running) []*running {
+	var rest []*running
+	for _, h := range hosts {
+		if h != gone {
+			rest = append(rest, h)
+		}
+	}
+	return rest
+}
+
+func job(id string) stagework.Job {
+	now := time.Now()
+	return stagework.Job{
+		RequestID: id,
+		Objective: now.Add(patience),
+		Deadline:  now.Add(patience),
+		Stages: []stagework.Stage{
+			{
+				Service:     "w",
+				Pieces:      3,
+				ResultBytes: 1000,
+			},
+		},
+	}
+}
+
+func TestOneOwnerDoesTheStagesOfAll(t *testing.T) {
+	v := &invoker{
+		work: 50 * time.Millisecond,
+	}
+	hosts := cluster(t, v)
+	owner := agreed(t, hosts)
+	for i, h := range hosts {
+		ticket, err := h.stages.Submit(t.Context(), job(fmt.Sprint("j", i)))
+		require.NoError(t, err)
+		require.Equal(t, 1, owner.scheduler.Len(), "the owner has the job of host %d", i)
+		handles, err := ticket.Wait(t.Context())
+		require.NoError(t, err)
+		require.Len(t, handles, 3)
+		ticket.Release()
+		require.Eventually(t, func() bool { return owner.scheduler.Len() == 0 }, patience, look)
+	}
+	require.Eventually(t, func() bool { made, freed := v.counts(); return made == 9 && freed == 9 }, patience, look)
+}
+
+func TestOwnerThatLeavesGivesItsJobsUp(t *testing.T) {
+	v := &invoker{
+		work: 400 * time.Millisecond,
+	}
+	hosts := cluster(t, v)
+	owner := agreed(t, hosts)
+	rest := without(hosts, owner)
+	ticket, err := rest[0].stages.Submit(t.Context(), job("j"))
+	require.NoError(t, err)
+	owner.Leave()
+	handles, err := ticket.Wait(t.Context())
+	require.NoError(t, err)
+	require.Len(t, handles, 3)
+	made, _ := v.counts()
+	require.Equal(t, 3, made, "nothing was made twice")
+	require.NotContains(t, owners(rest), owner.members.Self().Incarnation)
+	ticket.Release()
+	require.Eventually(t, func() bool { _, freed := v.counts(); return freed == 3 }, patience, look)
+}
+
+func TestJobOutlivesItsOwner(t *testing.T) {
+	v := &invoker{
+		work: 300 * time.Millisecond,
+	}
+	hosts := cluster(t, v)
+	owner := agreed(t, hosts)
+	rest := without(hosts, owner)
+	ticket, err := rest[0].stages.Submit(t.Context(), job("j"))
+	require.NoError(t, err)
+	owner.end()
+	handles, err := ticket.Wait(t.Context())
+	require.NoError(t, err)
+	require.Len(t, handles, 3)
+	ticket.Release()
+}
+
+func TestRoutesComeFromANeighbour(t *testing.T) {
+	hosts := cluster(t, &invoker{})
+	hosts[0].SetTable(tableOf(5), []byte("5"), "test")
+	for _, h := range hosts {
+		require.Eventually(t, func() bool { return h.Table().Version() == 5 }, patience, look)
+		h.SetTable(tableOf(4), []byte("4"), "test")
+		require.Equal(t, uint64(5), h.Table().Version(), "routes never go back")
+	}
+}
+
+func TestLeavingHostIsNotResolved(t *testing.T) {
+	hosts := cluster(t, &invoker{})
+	agreed(t, hosts)
+	hosts[1].Leave()
+	require.False(t, hosts[1].Ready())
+	for _, h := range hosts {
+		require.Eventually(t, func() bool { addrs, _ := h.Resolve("c", "a"); return len(addrs) == 2 }, patience, look)
+	}
+}
--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,92 @@
+package eventstream
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestNext(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		text string
+		ids  []int64
+		err  error
+	}{
+		{
+			name: "empty",
+			err:  io.EOF,
+		},
+		{
+			name: "whole",
+			text: "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: note\n\n",
+			ids:  []int64{1, 2, -1},
+			err:  io.EOF,
+		},
+		{
+			name: "cut in a line",
+			text: "id: 1\n\nid: 2\nda",
+			ids:  []int64{1},
+			err:  io.ErrUnexpectedEOF,
+		},
+		{
+			name: "cut before the blank line",
+			text: "id: 1\ndata: a\n",
+			err:  io.ErrUnexpectedEOF,
+		},
+		{
+			name: "id that is no number",
+			text: "id: x\n\n",
+			ids:  []int64{-1},
+			err:  io.EOF,
+		},
+		{
+			name: "too long",
+			text: strings.Repeat("data: a\n", maxEventBytes/8+1),
+			err:  ErrTooLong,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := NewReader(strings.NewReader(c.text))
+			var ids []int64
+			for {
+				e, err := r.Next()
+				if err != nil {
+					require.ErrorIs(t, err, c.err)
+					break
+				}
+				if !e.HasID {
+					e.ID = -1
+				}
+				ids = append(ids, e.ID)
+			}
+			require.Equal(t, c.ids, ids)
+		})
+	}
+}
+
+// FuzzNext requires that the events, one after the other, are the beginning of the
+// stream, byte by byte, and all of it when the stream ends whole.
+func FuzzNext(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"))
+	f.Add([]byte("\r\n\n\nid:\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := NewReader(bytes.NewReader(text))
+		var got []byte
+		for {
+			e, err := r.Next()
+			if err != nil {
+				if errors.Is(err, io.EOF) {
+					require.Equal(t, len(text), len(got))
+				}
+				break
+			}
+			got = append(got, e.Raw...)
+		}
+		require.True(t, bytes.HasPrefix(text, got))
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -21,6 +21,8 @@
 const (
 	// notReadyRetry is when to come back to a daemon that knows no routes yet.
 	notReadyRetry = 300 * time.Millisecond
+	// defaultTimeout bounds a request that neither its caller nor its route bounds.
+	defaultTimeout = time.Minute
 	// noUpstreamRetry is when to come back if no upstream is known to return sooner.
 	noUpstreamRetry = 500 * time.Millisecond
 	// firstAnswerGuess is the time to a first event before any was seen.
@@ -90,6 +92,9 @@
 	if x.req.TimeLimit > 0 && (limit <= 0 || x.req.TimeLimit < limit) {
 		limit = x.req.TimeLimit
 	}
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
 	x.deadline = x.req.Received.Add(limit)
 	if !time.Now().Before(x.deadline) {
 		return x.notRun(outcome.CodeDeadlinePast, "the deadline has passed", 0)
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -12,6 +12,14 @@
 	"time"
 )
 
+const (
+	// shortBody is the size up to which a body is written before the answer is read: it
+	// fits in what a connection takes without being read.
+	shortBody = 4 << 10
+	// writeSettle is how long the end of a longer write may be told after the answer.
+	writeSettle = 20 * time.Millisecond
+)
+
 // Request is one request to an upstream.
 type Request struct {
 	Method string
@@ -77,7 +85,11 @@
 		written: make(chan error, 1),
 	}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	go func() { x.written <- x.write(req) }()
+	if len(req.Body) <= shortBody {
+		x.written <- x.write(req)
+	} else {
+		go func() { x.written <- x.write(req) }()
+	}
 	res, err := x.readHead(req)
 	if err != nil {
 		x.abort()
@@ -198,7 +210,7 @@
 		if err != nil {
 			return false
 		}
-	default:
+	case <-time.After(writeSettle):
 		return false // The answer came before the request was written.
 	}
 	x.conn.noteKeepAlive(x.res.Header)
--- /dev/null
+++ b/internal/upstreamhttp/exchange_test.go
@@ -0,0 +1,296 @@
+package upstreamhttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// rawUpstream answers each request with fixed bytes and says what to do next.
+type rawUpstream struct {
+	listener net.Listener
+	accepted atomic.Int64
+}
+
+// serve runs handle for each connection until the test ends.
+func serve(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) *rawUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	u := &rawUpstream{
+		listener: l,
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.accepted.Add(1)
+			go func() {
+				defer c.Close()
+				handle(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return u
+}
+
+func (u *rawUpstream) peer() Peer {
+	return Peer{
+		Addr:        u.listener.Addr().String(),
+		Incarnation: "i-1",
+	}
+}
+
+// answering sends text after each whole request.
+func answering(texts ...string) func(c net.Conn, r *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		for i := 0; ; i++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(c, texts[min(i, len(texts)-1)])
+			if strings.Contains(texts[min(i, len(texts)-1)], "unframed") {
+				return
+			}
+		}
+	}
+}
+
+func post(id string) Request {
+	return Request{
+		Method: http.MethodPost,
+		Target: "/a?b=c",
+		Host:   "h",
+		Header: http.Header{
+			"X-Id": {id},
+		},
+		Body: []byte("body"),
+		Belongs: func(h http.Header) bool {
+			return h.Get("X-Id") == id
+		},
+	}
+}
+
+// patience bounds an exchange that hangs.
+const patience = 10 * time.Second
+
+// get makes one exchange and returns the body.
+func get(t *testing.T, p *Pool, peer Peer, req Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	res, err := p.Do(ctx, peer, req)
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return string(body), err
+}
+
+const (
+	answer1 = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok"
+	answer2 = "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\ntwo"
+)
+
+func TestConnectionIsKept(t *testing.T) {
+	u := serve(t, answering(answer1, answer2))
+	p := New(Config{})
+	body, err := get(t, p, u.peer(), post("1"))
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	body, err = get(t, p, u.peer(), post("2"))
+	require.NoError(t, err)
+	require.Equal(t, "two", body)
+	require.Equal(t, int64(1), u.accepted.Load())
+}
+
+func TestAnswerToAnotherRequestIsDropped(t *testing.T) {
+	u := serve(t, answering(answer1, answer1+answer2))
+	p := New(Config{})
+	_, err := get(t, p, u.peer(), post("1"))
+	require.NoError(t, err)
+	body, err := get(t, p, u.peer(), post("2"))
+	require.NoError(t, err)
+	require.Equal(t, "two", body)
+}
+
+func TestConnectionWithExtraBytesIsNotKept(t *testing.T) {
+	u := serve(t, answering(answer1+answer2))
+	p := New(Config{})
+	for range 2 {
+		body, err := get(t, p, u.peer(), post("1"))
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+	require.Equal(t, int64(2), u.accepted.Load())
+}
+
+func TestLateExtraAnswerEndsTheConnection(t *testing.T) {
+	sent := make(chan struct{})
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, answer1)
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(c, answer1)
+		sent <- struct{}{}
+		_, _ = r.ReadByte()
+	})
+	p := New(Config{})
+	req := post("1")
+	req.Body = nil
+	_, err := get(t, p, u.peer(), req)
+	require.NoError(t, err)
+	<-sent
+	_, err = get(t, p, u.peer(), req)
+	require.NoError(t, err)
+	require.Equal(t, int64(2), u.accepted.Load())
+}
+
+func TestBodies(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		text string
+		body string
+		err  error
+	}{
+		{
+			name: "cut",
+			text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nunframed",
+			body: "unframed",
+			err:  io.ErrUnexpectedEOF,
+		},
+		{
+			name: "ends with its connection",
+			text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nunframed",
+			body: "unframed",
+		},
+		{
+			name: "chunks cut",
+			text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nunframed\r\n",
+			body: "unframed",
+			err:  io.ErrUnexpectedEOF,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := serve(t, answering(c.text))
+			body, err := get(t, New(Config{}), u.peer(), post("1"))
+			require.ErrorIs(t, err, c.err)
+			require.Equal(t, c.body, body)
+		})
+	}
+}
+
+func TestResetBodyIsNotWhole(t *testing.T) {
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhalf")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	_, err := get(t, New(Config{}), u.peer(), post("1"))
+	require.Error(t, err)
+}
+
+func TestNotSent(t *testing.T) {
+	u := serve(t, answering(answer1))
+	require.NoError(t, u.listener.Close())
+	_, err := get(t, New(Config{}), u.peer(), post("1"))
+	var failed *Error
+	require.ErrorAs(t, err, &failed)
+	require.False(t, failed.Sent)
+}
+
+func TestSilenceMayHaveTheRequest(t *testing.T) {
+	u := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := r.ReadByte(); err != nil {
+				return
+			}
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := New(Config{}).Do(ctx, u.peer(), post("1"))
+	var failed *Error
+	require.ErrorAs(t, err, &failed)
+	require.True(t, failed.Sent)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
+// An upstream that answers before it has read a long body must not find the next
+// request where the rest of the body is due.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = r.Peek(1)
+		_, _ = io.WriteString(c, answer1)
+		time.Sleep(200 * time.Millisecond)
+	})
+	p := New(Config{})
+	req := post("1")
+	req.Body = make([]byte, 32<<20)
+	body, err := get(t, p, u.peer(), req)
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	_, err = get(t, p, u.peer(), req)
+	require.NoError(t, err)
+	require.Equal(t, int64(2), u.accepted.Load())
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, answer1)
+	})
+	p := New(Config{})
+	req := post("1")
+	req.Body = nil
+	for range 3 {
+		_, err := get(t, p, u.peer(), req)
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Equal(t, int64(3), u.accepted.Load())
+}
+
+func TestOneIncarnationNeverGetsTheConnectionOfAnother(t *testing.T) {
+	u := serve(t, answering(answer1))
+	p := New(Config{})
+	_, err := get(t, p, u.peer(), post("1"))
+	require.NoError(t, err)
+	other := u.peer()
+	other.Incarnation = "i-2"
+	_, err = get(t, p, other, post("1"))
+	require.NoError(t, err)
+	require.Equal(t, int64(2), u.accepted.Load())
+}
+
+func TestCancelledBody(t *testing.T) {
+	u := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf")
+		_, _ = io.Copy(io.Discard, r)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	res, err := New(Config{}).Do(ctx, u.peer(), post("1"))
+	require.NoError(t, err)
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err = io.ReadAll(res.Body)
+	require.Error(t, err)
+	require.False(t, errors.Is(err, io.EOF))
+	require.NoError(t, res.Body.Close())
+}
