--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -223,10 +223,30 @@
 func (h *Host) SetUpstreams(list []upstream.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.logUpstreams(list)
 	h.hosts = list
 	h.applyUpstreams()
 }
 
+// logUpstreams logs what a new list changes.
+func (h *Host) logUpstreams(list []upstream.Host) {
+	gone := make(map[upstream.Host]bool, len(h.hosts))
+	for _, u := range h.hosts {
+		gone[u] = true
+	}
+	for _, u := range list {
+		if gone[u] {
+			delete(gone, u)
+			continue
+		}
+		h.logger.Info("upstream listed", zap.String("upstream", u.Incarnation), zap.String("addr", u.Addr),
+			zap.String("service", u.Service), zap.String("data_centre", u.DataCentre), zap.String("state", u.State.String()))
+	}
+	for u := range gone {
+		h.logger.Info("upstream no longer listed so", zap.String("upstream", u.Incarnation), zap.String("state", u.State.String()))
+	}
+}
+
 // applyUpstreams tells the parts which upstreams there are. The lock is held.
 func (h *Host) applyUpstreams() {
 	h.upstreams.Replace(h.hosts)
--- a/internal/forward/observe.go
+++ b/internal/forward/observe.go
@@ -5,24 +5,20 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"sequoiafork/internal/logging"
 	"sequoiafork/internal/outcome"
 )
 
-// sampleOf is the part of answered requests whose outcome is logged, as 1 in so many.
-// Every other outcome is logged.
-const sampleOf = 16
-
-// observe counts and logs the end of a request.
+// observe counts and logs the end of a request. Answered ones are sampled.
 func (x *run) observe(o outcome.Outcome) {
 	took := time.Since(x.req.Received)
 	name := outcome.Name(o)
 	metrics.GetOrCreateCounter(fmt.Sprintf(`sequoiafork_requests_total{route=%q,outcome=%q,code=%q}`, x.route.Name, name, outcome.CodeOf(o))).Inc()
 	metrics.GetOrCreatePrometheusHistogram(fmt.Sprintf(`sequoiafork_request_seconds{route=%q}`, x.route.Name)).Update(took.Seconds())
 	_, answered := o.(outcome.Answered)
-	if answered && xxhash.Sum64String(x.req.ID)%sampleOf != 0 {
+	if answered && !logging.Sampled(x.req.ID) {
 		return
 	}
 	fields := []zap.Field{
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"sequoiafork/internal/logging"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/routing"
@@ -257,6 +258,12 @@
 		return choice, err
 	}
 	x.tried = append(slices.Clip(x.tried), choice.Addr)
+	if len(x.tried) > 1 || logging.Sampled(x.req.ID) {
+		x.forwarder.cfg.Logger.Info("upstream chosen",
+			zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("data_centre", choice.DataCentre),
+			zap.Int("in_flight", choice.InFlight), zap.Int("attempt", len(x.tried)), zap.Uint64("affinity", x.affinity()),
+			zap.Int("inputs", len(x.inputs)), zap.Duration("left_ms", time.Until(x.deadline)))
+	}
 	return choice, nil
 }
 
--- a/internal/logging/queue.go
+++ b/internal/logging/queue.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -16,6 +18,15 @@
 	syncTimeout = 500 * time.Millisecond
 )
 
+// sampleOf is the part of ordinary requests that are logged, as one in so many.
+const sampleOf = 16
+
+// Sampled reports whether the ordinary decisions about a request are logged. All daemons
+// choose the same requests.
+func Sampled(requestID string) bool {
+	return xxhash.Sum64String(requestID)%sampleOf == 0
+}
+
 // queue writes lines in the background. It drops lines when the output is slow or the
 // lines are too many, and says later how many.
 type queue struct {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
+	grpcpeer "google.golang.org/grpc/peer"
 
 	"sequoiafork/internal/membership"
 	"sequoiafork/internal/wire/peerpb"
@@ -47,11 +48,12 @@
 			Err:  err,
 		}
 	}
-	resp, err := peerpb.NewPeerClient(conn).Forward(ctx, req)
+	var reached grpcpeer.Peer
+	resp, err := peerpb.NewPeerClient(conn).Forward(ctx, req, grpc.Peer(&reached))
 	if err != nil {
 		return nil, &CallError{
 			Addr: m.PeerAddr,
-			Sent: true,
+			Sent: reached.Addr != nil,
 			Err:  err,
 		}
 	}
@@ -68,11 +70,12 @@
 			Err:  err,
 		}
 	}
-	resp, err := peerpb.NewPeerClient(conn).ShowKey(ctx, req)
+	var reached grpcpeer.Peer
+	resp, err := peerpb.NewPeerClient(conn).ShowKey(ctx, req, grpc.Peer(&reached))
 	if err != nil {
 		return nil, &CallError{
 			Addr: m.PeerAddr,
-			Sent: true,
+			Sent: reached.Addr != nil,
 			Err:  err,
 		}
 	}
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -1,28 +1,17 @@
 package peer
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"sequoiafork/internal/tcp"
 )
 
 // silence is how long written bytes may stay unacknowledged before a connection ends.
 const silence = 2 * time.Second
 
-// limitSilence ends a connection whose other end acknowledges nothing.
-func limitSilence(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
-	})
-	return cmp.Or(err, failed)
-}
-
 // Traffic counts the bytes of a node's connections.
 type Traffic struct {
 	in, out atomic.Uint64
@@ -37,7 +26,7 @@
 
 func (t *Traffic) dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
-		Control: limitSilence,
+		Control: tcp.LimitSilence(silence),
 	}
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"sequoiafork/internal/logging"
 	"sequoiafork/internal/routing"
 )
 
@@ -114,6 +115,7 @@
 	now := time.Now()
 	s.forgetRoom(now)
 	end, err := s.admit(j, now)
+	s.logAdmission(j, end, err, now)
 	if err != nil {
 		return nil, err
 	}
@@ -139,6 +141,25 @@
 	}, nil
 }
 
+// logAdmission logs what a job was taken or refused by.
+func (s *Scheduler) logAdmission(j Job, end time.Time, err error, now time.Time) {
+	message := "job taken"
+	switch {
+	case err != nil:
+		message = "job refused"
+	case !logging.Sampled(j.RequestID):
+		return
+	}
+	queued := 0
+	for _, svc := range s.services {
+		queued += len(svc.queue)
+	}
+	s.cfg.Logger.Info(message, zap.String("request_id", j.RequestID), zap.Int("priority", j.Priority),
+		zap.Duration("forecast_ms", end.Sub(now)), zap.Duration("delay_ms", s.delay[j.Priority]),
+		zap.Duration("remaining_ms", j.Remaining), zap.Duration("objective_ms", j.Objective.Sub(now)),
+		zap.Int("jobs", len(s.jobs)), zap.Int("queued_pieces", queued), zap.Int("results", len(j.Made)), zap.Error(err))
+}
+
 // find returns the upstream that holds a result, or nil.
 func (s *Scheduler) find(m Made) *upstream {
 	for _, svc := range s.services {
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -33,7 +33,7 @@
 	inFlight int
 	// waiting counts those in flight whose answer has not begun, and startSum is the
 	// sum of their start times since the epoch of the group.
-	waiting int
+	waiting  int
 	startSum time.Duration
 	// others is the reported work of other daemons at reported.
 	others   float64
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -24,9 +24,11 @@
 	Addr        string
 	Incarnation string
 	DataCentre  string
-	group       *group
-	member      *member
-	start       start
+	// InFlight is this daemon's work on the upstream, this attempt included.
+	InFlight int
+	group    *group
+	member   *member
+	start    start
 }
 
 // start is the start of an attempt.
@@ -91,6 +93,7 @@
 		Addr:        m.host.Addr,
 		Incarnation: m.host.Incarnation,
 		DataCentre:  m.host.DataCentre,
+		InFlight:    m.inFlight,
 		group:       g,
 		member:      m,
 		start:       st,
--- a/internal/upstreamhttp/pool.go
+++ b/internal/upstreamhttp/pool.go
@@ -9,10 +9,9 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"sequoiafork/internal/tcp"
 )
 
 // Defaults of Config.
@@ -124,9 +123,7 @@
 			Interval: keepAliveEvery,
 			Count:    keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return limitSilence(raw, p.cfg.Silence)
-		},
+		Control: tcp.LimitSilence(p.cfg.Silence),
 	}
 	nc, err := d.DialContext(ctx, "tcp", peer.Addr)
 	if err != nil {
@@ -138,15 +135,6 @@
 	return newConn(nc, peer, p.cfg.Idle), nil
 }
 
-// limitSilence ends the connection when the other end acknowledges nothing.
-func limitSilence(raw syscall.RawConn, silence time.Duration) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
-	})
-	return cmp.Or(err, failed)
-}
-
 // Sweep closes connections that have been idle for too long. Call it now and then.
 func (p *Pool) Sweep() {
 	now := time.Now()
