--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -139,15 +139,18 @@
 		Logger:  h.logger,
 	})
 	h.node = peer.New(peer.Config{
-		Listener:    listener,
-		Table:       h.members,
-		Records:     tableRecords{host: h},
+		Listener: listener,
+		Table:    h.members,
+		Records: tableRecords{
+			host: h,
+		},
 		StageWorker: h.scheduler,
 		Logger:      h.logger,
 	})
 	h.stages = &stages{
 		host: h,
 	}
+	h.stages.learn(cfg.Settings.Peers.Seeds)
 	h.forwarder = forward.New(forward.Config{
 		Caller:     cfg.Caller,
 		Stages:     h.stages,
@@ -197,7 +200,10 @@
 }
 
 // AddPeers adds addresses to find other daemons by.
-func (h *Host) AddPeers(addrs []string) { h.members.AddSeeds(addrs) }
+func (h *Host) AddPeers(addrs []string) {
+	h.members.AddSeeds(addrs)
+	h.stages.learn(addrs)
+}
 
 // PeerAddr returns the address for the other daemons.
 func (h *Host) PeerAddr() string { return h.listener.Addr().String() }
--- a/internal/entryhost/stages.go
+++ b/internal/entryhost/stages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,9 @@
 	// joinTime is how long after its start a daemon takes no duty, so that it has heard
 	// of the daemon that has it.
 	joinTime = 700 * time.Millisecond
+	// startStep is the time in milliseconds within which daemons count as started
+	// together.
+	startStep = 5000
 	// submitTries is how many owners are asked before this daemon does the work.
 	submitTries = 2
 )
@@ -37,36 +41,75 @@
 	mu sync.Mutex
 	// avoided says until when an owner is not asked.
 	avoided map[string]time.Time
+	// known are the addresses of daemons, living or not.
+	known map[string]bool
+}
+
+// learn adds addresses of daemons.
+func (s *stages) learn(addrs []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.known == nil {
+		s.known = make(map[string]bool)
+	}
+	for _, addr := range addrs {
+		s.known[addr] = true
+	}
+}
+
+func (s *stages) addresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.known))
 }
 
 // owner returns the daemon that owns the stage upstreams: the one that took the duty
 // last among those that are alive and know the routes, or else the one that is to take
-// it. That is the one that started last, since a restart of all daemons in turn comes
-// to it last.
+// it. Soon after its own start, when a daemon may not have heard of the others yet, that
+// is the first of the known addresses, so that daemons that start together agree.
 func (s *stages) owner() membership.Member {
-	var owner membership.Member
+	self := s.host.members.Self()
+	owner := self
+	found := false
 	for _, m := range s.host.members.Members() {
 		if m.State != membership.Alive || m.Revision == 0 || s.avoid(m.Incarnation) {
 			continue
 		}
-		if owner.Incarnation == "" || goesBefore(m, owner) {
+		if !found || goesBefore(m, owner) {
 			owner = m
+			found = true
 		}
 	}
-	if owner.Incarnation == "" {
-		return s.host.members.Self()
+	if owner.Term == 0 && time.Since(s.host.started) < joinTime {
+		return s.first(self)
 	}
 	return owner
 }
 
+// first returns the first of all known addresses that is not avoided.
+func (s *stages) first(self membership.Member) membership.Member {
+	best := self
+	for _, addr := range s.addresses() {
+		if !s.avoid(addr) && hash(addr) < hash(best.PeerAddr) {
+			best = membership.Member{
+				Incarnation: addr,
+				PeerAddr:    addr,
+			}
+		}
+	}
+	return best
+}
+
+// goesBefore orders daemons for the duty: who has it, who started last, by steps of
+// startStep, and a hash of the address.
 func goesBefore(a, b membership.Member) bool {
 	if a.Term != b.Term {
 		return a.Term > b.Term
 	}
-	if a.Version != b.Version {
-		return a.Version > b.Version
+	if x, y := a.Version/startStep, b.Version/startStep; x != y {
+		return x > y
 	}
-	return a.Incarnation < b.Incarnation
+	return hash(a.PeerAddr) < hash(b.PeerAddr)
 }
 
 // take takes the duty if this daemon is to have it and has not taken it yet.
@@ -198,6 +241,9 @@
 	if t.remote == nil {
 		return false
 	}
+	if t.owner.Version == 0 {
+		return false // It is known by its address only; the call itself tells its end.
+	}
 	m, ok := t.stages.host.members.Lookup(t.owner.Incarnation)
 	return !ok || m.State == membership.Dead
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -253,7 +253,9 @@
 	case "forged":
 		reply.Genuine = false
 	case "cut":
-		reply.Body = io.NopCloser(io.MultiReader(strings.NewReader("bo"), failingReader{err: io.ErrUnexpectedEOF}))
+		reply.Body = io.NopCloser(io.MultiReader(strings.NewReader("bo"), failingReader{
+			err: io.ErrUnexpectedEOF,
+		}))
 	case "events":
 		reply.Body = eventsOf(ctx, words[1:])
 	}
@@ -278,7 +280,9 @@
 	case "torn":
 		fmt.Fprintf(&text, "id: %d\nda", to+1)
 	case "hang":
-		end = hangingReader{ctx: ctx}
+		end = hangingReader{
+			ctx: ctx,
+		}
 	}
 	return io.NopCloser(io.MultiReader(strings.NewReader(text.String()), end))
 }
--- /dev/null
+++ b/internal/stagework/calls.go
@@ -0,0 +1,206 @@
+package stagework
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// call is one call to an upstream.
+type call struct {
+	service  *service
+	upstream *upstream
+	pieces   []*piece
+	items    []Item
+	began    time.Time
+	expected time.Duration
+	ended    bool
+}
+
+// run makes the call and takes in what came of it.
+func (s *Scheduler) run(c *call) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(callPatience*float64(c.expected))+callMargin)
+	overdue := time.AfterFunc(time.Duration(overdueFactor*float64(c.expected))+overdueMargin, func() { s.overdue(c) })
+	results, err := s.cfg.Invoker.Run(ctx, c.upstream.Upstream, c.items)
+	cancel()
+	overdue.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.ended = true
+	c.upstream.calls--
+	for _, p := range c.pieces {
+		p.calls--
+	}
+	if err == nil && len(results) == len(c.items) {
+		c.upstream.observe(time.Since(c.began), c.expected)
+		s.takeResults(c, results)
+	} else {
+		s.callFailed(c, err)
+	}
+	for _, p := range c.pieces {
+		s.move(p.job)
+	}
+	s.dispatch()
+}
+
+// overdue queues the pieces of a call that takes far too long for another upstream as
+// well. The first result counts.
+func (s *Scheduler) overdue(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.ended || !c.service.hasOther(c.upstream) {
+		return
+	}
+	c.upstream.observeOverdue(time.Since(c.began), c.expected)
+	s.cfg.Logger.Info("stage call is overdue", zap.String("upstream", c.upstream.Incarnation),
+		zap.Int("pieces", len(c.pieces)), zap.Duration("expected_ms", c.expected))
+	for _, p := range c.pieces {
+		if p.state == running && p.calls == 1 && !p.job.finished {
+			s.enqueue(p)
+		}
+	}
+	s.dispatch()
+}
+
+func (s *Scheduler) takeResults(c *call, results []ItemResult) {
+	u := c.upstream
+	u.failures = 0
+	for i, p := range c.pieces {
+		if results[i].Reason != Done {
+			u.held -= p.stage.ResultBytes
+		}
+	}
+	measured := s.measureRoom(c, results)
+	for i, p := range c.pieces {
+		switch r := results[i]; r.Reason {
+		case Done:
+			s.complete(p, u, r.Handle)
+		case NoRoom:
+			s.noRoom(c, p, measured)
+		case Late:
+			s.finish(p.job, &RefusedError{
+				Message:    "the time for a stage has passed",
+				RetryAfter: s.comeBack(p.stage.Service),
+			})
+		case InputGone:
+			s.remakeInputs(p)
+		case ItemFailed:
+			s.retry(p, true, "a piece failed")
+		}
+	}
+}
+
+// measureRoom takes from a call that found no room, soon after this scheduler took over,
+// how much memory the results of the owner before take.
+func (s *Scheduler) measureRoom(c *call, results []ItemResult) bool {
+	now := time.Now()
+	full := slices.ContainsFunc(results, func(r ItemResult) bool { return r.Reason == NoRoom })
+	if !full || now.Sub(s.tookOver) > c.service.spec.ResultLifetime {
+		return false
+	}
+	c.upstream.measure(c.service.spec.RoomBytes, now)
+	return true
+}
+
+func (s *Scheduler) noRoom(c *call, p *piece, measured bool) {
+	u := c.upstream
+	if !measured {
+		u.claim(p.stage.ResultBytes, time.Now().Add(roomPause))
+	}
+	s.cfg.Logger.Info("stage upstream has no room",
+		zap.String("request_id", p.job.RequestID), zap.String("upstream", u.Incarnation), zap.Int64("held_bytes", u.held))
+	s.retry(p, false, "no room for results")
+}
+
+// callFailed takes in a call without an answer, whose results may come to be held on
+// the upstream unseen.
+func (s *Scheduler) callFailed(c *call, err error) {
+	u := c.upstream
+	var full *FullError
+	refused := errors.As(err, &full)
+	now := time.Now()
+	u.noteFailure(now, refused)
+	s.cfg.Logger.Info("stage call failed", zap.String("upstream", u.Incarnation), zap.String("addr", u.Addr),
+		zap.Int("pieces", len(c.pieces)), zap.Int("failures", u.failures), zap.Error(err))
+	for _, p := range c.pieces {
+		u.held -= p.stage.ResultBytes
+		if !refused {
+			u.claim(p.stage.ResultBytes, now.Add(c.service.spec.ResultLifetime))
+		}
+		s.retry(p, !refused, "the upstream did not answer")
+	}
+}
+
+// retry queues a piece again, unless another call has it or it has been worked on too
+// often.
+func (s *Scheduler) retry(p *piece, worked bool, message string) {
+	if worked {
+		p.tries++
+	}
+	if p.job.finished || p.state != running || p.calls > 0 {
+		return
+	}
+	if p.tries >= maxTries {
+		s.finish(p.job, &FailedError{
+			Service: p.stage.Service,
+			Message: message,
+		})
+		return
+	}
+	s.enqueue(p)
+}
+
+// remakeInputs makes the inputs of a piece again, because one of them is gone.
+func (s *Scheduler) remakeInputs(p *piece) {
+	j := p.job
+	if j.finished || p.state != running || p.calls > 0 {
+		return
+	}
+	p.tries++
+	if p.tries >= maxTries {
+		s.finish(j, &FailedError{
+			Service: p.stage.Service,
+			Message: "an input is gone",
+		})
+		return
+	}
+	p.state = blocked
+	for _, index := range p.stage.After {
+		input := j.stages[index]
+		if input.open > 0 {
+			continue // Another piece has asked for it already.
+		}
+		s.remake(j, input)
+	}
+	for _, q := range p.stage.pieces {
+		if q.state == queued {
+			q.state = blocked
+		}
+	}
+	for _, svc := range s.services {
+		svc.queue = slices.DeleteFunc(svc.queue, func(q *piece) bool { return q.state == blocked })
+	}
+	s.enqueueReady(j)
+}
+
+// remake queues all pieces of a stage again.
+func (s *Scheduler) remake(j *job, st *stage) {
+	for _, q := range st.pieces {
+		s.freePiece(q)
+		q.state = blocked
+		q.at = nil
+		st.open++
+		for _, index := range st.After {
+			j.stages[index].readers++
+		}
+	}
+	for _, index := range st.After {
+		input := j.stages[index]
+		if input.open == 0 && len(input.pieces) > 0 && input.pieces[0].state == freed {
+			s.remake(j, input)
+		}
+	}
+}
--- /dev/null
+++ b/internal/stagework/moves.go
@@ -0,0 +1,52 @@
+package stagework
+
+import "slices"
+
+// find returns the upstream that holds a result, or nil.
+func (s *Scheduler) find(m Made) *upstream {
+	for _, svc := range s.services {
+		if u, ok := svc.upstreams[m.Incarnation]; ok {
+			return u
+		}
+	}
+	return nil
+}
+
+// Move gives up the jobs that are not done, since another daemon owns the upstreams
+// now. A job moves once none of its pieces is in a call, so that no work is lost.
+func (s *Scheduler) Move() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for j := range s.jobs {
+		if !j.finished && !j.moving {
+			j.moving = true
+			s.move(j)
+		}
+	}
+}
+
+// move ends a job that is to move, unless a call has some of its pieces.
+func (s *Scheduler) move(j *job) {
+	if !j.moving || j.finished {
+		return
+	}
+	for _, st := range j.stages {
+		for _, p := range st.pieces {
+			if p.calls > 0 {
+				return
+			}
+		}
+	}
+	for _, svc := range s.services {
+		svc.queue = slices.DeleteFunc(svc.queue, func(p *piece) bool { return p.job == j })
+	}
+	for _, st := range j.stages {
+		for _, p := range st.pieces {
+			if p.state == finished { // The next owner accounts for it.
+				p.state = freed
+				p.at.held -= p.stage.ResultBytes
+			}
+		}
+	}
+	s.finish(j, &MovedError{})
+}
--- a/internal/stagework/script_test.go
+++ b/internal/stagework/script_test.go
@@ -169,7 +169,13 @@
 	}
 	if n := p.number(opts["taken"]); n > 0 {
 		s.held["before"] = n
-		time.AfterFunc(spec.ResultLifetime, func() { p.fakes.expire(s, []ItemResult{{Handle: "before"}}) })
+		time.AfterFunc(spec.ResultLifetime, func() {
+			p.fakes.expire(s, []ItemResult{
+				{
+					Handle: "before",
+				},
+			})
+		})
 	}
 	p.fakes.mu.Lock()
 	p.fakes.list[name] = s
