--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -18,7 +18,7 @@
 	required bool
 	// kind is the kind of platform that needs the field. Empty means every kind.
 	kind string
-	set      func(s *Settings, text string) error
+	set  func(s *Settings, text string) error
 }
 
 // flagName is the name of the field's flag, such as "limits.max_in_flight".
