--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,6 +21,55 @@
 // errCallerGone reports that the caller takes no more events.
 var errCallerGone = errors.New("the caller takes no more events")
 
+// errStalled reports an upstream that was silent for too long.
+var errStalled = errors.New("the upstream is silent")
+
+const (
+	// stallFactor and leastStall say how long a first event may take, against what is
+	// usual, before another upstream is asked.
+	stallFactor = 4
+	leastStall  = 500 * time.Millisecond
+	// gapStalls says how many times the objective for a pause between events a pause
+	// may take, and defaultGap stands in where the route has no such objective.
+	gapStalls  = 2.5
+	defaultGap = 400 * time.Millisecond
+)
+
+// stallWatch notices an upstream that has stopped sending.
+type stallWatch struct {
+	timer *time.Timer
+	gap   time.Duration
+}
+
+// watch calls onStall when the upstream is silent for too long, if the request may go
+// on elsewhere.
+func (x *run) watch(onStall func()) *stallWatch {
+	if !x.route.Kind.Repeatable() || x.attempts+1 >= x.route.MaxAttempts {
+		return &stallWatch{}
+	}
+	gap := x.route.GapObjective
+	if gap <= 0 {
+		gap = defaultGap
+	}
+	return &stallWatch{
+		timer: time.AfterFunc(max(stallFactor*x.firstAnswerTime(), leastStall), onStall),
+		gap:   time.Duration(gapStalls * float64(gap)),
+	}
+}
+
+// event notes that an event has come.
+func (w *stallWatch) event() {
+	if w.timer != nil {
+		w.timer.Reset(w.gap)
+	}
+}
+
+func (w *stallWatch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
 // stream serves a request whose answer is a stream of events.
 func (x *run) stream(ctx context.Context) outcome.Outcome {
 	for {
@@ -53,8 +102,10 @@
 
 // streamFrom passes on the events of one upstream until the stream ends.
 func (x *run) streamFrom(ctx context.Context, choice upstream.Choice) *pipeline.CallError {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := x.watch(func() { cancel(errStalled) })
+	defer stall.stop()
 	began := time.Now()
 	var first time.Duration
 	reply, err := x.forwarder.cfg.Caller.Call(ctx, x.call(choice))
@@ -72,7 +123,7 @@
 		return x.streamWithoutEvents(choice, began, reply)
 	}
 	x.release()
-	err = x.pass(reply, func() {
+	err = x.pass(reply, stall, func() {
 		first = max(time.Since(began), 1)
 		choice.Begun()
 		x.forwarder.times.Observe(x.route.Name, first)
@@ -83,6 +134,7 @@
 		if errors.Is(err, errCallerGone) {
 			failure.Err = context.Canceled
 		}
+		failure.TimedOut = errors.Is(context.Cause(ctx), errStalled)
 	}
 	x.note(choice, began, first, first > 0, failure, reply.Load)
 	return failure
@@ -118,7 +170,7 @@
 
 // pass passes events on until the stream ends whole. The answer begins with the first
 // event, so that until then another upstream can take over without a trace.
-func (x *run) pass(reply *Reply, onFirst func()) error {
+func (x *run) pass(reply *Reply, stall *stallWatch, onFirst func()) error {
 	events := eventstream.NewReader(reply.Body)
 	some := false
 	for {
@@ -132,6 +184,7 @@
 		if err != nil {
 			return err
 		}
+		stall.event()
 		if !some {
 			some = true
 			onFirst()
