--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -139,15 +139,18 @@
 		Logger:  h.logger,
 	})
 	h.node = peer.New(peer.Config{
-		Listener:    listener,
-		Table:       h.members,
-		Records:     tableRecords{host: h},
+		Listener: listener,
+		Table:    h.members,
+		Records: tableRecords{
+			host: h,
+		},
 		StageWorker: h.scheduler,
 		Logger:      h.logger,
 	})
 	h.stages = &stages{
 		host: h,
 	}
+	h.stages.learn(cfg.Settings.Peers.Seeds)
 	h.forwarder = forward.New(forward.Config{
 		Caller:     cfg.Caller,
 		Stages:     h.stages,
@@ -197,7 +200,10 @@
 }
 
 // AddPeers adds addresses to find other daemons by.
-func (h *Host) AddPeers(addrs []string) { h.members.AddSeeds(addrs) }
+func (h *Host) AddPeers(addrs []string) {
+	h.members.AddSeeds(addrs)
+	h.stages.learn(addrs)
+}
 
 // PeerAddr returns the address for the other daemons.
 func (h *Host) PeerAddr() string { return h.listener.Addr().String() }
@@ -223,10 +229,30 @@
 func (h *Host) SetUpstreams(list []upstream.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.logUpstreams(list)
 	h.hosts = list
 	h.applyUpstreams()
 }
 
+// logUpstreams logs what a new list changes.
+func (h *Host) logUpstreams(list []upstream.Host) {
+	gone := make(map[upstream.Host]bool, len(h.hosts))
+	for _, u := range h.hosts {
+		gone[u] = true
+	}
+	for _, u := range list {
+		if gone[u] {
+			delete(gone, u)
+			continue
+		}
+		h.logger.Info("upstream listed", zap.String("upstream", u.Incarnation), zap.String("addr", u.Addr),
+			zap.String("service", u.Service), zap.String("data_centre", u.DataCentre), zap.String("state", u.State.String()))
+	}
+	for u := range gone {
+		h.logger.Info("upstream no longer listed so", zap.String("upstream", u.Incarnation), zap.String("state", u.State.String()))
+	}
+}
+
 // applyUpstreams tells the parts which upstreams there are. The lock is held.
 func (h *Host) applyUpstreams() {
 	h.upstreams.Replace(h.hosts)
