--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -28,7 +28,7 @@
 	// stallFactor and leastStall say how long a first event may take, against what is
 	// usual, before another upstream is asked.
 	stallFactor = 4
-	leastStall  = 500 * time.Millisecond
+	leastStall  = 1200 * time.Millisecond
 	// gapStalls says how many times the objective for a pause between events a pause
 	// may take, and defaultGap stands in where the route has no such objective.
 	gapStalls  = 2.5
