Make pieces where their inputs are when they fetch much

Cause: each piece of a stage fetches all results of the stage before by itself; ten pieces that fetch 360 kB each move more between data centres than the results of 1.5 MB do. Change: what a piece fetches counts like a large result: it waits for a near upstream within its slack.

--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -215,8 +215,8 @@
 	return best
 }
 
-// fill takes the pieces of one call out of the queue. A large piece is left for an
-// upstream that is nearer to where its result goes, if that one is idle or will be in
+// fill takes the pieces of one call out of the queue. A piece with large inputs or a
+// large result is left for an upstream that is nearer to where they are or go, if that one is idle or will be in
 // time. Once a piece has found no room, no later one that is as large goes before it.
 func (s *Scheduler) fill(svc *service, u *upstream, idle []*upstream, now time.Time) []*piece {
 	room := u.room(svc.spec.RoomBytes)
@@ -232,7 +232,7 @@
 		case size > room:
 			barrier = size
 			rest = append(rest, p)
-		case size >= LargeResult && s.leave(svc, u, idle, p, left, now):
+		case p.travels() >= LargeResult && s.leave(svc, u, idle, p, left, now):
 			rest = append(rest, p)
 		default:
 			room -= size
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -183,6 +183,17 @@
 	return p.job.DataCentre
 }
 
+// travels returns the bytes that cross between data centres if a piece is made in the
+// wrong one: its inputs, which every piece fetches by itself, or its result.
+func (p *piece) travels() int64 {
+	inputs := int64(0)
+	for _, index := range p.stage.After {
+		input := p.job.stages[index]
+		inputs += int64(len(input.pieces)) * input.ResultBytes
+	}
+	return max(inputs, p.stage.ResultBytes)
+}
+
 // Ticket is a job that was taken. Release must be called once nobody needs its
 // results any longer, also when it failed.
 type Ticket struct {
