--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -268,8 +268,11 @@
 	if o.leaving || !o.known || o.failures > 0 || o.calls == 0 || o.pace >= slowPace*svc.bestPace() {
 		return false
 	}
+	if now.After(o.freeAt.Add(overdueMargin)) {
+		return false
+	}
 	end := o.freeAt.Add(callTime(svc.spec, svc.spec.Size) + s.leastTime(p.job, p.stage) + p.job.Remaining)
-	return o.freeAt.After(now) && end.Before(p.job.Objective)
+	return end.Before(p.job.Objective)
 }
 
 // start makes one call in a goroutine of its own.
