Do a job late behind all others before refusing it

Cause: a request that could not meet its objective was refused although its caller waits four times as long, and a late answer is served where a refusal is not. Change: such a job is taken if, behind everything, it is done in 0.6 of its time; it never goes before a job that can meet its objective.

--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -16,29 +16,65 @@
 	mostDelay   = time.Second
 	// smallParts is the part of an upstream's memory below which a result is small.
 	smallParts = 100
+	// latePatience is how many times its objective a caller waits for the beginning of
+	// an answer, and latePart the part of that time that a late job is planned for.
+	latePatience = 4
+	latePart     = 0.6
 	// roomHold is the time that a large result is held beside its own call: until
 	// the engine has fetched it.
 	roomHold = 250 * time.Millisecond
 )
 
-// admit refuses a job that can't be expected to meet its objective behind what is
-// there already, and returns when one that it takes is foreseen to be done. A job that
-// has results already is taken.
-func (s *Scheduler) admit(j Job, now time.Time) (time.Time, error) {
+// forecast is what a job can expect.
+type forecast struct {
+	end time.Time
+	// late says that the job goes behind all that can meet their objective.
+	late bool
+}
+
+// admit refuses a job that can't be expected to be done well before its deadline behind
+// what is there already. One that can't meet its objective is taken only as far as
+// it costs the others nothing. A job that has results already is taken.
+func (s *Scheduler) admit(j Job, now time.Time) (forecast, error) {
 	end, bottleneck := s.foresee(j, now)
 	answer := end.Add(j.Remaining + s.delay[j.Priority])
 	if !answer.After(j.Objective) || len(j.Made) > 0 {
-		return end, nil
-	}
-	if !s.busy(j) && !answer.After(j.Deadline) {
-		return end, nil // Nothing else waits, so a late answer costs nobody anything.
-	}
-	return end, &RefusedError{
+		return forecast{
+			end: end,
+		}, nil
+	}
+	lateEnd := s.foreseeLate(j, now)
+	if !lateEnd.Add(j.Remaining + s.delay[j.Priority]).After(s.latest(j, now)) {
+		return forecast{
+			end:  lateEnd,
+			late: true,
+		}, nil
+	}
+	return forecast{
+		end: lateEnd,
+	}, &RefusedError{
 		Message:    fmt.Sprintf("the answer would begin %s past the objective; %s is the bottleneck", answer.Sub(j.Objective).Round(time.Millisecond), bottleneck),
 		RetryAfter: s.comeBack(bottleneck),
 	}
 }
 
+// foreseeLate returns when a job is done that goes behind all others.
+func (s *Scheduler) foreseeLate(j Job, now time.Time) time.Time {
+	j.Objective = now
+	end, _ := s.foresee(j, now)
+	return end
+}
+
+// latest returns when the answer to a late job must begin: a part of its time is kept
+// for what comes before it in the meantime.
+func (s *Scheduler) latest(j Job, now time.Time) time.Time {
+	limit := j.Deadline
+	if patience := now.Add(time.Duration(latePatience * float64(j.Objective.Sub(now)))); patience.Before(limit) {
+		limit = patience
+	}
+	return now.Add(time.Duration(latePart * float64(limit.Sub(now))))
+}
+
 // learn compares when a job was done with when it was foreseen to be done.
 func (s *Scheduler) learn(j *job, err error) {
 	var moved *MovedError
@@ -167,16 +203,6 @@
 	return true
 }
 
-// busy reports whether work waits at one of the job's services.
-func (s *Scheduler) busy(j Job) bool {
-	for _, st := range j.Stages {
-		if svc, ok := s.services[st.Service]; ok && len(svc.queue) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // comeBack returns when the work that is queued at a service now will be done.
 func (s *Scheduler) comeBack(name string) time.Duration {
 	svc, ok := s.services[name]
--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -145,7 +145,7 @@
 }
 
 func lateness(j *job, now time.Time) int {
-	if now.Add(j.Remaining).After(j.Objective) {
+	if j.late || now.Add(j.Remaining).After(j.Objective) {
 		return 1
 	}
 	return 0
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -19,6 +19,8 @@
 	made    []Made
 	changed chan struct{}
 	moving  bool
+	// late says that the job goes behind all that can meet their objective.
+	late bool
 	// expected is when the job was foreseen to be done.
 	expected time.Time
 	// final says of each stage whether no other stage takes its results.
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -113,13 +113,14 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.forgetRoom(now)
-	end, err := s.admit(j, now)
-	s.logAdmission(j, end, err, now)
+	f, err := s.admit(j, now)
+	s.logAdmission(j, f, err, now)
 	if err != nil {
 		return nil, err
 	}
 	x := newJob(j)
-	x.expected = end
+	x.expected = f.end
+	x.late = f.late
 	x.adopt(s.find)
 	s.jobs[x] = struct{}{}
 	for _, st := range x.stages {
@@ -141,7 +142,7 @@
 }
 
 // logAdmission logs what a job was taken or refused by.
-func (s *Scheduler) logAdmission(j Job, end time.Time, err error, now time.Time) {
+func (s *Scheduler) logAdmission(j Job, f forecast, err error, now time.Time) {
 	message := "job taken"
 	switch {
 	case err != nil:
@@ -154,7 +155,7 @@
 		queued += len(svc.queue)
 	}
 	s.cfg.Logger.Info(message, zap.String("request_id", j.RequestID), zap.Int("priority", j.Priority),
-		zap.Duration("forecast_ms", end.Sub(now)), zap.Duration("delay_ms", s.delay[j.Priority]),
+		zap.Duration("forecast_ms", f.end.Sub(now)), zap.Bool("late", f.late), zap.Duration("delay_ms", s.delay[j.Priority]),
 		zap.Duration("remaining_ms", j.Remaining), zap.Duration("objective_ms", j.Objective.Sub(now)),
 		zap.Int("jobs", len(s.jobs)), zap.Int("queued_pieces", queued), zap.Int("results", len(j.Made)), zap.Error(err))
 }
