A daemon without a list of upstreams is not ready and not told to callers

Change: ready needs both; a daemon tells its revision, and is named to callers, only then. Test: TestHostWithoutUpstreamsIsNotReady was ready before.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -87,6 +87,8 @@
 	stages    *stages
 	daemons   atomic.Int64
 	leaving   atomic.Bool
+	// listed says that a list of upstreams is known.
+	listed atomic.Bool
 
 	mu    sync.Mutex // orders the changes of table and raw
 	table atomic.Pointer[routing.Table]
@@ -124,6 +126,7 @@
 		ProbeEvery:       probeEvery,
 		ResolveKeep:      cfg.Settings.Drain.KeepAnswers,
 		ResolveMax:       maxAddresses,
+		ResolveReady:     true,
 	})
 	h.upstreams = upstream.New(upstream.Config{
 		DataCentre: cfg.Settings.Daemon.DataCentre,
@@ -174,7 +177,10 @@
 func (h *Host) Table() *routing.Table { return h.table.Load() }
 
 // Ready reports whether this daemon takes new callers.
-func (h *Host) Ready() bool { return h.table.Load() != nil && !h.leaving.Load() }
+// It needs routes and upstreams for that.
+func (h *Host) Ready() bool {
+	return h.table.Load() != nil && h.listed.Load() && !h.leaving.Load()
+}
 
 // Leaving reports whether a graceful stop has begun.
 func (h *Host) Leaving() bool { return h.leaving.Load() }
@@ -221,7 +227,7 @@
 	h.table.Store(t)
 	h.scheduler.SetServices(t.Services())
 	h.applyUpstreams()
-	h.members.SetProgress(t.Version(), t.Version())
+	h.tellProgress()
 	h.logger.Info("routes in force", zap.Uint64("config_version", t.Version()), zap.String("source", source))
 }
 
@@ -232,6 +238,16 @@
 	h.logUpstreams(list)
 	h.hosts = list
 	h.applyUpstreams()
+	h.listed.Store(true)
+	h.tellProgress()
+}
+
+// tellProgress tells the other daemons which routes are in force here, once this daemon
+// can serve by them.
+func (h *Host) tellProgress() {
+	if t := h.table.Load(); t != nil && h.listed.Load() {
+		h.members.SetProgress(t.Version(), t.Version())
+	}
 }
 
 // logUpstreams logs what a new list changes.
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,11 +102,34 @@
 	done chan error
 }
 
+// start runs a host that knows routes and upstreams.
 func start(t *testing.T, v *invoker, seeds ...string) *running {
+	t.Helper()
+	r := startWithout(t, v, seeds...)
+	r.SetTable(tableOf(1), []byte("1"), "test")
+	r.SetUpstreams(upstreams())
+	return r
+}
+
+func upstreams() []upstream.Host {
+	return []upstream.Host{
+		{
+			Addr:        "192.0.2.99:80",
+			Incarnation: "i-1",
+			Service:     "w",
+		},
+	}
+}
+
+// callers numbers the addresses for callers.
+var callers atomic.Int64
+
+// startWithout runs a host that knows nothing yet.
+func startWithout(t *testing.T, v *invoker, seeds ...string) *running {
 	t.Helper()
 	s := settings.Default()
 	s.Daemon.PeerAddr = "127.0.0.1:0"
-	s.Daemon.CallerAddr = fmt.Sprintf("192.0.2.%d:80", len(seeds)+1)
+	s.Daemon.CallerAddr = fmt.Sprintf("192.0.2.1:%d", callers.Add(1))
 	s.Daemon.DataCentre = "a"
 	s.Peers.Seeds = seeds
 	h, err := New(Config{
@@ -124,14 +148,6 @@
 	}
 	go func() { r.done <- h.Run(ctx) }()
 	t.Cleanup(r.end)
-	h.SetTable(tableOf(1), []byte("1"), "test")
-	h.SetUpstreams([]upstream.Host{
-		{
-			Addr:        "192.0.2.99:80",
-			Incarnation: "i-1",
-			Service:     "w",
-		},
-	})
 	return r
 }
 
@@ -268,6 +284,22 @@
 	}
 }
 
+// A daemon that knows routes from a neighbour but no upstreams, because the platform
+// does not serve it, must not be sent callers.
+func TestHostWithoutUpstreamsIsNotReady(t *testing.T) {
+	hosts := cluster(t, &invoker{})
+	agreed(t, hosts)
+	late := startWithout(t, &invoker{}, hosts[0].PeerAddr())
+	require.Eventually(t, func() bool { return late.Table() != nil }, patience, look)
+	require.False(t, late.Ready())
+	require.Eventually(t, func() bool { n, _ := hosts[0].members.Count(); return n == 4 }, patience, look)
+	addrs, _ := hosts[0].Resolve("c", "a")
+	require.Len(t, addrs, 3)
+	late.SetUpstreams(upstreams())
+	require.True(t, late.Ready())
+	require.Eventually(t, func() bool { addrs, _ := hosts[0].Resolve("c", "a"); return len(addrs) == 4 }, patience, look)
+}
+
 func TestLeavingHostIsNotResolved(t *testing.T) {
 	hosts := cluster(t, &invoker{})
 	agreed(t, hosts)
