Move jobs only when the duty is lost, not while another daemon has it

Ruled out: a change of the owner (none in that time). Change: only the step from owner to not owner moves jobs; those of daemons that can't reach the owner stay where they are.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -303,6 +303,7 @@
 func (h *Host) follow(ctx context.Context) error {
 	ticker := time.NewTicker(followEvery)
 	defer ticker.Stop()
+	owned := false
 	for {
 		n, _ := h.members.Count()
 		if int64(n) != h.daemons.Swap(int64(max(n, 1))) {
@@ -311,9 +312,11 @@
 		}
 		h.catchUp(ctx)
 		h.stages.take()
-		if !h.stages.owns() {
+		owns := h.stages.owns()
+		if owned && !owns {
 			h.scheduler.Move()
 		}
+		owned = owns
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
