--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -54,11 +54,11 @@
 		}, nil
 	}
 	return forecast{
-			end: lateEnd,
-		}, &RefusedError{
-			Message:    fmt.Sprintf("the answer would begin %s past the objective; %s is the bottleneck", answer.Sub(j.Objective).Round(time.Millisecond), bottleneck),
-			RetryAfter: s.comeBack(bottleneck),
-		}
+		end: lateEnd,
+	}, &RefusedError{
+		Message:    fmt.Sprintf("the answer would begin %s past the objective; %s is the bottleneck", answer.Sub(j.Objective).Round(time.Millisecond), bottleneck),
+		RetryAfter: s.comeBack(bottleneck),
+	}
 }
 
 // foreseeLate returns when a job is done that goes behind all others.
