--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -53,11 +53,6 @@
 	// start anew, each with a full part of the burst.
 	burstPart = 0.5
 	ratioPart = 0.7
-	// readPause, readPauseEach and readPauseMost bound the pause between two reads of the
-	// list of upstreams: as long as it takes to hear of a leaving upstream in time.
-	readPause     = 200 * time.Millisecond
-	readPauseEach = 25 * time.Millisecond
-	readPauseMost = time.Second
 	// followEvery is how often figures are taken over between parts.
 	followEvery = 100 * time.Millisecond
 )
@@ -199,12 +194,6 @@
 	return h.members.Resolve(caller, dataCentre)
 }
 
-// ReadPause returns how long to wait between two reads of the list of upstreams. It
-// grows with the number of daemons, since they share what the store can answer.
-func (h *Host) ReadPause() time.Duration {
-	return min(max(readPause, time.Duration(h.daemons.Load())*readPauseEach), readPauseMost)
-}
-
 // AddPeers adds addresses to find other daemons by.
 func (h *Host) AddPeers(addrs []string) {
 	h.members.AddSeeds(addrs)
