Leave stage upstreams alone while a scheduler has no jobs

Cause: each daemon asked each stage upstream for its memory as soon as it was listed, though only the owner of the upstreams uses the answer.

Change: the memory is asked for once pieces wait, as it was already after a time without jobs.

--- a/internal/stagework/fake_test.go
+++ b/internal/stagework/fake_test.go
@@ -21,6 +21,7 @@
 	worked time.Duration
 	calls  int
 	noRoom int
+	asked  int // questions for memory
 }
 
 type fakeUpstream struct {
@@ -138,6 +139,7 @@
 func (f *fakeUpstreams) RoomLeft(_ context.Context, u Upstream) (int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.asked++
 	s := f.list[u.Incarnation]
 	left := s.room
 	for _, n := range s.held {
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -93,9 +93,7 @@
 			known.leaving = false
 			continue
 		}
-		x := newUpstream(u)
-		svc.upstreams[u.Incarnation] = x
-		s.askRoom(svc, x)
+		svc.upstreams[u.Incarnation] = newUpstream(u)
 	}
 	for _, svc := range s.services {
 		for id, u := range svc.upstreams {
