--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -88,6 +88,7 @@
 	engineArgs    []string      // Further flags of the engines.
 	commitArgs    []string      // Further flags of the plain services.
 	placement     time.Duration // Of the placement lease; none is taken when zero.
+	links         bool          // Whether daemons reach the log and the upstreams through forwarders.
 }
 
 // cluster is a platform, its upstreams and the daemons under test.
@@ -97,6 +98,7 @@
 	hosts     *standin
 	upstreams map[string][]*standin // By kind.
 	daemons   []*daemon
+	links     []*forwarder // Of all daemons to each upstream, then of each daemon to the log.
 	history   history
 }
 
@@ -132,9 +134,21 @@
 	for range cfg.upstreams {
 		c.addUpstreams(t)
 	}
+	if cfg.links {
+		for _, u := range c.allUpstreams() {
+			u.link = startForwarder(t, u.addr)
+			c.links = append(c.links, u.link)
+		}
+	}
 	c.publishHosts(t)
 	for range cfg.daemons {
-		c.daemons = append(c.daemons, startDaemon(t, c))
+		behind := c
+		if cfg.links {
+			link := startForwarder(t, c.log.addr)
+			c.links = append(c.links, link)
+			behind = c.logBehind(link.addr)
+		}
+		c.daemons = append(c.daemons, startDaemon(t, behind))
 	}
 	c.publishTables(t)
 	return c
@@ -157,7 +171,7 @@
 	for kind, upstreams := range c.upstreams {
 		for _, u := range upstreams {
 			hosts.Hosts = append(hosts.Hosts, standinapi.Host{
-				Addr:       u.addr,
+				Addr:       u.reached(),
 				DataCentre: "dc1",
 				Service:    kind,
 				State:      standinapi.HostStateLive,
--- a/internal/e2e/daemon_test.go
+++ b/internal/e2e/daemon_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 const (
 	anyPort     = "127.0.0.1:0"
 	callTimeout = 30 * time.Second
+	bindAgain   = 100 * time.Millisecond
 )
 
 // addresses are those that a daemon listens on.
@@ -69,14 +71,24 @@
 	return d
 }
 
-// start starts the process, again after it was killed.
+// start starts the process, again after it was killed. While it was down the kernel
+// may have lent its port to a connection, so that a bind is tried again.
 func (d *daemon) start(t *testing.T) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "sequoiaforkd.ini")
 	require.NoError(t, os.WriteFile(path, []byte(d.settings()), 0o600))
-	d.process = startProcess(t, "sequoiaforkd", "-config", path)
-	line := d.waitLine(t, func(line string) bool { return strings.Contains(line, `"serving"`) })
-	require.NoError(t, json.Unmarshal([]byte(line), &d.addresses))
+	for began := time.Now(); ; time.Sleep(bindAgain) {
+		d.process = startProcess(t, "sequoiaforkd", "-config", path)
+		line, ok := d.line(t, func(line string) bool { return strings.Contains(line, `"serving"`) })
+		if ok {
+			require.NoError(t, json.Unmarshal([]byte(line), &d.addresses))
+			return
+		}
+		last := strings.Join(d.lastLines(), "\n")
+		if !strings.Contains(last, syscall.EADDRINUSE.Error()) || time.Since(began) > startTimeout {
+			require.FailNow(t, "the daemon ended early", "%s", last)
+		}
+	}
 }
 
 func (d *daemon) settings() string {
--- a/internal/e2e/edits_test.go
+++ b/internal/e2e/edits_test.go
@@ -71,7 +71,9 @@
 	t.Helper()
 	time.Sleep(time.Second)
 	c.loseReplies(t, 4)
-	link.setCut(true)
+	link.set(trouble{
+		cut: true,
+	})
 	time.Sleep(time.Second)
 	c.daemons[1].freeze(t)
 	frozen := outage{
@@ -90,7 +92,7 @@
 	time.Sleep(500 * time.Millisecond)
 	c.logFaults(t, standinapi.Faults{})
 	time.Sleep(time.Second)
-	link.setCut(false)
+	link.set(trouble{})
 	time.Sleep(time.Second)
 	return frozen
 }
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -100,16 +100,27 @@
 
 // waitLine returns the first line of output that match accepts.
 func (p *process) waitLine(t *testing.T, match func(string) bool) string {
+	t.Helper()
+	line, ok := p.line(t, match)
+	if !ok {
+		require.FailNow(t, "the process ended early", "%s:\n%s", p.cmd.Args, strings.Join(p.lastLines(), "\n"))
+	}
+	return line
+}
+
+// line returns the first line of output that match accepts, or false if the process
+// ended before.
+func (p *process) line(t *testing.T, match func(string) bool) (string, bool) {
 	t.Helper()
 	timeout := time.After(startTimeout)
 	for {
 		select {
 		case line := <-p.lines:
 			if match(line) {
-				return line
+				return line, true
 			}
 		case <-p.done:
-			require.FailNow(t, "the process ended early", "%s:\n%s", p.cmd.Args, strings.Join(p.lastLines(), "\n"))
+			return "", false
 		case <-timeout:
 			require.FailNow(t, "the process is not ready", "%s:\n%s", p.cmd.Args, strings.Join(p.lastLines(), "\n"))
 		}
--- a/internal/e2e/standin_test.go
+++ b/internal/e2e/standin_test.go
@@ -17,6 +17,15 @@
 
 	addr string
 	api  *standinapi.Client
+	link *forwarder // Nil if daemons reach it directly.
+}
+
+// reached returns the address that daemons are told.
+func (s *standin) reached() string {
+	if s.link != nil {
+		return s.link.addr
+	}
+	return s.addr
 }
 
 func startStandin(t *testing.T, args ...string) *standin {
