Let daemons that start together agree on the owner of stage work

A daemon that had not read the addresses yet took itself for the first; two addresses without a daemon used up its two tries; one that was to start 0.3 s later was avoided; and three daemons took the duty within 70 ms, since 35 daemons know each other 1.1 s after the start of the first, not 0.7 s.

Change: a daemon waits for the addresses (0.6 s at most), tries one that is not up again while machines start, then up to eight of them, leaves an address where none was found alone until the daemons know each other, and nobody takes the duty in the first 2 s.

TestDaemonsThatStartTogetherShareOneOwner failed before.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -197,7 +197,7 @@
 // AddPeers adds addresses to find other daemons by.
 func (h *Host) AddPeers(addrs []string) {
 	h.members.AddSeeds(addrs)
-	h.stages.learn(addrs)
+	h.stages.inform(addrs)
 }
 
 // PeerAddr returns the address for the other daemons.
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -126,6 +126,14 @@
 
 // startWithout runs a host that knows nothing yet.
 func startWithout(t *testing.T, v *invoker, seeds ...string) *running {
+	t.Helper()
+	r := idle(t, v, seeds...)
+	r.run(t)
+	return r
+}
+
+// idle returns a host that has its address and does not run yet.
+func idle(t *testing.T, v *invoker, seeds ...string) *running {
 	t.Helper()
 	s := settings.Default()
 	s.Daemon.PeerAddr = "127.0.0.1:0"
@@ -140,15 +148,18 @@
 		Decode:   decodeVersion,
 	})
 	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	r := &running{
+	return &running{
 		Host: h,
-		stop: cancel,
 		done: make(chan error, 1),
 	}
-	go func() { r.done <- h.Run(ctx) }()
+}
+
+func (r *running) run(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.done <- r.Run(ctx) }()
 	t.Cleanup(r.end)
-	return r
 }
 
 func (r *running) end() {
--- a/internal/entryhost/stages.go
+++ b/internal/entryhost/stages.go
@@ -24,13 +24,19 @@
 	// ownerWatch is how often a daemon looks whether the owner of its jobs lives.
 	ownerWatch = 100 * time.Millisecond
 	// joinTime is how long after its start a daemon takes no duty, so that it has heard
-	// of the daemon that has it.
-	joinTime = 700 * time.Millisecond
+	// of all daemons: 35 that start together take 1.1 s on the users' machines.
+	joinTime = 2 * time.Second
+	// startSpread is the time within which the users' machines start together, with the
+	// start of the program, and startAgain the pause before one is tried again meanwhile.
+	startSpread = 600 * time.Millisecond
+	startAgain  = 30 * time.Millisecond
 	// startStep is the time in milliseconds within which daemons count as started
 	// together.
 	startStep = 5000
-	// submitTries is how many owners are asked before this daemon does the work.
+	// submitTries is how many owners are asked before this daemon does the work, and
+	// joinTries how many addresses while nobody is known to have the duty.
 	submitTries = 2
+	joinTries   = 8
 )
 
 // stages has the stages of requests done by the daemon that owns the stage upstreams,
@@ -43,6 +49,8 @@
 	avoided map[string]time.Time
 	// known are the addresses of daemons, living or not.
 	known map[string]bool
+	// informed says that addresses have been read from the platform.
+	informed bool
 }
 
 // learn adds addresses of daemons.
@@ -57,6 +65,35 @@
 	}
 }
 
+// inform adds the addresses that the platform has.
+func (s *stages) inform(addrs []string) {
+	s.learn(addrs)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.informed = true
+}
+
+// await waits until this daemon can know whom to give jobs to.
+func (s *stages) await(ctx context.Context) {
+	for !s.canKnow() && ctx.Err() == nil {
+		pause(ctx, startAgain)
+	}
+}
+
+func (s *stages) canKnow() bool {
+	s.mu.Lock()
+	informed := s.informed
+	s.mu.Unlock()
+	return informed || time.Since(s.host.started) >= startSpread || s.owner().Term > 0
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (s *stages) addresses() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,7 +109,7 @@
 	owner := self
 	found := false
 	for _, m := range s.host.members.Members() {
-		if m.State != membership.Alive || m.Revision == 0 || s.avoid(m.Incarnation) {
+		if m.State != membership.Alive || m.Revision == 0 || s.avoids(m.Incarnation) {
 			continue
 		}
 		if !found || goesBefore(m, owner) {
@@ -90,7 +127,7 @@
 func (s *stages) first(self membership.Member) membership.Member {
 	best := self
 	for _, addr := range s.addresses() {
-		if !s.avoid(addr) && hash(addr) < hash(best.PeerAddr) {
+		if !s.avoids(addr) && hash(addr) < hash(best.PeerAddr) {
 			best = membership.Member{
 				Incarnation: addr,
 				PeerAddr:    addr,
@@ -131,7 +168,7 @@
 	return s.owner().Incarnation == s.host.members.Self().Incarnation
 }
 
-func (s *stages) avoid(incarnation string) bool {
+func (s *stages) avoids(incarnation string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	until, ok := s.avoided[incarnation]
@@ -142,20 +179,27 @@
 	return ok
 }
 
-func (s *stages) avoidFor(incarnation string, d time.Duration) {
+// avoid leaves an owner alone for a while; an address at which none was found, until
+// the daemons know each other.
+func (s *stages) avoid(owner membership.Member) {
+	d := ownerPause
+	if byAddress(owner) {
+		d = joinTime
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.avoided == nil {
 		s.avoided = make(map[string]time.Time)
 	}
-	s.avoided[incarnation] = time.Now().Add(d)
+	s.avoided[owner.Incarnation] = time.Now().Add(d)
 }
 
 // Submit implements forward.Stages.
 func (s *stages) Submit(ctx context.Context, j stagework.Job) (forward.Ticket, error) {
-	for range submitTries {
+	s.await(ctx)
+	for tries := 0; ; {
 		owner := s.owner()
-		if owner.Incarnation == s.host.members.Self().Incarnation {
+		if owner.Incarnation == s.host.members.Self().Incarnation || tries >= mostTries(owner) {
 			break
 		}
 		t, err := s.host.node.StageWork(ctx, owner, j, ownerPatience)
@@ -171,7 +215,12 @@
 		if errors.As(err, &refused) || ctx.Err() != nil {
 			return nil, err
 		}
-		s.avoidFor(owner.Incarnation, ownerPause)
+		if byAddress(owner) && time.Since(s.host.started) < startSpread {
+			pause(ctx, startAgain) // It may be about to start.
+			continue
+		}
+		tries++
+		s.avoid(owner)
 		s.host.logger.Info("stage owner not reached",
 			zap.String("request_id", j.RequestID), zap.String("stage_owner", owner.Incarnation), zap.Error(err))
 	}
@@ -186,6 +235,16 @@
 	}, nil
 }
 
+// byAddress reports whether a member is known by its address only.
+func byAddress(m membership.Member) bool { return m.Version == 0 }
+
+func mostTries(owner membership.Member) int {
+	if byAddress(owner) {
+		return joinTries
+	}
+	return submitTries
+}
+
 // ticket is a job at the owner or at this daemon's own scheduler. If the owner ends or
 // gives it up to another, it goes to the next with the results that it has.
 type ticket struct {
@@ -241,8 +300,8 @@
 	if t.remote == nil {
 		return false
 	}
-	if t.owner.Version == 0 {
-		return false // It is known by its address only; the call itself tells its end.
+	if byAddress(t.owner) {
+		return false // The call itself tells its end.
 	}
 	m, ok := t.stages.host.members.Lookup(t.owner.Incarnation)
 	return !ok || m.State == membership.Dead
@@ -253,7 +312,7 @@
 	t.job.Made = t.made()
 	var moved *stagework.MovedError
 	if !errors.As(why, &moved) {
-		t.stages.avoidFor(t.owner.Incarnation, ownerPause)
+		t.stages.avoid(t.owner)
 	}
 	t.release()
 	t.stages.host.logger.Info("job goes to the next stage owner",
--- /dev/null
+++ b/internal/entryhost/together_test.go
@@ -0,0 +1,83 @@
+package entryhost
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/forward"
+)
+
+// startsLate is within the time in which machines start together.
+const startsLate = 250 * time.Millisecond
+
+// stale returns addresses without a daemon that come before those of all hosts.
+func stale(n int, hosts []*running) []string {
+	var addrs []string
+	for port := 1; len(addrs) < n; port++ {
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if !slices.ContainsFunc(hosts, func(h *running) bool { return hash(h.PeerAddr()) < hash(addr) }) {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
+// doer returns the address of the daemon that has a job.
+func doer(done forward.Ticket, h *running) string {
+	t := done.(*ticket)
+	if t.remote == nil {
+		return h.PeerAddr()
+	}
+	return t.owner.PeerAddr
+}
+
+// Daemons that start together give their first jobs to one of them, though addresses
+// of daemons that are gone are known, and though that one starts last.
+func TestDaemonsThatStartTogetherShareOneOwner(t *testing.T) {
+	v := &invoker{
+		work: 50 * time.Millisecond,
+	}
+	var hosts []*running
+	for range 5 {
+		hosts = append(hosts, idle(t, v))
+	}
+	slices.SortFunc(hosts, func(a, b *running) int {
+		if hash(a.PeerAddr()) < hash(b.PeerAddr()) {
+			return -1
+		}
+		return 1
+	})
+	addrs := stale(3, hosts)
+	for _, h := range hosts {
+		addrs = append(addrs, h.PeerAddr())
+	}
+	doers := make(chan string, len(hosts))
+	begin := func(i int) {
+		h := hosts[i]
+		h.run(t)
+		h.SetTable(tableOf(1), []byte("1"), "test")
+		h.SetUpstreams(upstreams())
+		go func() {
+			ticket, err := h.stages.Submit(t.Context(), job(fmt.Sprint("j", i)))
+			if err != nil {
+				doers <- err.Error()
+				return
+			}
+			doers <- doer(ticket, h)
+			ticket.Release()
+		}()
+		time.AfterFunc(20*time.Millisecond, func() { h.AddPeers(addrs) }) // Read from the store.
+	}
+	for i := 1; i < len(hosts); i++ {
+		begin(i)
+	}
+	time.Sleep(startsLate)
+	begin(0)
+	for range hosts {
+		require.Equal(t, hosts[0].PeerAddr(), <-doers)
+	}
+}
