--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -165,15 +165,15 @@
 	}
 	s.lifts = nil
 	for i, d := range s.daemons {
-		for answer := ""; answer != answered; {
-			require.Less(t, time.Since(began), soakRecovers, "daemon %d does not serve again: %s", i, answer)
+		for last := (reply{}); last.outcome != answered; {
+			require.Less(t, time.Since(began), soakRecovers, "daemon %d does not serve again: %s", i, last)
 			s.lift(t, time.Now())
 			if d.until.IsZero() {
-				answer = s.cluster.do(t.Context(), call{
+				last = s.cluster.do(t.Context(), call{
 					daemon: i,
 					route:  encodeRoute,
 					input:  "recovered",
-				}).outcome
+				})
 			}
 			time.Sleep(soakTick)
 		}
