Let memory left by the owner before lapse evenly

Cause: memory that a call found taken by results of an owner that is gone was believed to be half free after 0.5 s, and so on; the results lapse evenly over their lifetime, so that calls found no room again and again.

TestMemoryLeftByAnotherOwnerLapsesEvenly: 400 of 800 bytes were held free after half a second before.

--- a/internal/stagework/upstream.go
+++ b/internal/stagework/upstream.go
@@ -33,9 +33,6 @@
 	// roomKnown is how long without any job the account of memory is believed, since
 	// another scheduler may have worked meanwhile.
 	roomKnown = 2 * time.Second
-	// leftPause is how long memory that a call found taken by results of another owner
-	// is believed to be; after it half of it is.
-	leftPause = 500 * time.Millisecond
 	// roomPause is how long memory that was found taken is believed to be taken.
 	roomPause = 300 * time.Millisecond
 	// resultLifetime stands in for the lifetime of results that could not be freed.
@@ -63,9 +60,11 @@
 	known       bool
 	asking      bool
 	askedAt     time.Time
-	// left is memory that a call found taken by results of an owner before this one.
-	// It lapses, so half of it is forgotten at leftTill and again after each pause.
+	// left is memory that a call found taken by results of an owner before this one:
+	// leftMost at leftAt. They were made at any time before and lapse evenly until leftTill.
 	left     int64
+	leftMost int64
+	leftAt   time.Time
 	leftTill time.Time
 	// claims is memory that is believed to be taken by results without a handle.
 	claims    []claim
@@ -125,16 +124,16 @@
 	if !now.Before(u.foreignTill) {
 		u.foreign = 0
 	}
-	if !now.Before(u.leftTill) {
-		u.left /= 2
-		u.leftTill = now.Add(leftPause)
+	if u.left > 0 {
+		part := float64(u.leftTill.Sub(now)) / float64(u.leftTill.Sub(u.leftAt))
+		u.left = int64(float64(u.leftMost) * min(max(part, 0), 1))
 	}
 }
 
 // measure notes that there was no room beside what this scheduler holds.
-func (u *upstream) measure(total int64, now time.Time) {
+func (u *upstream) measure(total int64, now, till time.Time) {
 	u.left = max(total-u.held, 0)
-	u.leftTill = now.Add(leftPause)
+	u.leftMost, u.leftAt, u.leftTill = u.left, now, till
 }
 
 // room returns the memory that a call may count on.
