Let a new daemon choose the owner as the older ones do

Cause: with the join time at 2 s a daemon that starts beside others which have been up for long went by the first known address for 2 s, while they go by who started last: two schedulers at once in a release whose owner has left.

Change: the first address counts only while no member is known that is past its own start. stages.go is split: who has the duty in owner.go, a job in ticket.go.

TestNewDaemonChoosesAsTheOthers had two owners before.

--- /dev/null
+++ b/internal/entryhost/ticket.go
@@ -0,0 +1,129 @@
+package entryhost
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/forward"
+	"sequoiafork/internal/membership"
+	"sequoiafork/internal/peer"
+	"sequoiafork/internal/stagework"
+)
+
+// ownerWatch is how often a daemon looks whether the owner of its jobs lives.
+const ownerWatch = 100 * time.Millisecond
+
+// ticket is a job at the owner or at this daemon's own scheduler. If the owner ends or
+// gives it up to another, it goes to the next with the results that it has.
+type ticket struct {
+	stages *stages
+	owner  membership.Member
+	job    stagework.Job
+	remote *peer.StageTicket
+	local  *stagework.Ticket
+	next   forward.Ticket
+}
+
+type stageResult struct {
+	handles []string
+	err     error
+}
+
+// Wait implements forward.Ticket.
+func (t *ticket) Wait(ctx context.Context) ([]string, error) {
+	done := make(chan stageResult, 1)
+	go func() {
+		r := stageResult{}
+		if t.remote != nil {
+			r.handles, r.err = t.remote.Wait()
+		} else {
+			r.handles, r.err = t.local.Wait(ctx)
+		}
+		done <- r
+	}()
+	watch := time.NewTicker(ownerWatch)
+	defer watch.Stop()
+	for {
+		select {
+		case r := <-done:
+			var lost *peer.CallError
+			var moved *stagework.MovedError
+			if (errors.As(r.err, &lost) || errors.As(r.err, &moved)) && ctx.Err() == nil {
+				return t.again(ctx, r.err)
+			}
+			return r.handles, r.err
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		case <-watch.C:
+			if t.ownerDead() {
+				return t.again(ctx, errOwnerDead)
+			}
+		}
+	}
+}
+
+var errOwnerDead = errors.New("the owner of the stage upstreams is dead")
+
+func (t *ticket) ownerDead() bool {
+	if t.remote == nil {
+		return false
+	}
+	if byAddress(t.owner) {
+		return false // The call itself tells its end.
+	}
+	m, ok := t.stages.host.members.Lookup(t.owner.Incarnation)
+	return !ok || m.State == membership.Dead
+}
+
+// again gives the job to the next owner.
+func (t *ticket) again(ctx context.Context, why error) ([]string, error) {
+	t.job.Made = t.made()
+	var moved *stagework.MovedError
+	if !errors.As(why, &moved) {
+		t.stages.avoid(t.owner)
+	}
+	t.release()
+	t.stages.host.logger.Info("job goes to the next stage owner",
+		zap.String("request_id", t.job.RequestID), zap.String("stage_owner", t.owner.Incarnation),
+		zap.Int("results", len(t.job.Made)), zap.Error(why))
+	next, err := t.stages.Submit(ctx, t.job)
+	if err != nil {
+		t.stages.host.scheduler.Free(t.job.Made)
+		return nil, err
+	}
+	t.next = next
+	return next.Wait(ctx)
+}
+
+func (t *ticket) made() []stagework.Made {
+	if t.remote != nil {
+		return t.remote.Made()
+	}
+	made, _ := t.local.Made(0)
+	return append(slices.Clone(t.job.Made), made...)
+}
+
+func (t *ticket) release() {
+	if t.remote != nil {
+		t.remote.Release()
+		return
+	}
+	t.local.Release()
+}
+
+// Release implements forward.Ticket. The results of a job whose owner has ended are
+// freed by this daemon.
+func (t *ticket) Release() {
+	if t.next != nil {
+		t.next.Release()
+		return
+	}
+	t.release()
+	if t.ownerDead() {
+		t.stages.host.scheduler.Free(t.made())
+	}
+}
--- a/internal/entryhost/together_test.go
+++ b/internal/entryhost/together_test.go
@@ -81,3 +81,36 @@
 		require.Equal(t, hosts[0].PeerAddr(), <-doers)
 	}
 }
+
+// A daemon that starts beside others that have been up for long chooses as they do.
+func TestNewDaemonChoosesAsTheOthers(t *testing.T) {
+	v := &invoker{}
+	hosts := cluster(t, v)
+	owner := agreed(t, hosts)
+	time.Sleep(joinTime) // All are past their start.
+	rest := without(hosts, owner)
+	var seeds []string
+	for _, h := range rest {
+		seeds = append(seeds, h.PeerAddr())
+	}
+	late := idle(t, v, seeds...)
+	for hash(late.PeerAddr()) < hash(rest[0].PeerAddr()) { // It must not be the first by chance.
+		late = idle(t, v, seeds...)
+	}
+	owner.end()
+	late.run(t)
+	late.SetTable(tableOf(1), []byte("1"), "test")
+	late.SetUpstreams(upstreams())
+	late.AddPeers(seeds)
+	live := append(rest, late)
+	require.Eventually(t, func() bool {
+		for _, h := range live {
+			if n, _ := h.members.Count(); n != len(live) {
+				return false
+			}
+		}
+		return true
+	}, patience, look)
+	require.Less(t, time.Since(late.started), joinTime, "the daemons have met too late for this test")
+	require.Len(t, owners(live), 1)
+}
