Name daemons to callers only once they have tables

Cause: the other daemons named it to callers as soon as it was a living member; beside load it took longer to have tables than to be met. On the users' platform this was ruled out already (ResolveReady). Ruled out: the daemon's own answer, which is refused without tables.

Change: no daemon without a revision is named, everywhere; the switch goes. TestResolveMovesOnlyLostShare now gives its members a revision first, as a deployment with routes has; its bounds are the same.

TestResolveLeavesOutDaemonsWithoutTables failed before at its first line.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -121,7 +121,6 @@
 		ProbeEvery:       probeEvery,
 		ResolveKeep:      cfg.Settings.Drain.KeepAnswers,
 		ResolveMax:       maxAddresses,
-		ResolveReady:     true,
 	})
 	h.upstreams = upstream.New(upstream.Config{
 		DataCentre: cfg.Settings.Daemon.DataCentre,
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -65,9 +65,6 @@
 	Neighbours int
 	// ResolveMax is the greatest number of addresses in an answer of Resolve.
 	ResolveMax int
-	// ResolveReady leaves members out of answers of Resolve that have told no revision
-	// yet: they can't serve.
-	ResolveReady bool
 	// UpstreamRate and UpstreamBurst bound the rumors a second that this process
 	// starts about upstreams. Those over it wait and are merged by address.
 	UpstreamRate  float64
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -118,9 +118,26 @@
 	})
 }
 
+// TestResolveLeavesOutDaemonsWithoutTables restarts a daemon: it takes calls before it
+// has tables again, and could only refuse them.
+func TestResolveLeavesOutDaemonsWithoutTables(t *testing.T) {
+	for _, r := range runScript(t, []string{
+		"hosts 3 1 1", "agree 10s",
+		"revision 0 1", "revision 1 1", "resolvable 2 no 5s",
+		"revision 2 1", "in_force 1 16s", "resolvable 2 yes 5s",
+		"restart 2", "agree 30s", "resolvable 2 no 5s",
+		"revision 2 1", "resolvable 2 yes 5s",
+	}, nil) {
+		require.Equal(t, "ok", r)
+	}
+}
+
 // TestResolveMovesOnlyLostShare compares answers before and after a loss.
 func TestResolveMovesOnlyLostShare(t *testing.T) {
-	runScript(t, []string{"hosts 5 1 1", "agree 10s"}, func(s *script) {
+	runScript(t, []string{
+		"hosts 5 1 1", "agree 10s",
+		"revision 0 1", "revision 1 1", "revision 2 1", "revision 3 1", "revision 4 1", "in_force 1 16s",
+	}, func(s *script) {
 		table := s.net.hosts[0].proc.table
 		lost := s.net.hosts[4].proc.table.Self()
 		before := map[string]string{}
--- a/internal/membership/queries.go
+++ b/internal/membership/queries.go
@@ -92,7 +92,8 @@
 	t.mu.Lock()
 	candidates := make([]candidate, 0, len(t.members))
 	for _, e := range t.livingMembers() {
-		if e.State == Alive && e.CallerAddr != "" && (e.Revision > 0 || !t.cfg.ResolveReady) {
+		// One that has told no revision yet can't serve.
+		if e.State == Alive && e.CallerAddr != "" && e.Revision > 0 {
 			candidates = append(candidates, candidate{
 				addr:     e.CallerAddr,
 				distance: distance(dataCentre, e.DataCentre),
