--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -83,7 +83,7 @@
 	cluster *cluster
 	rand    *rand.Rand
 	began   time.Time
-	time    time.Duration
+	lasts   time.Duration
 	next    time.Time // Of the next fault.
 	lifts   []lift
 	daemons []*soakDaemon
@@ -115,12 +115,12 @@
 			commitArgs: []string{"-service-ms", "20"},
 			grace:      2 * time.Second,
 		}),
-		rand: rand.New(rand.NewPCG(seed, 1)),
-		time: soakTime,
+		rand:  rand.New(rand.NewPCG(seed, 1)),
+		lasts: soakTime,
 	}
 	if text := os.Getenv("SOAK_TIME"); text != "" {
 		var err error
-		s.time, err = time.ParseDuration(text)
+		s.lasts, err = time.ParseDuration(text)
 		require.NoError(t, err, "SOAK_TIME")
 	}
 	s.cluster.keepConnections(t)
@@ -140,7 +140,7 @@
 // play makes faults and ends them when their time is over.
 func (s *soak) play(t *testing.T) {
 	s.began = time.Now()
-	for end := s.began.Add(s.time); time.Now().Before(end); time.Sleep(soakTick) {
+	for end := s.began.Add(s.lasts); time.Now().Before(end); time.Sleep(soakTick) {
 		for ; time.Now().After(s.next); s.next = s.next.Add(s.draw(2 * soakEvery)) {
 			if s.next.IsZero() {
 				s.next = s.began
--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -113,7 +113,7 @@
 		if st.ResultBytes*smallParts < svc.spec.RoomBytes {
 			ahead.bytes = 0 // Such results fit in where larger ones wait for memory.
 		}
-		wait := max(svc.might().backlog(ahead)-start.Sub(now), 0)
+		wait := max(svc.capacity().backlog(ahead)-start.Sub(now), 0)
 		if wait >= longest {
 			longest, bottleneck = wait, st.Service
 		}
@@ -165,8 +165,8 @@
 	return sum
 }
 
-// might is what the usable upstreams of a service can do.
-type might struct {
+// capacity is what the usable upstreams of a service can do.
+type capacity struct {
 	spec routing.Batch
 	// strength is the number of upstreams, each by its pace, memory that for results.
 	strength float64
@@ -174,8 +174,8 @@
 	allBusy  bool
 }
 
-func (svc *service) might() might {
-	return might{
+func (svc *service) capacity() capacity {
+	return capacity{
 		spec:     svc.spec,
 		strength: svc.strength(),
 		memory:   svc.memory(),
@@ -183,26 +183,26 @@
 	}
 }
 
-func (s *Scheduler) mights() map[*service]might {
-	m := make(map[*service]might, len(s.services))
+func (s *Scheduler) capacities() map[*service]capacity {
+	m := make(map[*service]capacity, len(s.services))
 	for _, svc := range s.services {
-		m[svc] = svc.might()
+		m[svc] = svc.capacity()
 	}
 	return m
 }
 
 // backlog returns how long the upstreams take to come to an end of a load.
-func (m might) backlog(l load) time.Duration {
-	if m.strength == 0 {
+func (c capacity) backlog(l load) time.Duration {
+	if c.strength == 0 {
 		return mostComeBack
 	}
-	full := callTime(m.spec, m.spec.Size)
-	byWork := time.Duration(float64(l.pieces) * float64(full) / (float64(m.spec.Size) * m.strength))
+	full := callTime(c.spec, c.spec.Size)
+	byWork := time.Duration(float64(l.pieces) * float64(full) / (float64(c.spec.Size) * c.strength))
 	resident := full + roomHold
-	byRoom := time.Duration(float64(l.bytes) / float64(max(m.memory, 1)) * float64(resident))
+	byRoom := time.Duration(float64(l.bytes) / float64(max(c.memory, 1)) * float64(resident))
 	wait := max(byWork, byRoom)
-	if m.allBusy {
-		wait += time.Duration(float64(full) / 2 / m.strength)
+	if c.allBusy {
+		wait += time.Duration(float64(full) / 2 / c.strength)
 	}
 	return wait
 }
@@ -252,5 +252,5 @@
 	for _, p := range svc.queue {
 		l.bytes += p.stage.ResultBytes
 	}
-	return min(max(svc.might().backlog(l), leastComeBack), mostComeBack)
+	return min(max(svc.capacity().backlog(l), leastComeBack), mostComeBack)
 }
--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -79,59 +79,6 @@
 	}
 }
 
-// expire gives up the jobs in the queue that can't meet their deadline any longer.
-func (s *Scheduler) expire(svc *service, now time.Time) {
-	var hopeless []*job
-	var last *job
-	for _, p := range svc.queue {
-		if p.job == last || p.job.finished || p.job.moving {
-			continue
-		}
-		last = p.job
-		if last.left(now) < p.stage.least {
-			hopeless = append(hopeless, last)
-		}
-	}
-	for _, j := range hopeless {
-		s.giveUp(j, svc)
-	}
-}
-
-// expireCrowded gives up the late jobs that would not be done in time behind what is
-// more urgent.
-func (s *Scheduler) expireCrowded(now time.Time) {
-	var open []*job
-	for j := range s.jobs {
-		if !j.finished && j.waits() {
-			open = append(open, j)
-		}
-	}
-	slices.SortFunc(open, func(a, b *job) int { return compareJobs(a, b, now) })
-	ahead := make(map[*service]load)
-	might := s.mights()
-	for _, j := range open {
-		j.add(ahead, 1)
-		if j.moving || lateness(j, now) == 0 {
-			continue
-		}
-		for _, st := range j.stages {
-			if st.queued > 0 && might[st.service].backlog(ahead[st.service]) > j.left(now) {
-				j.add(ahead, -1)
-				s.giveUp(j, st.service)
-				break
-			}
-		}
-	}
-}
-
-// giveUp refuses a job that waits at a service.
-func (s *Scheduler) giveUp(j *job, svc *service) {
-	s.finish(j, &RefusedError{
-		Message:    "the stages can't be done before the deadline",
-		RetryAfter: s.comeBack(svc.name),
-	})
-}
-
 // dispatchService starts calls of one service and reports whether work is left that
 // nothing but time will start.
 func (s *Scheduler) dispatchService(svc *service, now time.Time) bool {
@@ -277,8 +224,9 @@
 }
 
 // fill takes the pieces of one call out of the queue. A piece with large inputs or a
-// large result is left for an upstream that is nearer to where they are or go, if that one is idle or will be in
-// time. Once a piece has found no room, no later one that is as large goes before it.
+// large result is left for an upstream that is nearer to where they are or go, if that
+// one is idle or will be in time. Once a piece has found no room, no later one that is
+// as large goes before it.
 func (s *Scheduler) fill(svc *service, u *upstream, idle []*upstream, now time.Time) []*piece {
 	room := u.room(svc.spec.RoomBytes)
 	var pieces []*piece
