Store the outcome of a key before it is returned, and promise nothing of an old key

Refuse did not look at the age of a key as Do does: a key whose claim or outcome has been discarded was told not run. Ruled out: the scripts of the test and the store of outcomes; a loop over the registry alone shows the first. Change: an outcome without a later one is recorded, then returned; Refuse tells a key that is too old as unknown, with the same check of age as Do.

--- a/internal/idempotency/do.go
+++ b/internal/idempotency/do.go
@@ -33,15 +33,28 @@
 		if key.Owner != r.cfg.Self {
 			return req.Forward(ctx, key.Owner)
 		}
-		if age := time.Since(key.Issued); age > r.cfg.IssuedKeyTTL {
-			return keyExpired(req.ID, "the key was issued "+age.Round(time.Second).String()+" ago and is valid for "+r.cfg.IssuedKeyTTL.String())
-		}
-	} else if age, ok := ident.UUIDAge(req.Key, time.Now()); ok && age > r.cfg.ClaimWindow {
-		return keyExpired(req.ID, "the key was made "+age.Round(time.Second).String()+" ago and keys are remembered for "+r.cfg.ClaimWindow.String())
+	}
+	if why := r.expiry(req.Key); why != "" {
+		return keyExpired(req.ID, why)
 	}
 	return r.do(ctx, req, issued)
 }
 
+// expiry returns why a key is too old for this process to tell whether its request has
+// run, or "" if it is not.
+func (r *Registry) expiry(key string) string {
+	if issued, err := ident.ParseIssuedKey(key); err == nil {
+		if age := time.Since(issued.Issued); age > r.cfg.IssuedKeyTTL {
+			return "the key was issued " + age.Round(time.Second).String() + " ago and is valid for " + r.cfg.IssuedKeyTTL.String()
+		}
+		return ""
+	}
+	if age, ok := ident.UUIDAge(key, time.Now()); ok && age > r.cfg.ClaimWindow {
+		return "the key was made " + age.Round(time.Second).String() + " ago and keys are remembered for " + r.cfg.ClaimWindow.String()
+	}
+	return ""
+}
+
 func (r *Registry) do(ctx context.Context, req Request, issued bool) outcome.Outcome {
 	key := HashKey(req.Workspace, req.Key)
 	s := r.shard(key)
@@ -195,29 +208,25 @@
 // run runs the request under runCtx and returns its outcome, or Unknown if the
 // caller's context ends first.
 func (r *Registry) run(runCtx, callerCtx context.Context, s *shard, e *entry, req Request) outcome.Outcome {
-	type runResult struct {
-		outcome outcome.Outcome
-		final   <-chan outcome.Outcome
-	}
-	results := make(chan runResult, 1)
+	results := make(chan outcome.Outcome, 1)
 	go func() {
 		o, final := req.Run(runCtx)
-		results <- runResult{
-			outcome: o,
-			final:   final,
+		if final == nil {
+			// A caller that asks for the key after its answer must find the outcome.
+			r.finish(s, e, req, o)
+			results <- o
+			return
 		}
-		if final != nil {
-			o = <-final
-		}
-		r.finish(s, e, req, o)
+		results <- o
+		r.finish(s, e, req, <-final)
 	}()
 	if runCtx == callerCtx {
 		// The run itself stops when the caller's context ends.
-		return (<-results).outcome
+		return <-results
 	}
 	select {
-	case result := <-results:
-		return result.outcome
+	case o := <-results:
+		return o
 	case <-callerCtx.Done():
 		return outcome.Unknown{
 			RequestID:  req.ID,
--- a/internal/idempotency/refuse.go
+++ b/internal/idempotency/refuse.go
@@ -14,19 +14,32 @@
 
 // Refuse returns the outcome of a request that this process does not accept. It is
 // rejection for a non-idempotent request only if no process can have run it; otherwise
-// it is the outcome of the key, which may be an answer, or Unknown.
+// it is the outcome of the key, which may be an answer, or Unknown. It is Unknown for a
+// key that is so old that its claim or outcome may have been discarded.
 func (r *Registry) Refuse(ctx context.Context, req Request, rejection outcome.NotRun) outcome.Outcome {
 	if o, ok := r.joinExisting(ctx, req); ok {
 		return o
 	}
+	expired := ""
+	if req.NonIdempotent {
+		expired = r.expiry(req.Key)
+	}
 	if !ident.IsIssued(req.Key) {
+		if expired != "" {
+			return keyExpired(req.ID, expired)
+		}
 		return r.rejectIfUnclaimed(ctx, HashKey(req.Workspace, req.Key), req, rejection)
 	}
 	issued, err := ident.ParseIssuedKey(req.Key)
-	if err != nil || issued.Owner == r.cfg.Self {
+	switch {
+	case err != nil:
 		return rejection
+	case issued.Owner != r.cfg.Self:
+		return req.Forward(ctx, issued.Owner)
+	case expired != "":
+		return keyExpired(req.ID, expired)
 	}
-	return req.Forward(ctx, issued.Owner)
+	return rejection
 }
 
 // started returns the key's entry if a request with the key is running or has run in
