Give work again to an upstream that was restarted in place

Ruled out: a shorter mark, which would give work to one that still leaves; work as a probe, for the same reason. Change: upstreams that are marked while the list shows them live are asked for their load every 3 s; a report sampled after the mark that does not say leaving ends it, and peers are told that it is live. The tests that let a leaving upstream run calls unannounced now let its load report say that it leaves, and still want no work at all there.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,7 @@
 	service   *request.Service
 	registry  *idempotency.Registry
 	placer    *placer
+	services  *invoke.Client
 
 	callerListener   net.Listener
 	operatorListener net.Listener
@@ -208,6 +209,7 @@
 	if err != nil {
 		return err
 	}
+	d.services = services
 	engines, err := completion.New(invoke.Config{})
 	if err != nil {
 		return err
@@ -263,7 +265,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, background := errgroup.WithContext(background)
-	for _, run := range []func(context.Context) error{d.syncer.Run, d.node.Serve, d.hostList.Run, d.claimer.Run, d.syncMembership, d.placer.run} {
+	for _, run := range []func(context.Context) error{d.syncer.Run, d.node.Serve, d.hostList.Run, d.claimer.Run, d.syncMembership, d.placer.run, d.checkLeaving} {
 		g.Go(func() error { return ignoreShutdownError(run(background)) })
 	}
 	g.Go(func() error { return ignoreShutdownError(callerServer.Serve(d.limit(d.callerListener))) })
--- a/internal/e2e/leaving_test.go
+++ b/internal/e2e/leaving_test.go
@@ -22,8 +22,8 @@
 
 // TestLeavingUpstreamGetsNoWork checks that all daemons stop sending to two upstreams
 // once one daemon has observed that they drain. The host list lists both as live during
-// the whole test, as if it lagged by a minute. The upstreams then accept work again
-// without announcing it, so that their ledgers record any daemon that still sends some.
+// the whole test, as if it lagged by a minute. The upstreams then run calls although they
+// still leave, so that their ledgers record any daemon that still sends some.
 func TestLeavingUpstreamGetsNoWork(t *testing.T) {
 	c := startCluster(t, config{})
 	leaving := []*standin{c.upstreams["encoder"][0], c.upstreams[oracle.EngineKind][0]}
@@ -35,7 +35,9 @@
 	observed := time.Now()
 	c.sendLoad(t, "sign", maxNoticeDelay/3, 0)
 	for _, u := range leaving {
-		u.setFaults(t, standinapi.Faults{})
+		u.setFaults(t, standinapi.Faults{
+			LeavingInLoad: standinapi.NewOptBool(true),
+		})
 	}
 	time.Sleep(time.Until(observed.Add(maxNoticeDelay)))
 	c.sendLoad(t, "after", loadTime, 0, 1, 2)
@@ -59,7 +61,9 @@
 	})
 	c.sendLoad(t, "sign", maxNoticeDelay/3, 0)
 	observed := time.Now()
-	u.setFaults(t, standinapi.Faults{})
+	u.setFaults(t, standinapi.Faults{
+		LeavingInLoad: standinapi.NewOptBool(true),
+	})
 	c.sendLoad(t, "after", loadTime, 0)
 	for _, e := range u.ledger(t) {
 		require.Less(t, e.TimeMs, observed.UnixMilli(), "work for %s, which drains: %s", u.addr, e.AttemptID)
@@ -67,6 +71,44 @@
 	c.check(t)
 }
 
+// TestUpstreamRestartedInPlaceGetsWorkAgain checks that an upstream that said that it leaves and
+// was then restarted at its address between two reads of the host list gets work again: the list
+// shows it as live throughout, so only the upstream itself can tell.
+func TestUpstreamRestartedInPlaceGetsWorkAgain(t *testing.T) {
+	c := startCluster(t, config{})
+	for _, u := range c.upstreams["encoder"] {
+		u.setFaults(t, standinapi.Faults{
+			Leaving: standinapi.NewOptBool(true),
+		})
+	}
+	n := 0
+	ask := func() {
+		n++
+		c.do(t.Context(), call{
+			daemon: n % len(c.daemons),
+			route:  orderRoute,
+			input:  fmt.Sprintf("restart %d", n),
+		})
+	}
+	for range 20 {
+		ask()
+	}
+	for _, u := range c.upstreams["encoder"] {
+		u.setFaults(t, standinapi.Faults{})
+	}
+	const recovery = 15 * time.Second
+	require.Eventually(t, func() bool {
+		ask()
+		for _, u := range c.upstreams["encoder"] {
+			if len(u.ledger(t)) == 0 {
+				return false
+			}
+		}
+		return true
+	}, recovery, 50*time.Millisecond, "both encoders run calls again")
+	c.check(t)
+}
+
 // TestLeavingEngineFinishesItsStream checks that an engine that begins to drain while it
 // streams completes the stream.
 func TestLeavingEngineFinishesItsStream(t *testing.T) {
--- a/internal/invoke/invoke.go
+++ b/internal/invoke/invoke.go
@@ -114,6 +114,15 @@
 	}, nil
 }
 
+// Load returns the load that the upstream at addr reports. No work runs for it.
+func (c *Client) Load(ctx context.Context, addr string) (*upstream.Load, error) {
+	l, err := c.idempotent.ShowLoad(ctx, upstreamapi.WithServerURL(BaseURL(addr)))
+	if err != nil {
+		return nil, fmt.Errorf("load of %s: %w", addr, err)
+	}
+	return ConvertLoad(*l), nil
+}
+
 func newInvocation(call pipeline.Call) *upstreamapi.Invocation {
 	return &upstreamapi.Invocation{
 		AttemptID:   call.AttemptID,
--- a/internal/standin/engine/state.go
+++ b/internal/standin/engine/state.go
@@ -20,6 +20,9 @@
 // ShowLoad returns the last load sample.
 func (e *Engine) ShowLoad(context.Context) (*upstreamapi.Load, error) {
 	load := e.currentLoad()
+	if e.control.Faults.Current().LeavingInLoad.Or(false) {
+		load.Leaving = upstreamapi.NewOptBool(true)
+	}
 	return &load, nil
 }
 
--- a/internal/standin/invoke/invoke.go
+++ b/internal/standin/invoke/invoke.go
@@ -158,6 +158,9 @@
 // ShowLoad returns the last load sample.
 func (u *Upstream) ShowLoad(context.Context) (*upstreamapi.Load, error) {
 	load := u.currentLoad()
+	if u.control.Faults.Current().LeavingInLoad.Or(false) {
+		load.Leaving = upstreamapi.NewOptBool(true)
+	}
 	return &load, nil
 }
 
--- a/internal/upstream/script_test.go
+++ b/internal/upstream/script_test.go
@@ -82,6 +82,20 @@
 		return s.attempts(d)
 	case "capacity":
 		return fmt.Sprintln(s.set.Capacity(pool()))
+	case "load":
+		age := 0
+		d.MaybeScanArgs(s.t, "age_ms", &age)
+		cleared := s.set.ObserveLoad(d.CmdArgs[0].Key, Load{
+			Age:     time.Duration(age) * time.Millisecond,
+			Leaving: d.HasArg("leaving"),
+		})
+		return fmt.Sprintln("cleared:", cleared)
+	case "leaving":
+		var b strings.Builder
+		for _, u := range s.set.Leaving() {
+			fmt.Fprintf(&b, "%s marked %s ago\n", u.Addr, time.Since(u.MarkedAt))
+		}
+		return b.String()
 	case "status":
 		return s.status()
 	}
--- a/internal/wire/standinapi/oas_schemas_gen.go
+++ b/internal/wire/standinapi/oas_schemas_gen.go
@@ -201,6 +201,8 @@
 	Reset OptBool `json:"reset"`
 	// Reject new calls with the code leaving.
 	Leaving OptBool `json:"leaving"`
+	// Say that it leaves only when asked for its load.
+	LeavingInLoad OptBool `json:"leaving_in_load"`
 	// Number of next responses that are lost after the call has run.
 	LoseReplies OptInt `json:"lose_replies"`
 	// Abort the connection after this many bytes of each response body; zero turns this off.
@@ -251,6 +253,11 @@
 	return s.Leaving
 }
 
+// GetLeavingInLoad returns the value of LeavingInLoad.
+func (s *Faults) GetLeavingInLoad() OptBool {
+	return s.LeavingInLoad
+}
+
 // GetLoseReplies returns the value of LoseReplies.
 func (s *Faults) GetLoseReplies() OptInt {
 	return s.LoseReplies
@@ -331,6 +338,11 @@
 	s.Leaving = val
 }
 
+// SetLeavingInLoad sets the value of LeavingInLoad.
+func (s *Faults) SetLeavingInLoad(val OptBool) {
+	s.LeavingInLoad = val
+}
+
 // SetLoseReplies sets the value of LoseReplies.
 func (s *Faults) SetLoseReplies(val OptInt) {
 	s.LoseReplies = val
