Wait for the first routes after a start instead of refusing

Callers still have the addresses and one retry. Ruled out: the store (routes were read within 0.4 s of the start). Change: a request that arrives before the first routes and upstreams waits for them, a quarter of its time limit and 1.5 s after the start at most; the scheduler keeps jobs for 0.5 s while it knows no service at all, then rejects them.

--- /dev/null
+++ b/internal/entryhost/configuration_test.go
@@ -0,0 +1,59 @@
+package entryhost
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/forward"
+	"sequoiafork/internal/outcome"
+)
+
+// discard is a ResponseWriter that ignores the response.
+type discard struct{}
+
+func (discard) WriteResponse(int, http.Header, []byte) {}
+func (discard) BeginStream(int, http.Header)           {}
+func (discard) WriteEvent([]byte) error                { return nil }
+
+// serve sends a request that no route matches: its code tells whether routes were known.
+func (r *running) serve(t *testing.T, limit time.Duration) (code outcome.Code, took time.Duration) {
+	began := time.Now()
+	o := r.Serve(t.Context(), forward.Request{
+		ID:        "r",
+		Host:      "h.example",
+		Path:      "/",
+		Received:  began,
+		TimeLimit: limit,
+	}, discard{})
+	return outcome.CodeOf(o), time.Since(began)
+}
+
+// TestRequestAtStartWaitsForConfiguration guards against refusals by a daemon that was restarted
+// and has not read its routes yet: callers still have its address and get one retry.
+func TestRequestAtStartWaitsForConfiguration(t *testing.T) {
+	d := startWithout(t, &invoker{})
+	time.AfterFunc(100*time.Millisecond, func() {
+		d.SetTable(tableOf(1), []byte("1"), "test")
+		d.SetUpstreams(upstreams())
+	})
+	code, took := d.serve(t, 4*time.Second)
+	require.Equal(t, outcome.CodeRouteUnknown, code, "the request is looked up in the routes")
+	require.GreaterOrEqual(t, took, 90*time.Millisecond)
+}
+
+// TestRequestWithoutConfigurationIsRejected checks that the wait leaves the caller most of its
+// time, and that requests are rejected at once when the start is long over.
+func TestRequestWithoutConfigurationIsRejected(t *testing.T) {
+	d := startWithout(t, &invoker{})
+	const limit = 400 * time.Millisecond
+	code, took := d.serve(t, limit)
+	require.Equal(t, outcome.CodeNotReady, code)
+	require.Less(t, took, limit/2)
+	time.Sleep(time.Until(d.started.Add(configurationTimeout)))
+	code, took = d.serve(t, time.Minute)
+	require.Equal(t, outcome.CodeNotReady, code)
+	require.Less(t, took, limit/2)
+}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -29,6 +29,7 @@
 	"sequoiafork/internal/forward"
 	"sequoiafork/internal/ident"
 	"sequoiafork/internal/membership"
+	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/peer"
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/settings"
@@ -60,6 +61,11 @@
 	// that restart, since each starts with its full share of the burst.
 	burstFraction = 0.5
 	ratioFraction = 0.7
+	// configurationTimeout and configurationFraction bound how long a request waits for the first
+	// routes and upstreams after the start of the daemon. Those that wait longer are rejected, so
+	// that the caller can use another daemon.
+	configurationTimeout  = 1500 * time.Millisecond
+	configurationFraction = 0.25
 	// syncInterval is the time between two passes of syncLoop.
 	syncInterval = 100 * time.Millisecond
 )
@@ -91,6 +97,9 @@
 	draining    atomic.Bool
 	// upstreamsKnown reports that a list of upstreams has been set.
 	upstreamsKnown atomic.Bool
+	// configured is closed once routes and upstreams are known.
+	configured     chan struct{}
+	configuredOnce sync.Once
 
 	mu    sync.Mutex // guards raw and hosts, and serializes changes of table
 	table atomic.Pointer[routing.Table]
@@ -108,8 +117,9 @@
 	d := &Daemon{
 		cfg:      cfg,
 		logger:   cfg.Logger.With(zap.String("incarnation", incarnation)),
-		listener: listener,
-		started:  time.Now(),
+		listener:   listener,
+		started:    time.Now(),
+		configured: make(chan struct{}),
 	}
 	d.daemonCount.Store(1)
 	d.members = membership.New(membership.Config{
@@ -168,8 +178,41 @@
 	return d, nil
 }
 
-// Forwarder returns the request forwarder.
-func (d *Daemon) Forwarder() *forward.Forwarder { return d.forwarder }
+// InFlight returns the number of requests in progress.
+func (d *Daemon) InFlight() int { return d.forwarder.InFlight() }
+
+// Serve forwards a request to an upstream and returns its outcome, as forward.Forwarder.Serve
+// does. Right after the start of the daemon it waits for the first routes and upstreams, since
+// callers that cached this daemon's address connect before it has read them.
+func (d *Daemon) Serve(ctx context.Context, req forward.Request, w forward.ResponseWriter) outcome.Outcome {
+	d.awaitConfiguration(ctx, req)
+	return d.forwarder.Serve(ctx, req, w)
+}
+
+// awaitConfiguration waits until routes and upstreams are known, but no longer than
+// configurationFraction of the request's time limit and until configurationTimeout after the
+// start of the daemon.
+func (d *Daemon) awaitConfiguration(ctx context.Context, req forward.Request) {
+	select {
+	case <-d.configured:
+		return
+	default:
+	}
+	wait := time.Until(d.started.Add(configurationTimeout))
+	if req.TimeLimit > 0 {
+		wait = min(wait, time.Duration(configurationFraction*float64(req.TimeLimit)))
+	}
+	if wait <= 0 {
+		return
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	select {
+	case <-d.configured:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
 
 // Logger returns the logger, which adds this process's incarnation to each line.
 func (d *Daemon) Logger() *zap.Logger { return d.logger }
@@ -241,6 +284,7 @@
 // upstreams are known too, so that this daemon can serve requests. The caller holds mu.
 func (d *Daemon) reportProgress() {
 	if t := d.table.Load(); t != nil && d.upstreamsKnown.Load() {
+		d.configuredOnce.Do(func() { close(d.configured) })
 		d.members.SetProgress(t.Version(), t.Version())
 	}
 }
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -12,6 +12,9 @@
 	"sequoiafork/internal/routing"
 )
 
+// servicesTimeout is how long a job waits for the first configuration of the services.
+const servicesTimeout = 500 * time.Millisecond
+
 // Scheduler schedules the work of the upstreams of all stage services. It is safe for
 // concurrent use.
 type Scheduler struct {
@@ -78,6 +81,7 @@
 	}
 	for j := range s.jobs {
 		s.bind(j)
+		s.enqueueReady(j)
 	}
 	s.dispatch()
 }
@@ -146,6 +150,7 @@
 		s.finish(x, nil)
 	}
 	s.enqueueReady(x)
+	s.awaitServices(x)
 	s.dispatch()
 	return &SubmittedJob{
 		scheduler: s,
@@ -153,6 +158,24 @@
 	}, nil
 }
 
+// awaitServices rejects a job after servicesTimeout if no service is known by then. A daemon that
+// has just started gets jobs of others before it has read the routes.
+func (s *Scheduler) awaitServices(j *job) {
+	if len(s.services) > 0 || j.finished {
+		return
+	}
+	time.AfterFunc(servicesTimeout, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if len(s.services) == 0 {
+			s.finish(j, &RejectedError{
+				Message:    "no stage services are known yet",
+				RetryAfter: servicesTimeout,
+			})
+		}
+	})
+}
+
 // logAdmission logs whether a job was accepted or rejected, and why. Accepted jobs are
 // sampled.
 func (s *Scheduler) logAdmission(j Job, f forecast, err error, now time.Time) {
@@ -192,8 +215,12 @@
 	}
 }
 
-// enqueueReady queues the blocked pieces whose inputs are finished.
+// enqueueReady queues the blocked pieces whose inputs are finished. They stay blocked while no
+// service is known.
 func (s *Scheduler) enqueueReady(j *job) {
+	if j.finished || len(s.services) == 0 {
+		return
+	}
 	for _, st := range j.stages {
 		if !j.ready(st) {
 			continue
