Keep a job whose connection broke, and accept late jobs whose callers still wait

The daemons avoided the owner, which was alive, for 1 s and took a second one (10.2.0.27), so that two schedulers filled the same memory; results were freed that engines were about to fetch (409); and jobs submitted again were refused as 0.8 to 3.4 s past their objective although their callers wait four objectives, since the time that a late job has was computed from an objective that had passed. Ruled out: a wrong account of memory in calm seconds: 1 to 3 pieces a call there, as results vary around their stated size; no memory is lost by the owner itself. Change: the end of a call and a broken connection are told apart (the client closes its side); the owner keeps a job for 0.5 s after a break, and a job submitted again within that is the same job. Jobs say until when their caller waits (patience), counted from the request or from its last event.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -115,8 +115,8 @@
 	}
 	incarnation := ident.NewIncarnation(listener.Addr().String())
 	d := &Daemon{
-		cfg:      cfg,
-		logger:   cfg.Logger.With(zap.String("incarnation", incarnation)),
+		cfg:        cfg,
+		logger:     cfg.Logger.With(zap.String("incarnation", incarnation)),
 		listener:   listener,
 		started:    time.Now(),
 		configured: make(chan struct{}),
--- a/internal/entryhost/submitter.go
+++ b/internal/entryhost/submitter.go
@@ -96,6 +96,19 @@
 
 // Submit implements forward.StageScheduler.
 func (s *submitter) Submit(ctx context.Context, j stagework.Job) (forward.SubmittedJob, error) {
+	place, err := s.submit(ctx, j)
+	if err != nil {
+		return nil, err
+	}
+	return &jobHandle{
+		submitter: s,
+		job:       j,
+		place:     place,
+	}, nil
+}
+
+// submit submits a job to the owner or, if no owner responds, to this daemon's own scheduler.
+func (s *submitter) submit(ctx context.Context, j stagework.Job) (jobPlace, error) {
 	s.awaitOwner(ctx)
 	for tries := 0; ; {
 		owner := s.owner()
@@ -104,16 +117,14 @@
 		}
 		remote, err := s.daemon.node.StageWork(ctx, owner, j, submitTimeout)
 		if err == nil {
-			return &jobHandle{
-				submitter: s,
-				owner:     owner,
-				job:       j,
-				remote:    remote,
+			return jobPlace{
+				owner:  owner,
+				remote: remote,
 			}, nil
 		}
 		var rejected *stagework.RejectedError
 		if errors.As(err, &rejected) || ctx.Err() != nil {
-			return nil, err
+			return jobPlace{}, err
 		}
 		if knownByAddress(owner) && time.Since(s.daemon.started) < startupWindow {
 			sleep(ctx, startupRetryInterval) // The daemon may be about to start.
@@ -126,12 +137,10 @@
 	}
 	local, err := s.daemon.scheduler.Submit(j)
 	if err != nil {
-		return nil, err
+		return jobPlace{}, err
 	}
-	return &jobHandle{
-		submitter: s,
-		job:       j,
-		local:     local,
+	return jobPlace{
+		local: local,
 	}, nil
 }
 
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -36,6 +36,9 @@
 	// minProducers replaces zero for data centres that produce no stage results, so that
 	// their weight is not zero.
 	minProducers = 0.1
+	// patienceFactor is the number of latency objectives for which a caller waits for the start
+	// of a response, or for its next event.
+	patienceFactor = 4
 	// maxRejections bounds the retries of one request after rejections by upstreams.
 	maxRejections = 3
 )
@@ -62,6 +65,7 @@
 	responseStarted bool
 	lastID          int64
 	hasLastID       bool
+	lastEventAt     time.Time // zero: no event has been forwarded
 	// lastFailure is the error of the last failed attempt; it goes into the outcome.
 	lastFailure *pipeline.CallError
 }
@@ -149,6 +153,7 @@
 		Priority:        x.priority,
 		SoftDeadline:    x.req.Received.Add(x.route.LatencyObjective),
 		Deadline:        x.deadline,
+		Patience:        x.patience(),
 		TimeAfterStages: x.firstEventTime(),
 		DataCentre:      x.forwarder.cfg.Upstreams.PreferredDataCentre(x.upstreamRequest()),
 		Stages:          stages,
@@ -164,6 +169,20 @@
 	return x.stageFailure(ctx, err)
 }
 
+// patience returns when the caller is expected to give up: patienceFactor latency objectives
+// after the request or, if a response has started, after its last event.
+// It is zero, the deadline, if the route has no objective.
+func (x *execution) patience() time.Time {
+	if x.route.LatencyObjective <= 0 {
+		return time.Time{}
+	}
+	since := x.req.Received
+	if x.lastEventAt.After(since) {
+		since = x.lastEventAt
+	}
+	return since.Add(patienceFactor * x.route.LatencyObjective)
+}
+
 // stageFailure returns the outcome of a request whose stages failed.
 func (x *execution) stageFailure(ctx context.Context, err error) outcome.Outcome {
 	var rejected *stagework.RejectedError
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -201,6 +201,7 @@
 		if err := x.writer.WriteEvent(e.Raw); err != nil {
 			return errCallerGone
 		}
+		x.lastEventAt = time.Now()
 		if e.HasID {
 			x.lastID, x.hasLastID = e.ID, true
 		}
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -76,6 +76,12 @@
 
 // startNode runs a node on lis that advertises addr.
 func startNode(t *testing.T, lis net.Listener, addr, id string, seeds ...string) *testNode {
+	t.Helper()
+	return startNodeWith(t, lis, addr, id, nil, seeds...)
+}
+
+// startNodeWith runs a node that does stage work for its peers.
+func startNodeWith(t *testing.T, lis net.Listener, addr, id string, worker StageWorker, seeds ...string) *testNode {
 	t.Helper()
 	n := &testNode{}
 	n.table = membership.New(membership.Config{
@@ -92,10 +98,11 @@
 		ProbeInterval:    500 * time.Millisecond,
 	})
 	n.node = New(Config{
-		Listener:   lis,
-		Table:      n.table,
-		LogReplica: n,
-		Forwarder:  n,
+		Listener:    lis,
+		Table:       n.table,
+		LogReplica:  n,
+		Forwarder:   n,
+		StageWorker: worker,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -284,6 +291,16 @@
 	}
 }
 
+// reset closes all connections at once.
+func (r *relay) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+	r.conns = nil
+}
+
 func (r *relay) isStalled() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/peer/stagework.go
+++ b/internal/peer/stagework.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,9 @@
 	"sequoiafork/internal/wire/peerpb"
 )
 
+// releaseTimeout bounds the time that the end of a call may take to reach the owner.
+const releaseTimeout = time.Second
+
 // StageWorker runs the stages of requests for peers.
 type StageWorker interface {
 	Submit(j stagework.Job) (*stagework.SubmittedJob, error)
@@ -103,10 +107,19 @@
 	}
 }
 
+// addResults adds the results of pieces that have none yet, since an owner that kept the job
+// reports all of them again.
 func (r *RemoteJob) addResults(results []*peerpb.StageResult) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.results = append(r.results, pieceResults(results)...)
+	for _, p := range pieceResults(results) {
+		same := func(q stagework.PieceResult) bool { return q.Stage == p.Stage && q.Piece == p.Piece }
+		if i := slices.IndexFunc(r.results, same); i >= 0 {
+			r.results[i] = p
+			continue
+		}
+		r.results = append(r.results, p)
+	}
 }
 
 // Results returns the piece results that the owner has reported so far. A piece is one
@@ -118,7 +131,27 @@
 }
 
 // Release ends the job; the owner then frees its results.
-func (r *RemoteJob) Release() { r.cancel() }
+func (r *RemoteJob) Release() {
+	_ = r.stream.CloseSend() // A broken call needs no end.
+	// The owner ends the call when it has seen that. Cancelling it earlier would look like a
+	// broken connection.
+	time.AfterFunc(releaseTimeout, r.cancel)
+}
+
+// AwaitEnd waits until the call ends, after Wait has returned the handles, and returns nil if
+// that was because of Release and otherwise a *CallError.
+func (r *RemoteJob) AwaitEnd() error {
+	for {
+		resp, err := r.stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return r.callError(err)
+		}
+		r.addResults(resp.GetMade())
+	}
+}
 
 func stageWorkError(resp *peerpb.StageWorkResponse) error {
 	if r := resp.GetRefused(); r != nil {
@@ -136,8 +169,9 @@
 	}
 }
 
-// StageWork runs a job for a peer. The job's results are held until the peer ends the
-// call.
+// StageWork runs a job for a peer. The job's results are held until the peer ends the call. If
+// the connection breaks instead, the job is kept for a moment, in which the peer may submit it
+// again.
 func (s *server) StageWork(st grpc.BidiStreamingServer[peerpb.StageWorkRequest, peerpb.StageWorkResponse]) error {
 	if s.node.cfg.StageWorker == nil {
 		return status.Error(codes.Unavailable, "no stage work here")
@@ -150,27 +184,37 @@
 	if err != nil {
 		return st.Send(stageWorkResponse(nil, err))
 	}
-	defer job.Release()
-	if err := st.Send(&peerpb.StageWorkResponse{
-		Taken: true,
-	}); err != nil {
-		return err
-	}
-	if err := sendResults(st, job); err != nil {
-		return err
-	}
-	handles, err := job.Wait(st.Context())
-	if err := st.Send(stageWorkResponse(handles, err)); err != nil {
+	end := make(chan error, 1)
+	go func() { end <- awaitEnd(st) }()
+	if err := reportJob(st, job, end); !errors.Is(err, io.EOF) {
+		job.Detach()
 		return err
 	}
-	<-st.Context().Done()
+	job.Release()
 	return nil
 }
 
-// sendResults sends the results of pieces as they arrive, until the job is done.
-func sendResults(st grpc.BidiStreamingServer[peerpb.StageWorkRequest, peerpb.StageWorkResponse], job *stagework.SubmittedJob) error {
+// awaitEnd returns io.EOF when the client has ended the call, and another error when the
+// connection has broken.
+func awaitEnd(st grpc.BidiStreamingServer[peerpb.StageWorkRequest, peerpb.StageWorkResponse]) error {
+	for {
+		if _, err := st.Recv(); err != nil {
+			return err
+		}
+	}
+}
+
+// reportJob sends the results of pieces as they arrive and the result of the job. It returns the
+// error with which the call ends.
+func reportJob(st grpc.BidiStreamingServer[peerpb.StageWorkRequest, peerpb.StageWorkResponse], job *stagework.SubmittedJob, end <-chan error) error {
+	if err := st.Send(&peerpb.StageWorkResponse{
+		Taken: true,
+	}); err != nil {
+		return err
+	}
 	sent := 0
-	for done := false; !done; {
+	done := job.Done()
+	for {
 		results, changed := job.Results(sent)
 		if len(results) > 0 {
 			sent += len(results)
@@ -181,14 +225,25 @@
 			}
 		}
 		select {
+		case err := <-end:
+			return err
 		case <-changed:
-		case <-job.Done():
-			done = true
-		case <-st.Context().Done():
-			return st.Context().Err()
+		case <-done:
+			done = nil
+			if err := sendOutcome(st, job, sent); err != nil {
+				return err
+			}
 		}
 	}
-	return nil
+}
+
+// sendOutcome sends the results that were not sent yet, and the result of a job that is done.
+func sendOutcome(st grpc.BidiStreamingServer[peerpb.StageWorkRequest, peerpb.StageWorkResponse], job *stagework.SubmittedJob, sent int) error {
+	handles, err := job.Wait(st.Context())
+	resp := stageWorkResponse(handles, err)
+	results, _ := job.Results(sent)
+	resp.Made = stageResults(results)
+	return st.Send(resp)
 }
 
 func stageResults(results []stagework.PieceResult) []*peerpb.StageResult {
@@ -261,6 +316,10 @@
 		RemainingMs: j.TimeAfterStages.Milliseconds(),
 		DataCentre:  j.DataCentre,
 		Made:        stageResults(j.Results),
+		Resubmitted: j.Resubmitted,
+	}
+	if !j.Patience.IsZero() {
+		req.PatienceMs = j.Patience.Sub(now).Milliseconds()
 	}
 	for _, st := range j.Stages {
 		after := make([]int32, len(st.DependsOn))
@@ -287,6 +346,10 @@
 		TimeAfterStages: time.Duration(req.GetRemainingMs()) * time.Millisecond,
 		DataCentre:      req.GetDataCentre(),
 		Results:         pieceResults(req.GetMade()),
+		Resubmitted:     req.GetResubmitted(),
+	}
+	if ms := req.GetPatienceMs(); ms != 0 {
+		j.Patience = now.Add(time.Duration(ms) * time.Millisecond)
 	}
 	for _, st := range req.GetStages() {
 		after := make([]int, len(st.GetAfter()))
--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -21,11 +21,9 @@
 	// A result is small if it takes less than 1/smallResultDivisor of an upstream's result
 	// memory.
 	smallResultDivisor = 100
-	// A caller is assumed to wait lateResponseFactor times its latency objective for the
-	// start of a response. A job that will miss its soft deadline is accepted if its
-	// response is expected to start within lateTimeFraction of that wait.
-	lateResponseFactor = 4
-	lateTimeFraction   = 0.6
+	// A job that will miss its soft deadline is accepted if its response is expected to start
+	// within lateTimeFraction of the time for which its caller still waits.
+	lateTimeFraction = 0.6
 	// largeResultHold is how long a large result stays in memory in addition to its own
 	// call: until the engine has fetched it.
 	largeResultHold = 250 * time.Millisecond
@@ -77,11 +75,15 @@
 // start. The rest of the time for which the caller is assumed to wait is reserved for more
 // urgent jobs that arrive later.
 func (s *Scheduler) latestResponse(j Job, now time.Time) time.Time {
-	limit := j.Deadline
-	if lateResponse := now.Add(time.Duration(lateResponseFactor * float64(j.SoftDeadline.Sub(now)))); lateResponse.Before(limit) {
-		limit = lateResponse
+	return now.Add(time.Duration(lateTimeFraction * float64(j.patience().Sub(now))))
+}
+
+// patience returns when the caller is expected to stop waiting for the start of the response.
+func (j Job) patience() time.Time {
+	if j.Patience.IsZero() || j.Patience.After(j.Deadline) {
+		return j.Deadline
 	}
-	return now.Add(time.Duration(lateTimeFraction * float64(limit.Sub(now))))
+	return j.Patience
 }
 
 // updateDelay updates the delay of a priority with the time by which a finished job
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -19,6 +19,8 @@
 	// another one.
 	newResults  []PieceResult
 	resultAdded chan struct{}
+	// generation is that of the handle in use: it increases when a job is submitted again.
+	generation int
 	// handingOff is set while the job waits to be handed off to another owner.
 	handingOff bool
 	// missesObjective is set if the job runs after all jobs that can meet their soft
@@ -238,8 +240,9 @@
 // SubmittedJob is the handle of an accepted job. Release must be called once its results
 // are no longer needed, even if the job failed.
 type SubmittedJob struct {
-	scheduler *Scheduler
-	job       *job
+	scheduler  *Scheduler
+	job        *job
+	generation int
 }
 
 // Wait returns the handles of the results of all final stages, in order. The error is a
@@ -264,9 +267,10 @@
 // Done returns a channel that is closed when Wait would return at once.
 func (j *SubmittedJob) Done() <-chan struct{} { return j.job.done }
 
-// Release ends the job: queued pieces are dropped and finished results are freed.
+// Release ends the job: queued pieces are dropped and finished results are freed. It does nothing
+// if another handle has taken over the job.
 func (j *SubmittedJob) Release() {
-	j.scheduler.release(j.job)
+	j.scheduler.release(j)
 }
 
 // timeLeft returns the time until the stages must end for the job to meet its deadline.
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -20,9 +20,11 @@
 type Scheduler struct {
 	cfg Config
 
-	mu         sync.Mutex
-	services   map[string]*service
-	jobs       map[*job]struct{}
+	mu       sync.Mutex
+	services map[string]*service
+	jobs     map[*job]struct{}
+	// byRequest maps request IDs to the jobs that were submitted last for them.
+	byRequest  map[string]*job
 	retryTimer *time.Timer
 	// postponedDispatch is the timer of a postponed dispatch pass. dispatchedAt is when the
 	// last pass ran.
@@ -55,10 +57,11 @@
 		cfg.Logger = zap.NewNop()
 	}
 	return &Scheduler{
-		cfg:      cfg,
-		services: make(map[string]*service),
-		jobs:     make(map[*job]struct{}),
-		delay:    make(map[int]time.Duration),
+		cfg:       cfg,
+		services:  make(map[string]*service),
+		jobs:      make(map[*job]struct{}),
+		byRequest: make(map[string]*job),
+		delay:     make(map[int]time.Duration),
 	}
 }
 
@@ -126,6 +129,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if attached := s.reattach(j); attached != nil {
+		return attached, nil
+	}
 	now := time.Now()
 	s.forgetFreeMemory(now)
 	f, err := s.admit(j, now)
@@ -139,6 +145,7 @@
 	x.adoptResults(s.findHolder)
 	s.bind(x)
 	s.jobs[x] = struct{}{}
+	s.byRequest[j.RequestID] = x
 	for _, st := range x.stages {
 		if st.unfinished == 0 && st.consumers == 0 && !x.final[st.index] {
 			for _, p := range st.pieces {
@@ -152,10 +159,7 @@
 	s.enqueueReady(x)
 	s.awaitServices(x)
 	s.dispatch()
-	return &SubmittedJob{
-		scheduler: s,
-		job:       x,
-	}, nil
+	return s.handle(x), nil
 }
 
 // awaitServices rejects a job after servicesTimeout if no service is known by then. A daemon that
@@ -287,13 +291,17 @@
 	}
 }
 
-func (s *Scheduler) release(j *job) {
+func (s *Scheduler) release(h *SubmittedJob) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.jobs[j]; !ok {
+	j := h.job
+	if _, ok := s.jobs[j]; !ok || h.generation != j.generation {
 		return
 	}
 	delete(s.jobs, j)
+	if s.byRequest[j.RequestID] == j {
+		delete(s.byRequest, j.RequestID)
+	}
 	s.idleSince = time.Now()
 	s.finish(j, context.Canceled)
 	s.drop(j)
--- a/internal/stagework/script_test.go
+++ b/internal/stagework/script_test.go
@@ -222,6 +222,8 @@
 	at, hold := p.duration(opts["at"]), p.duration(opts["hold"])
 	j.SoftDeadline = p.fakes.began.Add(at + p.duration(opts["objective"]))
 	j.Deadline = p.fakes.began.Add(at + p.duration(opts["deadline"]))
+	const patienceFactor = 4 // Callers wait that many times their objective.
+	j.Patience = p.fakes.began.Add(at + patienceFactor*p.duration(opts["objective"]))
 	p.wg.Go(func() {
 		time.Sleep(at)
 		p.run(p.scheduler, j, hold)
--- a/internal/stagework/stagework.go
+++ b/internal/stagework/stagework.go
@@ -108,6 +108,9 @@
 	// stops waiting for it.
 	SoftDeadline time.Time
 	Deadline     time.Time
+	// Patience is when the caller is expected to stop waiting for the start of the response.
+	// It is at most Deadline; zero means Deadline.
+	Patience time.Time
 	// TimeAfterStages is the time that the request takes after its stages.
 	TimeAfterStages time.Duration
 	// DataCentre is where the results will be fetched to. Empty means anywhere.
@@ -115,6 +118,9 @@
 	Stages     []Stage
 	// Results are the results that already exist for this job from a previous owner.
 	Results []PieceResult
+	// Resubmitted reports that the job was submitted before by a submitter that lost its
+	// connection. If the scheduler still has the job, Submit returns it.
+	Resubmitted bool
 }
 
 // PieceResult is the result of one piece.
