Count a job as late once its stages can't be done in time

Ruled out: a bound by the time of full batches, since it also moves jobs that would have been in time. Change: the rank looks at the shortest time of the remaining stages; waiting ends with the caller's patience.

--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -155,9 +155,11 @@
 	return cmp.Compare(a.RequestID, b.RequestID)
 }
 
-// softDeadlineRank returns 0 if j may still meet its soft deadline, and 1 if not.
+// softDeadlineRank returns 0 if j may still meet its soft deadline, and 1 if not. A job whose
+// remaining stages take longer than the time left counts as one that does not, since it would
+// otherwise be the most urgent of all until its soft deadline passes.
 func softDeadlineRank(j *job, now time.Time) int {
-	if j.missesSoftDeadline || now.After(j.softStageDeadline) {
+	if j.missesSoftDeadline || now.Add(j.minTimeLeft()).After(j.softStageDeadline) {
 		return 1
 	}
 	return 0
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -273,7 +273,20 @@
 	j.scheduler.release(j)
 }
 
-// timeLeft returns the time until the stages must end for the job to meet its deadline.
+// timeLeft returns the time until the stages must end for the response to start while the caller
+// still waits.
 func (j *job) timeLeft(now time.Time) time.Duration {
-	return j.Deadline.Sub(now) - j.TimeAfterStages
+	return j.patience().Sub(now) - j.TimeAfterStages
+}
+
+// minTimeLeft returns the shortest time in which the waiting pieces and the stages after them
+// can run.
+func (j *job) minTimeLeft() time.Duration {
+	var longest time.Duration
+	for _, st := range j.stages {
+		if st.waiting > 0 {
+			longest = max(longest, st.minTime)
+		}
+	}
+	return longest
 }
