Let one daemon a data centre read the topics of the store

Ruled out: gossip of the records over the links, which would need an order and a repair of its own; a reader chosen by the store (log-join), which costs calls and lags. Change: package topic. A follower reads from the living daemon of its data centre with the lowest hash, which keeps the latest records and serves them only while it reads them from the store itself; on any other answer the follower asks the next ones, then the store. So two readers, a late or a lost one waste calls and lose nothing. After a failed read the first two daemons of a data centre try the store again as before, the others three times as rarely. The pause between two reads of the upstreams is 0.4 s at five data centres (1 s before), so changes arrive sooner.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -34,6 +34,7 @@
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/settings"
 	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/topic"
 	"sequoiafork/internal/upstream"
 )
 
@@ -93,7 +94,9 @@
 	forwarder   *forward.Forwarder
 	started     time.Time
 	submitter   *submitter
+	readers     *readers
 	daemonCount atomic.Int64
+	readerCount atomic.Int64
 	draining    atomic.Bool
 	// upstreamsKnown reports that a list of upstreams has been set.
 	upstreamsKnown atomic.Bool
@@ -122,6 +125,7 @@
 		configured: make(chan struct{}),
 	}
 	d.daemonCount.Store(1)
+	d.readerCount.Store(1)
 	d.members = membership.New(membership.Config{
 		Self: membership.Member{
 			Incarnation:  incarnation,
@@ -152,6 +156,11 @@
 		Invoker: cfg.Invoker,
 		Logger:  d.logger,
 	})
+	d.readers = &readers{
+		daemon:       d,
+		followers:    make(map[string]*topic.Follower),
+		avoidedUntil: make(map[string]time.Time),
+	}
 	d.node = peer.New(peer.Config{
 		Listener: listener,
 		Table:    d.members,
@@ -159,7 +168,10 @@
 			daemon: d,
 		},
 		StageWorker: d.scheduler,
-		Logger:      d.logger,
+		Topics: serveTopic{
+			readers: d.readers,
+		},
+		Logger: d.logger,
 	})
 	d.submitter = &submitter{
 		daemon: d,
@@ -350,6 +362,7 @@
 		n, _ := d.members.Count()
 		if int64(n) != d.daemonCount.Swap(int64(max(n, 1))) {
 			d.upstreams.SetDaemons(n)
+			d.readerCount.Store(int64(max(countReaders(d.members.Members()), 1)))
 			d.logger.Info("number of live daemons changed", zap.Int("alive", n), zap.String("stage_owner", d.submitter.owner().Incarnation))
 		}
 		d.catchUp(ctx)
--- a/internal/entryhost/polling.go
+++ b/internal/entryhost/polling.go
@@ -3,24 +3,24 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"sequoiafork/internal/membership"
 )
 
 const (
 	// minPollTimeout is how long a read of the list of upstreams waits for a record, and how
 	// long a read of the routes waits at least. A new record does not always wake a waiting
 	// read. The draining of an upstream must take effect within two seconds, so
-	// minPollTimeout and minPollInterval together stay below that.
+	// minPollTimeout and maxPollInterval together stay below that.
 	minPollTimeout = 1200 * time.Millisecond
-	// The interval between two reads of the list of upstreams is pollIntervalPerDaemon
-	// times the number of daemons, from minPollInterval to maxPollInterval. Up to 32
-	// daemons, it is as long as a draining upstream can still be noticed in time. With more,
-	// the interval exceeds 800 ms, and if no record wakes the read, noticing it can take longer
-	// than two seconds.
+	// The interval between two reads of the list of upstreams is pollIntervalPerReader times the
+	// number of daemons that read it from the store, one in each data centre, from
+	// minPollInterval to maxPollInterval.
 	minPollInterval       = 200 * time.Millisecond
-	pollIntervalPerDaemon = 25 * time.Millisecond
-	maxPollInterval       = time.Second
-	// routesPollSpacing is the mean time between the reads of the routes by all daemons:
-	// the first that reads newer routes announces them to the others.
+	pollIntervalPerReader = 80 * time.Millisecond
+	maxPollInterval       = 700 * time.Millisecond
+	// routesPollSpacing is the mean time between the reads of the routes by all readers: the
+	// first that reads newer routes announces them to the others.
 	// maxRoutesPollTimeout is how long such a read waits at most.
 	routesPollSpacing    = 200 * time.Millisecond
 	maxRoutesPollTimeout = 10 * time.Second
@@ -34,13 +34,13 @@
 func (d *Daemon) UpstreamsPollTimeout() time.Duration { return minPollTimeout }
 
 // RoutesPollTimeout returns how long a read of the routes waits for a new record. It grows with
-// the number of daemons and is random, so that the reads of the daemons spread out.
+// the number of readers and is random, so that their reads spread out.
 func (d *Daemon) RoutesPollTimeout() time.Duration {
-	return routesPollTimeout(int(d.daemonCount.Load()))
+	return routesPollTimeout(int(d.readerCount.Load()))
 }
 
-func routesPollTimeout(daemonCount int) time.Duration {
-	spread := 2 * (time.Duration(daemonCount)*routesPollSpacing - minPollTimeout)
+func routesPollTimeout(readerCount int) time.Duration {
+	spread := 2 * (time.Duration(readerCount)*routesPollSpacing - minPollTimeout)
 	if spread <= 0 {
 		return minPollTimeout
 	}
@@ -56,7 +56,19 @@
 }
 
 // UpstreamsPollInterval returns how long to wait between two reads of the list of upstreams. It
-// grows with the number of daemons, since they share the capacity of the store.
+// grows with the number of readers, since they share the capacity of the store.
 func (d *Daemon) UpstreamsPollInterval() time.Duration {
-	return min(max(minPollInterval, time.Duration(d.daemonCount.Load())*pollIntervalPerDaemon), maxPollInterval)
+	return min(max(minPollInterval, time.Duration(d.readerCount.Load())*pollIntervalPerReader), maxPollInterval)
+}
+
+// countReaders returns the number of data centres with a living member, each of which has a
+// reader.
+func countReaders(members []membership.Member) int {
+	centres := make(map[string]bool)
+	for _, m := range members {
+		if m.State == membership.Alive {
+			centres[m.DataCentre] = true
+		}
+	}
+	return len(centres)
 }
--- /dev/null
+++ b/internal/entryhost/reader.go
@@ -0,0 +1,185 @@
+package entryhost
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"sequoiafork/internal/membership"
+	"sequoiafork/internal/peer"
+	"sequoiafork/internal/topic"
+)
+
+const (
+	// readerAvoidTime is how long a daemon that did not respond, or that the store did not serve,
+	// is not used as reader. A dead one is known to be dead before.
+	readerAvoidTime = 3 * time.Second
+	// notCurrentAvoidTime is the same for a daemon that does not read from the store now: it may
+	// have just started.
+	notCurrentAvoidTime = 500 * time.Millisecond
+	// maxReaderTries bounds how many daemons are asked for one read.
+	maxReaderTries = 3
+	// probesPerDataCentre is the number of daemons in a data centre that try an unreachable store
+	// again after RetryBackoff; the others wait otherProbeFactor times as long.
+	probesPerDataCentre = 2
+	otherProbeFactor    = 3
+	// readerMargin is how much longer than its wait a read from a peer may take.
+	readerMargin = 400 * time.Millisecond
+)
+
+// readers determines which daemon reads the platform's topics for this one, and serves the topics
+// that this daemon reads. It is safe for concurrent use.
+type readers struct {
+	daemon *Daemon
+
+	mu           sync.Mutex
+	followers    map[string]*topic.Follower
+	avoidedUntil map[string]time.Time // by incarnation
+	// storeFailures is the number of reads from the store that failed in a row, and storeRetryAt
+	// when the next one may be made.
+	storeFailures int
+	storeRetryAt  time.Time
+}
+
+// Follow returns a follower of a topic, which Run does not start. Peers can read the topic from
+// this daemon while the follower reads it from the store. cfg.Peers is set here.
+func (d *Daemon) Follow(cfg topic.Config) *topic.Follower {
+	cfg.Peers = d.readers
+	f := topic.New(cfg)
+	d.readers.mu.Lock()
+	defer d.readers.mu.Unlock()
+	d.readers.followers[cfg.Name] = f
+	return f
+}
+
+// ReadTopic implements topic.Peers. If the chosen daemon does not read from the store now, it asks
+// the next ones.
+func (r *readers) ReadTopic(ctx context.Context, name string, from int64, wait time.Duration) ([]topic.Record, error) {
+	var notCurrent *topic.NotCurrentError
+	for range maxReaderTries {
+		records, err := r.readFromOne(ctx, name, from, wait)
+		if !errors.As(err, &notCurrent) {
+			return records, err
+		}
+	}
+	return nil, notCurrent
+}
+
+func (r *readers) readFromOne(ctx context.Context, name string, from int64, wait time.Duration) ([]topic.Record, error) {
+	self := r.daemon.members.Self()
+	reader := chooseReader(r.daemon.members.Members(), self, r.isAvoided)
+	if reader.Incarnation == self.Incarnation {
+		return nil, &topic.OwnReadError{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+readerMargin)
+	defer cancel()
+	records, err := r.daemon.node.ReadTopic(ctx, reader, name, from, wait)
+	var expired *topic.ExpiredError
+	var notCurrent *topic.NotCurrentError
+	switch {
+	case err == nil || errors.As(err, &expired):
+	case errors.As(err, &notCurrent):
+		r.avoid(reader.Incarnation, notCurrentAvoidTime)
+	default:
+		r.avoid(reader.Incarnation, readerAvoidTime)
+	}
+	return records, err
+}
+
+// MayReadStore implements topic.Peers.
+func (r *readers) MayReadStore() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !time.Now().Before(r.storeRetryAt)
+}
+
+// ReportStore implements topic.Peers. During an outage of the store, the first daemons of each data
+// centre try it again soon; the others learn from them that it is back, and try it less often, in
+// case that it serves only some daemons.
+func (r *readers) ReportStore(ok bool) {
+	self := r.daemon.members.Self()
+	probes := isProbe(r.daemon.members.Members(), self)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ok {
+		r.storeFailures = 0
+		r.storeRetryAt = time.Time{}
+		delete(r.avoidedUntil, self.Incarnation)
+		return
+	}
+	r.storeFailures++
+	backoff := r.daemon.RetryBackoff(r.storeFailures)
+	if !probes {
+		backoff *= otherProbeFactor
+	}
+	r.storeRetryAt = time.Now().Add(backoff)
+	r.avoidedUntil[self.Incarnation] = time.Now().Add(readerAvoidTime)
+}
+
+// isProbe reports whether self is one of the first probesPerDataCentre living daemons of its data
+// centre, in the order in which they are chosen as reader.
+func isProbe(members []membership.Member, self membership.Member) bool {
+	before := 0
+	for _, m := range members {
+		if m.State == membership.Alive && m.DataCentre == self.DataCentre && hash(m.PeerAddr) < hash(self.PeerAddr) {
+			before++
+		}
+	}
+	return before < probesPerDataCentre
+}
+
+// chooseReader returns the member that reads topics for the data centre of self: the living one
+// there with the lowest hash of its address, or self if all are avoided. Daemons that know the same
+// members choose the same one.
+func chooseReader(members []membership.Member, self membership.Member, avoided func(incarnation string) bool) membership.Member {
+	best := self
+	found := false
+	for _, m := range members {
+		if m.State != membership.Alive || m.DataCentre != self.DataCentre || avoided(m.Incarnation) {
+			continue
+		}
+		if !found || hash(m.PeerAddr) < hash(best.PeerAddr) {
+			best = m
+			found = true
+		}
+	}
+	return best
+}
+
+func (r *readers) isAvoided(incarnation string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, ok := r.avoidedUntil[incarnation]
+	if ok && time.Now().After(until) {
+		delete(r.avoidedUntil, incarnation)
+		return false
+	}
+	return ok
+}
+
+func (r *readers) avoid(incarnation string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoidedUntil[incarnation] = time.Now().Add(d)
+}
+
+// serveTopic implements peer.TopicReader.
+type serveTopic struct {
+	readers *readers
+}
+
+// ReadTopic implements peer.TopicReader.
+func (s serveTopic) ReadTopic(ctx context.Context, name string, from int64, wait time.Duration) ([]topic.Record, error) {
+	s.readers.mu.Lock()
+	f := s.readers.followers[name]
+	s.readers.mu.Unlock()
+	if f == nil {
+		return nil, &topic.NotCurrentError{
+			Topic: name,
+		}
+	}
+	return f.ReadTopic(ctx, from, wait)
+}
+
+var _ peer.TopicReader = serveTopic{}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -76,6 +76,8 @@
 	Forwarder  Forwarder
 	// StageWorker may be nil; stage work for peers then fails.
 	StageWorker StageWorker
+	// Topics may be nil; peers can't read topics here then.
+	Topics TopicReader
 	// Logger may be nil.
 	Logger *zap.Logger
 	// DialTimeout bounds the time to make one connection.
--- /dev/null
+++ b/internal/peer/topic.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"sequoiafork/internal/membership"
+	"sequoiafork/internal/topic"
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// TopicReader serves the topics of the platform's store that this process reads.
+type TopicReader interface {
+	// ReadTopic returns the records from an offset on, as topic.Follower.ReadTopic does.
+	ReadTopic(ctx context.Context, name string, from int64, wait time.Duration) ([]topic.Record, error)
+}
+
+// ReadTopic reads records of a topic from a member. The error is a *topic.ExpiredError if the
+// member no longer has them, a *topic.NotCurrentError if it does not read them from the store now,
+// and otherwise a *CallError.
+func (n *Node) ReadTopic(ctx context.Context, m membership.Member, name string, from int64, wait time.Duration) ([]topic.Record, error) {
+	conn, err := n.conn(ctx, m.PeerAddr)
+	if err != nil {
+		return nil, &CallError{
+			Addr: m.PeerAddr,
+			Err:  err,
+		}
+	}
+	resp, err := peerpb.NewPeerClient(conn).ReadTopic(ctx, &peerpb.ReadTopicRequest{
+		Topic:  name,
+		From:   from,
+		WaitMs: wait.Milliseconds(),
+	})
+	if status.Code(err) == codes.FailedPrecondition {
+		return nil, &topic.NotCurrentError{
+			Topic: name,
+		}
+	}
+	if err != nil {
+		return nil, &CallError{
+			Addr:      m.PeerAddr,
+			MaybeSent: true,
+			Err:       err,
+		}
+	}
+	if resp.GetExpired() {
+		return nil, &topic.ExpiredError{
+			Topic: name,
+			From:  from,
+		}
+	}
+	return topicRecords(resp.GetRecords(), from), nil
+}
+
+// ReadTopic serves records to a peer.
+func (s *server) ReadTopic(ctx context.Context, req *peerpb.ReadTopicRequest) (*peerpb.ReadTopicResponse, error) {
+	if s.node.cfg.Topics == nil {
+		return nil, status.Error(codes.Unavailable, "no topics here")
+	}
+	records, err := s.node.cfg.Topics.ReadTopic(ctx, req.GetTopic(), req.GetFrom(), time.Duration(req.GetWaitMs())*time.Millisecond)
+	var expired *topic.ExpiredError
+	var notCurrent *topic.NotCurrentError
+	switch {
+	case errors.As(err, &notCurrent):
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	case errors.As(err, &expired):
+		return &peerpb.ReadTopicResponse{
+			Expired: true,
+		}, nil
+	case err != nil:
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	resp := &peerpb.ReadTopicResponse{}
+	for _, r := range records {
+		resp.Records = append(resp.Records, &peerpb.TopicRecord{
+			Key:     r.Key,
+			Value:   r.Value,
+			Deleted: r.Value == nil,
+		})
+	}
+	return resp, nil
+}
+
+// topicRecords converts records whose first one is at offset from.
+func topicRecords(list []*peerpb.TopicRecord, from int64) []topic.Record {
+	records := make([]topic.Record, len(list))
+	for i, r := range list {
+		records[i] = topic.Record{
+			Key:    r.GetKey(),
+			Offset: from + int64(i),
+		}
+		if !r.GetDeleted() {
+			records[i].Value = append([]byte{}, r.GetValue()...) // Never nil.
+		}
+	}
+	return records
+}
--- /dev/null
+++ b/internal/topic/cluster_test.go
@@ -0,0 +1,316 @@
+package topic
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// errUnavailable is the error of a call that fails because of a fault.
+var errUnavailable = errors.New("unavailable")
+
+// fakeStore is a store whose records may be deleted, and that may be down or turn away single
+// daemons.
+type fakeStore struct {
+	mu         sync.Mutex
+	first      int64 // records below it are deleted
+	records    []Record
+	down       bool
+	turnedAway map[string]bool
+	calls      int
+	changed    chan struct{}
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		turnedAway: make(map[string]bool),
+		changed:    make(chan struct{}),
+	}
+}
+
+func (s *fakeStore) append(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, Record{
+		Key:    key,
+		Value:  []byte(fmt.Sprint(len(s.records))),
+		Offset: int64(len(s.records)),
+	})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// end returns the offset after the last record.
+func (s *fakeStore) end() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(len(s.records))
+}
+
+func (s *fakeStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// storeOf is the store as one daemon reaches it.
+type storeOf struct {
+	*fakeStore
+	daemon *fakeDaemon
+}
+
+func (s storeOf) begin() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down || s.turnedAway[s.daemon.name] {
+		return errUnavailable
+	}
+	return nil
+}
+
+func (s storeOf) Newest(context.Context, string) ([]Record, int64, error) {
+	if err := s.begin(); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := make(map[string]Record)
+	for _, r := range s.records {
+		newest[r.Key] = r
+	}
+	var list []Record
+	for _, r := range newest {
+		list = append(list, r)
+	}
+	return list, int64(len(s.records)), nil
+}
+
+func (s storeOf) Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]Record, error) {
+	if err := s.begin(); err != nil {
+		return nil, err
+	}
+	timeout := time.After(wait)
+	for {
+		s.mu.Lock()
+		records, first, changed, down := s.records, s.first, s.changed, s.down
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, errUnavailable
+		case from < first:
+			return nil, &ExpiredError{
+				Topic: topic,
+				From:  from,
+			}
+		case from < int64(len(records)):
+			return records[from:], nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// fakeDaemon is one daemon of a fakeCluster.
+type fakeDaemon struct {
+	cluster  *fakeCluster
+	name     string
+	follower *Follower
+
+	mu      sync.Mutex
+	frozen  bool
+	avoided map[string]time.Time
+	// storeRetryAt is when the daemon may read from the store again.
+	storeRetryAt time.Time
+	// known is the end of the records that the daemon has, and values the newest value offset of
+	// each key.
+	known  int64
+	values map[string]int64
+	faults []string
+}
+
+// fakeCluster is the daemons of one data centre, in the order in which they are chosen as reader.
+type fakeCluster struct {
+	store   *fakeStore
+	daemons []*fakeDaemon
+}
+
+func newFakeCluster(n int) *fakeCluster {
+	c := &fakeCluster{
+		store: newFakeStore(),
+	}
+	for i := range n {
+		d := &fakeDaemon{
+			cluster: c,
+			name:    fmt.Sprint("d", i),
+			avoided: make(map[string]time.Time),
+			values:  make(map[string]int64),
+			known:   -1,
+		}
+		d.follower = New(Config{
+			Name: "t",
+			Store: storeOf{
+				fakeStore: c.store,
+				daemon:    d,
+			},
+			Peers:        d,
+			PollInterval: func() time.Duration { return testInterval },
+			PollTimeout:  func() time.Duration { return testWait },
+			Backoff:      func(int) time.Duration { return testBackoff },
+			OnRecords:    d.onRecords,
+			OnNewest:     d.onNewest,
+			Logger:       zap.NewNop(),
+		})
+		c.daemons = append(c.daemons, d)
+	}
+	return c
+}
+
+const (
+	testInterval   = 200 * time.Millisecond
+	testWait       = 1200 * time.Millisecond
+	testBackoff    = 600 * time.Millisecond
+	testMargin     = 400 * time.Millisecond
+	testAvoid      = 3 * time.Second
+	testShortAvoid = 500 * time.Millisecond
+)
+
+func (c *fakeCluster) run(ctx context.Context) {
+	for _, d := range c.daemons {
+		go func() { _ = d.follower.Run(ctx) }()
+	}
+}
+
+// onRecords checks that records come without a gap and that values never go back.
+func (d *fakeDaemon) onRecords(records []Record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range records {
+		if r.Offset != d.known {
+			d.faults = append(d.faults, fmt.Sprintf("%s: record at offset %d after %d", d.name, r.Offset, d.known))
+		}
+		if r.Offset < d.values[r.Key] {
+			d.faults = append(d.faults, fmt.Sprintf("%s: value of %s goes back", d.name, r.Key))
+		}
+		d.values[r.Key] = r.Offset
+		d.known = r.Offset + 1
+	}
+}
+
+func (d *fakeDaemon) onNewest(records []Record, end int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if end < d.known {
+		d.faults = append(d.faults, fmt.Sprintf("%s: newest records end at %d, before %d", d.name, end, d.known))
+	}
+	for _, r := range records {
+		d.values[r.Key] = max(d.values[r.Key], r.Offset)
+	}
+	d.known = end
+}
+
+func (d *fakeDaemon) isAvoided(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Now().Before(d.avoided[name])
+}
+
+func (d *fakeDaemon) avoid(name string, length time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.avoided[name] = time.Now().Add(length)
+}
+
+// MayReadStore implements Peers.
+func (d *fakeDaemon) MayReadStore() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !time.Now().Before(d.storeRetryAt)
+}
+
+// ReportStore implements Peers as entryhost does: the first two daemons try the store again sooner.
+func (d *fakeDaemon) ReportStore(ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ok {
+		d.storeRetryAt = time.Time{}
+		delete(d.avoided, d.name)
+		return
+	}
+	backoff := testBackoff
+	if slices.Index(d.cluster.daemons, d) >= 2 {
+		backoff *= 3
+	}
+	d.storeRetryAt = time.Now().Add(backoff)
+	d.avoided[d.name] = time.Now().Add(testAvoid)
+}
+
+// ReadTopic implements Peers as entryhost does.
+func (d *fakeDaemon) ReadTopic(ctx context.Context, _ string, from int64, wait time.Duration) ([]Record, error) {
+	var notCurrent *NotCurrentError
+	for range 3 {
+		records, err := d.readFromOne(ctx, from, wait)
+		if !errors.As(err, &notCurrent) {
+			return records, err
+		}
+	}
+	return nil, notCurrent
+}
+
+// readFromOne reads from the first daemon that is not avoided. A frozen one does not respond.
+func (d *fakeDaemon) readFromOne(ctx context.Context, from int64, wait time.Duration) ([]Record, error) {
+	reader := d
+	for _, other := range d.cluster.daemons {
+		if !d.isAvoided(other.name) {
+			reader = other
+			break
+		}
+	}
+	if reader == d {
+		return nil, &OwnReadError{}
+	}
+	if reader.isFrozen() {
+		time.Sleep(wait + testMargin)
+		d.avoid(reader.name, testAvoid)
+		return nil, errUnavailable
+	}
+	records, err := reader.follower.ReadTopic(ctx, from, wait)
+	var expired *ExpiredError
+	var notCurrent *NotCurrentError
+	switch {
+	case err == nil || errors.As(err, &expired):
+	case errors.As(err, &notCurrent):
+		d.avoid(reader.name, testShortAvoid)
+	default:
+		d.avoid(reader.name, testAvoid)
+	}
+	return records, err
+}
+
+func (d *fakeDaemon) isFrozen() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.frozen
+}
+
+func (d *fakeDaemon) freeze(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.frozen = on
+}
+
+func (d *fakeDaemon) state() (known int64, faults []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known, d.faults
+}
--- /dev/null
+++ b/internal/topic/follower.go
@@ -0,0 +1,177 @@
+package topic
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Config configures a Follower. All fields but OnUnreachable and OnReachable are required.
+type Config struct {
+	Name  string
+	Store Store
+	Peers Peers
+	// PollInterval returns the pause between two reads, and PollTimeout how long a read waits
+	// for a record.
+	PollInterval func() time.Duration
+	PollTimeout  func() time.Duration
+	// Backoff returns the pause after a number of consecutive failures.
+	Backoff func(failures int) time.Duration
+	// OnRecords receives new records in order.
+	OnRecords func(records []Record)
+	// OnNewest receives the newest record of each key and the end offset at that time.
+	OnNewest func(records []Record, end int64)
+	// OnUnreachable and OnReachable are called when the store becomes unreachable and reachable
+	// again.
+	OnUnreachable func()
+	OnReachable   func()
+	Logger        *zap.Logger
+}
+
+// Follower follows one topic. Its methods are safe for concurrent use.
+type Follower struct {
+	cfg      Config
+	tail     *tail
+	next     int64 // offset to read from, negative before the first read
+	failures int
+}
+
+// New returns a follower that reads nothing before Run.
+func New(cfg Config) *Follower {
+	return &Follower{
+		cfg:  cfg,
+		tail: newTail(cfg.Name),
+		next: -1,
+	}
+}
+
+// Run follows the topic until ctx is done.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		f.recordResult(ctx, err)
+		delay := f.cfg.PollInterval()
+		if err != nil {
+			delay = f.cfg.Backoff(f.failures)
+		}
+		sleep(ctx, delay)
+	}
+	return ctx.Err()
+}
+
+// ReadTopic returns the records from an offset on to another daemon, while this one reads them
+// from the store. It waits for up to wait for the first one. The error is a *NotCurrentError or
+// an *ExpiredError, or that of ctx.
+func (f *Follower) ReadTopic(ctx context.Context, from int64, wait time.Duration) ([]Record, error) {
+	return f.tail.read(ctx, from, wait)
+}
+
+// step reads once: from another daemon if there is one that reads for this one, and otherwise
+// from the store.
+func (f *Follower) step(ctx context.Context) error {
+	if f.next < 0 {
+		if !f.cfg.Peers.MayReadStore() {
+			return &NotCurrentError{
+				Topic: f.cfg.Name,
+			}
+		}
+		return f.readNewest(ctx)
+	}
+	records, err := f.cfg.Peers.ReadTopic(ctx, f.cfg.Name, f.next, f.cfg.PollTimeout())
+	if err == nil {
+		f.tail.setReadAt(time.Time{})
+		f.apply(records)
+		return nil
+	}
+	var own *OwnReadError
+	if !errors.As(err, &own) && ctx.Err() == nil {
+		f.cfg.Logger.Debug("reading the store, since no peer has the records", zap.String("topic", f.cfg.Name), zap.Error(err))
+	}
+	if !f.cfg.Peers.MayReadStore() {
+		return err
+	}
+	return f.readStore(ctx)
+}
+
+// readStore reads the next records from the store.
+func (f *Follower) readStore(ctx context.Context) error {
+	records, err := f.cfg.Store.Read(ctx, f.cfg.Name, f.next, f.cfg.PollTimeout())
+	var expired *ExpiredError
+	if errors.As(err, &expired) {
+		return f.readNewest(ctx)
+	}
+	f.reportStore(err)
+	if err != nil {
+		return err
+	}
+	f.apply(records)
+	return nil
+}
+
+// reportStore records whether a read from the store succeeded.
+func (f *Follower) reportStore(err error) {
+	f.cfg.Peers.ReportStore(err == nil)
+	if err != nil {
+		f.tail.setReadAt(time.Time{})
+		return
+	}
+	f.tail.setReadAt(time.Now())
+}
+
+// readNewest reads the newest record of each key.
+func (f *Follower) readNewest(ctx context.Context) error {
+	records, end, err := f.cfg.Store.Newest(ctx, f.cfg.Name)
+	f.reportStore(err)
+	if err != nil {
+		return err
+	}
+	f.cfg.Logger.Info("newest records of topic read", zap.String("topic", f.cfg.Name), zap.Int("keys", len(records)), zap.Int64("end", end))
+	f.next = end
+	f.tail.appendRecords(end, nil)
+	f.cfg.OnNewest(records, end)
+	return nil
+}
+
+// apply passes on the records that begin at f.next.
+func (f *Follower) apply(records []Record) {
+	if len(records) == 0 {
+		return
+	}
+	f.tail.appendRecords(f.next, records)
+	f.next += int64(len(records))
+	f.cfg.OnRecords(records)
+}
+
+// recordResult counts consecutive failures and reports the start and the end of an outage once
+// each.
+func (f *Follower) recordResult(ctx context.Context, err error) {
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		f.failures++
+		if f.failures == 1 {
+			f.cfg.Logger.Warn("store unreachable", zap.String("topic", f.cfg.Name), zap.Error(err))
+			callIfSet(f.cfg.OnUnreachable)
+		}
+	case f.failures > 0:
+		f.cfg.Logger.Info("store reachable again", zap.String("topic", f.cfg.Name), zap.Int("failures", f.failures))
+		f.failures = 0
+		callIfSet(f.cfg.OnReachable)
+	}
+}
+
+func callIfSet(f func()) {
+	if f != nil {
+		f()
+	}
+}
+
+// sleep waits until d has passed or ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/topic/tail.go
@@ -0,0 +1,122 @@
+package topic
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// maxTailBytes bounds the keys and values of the records that a tail keeps. It keeps at
+	// least one record, and on the users' largest deployment those of some ten seconds.
+	maxTailBytes = 256 << 10
+	// currentFor is how long after a read from the store the tail counts as current. It is
+	// longer than a read without records and the pause after it.
+	currentFor = 2 * time.Second
+)
+
+// tail holds the latest records of a topic, for other daemons. It is safe for concurrent use.
+type tail struct {
+	topic string
+
+	mu      sync.Mutex
+	records []Record // without gaps, the last one at offset next-1
+	bytes   int
+	next    int64
+	// readAt is when a read from the store last succeeded. It is zero after one that failed and
+	// while another daemon reads for this one.
+	readAt time.Time
+	// changed is closed and replaced when one of the fields above changes.
+	changed chan struct{}
+}
+
+func newTail(topic string) *tail {
+	return &tail{
+		topic:   topic,
+		next:    -1,
+		changed: make(chan struct{}),
+	}
+}
+
+// appendRecords adds the records that were read from an offset on. If they do not continue the
+// tail, it begins anew.
+func (t *tail) appendRecords(from int64, records []Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if from != t.next {
+		t.records, t.bytes = nil, 0
+	}
+	t.records = append(t.records, records...)
+	t.next = from + int64(len(records))
+	for _, r := range records {
+		t.bytes += r.size()
+	}
+	for len(t.records) > 1 && t.bytes > maxTailBytes {
+		t.bytes -= t.records[0].size()
+		t.records[0] = Record{}
+		t.records = t.records[1:]
+	}
+	t.signal()
+}
+
+func (r Record) size() int { return len(r.Key) + len(r.Value) }
+
+// setReadAt records when the store was last read; zero means that it is not read here.
+func (t *tail) setReadAt(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lost := at.IsZero() && !t.readAt.IsZero()
+	t.readAt = at
+	if lost {
+		t.signal()
+	}
+}
+
+// signal wakes up the readers. The caller holds the lock.
+func (t *tail) signal() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// read returns the records from an offset on. It waits for up to wait for the first one and
+// returns none if none arrives. The error is a *NotCurrentError if the tail may lack records that
+// the store has, and an *ExpiredError if it no longer has those at the offset.
+func (t *tail) read(ctx context.Context, from int64, wait time.Duration) ([]Record, error) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		records, changed, err := t.recordsFrom(from, time.Now())
+		if err != nil || len(records) > 0 {
+			return records, err
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			records, _, err := t.recordsFrom(from, time.Now())
+			return records, err
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// recordsFrom returns the records from an offset on, and a channel that is closed when there may
+// be more.
+func (t *tail) recordsFrom(from int64, now time.Time) ([]Record, <-chan struct{}, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first := t.next - int64(len(t.records))
+	switch {
+	case t.readAt.IsZero() || now.Sub(t.readAt) > currentFor || from > t.next:
+		return nil, nil, &NotCurrentError{
+			Topic: t.topic,
+		}
+	case from < first:
+		return nil, nil, &ExpiredError{
+			Topic: t.topic,
+			From:  from,
+		}
+	}
+	records := t.records[from-first:]
+	return records[:len(records):len(records)], t.changed, nil
+}
--- /dev/null
+++ b/internal/topic/topic.go
@@ -0,0 +1,75 @@
+// Package topic follows the keyed topics of a store. A keyed topic is a log of records, of which
+// the newest one with a key holds the key's value.
+//
+// One daemon in each data centre reads a topic from the store; the others read from that daemon.
+// Every follower keeps the latest records, so that it can serve others as soon as it is chosen,
+// and reads from the store itself whenever the chosen daemon does not respond, has lost the store
+// or lacks the records. No daemon relies on another's choice: a follower serves records only
+// while it reads from the store itself.
+//
+//	f := topic.New(topic.Config{Name: "upstreams", Store: store, Peers: peers, ...})
+//	err := f.Run(ctx)
+package topic
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Record is one record of a keyed topic.
+type Record struct {
+	Key string
+	// Value is nil if the record deletes the key.
+	Value  []byte
+	Offset int64
+}
+
+// Store reads topics from the store.
+type Store interface {
+	// Newest returns the newest record of each key, and the offset at which to continue.
+	Newest(ctx context.Context, topic string) ([]Record, int64, error)
+	// Read returns the records from an offset on. It waits for up to wait for the first one and
+	// returns none if none arrives. The error is an *ExpiredError if they are gone.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]Record, error)
+}
+
+// Peers reads topics from other daemons.
+type Peers interface {
+	// ReadTopic reads from the daemon that reads for this one, as Store.Read does. The error is
+	// an *OwnReadError if this process is to read from the store itself.
+	ReadTopic(ctx context.Context, topic string, from int64, wait time.Duration) ([]Record, error)
+	// MayReadStore reports whether this process may read from the store now. It may not for a
+	// while after a read that failed.
+	MayReadStore() bool
+	// ReportStore reports whether a read from the store succeeded. After a failure another daemon
+	// reads for this one, if the store serves that one.
+	ReportStore(ok bool)
+}
+
+// ExpiredError reports that the records at an offset are gone.
+type ExpiredError struct {
+	Topic string
+	From  int64
+}
+
+// Error returns a message with the topic and the offset.
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("records of topic %s at offset %d have expired", e.Topic, e.From)
+}
+
+// OwnReadError reports that this process has no other daemon to read from.
+type OwnReadError struct{}
+
+// Error implements error.
+func (*OwnReadError) Error() string { return "this daemon reads from the store itself" }
+
+// NotCurrentError reports that a daemon does not read a topic from the store, or has lost it.
+type NotCurrentError struct {
+	Topic string
+}
+
+// Error returns a message with the topic.
+func (e *NotCurrentError) Error() string {
+	return fmt.Sprintf("topic %s is not read from the store here", e.Topic)
+}
--- /dev/null
+++ b/internal/topic/topic_test.go
@@ -0,0 +1,260 @@
+package topic
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"sequoiafork/internal/bubble"
+)
+
+// maxStaleness bounds how long after it was written every daemon in reach of a reader or of the
+// store has a record: a read from a frozen reader, and one from the store. The users want an
+// upstream that drains to get no work after two seconds.
+const maxStaleness = 2 * time.Second
+
+// TestOneReader checks that one daemon of a data centre reads the store for all, and that the
+// others have a record as soon as it has.
+func TestOneReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			daemons = 16
+			seconds = 30
+		)
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newFakeCluster(daemons)
+		c.run(ctx)
+		time.Sleep(2 * time.Second)
+		c.store.set(func() { c.store.calls = 0 })
+		for i := range 100 * seconds {
+			c.store.append(fmt.Sprint("k", i%10))
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.store.set(func() {
+			require.LessOrEqual(t, c.store.calls, int(seconds*time.Second/testInterval)+1, "calls of %d daemons", daemons)
+		})
+		time.Sleep(2 * testInterval)
+		for _, d := range c.daemons {
+			known, faults := d.state()
+			require.Empty(t, faults)
+			require.Equal(t, c.store.end(), known, "%s", d.name)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestReaderFaults checks that each fault of the reader leaves the others with fresh records.
+func TestReaderFaults(t *testing.T) {
+	for name, fault := range map[string]func(c *fakeCluster){
+		"frozen":      func(c *fakeCluster) { c.daemons[0].freeze(true) },
+		"turned away": func(c *fakeCluster) { c.store.set(func() { c.store.turnedAway["d0"] = true }) },
+		"all but one turned away": func(c *fakeCluster) {
+			c.store.set(func() {
+				for _, d := range c.daemons[:len(c.daemons)-1] {
+					c.store.turnedAway[d.name] = true
+				}
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				c := newFakeCluster(3)
+				c.run(ctx)
+				time.Sleep(3 * time.Second)
+				fault(c)
+				for range 20 {
+					c.store.append("k")
+					written := c.store.end()
+					time.Sleep(maxStaleness)
+					for _, d := range c.daemons[1:] {
+						known, faults := d.state()
+						require.Empty(t, faults)
+						require.GreaterOrEqual(t, known, written, "%s", d.name)
+					}
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestOutageCosts checks that in an outage most daemons leave it to a few to try the store, and that
+// all have the new records soon after it.
+func TestOutageCosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			daemons = 16
+			outage  = 10 * time.Second
+			// allowed is half of the calls that all daemons would make that try the store
+			// after each backoff.
+			allowed = daemons * int(outage/testBackoff) / 2
+		)
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newFakeCluster(daemons)
+		c.run(ctx)
+		time.Sleep(5 * time.Second)
+		c.play(step{
+			kind: stepStoreDown,
+		})
+		c.store.set(func() { c.store.calls = 0 })
+		time.Sleep(outage)
+		c.store.set(func() { require.LessOrEqual(t, c.store.calls, allowed) })
+		c.play(step{
+			kind: stepEnd,
+		})
+		c.store.append("k")
+		time.Sleep(2*testBackoff + testInterval)
+		for _, d := range c.daemons {
+			known, _ := d.state()
+			require.Equal(t, c.store.end(), known, "%s", d.name)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestExpiredAtReader checks that a follower whose offset the reader no longer has, or not yet,
+// reads from the store.
+func TestExpiredAtReader(t *testing.T) {
+	tail := newTail("t")
+	now := time.Now()
+	tail.appendRecords(10, []Record{
+		{
+			Key:    "a",
+			Offset: 10,
+		},
+		{
+			Key:    "b",
+			Offset: 11,
+		},
+	})
+	var notCurrent *NotCurrentError
+	_, err := tail.read(t.Context(), 10, 0)
+	require.ErrorAs(t, err, &notCurrent, "another daemon reads for this one")
+	tail.setReadAt(now)
+	var expired *ExpiredError
+	_, err = tail.read(t.Context(), 9, 0)
+	require.ErrorAs(t, err, &expired)
+	_, err = tail.read(t.Context(), 13, 0)
+	require.ErrorAs(t, err, &notCurrent, "the follower is ahead")
+	records, err := tail.read(t.Context(), 11, 0)
+	require.NoError(t, err)
+	require.Len(t, records, 1)
+	records, err = tail.read(t.Context(), 12, time.Millisecond)
+	require.NoError(t, err)
+	require.Empty(t, records)
+}
+
+// TestTailIsBounded checks that a tail keeps a bounded number of bytes, and always the last record.
+func TestTailIsBounded(t *testing.T) {
+	tail := newTail("t")
+	tail.setReadAt(time.Now())
+	big := make([]byte, maxTailBytes)
+	for i := range int64(5) {
+		tail.appendRecords(i, []Record{
+			{
+				Key:    "k",
+				Value:  big,
+				Offset: i,
+			},
+		})
+	}
+	require.Len(t, tail.records, 1)
+	records, err := tail.read(t.Context(), 4, 0)
+	require.NoError(t, err)
+	require.Len(t, records, 1)
+}
+
+// The kinds of steps of TestFaultsInAnyOrder.
+const (
+	stepAppend = iota
+	stepFreeze
+	stepTurnAway
+	stepStoreDown
+	stepDelete
+	stepEnd // ends all faults
+	stepKindCount
+)
+
+type step struct {
+	kind   int
+	daemon int
+	delay  time.Duration
+}
+
+// TestFaultsInAnyOrder plays faults of the daemons and of the store in any order: no record may be
+// skipped or come twice, no value may go back, and after the last fault all daemons catch up.
+func TestFaultsInAnyOrder(t *testing.T) {
+	const daemons = 4
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
+			return step{
+				kind:   rapid.IntRange(0, stepKindCount-1).Draw(rt, "kind"),
+				daemon: rapid.IntRange(0, daemons-1).Draw(rt, "daemon"),
+				delay:  time.Duration(rapid.SampledFrom([]int{0, 5, 150, 700, 2500}).Draw(rt, "delay")) * time.Millisecond,
+			}
+		}), 1, 40).Draw(rt, "steps")
+		failed := bubble.Run(t, func(t *bubble.T) { playSteps(t, daemons, steps) })
+		if failed != "" {
+			rt.Fatal(failed)
+		}
+	})
+}
+
+func playSteps(t *bubble.T, daemons int, steps []step) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := newFakeCluster(daemons)
+	c.run(ctx)
+	for _, s := range steps {
+		c.play(s)
+		time.Sleep(s.delay)
+	}
+	c.play(step{
+		kind: stepEnd,
+	})
+	c.store.append("last")
+	time.Sleep(testAvoid + maxStaleness)
+	for _, d := range c.daemons {
+		known, faults := d.state()
+		require.Empty(t, faults)
+		require.Equal(t, c.store.end(), known, "%s", d.name)
+	}
+	cancel()
+	time.Sleep(time.Minute)
+}
+
+func (c *fakeCluster) play(s step) {
+	d := c.daemons[s.daemon]
+	switch s.kind {
+	case stepAppend:
+		c.store.append(fmt.Sprint("k", s.daemon))
+	case stepFreeze:
+		d.freeze(true)
+	case stepTurnAway:
+		c.store.set(func() { c.store.turnedAway[d.name] = true })
+	case stepStoreDown:
+		c.store.set(func() {
+			c.store.down = true
+			close(c.store.changed)
+			c.store.changed = make(chan struct{})
+		})
+	case stepDelete:
+		c.store.set(func() { c.store.first = int64(len(c.store.records)) })
+	case stepEnd:
+		c.store.set(func() {
+			c.store.down = false
+			c.store.turnedAway = make(map[string]bool)
+		})
+		for _, d := range c.daemons {
+			d.freeze(false)
+		}
+	}
+}
