Relay only what a link bears: no reading for others by the owner, no large records, no unchanged ones

A manifest that had grown went to 15 daemons over its link of 24 Mbit/s, its stage calls were overdue (421) and daemons did not reach it (119 times). Ruled out: the store (it was reachable), the readers' probes. Change: the owner is no reader; records over 16 KB together are read from the store by each daemon (the reader only wakes them); entries that differ in nothing that a daemon uses, such as heartbeats of upstreams, pass without their value, which at 341 daemons would have been 21 Mbit/s a reader.

--- a/internal/entryhost/reader.go
+++ b/internal/entryhost/reader.go
@@ -68,7 +68,10 @@
 
 func (r *readers) readFromOne(ctx context.Context, name string, from int64, wait time.Duration) ([]topic.Record, error) {
 	self := r.daemon.members.Self()
-	reader := chooseReader(r.daemon.members.Members(), self, r.isAvoided)
+	owner := r.daemon.submitter.owner().Incarnation
+	// The owner of the stage work needs its link for that.
+	unsuitable := func(incarnation string) bool { return incarnation == owner || r.isAvoided(incarnation) }
+	reader := chooseReader(r.daemon.members.Members(), self, unsuitable)
 	if reader.Incarnation == self.Incarnation {
 		return nil, &topic.OwnReadError{}
 	}
@@ -129,14 +132,14 @@
 	return before < probesPerDataCentre
 }
 
-// chooseReader returns the member that reads topics for the data centre of self: the living one
-// there with the lowest hash of its address, or self if all are avoided. Daemons that know the same
-// members choose the same one.
-func chooseReader(members []membership.Member, self membership.Member, avoided func(incarnation string) bool) membership.Member {
+// chooseReader returns the member that reads topics for the data centre of self: the living and
+// suitable one there with the lowest hash of its address, or self if there is none. Daemons that
+// know the same members choose the same one.
+func chooseReader(members []membership.Member, self membership.Member, unsuitable func(incarnation string) bool) membership.Member {
 	best := self
 	found := false
 	for _, m := range members {
-		if m.State != membership.Alive || m.DataCentre != self.DataCentre || avoided(m.Incarnation) {
+		if m.State != membership.Alive || m.DataCentre != self.DataCentre || unsuitable(m.Incarnation) {
 			continue
 		}
 		if !found || hash(m.PeerAddr) < hash(best.PeerAddr) {
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -20,6 +20,13 @@
 	cuts  map[[2]int]bool
 	wg    sync.WaitGroup
 	bytes int
+	// messages and opened are the numbers of messages sent and connections opened.
+	messages int
+	opened   int
+	// allSeeds gives each process the addresses of all others instead of two.
+	allSeeds bool
+	// fast gives the processes the times of an entry host.
+	fast bool
 }
 
 // Conversions between the states of package upstream and the gossiped ones.
@@ -75,8 +82,8 @@
 }
 
 const (
-	// pipeQueue is how many messages one end of a connection buffers.
-	pipeQueue = 4096
+	// pipeQueue is how many messages one end of a connection buffers, as in package peer.
+	pipeQueue = 256
 	// frameBytes is what gRPC and HTTP/2 add to a message.
 	frameBytes = 14
 )
@@ -94,14 +101,21 @@
 		upstreamStates: map[string]UpstreamState{},
 		closed:         make(chan struct{}),
 	}
-	p.table = New(Config{
+	seeds := []string{n.hosts[0].addr(), n.hosts[len(n.hosts)-1].addr()}
+	if n.allSeeds {
+		seeds = seeds[:0]
+		for _, other := range n.hosts {
+			seeds = append(seeds, other.addr())
+		}
+	}
+	cfg := Config{
 		Self: Member{
 			Incarnation: fmt.Sprintf("%s/%d", h.addr(), h.starts),
 			PeerAddr:    h.addr(),
 			CallerAddr:  fmt.Sprintf("10.1.%d.%d:80", h.id/250, h.id%250+1),
 			DataCentre:  h.region + "/" + h.dc,
 		},
-		Seeds:    []string{n.hosts[0].addr(), n.hosts[len(n.hosts)-1].addr()},
+		Seeds:    seeds,
 		RandSeed: uint64(h.id),
 		OnUpstream: func(addr string, st UpstreamState) {
 			n.mu.Lock()
@@ -109,7 +123,14 @@
 			n.mu.Unlock()
 			p.set.OverrideState(addr, upstreamSetStates[st], "reported by a peer")
 		},
-	})
+	}
+	if n.fast {
+		cfg.Heartbeat = 400 * time.Millisecond
+		cfg.HeartbeatTimeout = 1600 * time.Millisecond
+		cfg.UnreachableAfter = 2500 * time.Millisecond
+		cfg.ProbeInterval = 500 * time.Millisecond
+	}
+	p.table = New(cfg)
 	p.set = upstream.New(upstream.Config{
 		Seed: uint64(h.id),
 		OnStateChange: func(addr string, st upstream.State) {
@@ -223,6 +244,7 @@
 			return false
 		}
 		p.conns[a], q.conns[b] = true, true
+		n.opened++
 		return true
 	})
 	if !registered {
@@ -239,6 +261,7 @@
 	e.net.mu.Lock()
 	defer e.net.mu.Unlock()
 	e.net.bytes += frameBytes + proto.Size(msg)
+	e.net.messages++
 	return !e.closed && e.put(msg)
 }
 
--- a/internal/peer/topic.go
+++ b/internal/peer/topic.go
@@ -77,9 +77,10 @@
 	resp := &peerpb.ReadTopicResponse{}
 	for _, r := range records {
 		resp.Records = append(resp.Records, &peerpb.TopicRecord{
-			Key:     r.Key,
-			Value:   r.Value,
-			Deleted: r.Value == nil,
+			Key:       r.Key,
+			Value:     r.Value,
+			Deleted:   r.Value == nil && !r.Unchanged,
+			Unchanged: r.Unchanged,
 		})
 	}
 	return resp, nil
@@ -90,10 +91,11 @@
 	records := make([]topic.Record, len(list))
 	for i, r := range list {
 		records[i] = topic.Record{
-			Key:    r.GetKey(),
-			Offset: from + int64(i),
+			Key:       r.GetKey(),
+			Offset:    from + int64(i),
+			Unchanged: r.GetUnchanged(),
 		}
-		if !r.GetDeleted() {
+		if !r.GetDeleted() && !r.GetUnchanged() {
 			records[i].Value = append([]byte{}, r.GetValue()...) // Never nil.
 		}
 	}
--- a/internal/topic/cluster_test.go
+++ b/internal/topic/cluster_test.go
@@ -109,7 +109,7 @@
 				From:  from,
 			}
 		case from < int64(len(records)):
-			return records[from:], nil
+			return slices.Clone(records[from:]), nil
 		}
 		select {
 		case <-changed:
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -8,7 +8,8 @@
 	"go.uber.org/zap"
 )
 
-// Config configures a Follower. All fields but OnUnreachable and OnReachable are required.
+// Config configures a Follower. All fields but Unchanged, OnUnreachable and OnReachable are
+// required.
 type Config struct {
 	Name  string
 	Store Store
@@ -19,6 +20,10 @@
 	PollTimeout  func() time.Duration
 	// Backoff returns the pause after a number of consecutive failures.
 	Backoff func(failures int) time.Duration
+	// Unchanged reports whether a new value of a key says the same as the one before, for example
+	// because only a sequence number differs. Such records are passed on without their value, and
+	// not to OnRecords. Nil means that all records matter.
+	Unchanged func(before, after []byte) bool
 	// OnRecords receives new records in order.
 	OnRecords func(records []Record)
 	// OnNewest receives the newest record of each key and the end offset at that time.
@@ -34,16 +39,18 @@
 type Follower struct {
 	cfg      Config
 	tail     *tail
-	next     int64 // offset to read from, negative before the first read
+	values   map[string][]byte // the last value of each key that was read with it
+	next     int64             // offset to read from, negative before the first read
 	failures int
 }
 
 // New returns a follower that reads nothing before Run.
 func New(cfg Config) *Follower {
 	return &Follower{
-		cfg:  cfg,
-		tail: newTail(cfg.Name),
-		next: -1,
+		cfg:    cfg,
+		tail:   newTail(cfg.Name),
+		values: make(map[string][]byte),
+		next:   -1,
 	}
 }
 
@@ -129,19 +136,47 @@
 	}
 	f.cfg.Logger.Info("newest records of topic read", zap.String("topic", f.cfg.Name), zap.Int("keys", len(records)), zap.Int64("end", end))
 	f.next = end
+	clear(f.values)
+	for _, r := range records {
+		f.observe(r)
+	}
 	f.tail.appendRecords(end, nil)
 	f.cfg.OnNewest(records, end)
 	return nil
 }
 
-// apply passes on the records that begin at f.next.
+// apply passes on the records that begin at f.next. It owns them.
 func (f *Follower) apply(records []Record) {
 	if len(records) == 0 {
 		return
 	}
+	var changed []Record
+	for i, r := range records {
+		if records[i].Unchanged = r.Unchanged || f.observe(r); !records[i].Unchanged {
+			changed = append(changed, r)
+			continue
+		}
+		records[i].Value = nil
+	}
 	f.tail.appendRecords(f.next, records)
 	f.next += int64(len(records))
-	f.cfg.OnRecords(records)
+	if len(changed) > 0 {
+		f.cfg.OnRecords(changed)
+	}
+}
+
+// observe records the value of a key and reports whether it says the same as the one before.
+func (f *Follower) observe(r Record) bool {
+	if f.cfg.Unchanged == nil {
+		return false
+	}
+	before, known := f.values[r.Key]
+	if r.Value == nil {
+		delete(f.values, r.Key)
+		return false
+	}
+	f.values[r.Key] = r.Value
+	return known && f.cfg.Unchanged(before, r.Value)
 }
 
 // recordResult counts consecutive failures and reports the start and the end of an outage once
--- a/internal/topic/tail.go
+++ b/internal/topic/tail.go
@@ -10,6 +10,9 @@
 	// maxTailBytes bounds the keys and values of the records that a tail keeps. It keeps at
 	// least one record, and on the users' largest deployment those of some ten seconds.
 	maxTailBytes = 256 << 10
+	// maxServedBytes bounds the keys and values of one response to another daemon, whose followers
+	// share the link of this one. Larger records are read from the store by each follower.
+	maxServedBytes = 16 << 10
 	// currentFor is how long after a read from the store the tail counts as current. It is
 	// longer than a read without records and the pause after it.
 	currentFor = 2 * time.Second
@@ -80,7 +83,8 @@
 
 // read returns the records from an offset on. It waits for up to wait for the first one and
 // returns none if none arrives. The error is a *NotCurrentError if the tail may lack records that
-// the store has, and an *ExpiredError if it no longer has those at the offset.
+// the store has, and an *ExpiredError if it no longer has those at the offset, or if they are too
+// large to be served.
 func (t *tail) read(ctx context.Context, from int64, wait time.Duration) ([]Record, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
@@ -118,5 +122,19 @@
 		}
 	}
 	records := t.records[from-first:]
+	if totalSize(records) > maxServedBytes {
+		return nil, nil, &ExpiredError{
+			Topic: t.topic,
+			From:  from,
+		}
+	}
 	return records[:len(records):len(records)], t.changed, nil
 }
+
+func totalSize(records []Record) int {
+	sum := 0
+	for _, r := range records {
+		sum += r.size()
+	}
+	return sum
+}
--- a/internal/topic/topic.go
+++ b/internal/topic/topic.go
@@ -20,9 +20,12 @@
 // Record is one record of a keyed topic.
 type Record struct {
 	Key string
-	// Value is nil if the record deletes the key.
+	// Value is nil if the record deletes the key or is Unchanged.
 	Value  []byte
 	Offset int64
+	// Unchanged reports that the record says the same as the one before it with its key. Only its
+	// offset matters then.
+	Unchanged bool
 }
 
 // Store reads topics from the store.
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
 	"sequoiafork/internal/bubble"
@@ -157,20 +159,85 @@
 func TestTailIsBounded(t *testing.T) {
 	tail := newTail("t")
 	tail.setReadAt(time.Now())
-	big := make([]byte, maxTailBytes)
-	for i := range int64(5) {
+	const count = 100
+	value := make([]byte, maxServedBytes/2)
+	for i := range int64(count) {
 		tail.appendRecords(i, []Record{
 			{
 				Key:    "k",
-				Value:  big,
+				Value:  value,
 				Offset: i,
 			},
 		})
+		require.LessOrEqual(t, tail.bytes, maxTailBytes)
+		require.Equal(t, totalSize(tail.records), tail.bytes)
 	}
-	require.Len(t, tail.records, 1)
-	records, err := tail.read(t.Context(), 4, 0)
+	records, err := tail.read(t.Context(), count-1, 0)
 	require.NoError(t, err)
 	require.Len(t, records, 1)
+	tail.appendRecords(count, []Record{
+		{
+			Key:   "k",
+			Value: make([]byte, 2*maxTailBytes),
+		},
+	})
+	require.Len(t, tail.records, 1)
+}
+
+// TestLargeRecordsAreNotServed guards against a reader whose link is filled by a large record that
+// it sends to each daemon of its data centre: they read that from the store.
+func TestLargeRecordsAreNotServed(t *testing.T) {
+	tail := newTail("t")
+	tail.setReadAt(time.Now())
+	tail.appendRecords(0, []Record{
+		{
+			Key:   "k",
+			Value: make([]byte, maxServedBytes+1),
+		},
+	})
+	var expired *ExpiredError
+	_, err := tail.read(t.Context(), 0, 0)
+	require.ErrorAs(t, err, &expired)
+}
+
+// TestUnchangedRecords checks that a record that says the same as the one before costs the daemons
+// that read from another one little: it has no value, and only its offset counts.
+func TestUnchangedRecords(t *testing.T) {
+	var got []Record
+	f := New(Config{
+		Name:      "t",
+		Unchanged: func(before, after []byte) bool { return before[0] == after[0] },
+		OnRecords: func(records []Record) { got = append(got, records...) },
+		OnNewest:  func([]Record, int64) {},
+		Logger:    zap.NewNop(),
+	})
+	f.next = 0
+	f.tail.setReadAt(time.Now())
+	value := func(offset int64, text string) Record {
+		r := Record{
+			Key:    "k",
+			Offset: offset,
+		}
+		if text != "" {
+			r.Value = []byte(text)
+		}
+		return r
+	}
+	f.apply([]Record{value(0, "a1"), value(1, "a2"), value(2, ""), value(3, "a3"), value(4, "a4"), value(5, "b5")})
+	require.Equal(t, []Record{value(0, "a1"), value(2, ""), value(3, "a3"), value(5, "b5")}, got)
+	served, err := f.ReadTopic(t.Context(), 0, 0)
+	require.NoError(t, err)
+	require.Len(t, served, 6)
+	for _, i := range []int{1, 4} {
+		require.True(t, served[i].Unchanged)
+		require.Nil(t, served[i].Value)
+	}
+	got = nil
+	peer := New(f.cfg)
+	peer.next = 0
+	peer.apply(slices.Clone(served))
+	require.Equal(t, []Record{value(0, "a1"), value(2, ""), value(3, "a3"), value(5, "b5")}, got, "a daemon that reads from this one")
+	require.Equal(t, int64(6), peer.next)
 }
 
 // The kinds of steps of TestFaultsInAnyOrder.
