Measure how long large results stay in memory

Cause: admission assumed that a large result stays in memory for a full call and 250 ms. Ruled out: the order of the queue (late jobs go behind those on time); the account of memory, which is exact for the owner's own results. Change: each service keeps a moving average of the time from the start of a call until its large results are freed, and admission uses it.

--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -24,9 +24,11 @@
 	// A job that will miss its soft deadline is accepted if its response is expected to start
 	// within lateTimeFraction of the time for which its caller still waits.
 	lateTimeFraction = 0.6
-	// largeResultHold is how long a large result stays in memory in addition to its own
-	// call: until the engine has fetched it.
-	largeResultHold = 250 * time.Millisecond
+	// defaultResultHold is how long a large result is assumed to stay in memory in addition to
+	// its own call, until the engine has fetched it, before any was measured. The newest
+	// measurement has the weight resultHoldWeight in the moving average.
+	defaultResultHold = 250 * time.Millisecond
+	resultHoldWeight  = 0.05
 )
 
 // forecast is the estimate for a job at admission.
@@ -119,7 +121,7 @@
 			continue
 		}
 		workAhead := sum[svc]
-		if st.ResultBytes*smallResultDivisor < svc.spec.ResultMemoryBytes {
+		if !svc.isLarge(st.ResultBytes) {
 			workAhead.bytes = 0 // Small results fit even while larger ones wait for memory.
 		}
 		wait := max(svc.capacity().timeToComplete(workAhead)-start.Sub(now), 0)
@@ -182,7 +184,9 @@
 	// resultMemory is their memory for results.
 	effectiveUpstreams float64
 	resultMemory       int64
-	allBusy            bool
+	// resultTime is how long a large result stays in memory.
+	resultTime time.Duration
+	allBusy    bool
 }
 
 func (svc *service) capacity() capacity {
@@ -190,6 +194,7 @@
 		spec:               svc.spec,
 		effectiveUpstreams: svc.effectiveUpstreams(),
 		resultMemory:       svc.resultMemory(),
+		resultTime:         svc.resultTime(),
 		allBusy:            svc.allBusy(),
 	}
 }
@@ -209,8 +214,7 @@
 	}
 	fullBatchTime := callTime(c.spec, c.spec.MaxSize)
 	byWork := time.Duration(float64(l.pieces) * float64(fullBatchTime) / (float64(c.spec.MaxSize) * c.effectiveUpstreams))
-	resultTime := fullBatchTime + largeResultHold
-	byMemory := time.Duration(float64(l.bytes) / float64(max(c.resultMemory, 1)) * float64(resultTime))
+	byMemory := time.Duration(float64(l.bytes) / float64(max(c.resultMemory, 1)) * float64(c.resultTime))
 	wait := max(byWork, byMemory)
 	if c.allBusy {
 		wait += time.Duration(float64(fullBatchTime) / 2 / c.effectiveUpstreams)
@@ -218,6 +222,30 @@
 	return wait
 }
 
+// isLarge reports whether results of a size fill the memory of an upstream before its calls are
+// full.
+func (svc *service) isLarge(bytes int64) bool {
+	return bytes*smallResultDivisor >= svc.spec.ResultMemoryBytes
+}
+
+// resultTime returns how long a large result stays in memory, from the start of its call. It is
+// measured, since in a burst results wait for the other pieces of their job and for an engine.
+func (svc *service) resultTime() time.Duration {
+	if svc.measuredResultTime > 0 {
+		return svc.measuredResultTime
+	}
+	return callTime(svc.spec, svc.spec.MaxSize) + defaultResultHold
+}
+
+// observeResult records how long a result stayed in memory, if it is large.
+func (svc *service) observeResult(bytes int64, took time.Duration) {
+	if !svc.isLarge(bytes) || took <= 0 {
+		return
+	}
+	average := svc.resultTime()
+	svc.measuredResultTime = average + time.Duration(resultHoldWeight*float64(took-average))
+}
+
 // resultMemory returns the memory for results of the usable upstreams, less what results
 // of other schedulers use.
 func (svc *service) resultMemory() int64 {
--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -309,6 +309,7 @@
 	for _, p := range pieces {
 		p.setState(running)
 		p.calls++
+		p.startedAt = now
 		u.held += p.stage.ResultBytes
 		item := Item{
 			RequestID: p.job.RequestID,
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -71,6 +71,8 @@
 	index    int
 	state    pieceState
 	attempts int
+	// startedAt is when the last call that includes the piece began.
+	startedAt time.Time
 	// calls is the number of calls in progress that include the piece: an overdue one has
 	// two.
 	calls int
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -49,6 +49,9 @@
 	spec      routing.BatchSpec
 	upstreams map[string]*upstream
 	queue     []*piece
+	// measuredResultTime is a moving average of how long large results stayed in memory; zero
+	// before any was measured.
+	measuredResultTime time.Duration
 }
 
 // New returns a scheduler without services.
@@ -325,6 +328,9 @@
 		return
 	}
 	p.setState(freed)
+	if !p.startedAt.IsZero() && p.stage.service != nil {
+		p.stage.service.observeResult(p.stage.ResultBytes, time.Since(p.startedAt))
+	}
 	s.freeResult(p.holder, p.handle, p.stage.ResultBytes)
 }
 
