Compute when a job is too late once for each change of its stages

Change: the moment from which a job is late is kept and updated when one of its stages begins or ceases to wait. The decisions are the same: all scripts pass unchanged.

--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -168,6 +168,7 @@
 		Job:               j,
 		softStageDeadline: j.softStageDeadline(),
 	}
+	x.updateLateAfter()
 	sum := make(map[*service]workload)
 	for other := range s.jobs {
 		if !other.finished && other.hasWaitingPieces() && compareJobs(other, x, now) <= 0 {
--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -159,7 +159,7 @@
 // remaining stages take longer than the time left counts as one that does not, since it would
 // otherwise be the most urgent of all until its soft deadline passes.
 func softDeadlineRank(j *job, now time.Time) int {
-	if j.missesSoftDeadline || now.Add(j.minTimeLeft()).After(j.softStageDeadline) {
+	if j.missesSoftDeadline || now.After(j.lateAfter) {
 		return 1
 	}
 	return 0
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -28,6 +28,9 @@
 	missesSoftDeadline bool
 	// softStageDeadline is when the stages must end for the job to meet its soft deadline.
 	softStageDeadline time.Time
+	// lateAfter is when it is too late to begin the waiting pieces for the job to meet its soft
+	// deadline.
+	lateAfter time.Time
 	// expectedEnd is the estimate, made at admission, of when the stages end.
 	expectedEnd time.Time
 	// final reports for each stage whether no other stage depends on it.
@@ -83,9 +86,13 @@
 
 // setState changes the state of a piece and the counts of its stage.
 func (p *piece) setState(state pieceState) {
+	waiting := p.stage.waiting
 	p.stage.countState(p.state, -1)
 	p.state = state
 	p.stage.countState(state, 1)
+	if (waiting > 0) != (p.stage.waiting > 0) {
+		p.job.updateLateAfter()
+	}
 }
 
 func (s *stage) countState(state pieceState, n int) {
@@ -281,6 +288,9 @@
 	return j.patience().Sub(now) - j.TimeAfterStages
 }
 
+// updateLateAfter computes lateAfter after a change of the waiting stages or of their times.
+func (j *job) updateLateAfter() { j.lateAfter = j.softStageDeadline.Add(-j.minTimeLeft()) }
+
 // minTimeLeft returns the shortest time in which the waiting pieces and the stages after them
 // can run.
 func (j *job) minTimeLeft() time.Duration {
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -220,6 +220,7 @@
 			st.minTime += callTime(st.service.spec, 1)
 		}
 	}
+	j.updateLateAfter()
 }
 
 // enqueueReady queues the blocked pieces whose inputs are finished. They stay blocked while no
