--- a/internal/membership/start_test.go
+++ b/internal/membership/start_test.go
@@ -10,6 +10,13 @@
 	"github.com/stretchr/testify/require"
 )
 
+const (
+	// maxStartTime is the users' aim for 300 daemons.
+	maxStartTime = time.Second
+	// maxStartBytes is what half a minute of control may cost a daemon, at 4 KB a second.
+	maxStartBytes = 30 * 4 << 10
+)
+
 // startCost is what a simultaneous start of all daemons takes.
 type startCost struct {
 	took      time.Duration
@@ -57,6 +64,8 @@
 	for _, n := range []int{30, 100, 341} {
 		t.Run(fmt.Sprintf("hosts=%d", n), func(t *testing.T) {
 			c := measureStart(t, n)
+			require.LessOrEqual(t, c.took, maxStartTime)
+			require.LessOrEqual(t, c.bytes, maxStartBytes)
 			t.Logf("%d daemons agree after %v; each sends %d messages with %d bytes, opens %d links and uses %v of processor time", n, c.took, c.messages, c.bytes, c.links, c.processor)
 		})
 	}
