Dump the state of a daemon on the users' platform, and keep the newest of two reloads

Change: SIGUSR1 writes owner, reader, queues, memory and slowdown of the stage upstreams, members and upstreams as one line of JSON; newer settings replace those that wait. Tests: TestDump, TestReloadKeepsNewestSettings (red before: the first settings were delivered).

--- a/cmd/sequoiaforkd/keyedlog.go
+++ b/cmd/sequoiaforkd/keyedlog.go
@@ -28,10 +28,15 @@
 		changed: make(chan settings.Settings, 1),
 	}
 	go r.run(ctx)
+	dump := make(chan os.Signal, 1)
+	signal.Notify(dump, syscall.SIGUSR1)
+	defer signal.Stop(dump)
 	return platform.Run(ctx, platform.Config{
 		Settings: cmd.Settings,
 		Logger:   logger,
 		Reload:   r.changed,
+		Dump:     dump,
+		DumpTo:   os.Stderr,
 	})
 }
 
@@ -83,8 +88,15 @@
 		return
 	}
 	r.logger.Info("settings reloaded", zap.String("path", r.path), zap.Strings("seeds", s.Peers.Seeds))
+	r.replace(s)
+}
+
+// replace delivers settings in place of earlier ones that were not received yet. Only the reloader
+// sends, so the second send never blocks.
+func (r *reloader) replace(s settings.Settings) {
 	select {
-	case r.changed <- s:
-	default: // The previous settings were not received yet. These are dropped until the next change or SIGHUP.
+	case <-r.changed:
+	default:
 	}
+	r.changed <- s
 }
--- a/cmd/sequoiaforkd/main.go
+++ b/cmd/sequoiaforkd/main.go
@@ -7,9 +7,8 @@
 // The kind of platform in the settings decides whether the daemon runs the pipelines that
 // operators define in tables or forwards the opaque requests of the users' platform.
 //
-// SIGTERM and SIGINT start a graceful stop; a second signal has no effect. On a platform of
-// kind "log", SIGUSR1 writes a state dump to standard error. On one of kind "keyed_log",
-// SIGHUP reloads the settings file.
+// SIGTERM and SIGINT start a graceful stop; a second signal has no effect. SIGUSR1 writes a state
+// dump to standard error. On a platform of kind "keyed_log", SIGHUP reloads the settings file.
 package main
 
 import (
--- a/internal/entryhost/reader.go
+++ b/internal/entryhost/reader.go
@@ -67,12 +67,8 @@
 }
 
 func (r *readers) readFromOne(ctx context.Context, name string, from int64, wait time.Duration) ([]topic.Record, error) {
-	self := r.daemon.members.Self()
-	owner := r.daemon.submitter.owner().Incarnation
-	// The owner of the stage work needs its link for that.
-	unsuitable := func(incarnation string) bool { return incarnation == owner || r.isAvoided(incarnation) }
-	reader := chooseReader(r.daemon.members.Members(), self, unsuitable)
-	if reader.Incarnation == self.Incarnation {
+	reader := r.current()
+	if reader.Incarnation == r.daemon.members.Self().Incarnation {
 		return nil, &topic.OwnReadError{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+readerMargin)
@@ -90,6 +86,14 @@
 	return records, err
 }
 
+// current returns the member that reads for this daemon now.
+func (r *readers) current() membership.Member {
+	owner := r.daemon.submitter.owner().Incarnation
+	// The owner of the stage work needs its link for that.
+	unsuitable := func(incarnation string) bool { return incarnation == owner || r.isAvoided(incarnation) }
+	return chooseReader(r.daemon.members.Members(), r.daemon.members.Self(), unsuitable)
+}
+
 // MayReadStore implements topic.Peers.
 func (r *readers) MayReadStore() bool {
 	r.mu.Lock()
