Fix two tests that the race detector and the order of tests found

TestRefuseOfOldKeyPromisesNothing took its old key from uuid.NewV7, which never goes back behind an earlier key of the process: after another test of the package it was a key of the real time and so not old. It is made from the paused time now. The fake cluster of package topic handed the records of one follower to another without the copy that the wire makes.

--- a/internal/idempotency/outcome_test.go
+++ b/internal/idempotency/outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -67,12 +68,24 @@
 	}
 }
 
+// uuidOf returns a UUID of version 7 made at a time. uuid.NewV7 never goes back behind an earlier
+// one of the process, which may be of the real time.
+func uuidOf(at time.Time) string {
+	const millisecondBytes = 6
+	var id uuid.UUID
+	var ms [8]byte
+	binary.BigEndian.PutUint64(ms[:], uint64(at.UnixMilli()))
+	copy(id[:millisecondBytes], ms[len(ms)-millisecondBytes:])
+	id[6], id[8] = 0x70, 0x80 // version and variant
+	return id.String()
+}
+
 // TestRefuseOfOldKeyPromisesNothing guards against "not run" for a key so old that its claim
 // or its outcome may have been discarded after a run.
 func TestRefuseOfOldKeyPromisesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegistry()
-		chosen := uuid.Must(uuid.NewV7()).String()
+		chosen := uuidOf(time.Now())
 		issued, _ := r.Issue()
 		rejection := outcome.NotRun{
 			RequestID: "r",
--- a/internal/topic/cluster_test.go
+++ b/internal/topic/cluster_test.go
@@ -285,6 +285,7 @@
 		return nil, errUnavailable
 	}
 	records, err := reader.follower.ReadTopic(ctx, from, wait)
+	records = slices.Clone(records) // The wire copies them.
 	var expired *ExpiredError
 	var notCurrent *NotCurrentError
 	switch {
