--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -34,7 +34,7 @@
 // forecast is the estimate for a job at admission.
 type forecast struct {
 	end time.Time
-	// missesObjective is set if the job runs after all jobs that can meet their soft
+	// missesSoftDeadline is set if the job runs after all jobs that can meet their soft
 	// deadline.
 	missesSoftDeadline bool
 }
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -23,7 +23,7 @@
 	generation int
 	// handingOff is set while the job waits to be handed off to another owner.
 	handingOff bool
-	// missesObjective is set if the job runs after all jobs that can meet their soft
+	// missesSoftDeadline is set if the job runs after all jobs that can meet their soft
 	// deadline.
 	missesSoftDeadline bool
 	// softStageDeadline is when the stages must end for the job to meet its soft deadline.
--- a/internal/topic/topic.go
+++ b/internal/topic/topic.go
@@ -33,14 +33,16 @@
 	// Newest returns the newest record of each key, and the offset at which to continue.
 	Newest(ctx context.Context, topic string) ([]Record, int64, error)
 	// Read returns the records from an offset on. It waits for up to wait for the first one and
-	// returns none if none arrives. The error is an *ExpiredError if they are gone.
+	// returns none if none arrives. The caller owns the records. The error is an *ExpiredError if
+	// they are gone.
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]Record, error)
 }
 
 // Peers reads topics from other daemons.
 type Peers interface {
 	// ReadTopic reads from the daemon that reads for this one, as Store.Read does. The error is
-	// an *OwnReadError if this process is to read from the store itself.
+	// an *OwnReadError if this process is to read from the store itself, and a *NotCurrentError if
+	// no daemon that was asked reads it now.
 	ReadTopic(ctx context.Context, topic string, from int64, wait time.Duration) ([]Record, error)
 	// MayReadStore reports whether this process may read from the store now. It may not for a
 	// while after a read that failed.
