Let a start during an outage of the store recover as soon as it did

The three topics of a starting daemon shared the pause after a failed read, so that each mostly woke while another one's pause ran, and most upstreams were known at 38.4 to 39.0 s although the store was back before 37.8. The owner, which had the routes from a peer and no upstream, took that for an endless queue and refused 168 of the sampled jobs, 3.8 s past their objective. Change: until a daemon has read the store once, each topic tries it by itself as before; jobs also wait, 0.5 s at most, for the first upstreams. Test: TestJobWaitsForUpstreams (rejected at once before).

--- a/internal/entryhost/reader.go
+++ b/internal/entryhost/reader.go
@@ -40,6 +40,9 @@
 	// when the next one may be made.
 	storeFailures int
 	storeRetryAt  time.Time
+	// storeRead reports that the store has been read since the start of this daemon. Before that
+	// no peer can help, since reading continues from the newest records.
+	storeRead bool
 }
 
 // Follow returns a follower of a topic, which Run does not start. Peers can read the topic from
@@ -94,22 +97,24 @@
 	return chooseReader(r.daemon.members.Members(), r.daemon.members.Self(), unsuitable)
 }
 
-// MayReadStore implements topic.Peers.
+// MayReadStore implements topic.Peers. Until the store has been read once, each topic is tried by
+// itself.
 func (r *readers) MayReadStore() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !time.Now().Before(r.storeRetryAt)
+	return !r.storeRead || !time.Now().Before(r.storeRetryAt)
 }
 
 // ReportStore implements topic.Peers. During an outage of the store, the first daemons of each data
 // centre try it again soon; the others learn from them that it is back, and try it less often, in
-// case that it serves only some daemons.
+// case that it serves only some daemons. A daemon that has read nothing yet tries it soon, too.
 func (r *readers) ReportStore(ok bool) {
 	self := r.daemon.members.Self()
 	probes := isProbe(r.daemon.members.Members(), self)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ok {
+		r.storeRead = true
 		r.storeFailures = 0
 		r.storeRetryAt = time.Time{}
 		delete(r.avoidedUntil, self.Incarnation)
--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -44,6 +44,11 @@
 // it can run after all others without delaying them. A job that has results already is
 // always accepted.
 func (s *Scheduler) admit(j Job, now time.Time) (forecast, error) {
+	if !s.configured() {
+		return forecast{
+			end: now,
+		}, nil
+	}
 	end, bottleneck := s.estimateEnd(j, now)
 	responseStart := end.Add(j.TimeAfterStages + s.delay[j.Priority])
 	if !responseStart.After(j.SoftDeadline) || len(j.Results) > 0 {
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -12,7 +12,7 @@
 	"sequoiafork/internal/routing"
 )
 
-// servicesTimeout is how long a job waits for the first configuration of the services.
+// servicesTimeout is how long a job waits for the first services and upstreams.
 const servicesTimeout = 500 * time.Millisecond
 
 // Scheduler schedules the work of the upstreams of all stage services. It is safe for
@@ -23,6 +23,8 @@
 	mu       sync.Mutex
 	services map[string]*service
 	jobs     map[*job]struct{}
+	// upstreamsKnown reports that upstreams have been set.
+	upstreamsKnown bool
 	// byRequest maps request IDs to the jobs that were submitted last for them.
 	byRequest  map[string]*job
 	retryTimer *time.Timer
@@ -97,6 +99,8 @@
 func (s *Scheduler) SetUpstreams(list []Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	first := !s.upstreamsKnown && len(list) > 0
+	s.upstreamsKnown = s.upstreamsKnown || first
 	named := make(map[string]bool, len(list))
 	for _, u := range list {
 		svc, ok := s.services[u.Service]
@@ -121,6 +125,11 @@
 			}
 		}
 	}
+	if first {
+		for j := range s.jobs {
+			s.enqueueReady(j)
+		}
+	}
 	s.dispatch()
 }
 
@@ -160,23 +169,26 @@
 		s.finish(x, nil)
 	}
 	s.enqueueReady(x)
-	s.awaitServices(x)
+	s.awaitConfiguration(x)
 	s.dispatch()
 	return s.handle(x), nil
 }
 
-// awaitServices rejects a job after servicesTimeout if no service is known by then. A daemon that
-// has just started gets jobs of others before it has read the routes.
-func (s *Scheduler) awaitServices(j *job) {
-	if len(s.services) > 0 || j.finished {
+// configured reports whether services and upstreams have been set.
+func (s *Scheduler) configured() bool { return len(s.services) > 0 && s.upstreamsKnown }
+
+// awaitConfiguration rejects a job after servicesTimeout if no service or no upstream is known by
+// then. A daemon that has just started gets jobs of others before it has read routes and upstreams.
+func (s *Scheduler) awaitConfiguration(j *job) {
+	if s.configured() || j.finished {
 		return
 	}
 	time.AfterFunc(servicesTimeout, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if len(s.services) == 0 {
+		if !s.configured() {
 			s.finish(j, &RejectedError{
-				Message:    "no stage services are known yet",
+				Message:    "no stage services or upstreams are known yet",
 				RetryAfter: servicesTimeout,
 			})
 		}
@@ -224,9 +236,9 @@
 }
 
 // enqueueReady queues the blocked pieces whose inputs are finished. They stay blocked while no
-// service is known.
+// service or no upstream is known.
 func (s *Scheduler) enqueueReady(j *job) {
-	if j.finished || len(s.services) == 0 {
+	if j.finished || !s.configured() {
 		return
 	}
 	for _, st := range j.stages {
--- a/internal/stagework/services_test.go
+++ b/internal/stagework/services_test.go
@@ -90,6 +90,24 @@
 	})
 }
 
+// TestJobWaitsForUpstreams is the same for an owner that has got the routes from a peer while the
+// store is unreachable, and knows no upstream yet.
+func TestJobWaitsForUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{
+			Invoker: testFakes(),
+		})
+		s.SetServices(testServices())
+		submitted, err := s.Submit(testJob("j"))
+		require.NoError(t, err)
+		defer submitted.Release()
+		time.AfterFunc(servicesTimeout/2, func() { s.SetUpstreams(testUpstreams()) })
+		handles, err := submitted.Wait(t.Context())
+		require.NoError(t, err)
+		require.Len(t, handles, 3)
+	})
+}
+
 // TestJobWithoutServicesIsRejected checks that the wait for the first services is bounded and
 // ends with a rejection, which states that nothing has run.
 func TestJobWithoutServicesIsRejected(t *testing.T) {
