Keep a place for the end of a connection in the tests' network

With queues of 256 messages, as in package peer, a queue that is full when its connection is closed lost the mark of the end, and its goroutine waited for ever. The mark has a place of its own now; messages are still bounded by 256.

--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -229,14 +229,14 @@
 		net:   n,
 		from:  p,
 		to:    q,
-		queue: make(chan delivery, pipeQueue),
+		queue: make(chan delivery, pipeQueue+1), // one place is for the end
 	}
 	b := &pipeEnd{
 		net:   n,
 		from:  q,
 		to:    p,
 		other: a,
-		queue: make(chan delivery, pipeQueue),
+		queue: make(chan delivery, pipeQueue+1), // one place is for the end
 	}
 	a.other = b
 	registered := n.locked(func() bool {
@@ -262,7 +262,7 @@
 	defer e.net.mu.Unlock()
 	e.net.bytes += frameBytes + proto.Size(msg)
 	e.net.messages++
-	return !e.closed && e.put(msg)
+	return !e.closed && len(e.queue) < pipeQueue && e.put(msg)
 }
 
 // Close closes this end of the connection. The other end is closed in order after the
