Copy the records that are served to another daemon

Cause: found on reading the change. The tail zeroes a record that it drops, and records that had just been read from it shared that array: a record could reach a follower empty while it was sent, which takes it for a deletion of no key and loses the record. Test: TestServedRecordsStay, an empty record before.

--- a/internal/topic/tail.go
+++ b/internal/topic/tail.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -128,7 +129,7 @@
 			From:  from,
 		}
 	}
-	return records[:len(records):len(records)], t.changed, nil
+	return slices.Clone(records), t.changed, nil // The tail drops records while these are sent.
 }
 
 func totalSize(records []Record) int {
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -184,6 +184,29 @@
 	require.Len(t, tail.records, 1)
 }
 
+// TestServedRecordsStay guards against records that change while they are sent to another daemon,
+// because the tail drops them meanwhile: that daemon would lose them.
+func TestServedRecordsStay(t *testing.T) {
+	tail := newTail("t")
+	tail.setReadAt(time.Now())
+	first := Record{
+		Key:   "first",
+		Value: []byte("v"),
+	}
+	tail.appendRecords(0, []Record{first})
+	served, err := tail.read(t.Context(), 0, 0)
+	require.NoError(t, err)
+	tail.appendRecords(1, []Record{
+		{
+			Key:    "large",
+			Value:  make([]byte, maxTailBytes),
+			Offset: 1,
+		},
+	})
+	require.Len(t, tail.records, 1, "records that the tail still has")
+	require.Equal(t, []Record{first}, served)
+}
+
 // TestLargeRecordsAreNotServed guards against a reader whose link is filled by a large record that
 // it sends to each daemon of its data centre: they read that from the store.
 func TestLargeRecordsAreNotServed(t *testing.T) {
