One list of avoided daemons, and no counter of readers

Cause: the submitter and the readers each kept a map of daemons that are not used for some time; the number of readers was kept beside the members from which it follows, and stood still when one daemon replaced another in a second data centre. Change: avoidList; the count is made from the members at each poll. No decision changes. Measured: entryhost tests with the race detector pass (23 s).

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -96,7 +96,6 @@
 	submitter   *submitter
 	readers     *readers
 	daemonCount atomic.Int64
-	readerCount atomic.Int64
 	draining    atomic.Bool
 	// upstreamsKnown reports that a list of upstreams has been set.
 	upstreamsKnown atomic.Bool
@@ -125,7 +124,6 @@
 		configured: make(chan struct{}),
 	}
 	d.daemonCount.Store(1)
-	d.readerCount.Store(1)
 	d.members = membership.New(membership.Config{
 		Self: membership.Member{
 			Incarnation:  incarnation,
@@ -157,9 +155,8 @@
 		Logger:  d.logger,
 	})
 	d.readers = &readers{
-		daemon:       d,
-		followers:    make(map[string]*topic.Follower),
-		avoidedUntil: make(map[string]time.Time),
+		daemon:    d,
+		followers: make(map[string]*topic.Follower),
 	}
 	d.node = peer.New(peer.Config{
 		Listener: listener,
@@ -168,7 +165,7 @@
 			daemon: d,
 		},
 		StageWorker: d.scheduler,
-		Topics: serveTopic{
+		Topics: topicServer{
 			readers: d.readers,
 		},
 		Logger: d.logger,
@@ -362,7 +359,6 @@
 		n, _ := d.members.Count()
 		if int64(n) != d.daemonCount.Swap(int64(max(n, 1))) {
 			d.upstreams.SetDaemons(n)
-			d.readerCount.Store(int64(max(countReaders(d.members.Members()), 1)))
 			d.logger.Info("number of live daemons changed", zap.Int("alive", n), zap.String("stage_owner", d.submitter.owner().Incarnation))
 		}
 		d.catchUp(ctx)
--- a/internal/entryhost/owner.go
+++ b/internal/entryhost/owner.go
@@ -30,7 +30,7 @@
 	owner := self
 	found, older := false, false
 	for _, m := range s.daemon.members.Members() {
-		if m.State != membership.Alive || m.Revision == 0 || s.isAvoided(m.Incarnation) {
+		if m.State != membership.Alive || m.Revision == 0 || s.avoided.contains(m.Incarnation) {
 			continue
 		}
 		// Versions count up from the start time of the incarnation in Unix milliseconds.
@@ -51,7 +51,7 @@
 func (s *submitter) firstByAddress(self membership.Member) membership.Member {
 	best := self
 	for _, addr := range s.addresses() {
-		if !s.isAvoided(addr) && hash(addr) < hash(best.PeerAddr) {
+		if !s.avoided.contains(addr) && hash(addr) < hash(best.PeerAddr) {
 			best = membership.Member{
 				Incarnation: addr,
 				PeerAddr:    addr,
@@ -94,19 +94,6 @@
 	return s.owner().Incarnation == s.daemon.members.Self().Incarnation
 }
 
-// isAvoided reports whether an incarnation, or an address of which no incarnation is known,
-// must not be used as owner for now.
-func (s *submitter) isAvoided(incarnation string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	until, ok := s.avoidedUntil[incarnation]
-	if ok && time.Now().After(until) {
-		delete(s.avoidedUntil, incarnation)
-		return false
-	}
-	return ok
-}
-
 // avoidOwner excludes an owner for avoidTime, or for joinPeriod if only its address is
 // known: by then the daemons know each other.
 func (s *submitter) avoidOwner(owner membership.Member) {
@@ -114,10 +101,5 @@
 	if knownByAddress(owner) {
 		d = joinPeriod
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.avoidedUntil == nil {
-		s.avoidedUntil = make(map[string]time.Time)
-	}
-	s.avoidedUntil[owner.Incarnation] = time.Now().Add(d)
+	s.avoided.add(owner.Incarnation, d)
 }
--- a/internal/entryhost/polling.go
+++ b/internal/entryhost/polling.go
@@ -36,7 +36,7 @@
 // RoutesPollTimeout returns how long a read of the routes waits for a new record. It grows with
 // the number of readers and is random, so that their reads spread out.
 func (d *Daemon) RoutesPollTimeout() time.Duration {
-	return routesPollTimeout(int(d.readerCount.Load()))
+	return routesPollTimeout(countReaders(d.members.Members()))
 }
 
 func routesPollTimeout(readerCount int) time.Duration {
@@ -58,7 +58,7 @@
 // UpstreamsPollInterval returns how long to wait between two reads of the list of upstreams. It
 // grows with the number of readers, since they share the capacity of the store.
 func (d *Daemon) UpstreamsPollInterval() time.Duration {
-	return min(max(minPollInterval, time.Duration(d.readerCount.Load())*pollIntervalPerReader), maxPollInterval)
+	return min(max(minPollInterval, time.Duration(countReaders(d.members.Members()))*pollIntervalPerReader), maxPollInterval)
 }
 
 // countReaders returns the number of data centres with a living member, each of which has a
--- a/internal/entryhost/reader.go
+++ b/internal/entryhost/reader.go
@@ -33,9 +33,11 @@
 type readers struct {
 	daemon *Daemon
 
-	mu           sync.Mutex
-	followers    map[string]*topic.Follower
-	avoidedUntil map[string]time.Time // by incarnation
+	// avoided are the daemons that could not be read from, and this one if the store failed it.
+	avoided avoidList
+
+	mu        sync.Mutex
+	followers map[string]*topic.Follower
 	// storeFailures is the number of reads from the store that failed in a row, and storeRetryAt
 	// when the next one may be made.
 	storeFailures int
@@ -82,9 +84,9 @@
 	switch {
 	case err == nil || errors.As(err, &expired):
 	case errors.As(err, &notCurrent):
-		r.avoid(reader.Incarnation, notCurrentAvoidTime)
+		r.avoided.add(reader.Incarnation, notCurrentAvoidTime)
 	default:
-		r.avoid(reader.Incarnation, readerAvoidTime)
+		r.avoided.add(reader.Incarnation, readerAvoidTime)
 	}
 	return records, err
 }
@@ -93,7 +95,7 @@
 func (r *readers) current() membership.Member {
 	owner := r.daemon.submitter.owner().Incarnation
 	// The owner of the stage work needs its link for that.
-	unsuitable := func(incarnation string) bool { return incarnation == owner || r.isAvoided(incarnation) }
+	unsuitable := func(incarnation string) bool { return incarnation == owner || r.avoided.contains(incarnation) }
 	return chooseReader(r.daemon.members.Members(), r.daemon.members.Self(), unsuitable)
 }
 
@@ -117,7 +119,7 @@
 		r.storeRead = true
 		r.storeFailures = 0
 		r.storeRetryAt = time.Time{}
-		delete(r.avoidedUntil, self.Incarnation)
+		r.avoided.remove(self.Incarnation)
 		return
 	}
 	r.storeFailures++
@@ -126,7 +128,7 @@
 		backoff *= otherProbeFactor
 	}
 	r.storeRetryAt = time.Now().Add(backoff)
-	r.avoidedUntil[self.Incarnation] = time.Now().Add(readerAvoidTime)
+	r.avoided.add(self.Incarnation, readerAvoidTime)
 }
 
 // isProbe reports whether self is one of the first probesPerDataCentre living daemons of its data
@@ -159,30 +161,13 @@
 	return best
 }
 
-func (r *readers) isAvoided(incarnation string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	until, ok := r.avoidedUntil[incarnation]
-	if ok && time.Now().After(until) {
-		delete(r.avoidedUntil, incarnation)
-		return false
-	}
-	return ok
-}
-
-func (r *readers) avoid(incarnation string, d time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.avoidedUntil[incarnation] = time.Now().Add(d)
-}
-
-// serveTopic implements peer.TopicReader.
-type serveTopic struct {
+// topicServer serves the topics that this daemon reads. It implements peer.TopicReader.
+type topicServer struct {
 	readers *readers
 }
 
 // ReadTopic implements peer.TopicReader.
-func (s serveTopic) ReadTopic(ctx context.Context, name string, from int64, wait time.Duration) ([]topic.Record, error) {
+func (s topicServer) ReadTopic(ctx context.Context, name string, from int64, wait time.Duration) ([]topic.Record, error) {
 	s.readers.mu.Lock()
 	f := s.readers.followers[name]
 	s.readers.mu.Unlock()
@@ -194,4 +179,4 @@
 	return f.ReadTopic(ctx, from, wait)
 }
 
-var _ peer.TopicReader = serveTopic{}
+var _ peer.TopicReader = topicServer{}
--- a/internal/entryhost/submitter.go
+++ b/internal/entryhost/submitter.go
@@ -34,10 +34,10 @@
 // and acquires ownership.
 type submitter struct {
 	daemon *Daemon
+	// avoided are the owners that did not respond.
+	avoided avoidList
 
 	mu sync.Mutex
-	// avoidedUntil maps the incarnations of avoided owners to the end of the avoidance.
-	avoidedUntil map[string]time.Time
 	// knownAddresses are the addresses of daemons, alive or not.
 	knownAddresses map[string]bool
 	// platformAddressesRead reports that addresses have been read from the platform.
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -12,8 +12,8 @@
 	"sequoiafork/internal/routing"
 )
 
-// servicesTimeout is how long a job waits for the first services and upstreams.
-const servicesTimeout = 500 * time.Millisecond
+// configurationTimeout is how long a job waits for the first services and upstreams.
+const configurationTimeout = 500 * time.Millisecond
 
 // Scheduler schedules the work of the upstreams of all stage services. It is safe for
 // concurrent use.
@@ -177,19 +177,19 @@
 // configured reports whether services and upstreams have been set.
 func (s *Scheduler) configured() bool { return len(s.services) > 0 && s.upstreamsKnown }
 
-// awaitConfiguration rejects a job after servicesTimeout if no service or no upstream is known by
+// awaitConfiguration rejects a job after configurationTimeout if no service or no upstream is known by
 // then. A daemon that has just started gets jobs of others before it has read routes and upstreams.
 func (s *Scheduler) awaitConfiguration(j *job) {
 	if s.configured() || j.finished {
 		return
 	}
-	time.AfterFunc(servicesTimeout, func() {
+	time.AfterFunc(configurationTimeout, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if !s.configured() {
 			s.finish(j, &RejectedError{
 				Message:    "no stage services or upstreams are known yet",
-				RetryAfter: servicesTimeout,
+				RetryAfter: configurationTimeout,
 			})
 		}
 	})
--- a/internal/stagework/services_test.go
+++ b/internal/stagework/services_test.go
@@ -80,7 +80,7 @@
 		submitted, err := s.Submit(testJob("j"))
 		require.NoError(t, err)
 		defer submitted.Release()
-		time.AfterFunc(servicesTimeout/2, func() {
+		time.AfterFunc(configurationTimeout/2, func() {
 			s.SetServices(testServices())
 			s.SetUpstreams(testUpstreams())
 		})
@@ -101,7 +101,7 @@
 		submitted, err := s.Submit(testJob("j"))
 		require.NoError(t, err)
 		defer submitted.Release()
-		time.AfterFunc(servicesTimeout/2, func() { s.SetUpstreams(testUpstreams()) })
+		time.AfterFunc(configurationTimeout/2, func() { s.SetUpstreams(testUpstreams()) })
 		handles, err := submitted.Wait(t.Context())
 		require.NoError(t, err)
 		require.Len(t, handles, 3)
@@ -122,6 +122,6 @@
 		_, err = submitted.Wait(t.Context())
 		var rejected *RejectedError
 		require.ErrorAs(t, err, &rejected)
-		require.Equal(t, servicesTimeout, time.Since(began))
+		require.Equal(t, configurationTimeout, time.Since(began))
 	})
 }
