Make the test of served records fail without the copy

Tails of 1 to 100 records leave room in their array; without the copy the first of them that does fails, with it all pass.

--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -187,24 +187,31 @@
 // TestServedRecordsStay guards against records that change while they are sent to another daemon,
 // because the tail drops them meanwhile: that daemon would lose them.
 func TestServedRecordsStay(t *testing.T) {
-	tail := newTail("t")
-	tail.setReadAt(time.Now())
-	first := Record{
-		Key:   "first",
-		Value: []byte("v"),
+	const maxCount = 100 // Some of these counts leave room in the array of the tail.
+	for count := int64(1); count <= maxCount; count++ {
+		tail := newTail("t")
+		tail.setReadAt(time.Now())
+		var want []Record
+		for i := range count {
+			want = append(want, Record{
+				Key:    "k",
+				Value:  []byte{byte(i)},
+				Offset: i,
+			})
+			tail.appendRecords(i, want[i:])
+		}
+		served, err := tail.read(t.Context(), 0, 0)
+		require.NoError(t, err)
+		tail.appendRecords(count, []Record{
+			{
+				Key:    "large",
+				Value:  make([]byte, maxTailBytes),
+				Offset: count,
+			},
+		})
+		require.Len(t, tail.records, 1, "records that the tail still has")
+		require.Equal(t, want, served)
 	}
-	tail.appendRecords(0, []Record{first})
-	served, err := tail.read(t.Context(), 0, 0)
-	require.NoError(t, err)
-	tail.appendRecords(1, []Record{
-		{
-			Key:    "large",
-			Value:  make([]byte, maxTailBytes),
-			Offset: 1,
-		},
-	})
-	require.Len(t, tail.records, 1, "records that the tail still has")
-	require.Equal(t, []Record{first}, served)
 }
 
 // TestLargeRecordsAreNotServed guards against a reader whose link is filled by a large record that
