Log why a response that had begun was cut, and how long its upstream was silent

Nothing told a cut response from a refusal, nor an upstream that was given up for its silence from a lost connection: both are "i/o timeout".

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -21,7 +22,27 @@
 var errCallerGone = errors.New("the caller no longer receives events")
 
 // errStalled reports an upstream that has sent nothing for too long.
-var errStalled = errors.New("the upstream has stalled: it sent no event in time")
+var errStalled = errors.New("the upstream has stalled")
+
+// silenceError reports an attempt that was given up because of errStalled.
+type silenceError struct {
+	// silent is the time since the attempt's last event, or since its start.
+	silent time.Duration
+	// events reports that the attempt had received events.
+	events bool
+}
+
+// Error implements error.
+func (e *silenceError) Error() string {
+	last := "start"
+	if e.events {
+		last = "last event"
+	}
+	return fmt.Sprintf("%v: nothing received in the %v since its %s", errStalled, e.silent.Round(time.Millisecond), last)
+}
+
+// Unwrap returns errStalled.
+func (e *silenceError) Unwrap() error { return errStalled }
 
 const (
 	// The first event may take firstEventStallFactor times the estimate of firstEventTime,
@@ -114,6 +135,7 @@
 	resp, err := x.forwarder.cfg.Caller.Call(ctx, x.call(choice))
 	if err != nil {
 		failure := callError(choice, err)
+		markSilence(ctx, failure, began, false)
 		x.reportResult(choice, began, 0, false, failure, nil)
 		return failure
 	}
@@ -139,11 +161,32 @@
 			failure.Err = context.Canceled
 		}
 		failure.TimedOut = errors.Is(context.Cause(ctx), errStalled)
+		markSilence(ctx, failure, x.lastReceivedAt(began), first > 0)
 	}
 	x.reportResult(choice, began, first, first > 0, failure, resp.Load)
 	return failure
 }
 
+// lastReceivedAt returns when the attempt that began at began received its last event, or began.
+func (x *execution) lastReceivedAt(began time.Time) time.Time {
+	if x.lastEventAt.After(began) {
+		return x.lastEventAt
+	}
+	return began
+}
+
+// markSilence makes a failure say that the attempt was given up because nothing had been received since a time,
+// if that is why ctx has ended.
+func markSilence(ctx context.Context, failure *pipeline.CallError, since time.Time, events bool) {
+	if !errors.Is(context.Cause(ctx), errStalled) {
+		return
+	}
+	failure.Err = &silenceError{
+		silent: time.Since(since),
+		events: events,
+	}
+}
+
 // streamRejection returns the error of a response that rejects the request. It releases
 // the stage results if one of them no longer exists, so that the stages run again.
 func (x *execution) streamRejection(choice upstream.Choice, resp *Response) *pipeline.CallError {
