--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -25,11 +25,11 @@
 	"sequoiafork/internal/upstream"
 )
 
-// TestScripts runs the scripts in testdata. "serve" sends one request on a route with the
+// TestScripts runs the scripts in testdata/scripts. "serve" sends one request on a route with the
 // given kind, attempts, timeout and objective. Each input line sets how the upstream
 // behaves in one call. The output is the outcome, the calls and the caller's response.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var result string
 			synctest.Test(t, func(t *testing.T) {
