Log the software versions of upstreams and which request began a resumed stream

Whether a stream changed its version in the response or by a try of its caller could not be told from the logs: they named upstreams and not versions, and a request that takes a stream up looked like a new one.

The version of an upstream's entry is decoded into upstream.Host, and the header with which a caller names the request that began the stream into forward.Request; both are only logged. An entry with a version of another type counts as written by another program, as other fields do. No choice changes.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -319,7 +319,7 @@
 			continue
 		}
 		d.logger.Info("upstream listed", zap.String("upstream", u.Incarnation), zap.String("addr", u.Addr),
-			zap.String("service", u.Service), zap.String("data_centre", u.DataCentre), zap.String("state", u.State.String()))
+			zap.String("service", u.Service), zap.String("data_centre", u.DataCentre), zap.String("version", u.Version), zap.String("state", u.State.String()))
 	}
 	for u := range removed {
 		d.logger.Info("upstream removed or changed", zap.String("upstream", u.Incarnation), zap.String("state", u.State.String()))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -63,6 +63,9 @@
 	// HasLastEvent is set.
 	LastEventID  int64
 	HasLastEvent bool
+	// Resumes is the ID of the caller's earlier request that brought the first event of the stream that
+	// this one takes up. Empty means none, or that the caller doesn't say.
+	Resumes string
 }
 
 // Call is one attempt at a request.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -308,9 +308,10 @@
 		return choice, err
 	}
 	x.tried = append(slices.Clip(x.tried), choice.Addr)
+	x.logResumption(choice)
 	if len(x.tried) > 1 || logging.Sampled(x.req.ID) {
 		x.forwarder.cfg.Logger.Info("upstream chosen",
-			zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("data_centre", choice.DataCentre),
+			zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("data_centre", choice.DataCentre), zap.String("version", choice.Version),
 			zap.Int("in_flight", choice.InFlight), zap.Int("attempt", len(x.tried)), zap.Uint64("affinity", x.affinity()),
 			zap.Int("inputs", len(x.inputs)), zap.Duration("left_ms", time.Until(x.deadline)), zap.Duration("delay_ms", choice.Delay))
 	}
@@ -466,6 +467,6 @@
 	}
 	choice.Done(res)
 	x.forwarder.cfg.Logger.Info("attempt failed",
-		zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("addr", choice.Addr),
+		zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("addr", choice.Addr), zap.String("version", choice.Version),
 		zap.Int("reach", int(failure.Execution)), zap.Duration("took_ms", res.Latency), zap.Error(failure.Err))
 }
--- a/internal/upstream/host.go
+++ b/internal/upstream/host.go
@@ -47,7 +47,9 @@
 	Incarnation string
 	DataCentre  string
 	Service     string
-	State       State
+	// Version is the version of the software that the upstream runs. Empty means unknown.
+	Version string
+	State   State
 }
 
 // key identifies a host across host lists.
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -24,6 +24,8 @@
 	Addr        string
 	Incarnation string
 	DataCentre  string
+	// Version is the version of the upstream's software.
+	Version string
 	// InFlight is the number of this daemon's attempts on the upstream,
 	// including this one.
 	InFlight int
@@ -106,6 +108,7 @@
 		Addr:        m.host.Addr,
 		Incarnation: m.host.Incarnation,
 		DataCentre:  m.host.DataCentre,
+		Version:     m.host.Version,
 		InFlight:    m.inFlight,
 		Delay:       delay,
 		group:       g,
--- a/internal/wire/keyedlogapi/oas_json_gen.go
+++ b/internal/wire/keyedlogapi/oas_json_gen.go
@@ -2370,6 +2370,12 @@
 		e.FieldStart("state")
 		e.Str(s.State)
 	}
+	{
+		if s.Version.Set {
+			e.FieldStart("version")
+			s.Version.Encode(e)
+		}
+	}
 	{
 		if s.Slots.Set {
 			e.FieldStart("slots")
@@ -2384,13 +2390,14 @@
 	}
 }
 
-var jsonFieldsNameOfServerEntry = [6]string{
+var jsonFieldsNameOfServerEntry = [7]string{
 	0: "service",
 	1: "address",
 	2: "zone",
 	3: "state",
-	4: "slots",
-	5: "born",
+	4: "version",
+	5: "slots",
+	6: "born",
 }
 
 // Decode decodes ServerEntry from json.
@@ -2450,6 +2457,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"state\"")
 			}
+		case "version":
+			if err := func() error {
+				s.Version.Reset()
+				if err := s.Version.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
 		case "slots":
 			if err := func() error {
 				s.Slots.Reset()
--- a/internal/wire/keyedlogapi/oas_schemas_gen.go
+++ b/internal/wire/keyedlogapi/oas_schemas_gen.go
@@ -1044,12 +1044,13 @@
 
 // Ref: #/components/schemas/ServerEntry
 type ServerEntry struct {
-	Service string   `json:"service"`
-	Address string   `json:"address"`
-	Zone    string   `json:"zone"`
-	State   string   `json:"state"`
-	Slots   OptInt   `json:"slots"`
-	Born    OptInt64 `json:"born"`
+	Service string    `json:"service"`
+	Address string    `json:"address"`
+	Zone    string    `json:"zone"`
+	State   string    `json:"state"`
+	Version OptString `json:"version"`
+	Slots   OptInt    `json:"slots"`
+	Born    OptInt64  `json:"born"`
 }
 
 // GetService returns the value of Service.
@@ -1072,6 +1073,11 @@
 	return s.State
 }
 
+// GetVersion returns the value of Version.
+func (s *ServerEntry) GetVersion() OptString {
+	return s.Version
+}
+
 // GetSlots returns the value of Slots.
 func (s *ServerEntry) GetSlots() OptInt {
 	return s.Slots
@@ -1102,6 +1108,11 @@
 	s.State = val
 }
 
+// SetVersion sets the value of Version.
+func (s *ServerEntry) SetVersion(val OptString) {
+	s.Version = val
+}
+
 // SetSlots sets the value of Slots.
 func (s *ServerEntry) SetSlots(val OptInt) {
 	s.Slots = val
