Make a second attempt beside a silent upstream instead of giving it up

All streams of an upstream fall silent at the same moment, so the budget was used up at once.

Ruled out: the change of the configuration itself (no line names a missing route, service or workspace).

Change: the attempt at the silent upstream goes on; stages, upstream and token for a second one are got beside it, and the one that receives an event first is kept. So nothing is given up before something better is there. A second attempt that is rejected, or for which there is no budget, leaves the first as it was, and is tried again later. A gap may last 2 s at least before that, since a pause of a second is no trouble: the retries, and the prompts read again, go to upstreams that need them. The response is late in either case after a gap of 400 ms. At the first event of the second attempt the other one is ended, so that no two upstreams work on it for long.

Why it works: a response that has begun ends only with its upstream's error, its deadline, or its caller.

A function for responses that are no streams is split; what callers get is as before.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// Return gives back a token that was withdrawn for an attempt that was not made.
+func (b *Budget) Return() {
+	for {
+		old := b.balance.Load()
+		next := min(old+unitsPerToken, b.maxBalance)
+		if next == old || b.balance.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
 // Balance returns the number of whole tokens left.
 func (b *Budget) Balance() int {
 	return int(b.balance.Load() / unitsPerToken)
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -9,7 +9,16 @@
 	"pgregory.net/rapid"
 )
 
-// TestBudgetAgainstModel compares random deposits and withdrawals with a model that
+// step is a call of a Budget's method.
+type step int
+
+const (
+	deposit step = iota
+	withdraw
+	giveBack
+)
+
+// TestBudgetAgainstModel compares random deposits, withdrawals and returns with a model that
 // counts in quarters of a token.
 func TestBudgetAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -19,15 +28,19 @@
 			Burst: burst,
 		})
 		quarters := 4 * burst
-		for _, deposit := range rapid.SliceOf(rapid.Bool()).Draw(t, "deposits") {
-			if deposit {
+		for _, s := range rapid.SliceOf(rapid.SampledFrom([]step{deposit, withdraw, giveBack})).Draw(t, "steps") {
+			switch s {
+			case deposit:
 				b.Deposit()
 				quarters = min(quarters+1, 4*burst)
-				continue
-			}
-			require.Equal(t, quarters >= 4, b.Withdraw())
-			if quarters >= 4 {
-				quarters -= 4
+			case giveBack:
+				b.Return()
+				quarters = min(quarters+4, 4*burst)
+			case withdraw:
+				require.Equal(t, quarters >= 4, b.Withdraw())
+				if quarters >= 4 {
+					quarters -= 4
+				}
 			}
 			require.Equal(t, quarters/4, b.Balance())
 		}
--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -168,14 +168,7 @@
 // response may be forwarded unless callers take its status to mean that the request has
 // not run.
 func (x *execution) upstreamFailure(choice upstream.Choice, began time.Time, resp *Response, response bufferedResponse) attemptResult {
-	failure := &pipeline.CallError{
-		Addr:      choice.Addr,
-		Execution: pipeline.RanAndFailed,
-		Err:       fmt.Errorf("the upstream responded with status %d", resp.Status),
-	}
-	if resp.Notice.Pause > 0 {
-		failure.Overloaded = true
-	}
+	failure := upstreamError(choice, resp)
 	x.reportResult(choice, began, 0, false, failure, resp.Load)
 	return attemptResult{
 		response:      response,
@@ -185,6 +178,16 @@
 	}
 }
 
+// upstreamError returns the error of a verified response to a request that ran and failed.
+func upstreamError(choice upstream.Choice, resp *Response) *pipeline.CallError {
+	return &pipeline.CallError{
+		Addr:       choice.Addr,
+		Execution:  pipeline.RanAndFailed,
+		Overloaded: resp.Notice.Pause > 0,
+		Err:        fmt.Errorf("the upstream responded with status %d", resp.Status),
+	}
+}
+
 // rejection returns the error of a response that states that the request has not run, or
 // nil.
 func (x *execution) rejection(choice upstream.Choice, resp *Response) *pipeline.CallError {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -151,7 +151,17 @@
 	if stages == nil {
 		return nil
 	}
-	job, err := x.forwarder.cfg.Stages.Submit(ctx, stagework.Job{
+	r := runJob(ctx, x.forwarder.cfg.Stages, x.stageJob(stages))
+	if r.err != nil {
+		return x.stageFailure(ctx, r.err)
+	}
+	x.job, x.inputs = r.job, r.inputs
+	return nil
+}
+
+// stageJob returns the job of the request's stages.
+func (x *execution) stageJob(stages []stagework.Stage) stagework.Job {
+	return stagework.Job{
 		RequestID:       x.req.ID,
 		InputKey:        x.req.InputKey,
 		Priority:        x.priority,
@@ -161,16 +171,7 @@
 		TimeAfterStages: x.firstEventTime(),
 		DataCentre:      x.forwarder.cfg.Upstreams.PreferredDataCentre(x.upstreamRequest()),
 		Stages:          stages,
-	})
-	if err == nil {
-		x.job = job
-		x.inputs, err = job.Wait(ctx)
-	}
-	if err == nil {
-		return nil
 	}
-	x.releaseJob()
-	return x.stageFailure(ctx, err)
 }
 
 // patience returns when the caller is expected to give up: patienceFactor latency objectives
@@ -451,7 +452,7 @@
 	}
 	res.Latency = time.Since(began)
 	switch {
-	case errors.Is(failure.Err, context.Canceled) || errors.Is(failure.Err, errNoTurn):
+	case errors.Is(failure.Err, context.Canceled) || errors.Is(failure.Err, errNoTurn) || errors.Is(failure.Err, errHedgeNotNeeded):
 		res.Outcome = upstream.Cancelled
 	case failure.TimedOut:
 		res.Outcome = upstream.TimedOut
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,18 +12,16 @@
 	"sequoiafork/internal/eventstream"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/stagework"
 	"sequoiafork/internal/upstream"
 )
 
 var errNoEvents = errors.New("the stream ended before its first event")
 
-// errCallerGone reports that an event could not be written to the caller.
-var errCallerGone = errors.New("the caller no longer receives events")
+// errHedgeNotNeeded ends an attempt that was started since another upstream was silent.
+var errHedgeNotNeeded = errors.New("the silent upstream has gone on")
 
-// errStalled reports an upstream that has sent nothing for too long.
-var errStalled = errors.New("the upstream has stalled")
-
-// silenceError reports an attempt that was given up because of errStalled.
+// silenceError reports an attempt that was replaced because its upstream was silent.
 type silenceError struct {
 	// silent is the time since the attempt's last event, or since its start.
 	silent time.Duration
@@ -38,78 +35,284 @@
 	if e.events {
 		last = "last event"
 	}
-	return fmt.Sprintf("%v: nothing received in the %v since its %s", errStalled, e.silent.Round(time.Millisecond), last)
+	return fmt.Sprintf("the upstream has stalled: nothing received in the %v since its %s", e.silent.Round(time.Millisecond), last)
 }
 
-// Unwrap returns errStalled.
-func (e *silenceError) Unwrap() error { return errStalled }
-
 const (
 	// The first event may take firstEventStallFactor times the estimate of firstEventTime,
 	// but at least minStallTimeout, before another upstream is tried.
 	firstEventStallFactor = 4
 	minStallTimeout       = 1200 * time.Millisecond
 	// A gap between two events may last gapStallFactor times the route's event gap
-	// objective. defaultEventGapObjective applies if the route has none.
+	// objective, but at least minGapTimeout: a healthy process may pause for over a second.
+	// defaultEventGapObjective applies if the route has none.
 	gapStallFactor           = 2.5
+	minGapTimeout            = 2 * time.Second
 	defaultEventGapObjective = 400 * time.Millisecond
 )
 
-// stallWatch detects an upstream that has stopped sending.
-type stallWatch struct {
-	timer *time.Timer
-	gap   time.Duration
+// streamRun serves a request whose response is a stream of events. While the upstream is
+// silent it makes a second attempt, and the one that receives an event first goes on.
+// The first is not given up before, since a silent upstream may go on, and the second may
+// be rejected.
+type streamRun struct {
+	*execution
+	ctx     context.Context
+	current *streamAttempt
+	// hedge is the second attempt, or nil.
+	hedge *streamAttempt
+	// rerun is the run of the stages that a second attempt waits for, or nil.
+	rerun *stageRerun
+	// silence fires when nothing has been received for too long.
+	silence *time.Timer
+}
+
+// serveStream serves a request whose response is a stream of events.
+func (x *execution) serveStream(ctx context.Context) outcome.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &streamRun{
+		execution: x,
+		ctx:       ctx,
+		silence:   time.NewTimer(0),
+	}
+	defer s.stop()
+	if o := s.start(); o != nil {
+		return o
+	}
+	for {
+		if o := s.step(); o != nil {
+			return o
+		}
+	}
+}
+
+// step handles the next thing that happens. It returns the outcome when the request has ended, otherwise nil.
+func (s *streamRun) step() outcome.Outcome {
+	fromCurrent, currentEnded := receivedFrom(s.current)
+	fromHedge, hedgeEnded := receivedFrom(s.hedge)
+	select {
+	case r := <-fromCurrent:
+		return s.onReceived(s.current, r)
+	case err := <-currentEnded:
+		return s.onEnd(s.current, err)
+	case r := <-fromHedge:
+		return s.onReceived(s.hedge, r)
+	case err := <-hedgeEnded:
+		return s.onEnd(s.hedge, err)
+	case r := <-s.rerun.results():
+		s.onRerun(r)
+	case <-s.silence.C:
+		s.onSilence()
+	}
+	return nil
+}
+
+// start starts the first attempt, or the next one after a failure.
+func (s *streamRun) start() outcome.Outcome {
+	choice, err := s.pickUpstream(s.maxDelay())
+	if err != nil {
+		return s.failureOutcome(s.ctx, err)
+	}
+	s.current = s.attemptStream(s.ctx, choice)
+	s.silence.Reset(choice.Delay + s.firstEventTimeout())
+	return nil
 }
 
-// watchForStall calls onStall when the upstream sends nothing for too long, unless the
-// request can't be retried at another upstream.
-func (x *execution) watchForStall(onStall func()) *stallWatch {
-	if !x.route.Kind.Retryable() || x.attempts+1 >= x.route.MaxAttempts {
-		return &stallWatch{}
+// stop ends all attempts.
+func (s *streamRun) stop() {
+	s.silence.Stop()
+	s.rerun.abandon()
+	if s.hedge != nil {
+		s.abandonHedge()
 	}
+	if s.current != nil {
+		s.current.cancel(nil)
+	}
+}
+
+// firstEventTimeout returns how long an attempt may take for its first event before another upstream is tried.
+func (x *execution) firstEventTimeout() time.Duration {
+	return max(firstEventStallFactor*x.firstEventTime(), minStallTimeout)
+}
+
+// gapTimeout returns how long a gap between two events may last before another upstream is tried.
+func (x *execution) gapTimeout() time.Duration {
 	gap := x.route.EventGapObjective
 	if gap <= 0 {
 		gap = defaultEventGapObjective
 	}
-	return &stallWatch{
-		timer: time.AfterFunc(max(firstEventStallFactor*x.firstEventTime(), minStallTimeout), onStall),
-		gap:   time.Duration(gapStallFactor * float64(gap)),
+	return max(time.Duration(gapStallFactor*float64(gap)), minGapTimeout)
+}
+
+// onReceived handles what an attempt has received.
+func (s *streamRun) onReceived(a *streamAttempt, r received) outcome.Outcome {
+	switch r := r.(type) {
+	case streamBegun:
+		a.response = r.response
+		a.choice.Observe(r.response.Notice)
+		s.releaseJob()
+	case streamEvent:
+		return s.onEvent(a, r.event)
+	case otherResponse:
+		a.choice.Observe(r.response.Notice)
+		return s.onOtherResponse(a, r)
 	}
+	return nil
 }
 
-// eventReceived restarts the timer after an event.
-func (w *stallWatch) eventReceived() {
-	if w.timer != nil {
-		w.timer.Reset(w.gap)
+// onEvent forwards an event unless the caller has received it already. The response
+// begins with the first event, so that before it the request can move to another upstream
+// unnoticed.
+func (s *streamRun) onEvent(a *streamAttempt, e eventstream.Event) outcome.Outcome {
+	s.keep(a)
+	defer func() { s.silence.Reset(s.gapTimeout()) }() // A caller that reads slowly is not the upstream's silence.
+	a.lastReceived = time.Now()
+	if a.firstEvent == 0 {
+		a.firstEvent = max(time.Since(a.began), 1)
+		a.choice.ResponseStarted()
+		s.forwarder.times.Observe(s.route.Name, a.firstEvent)
+	}
+	if e.HasID && s.hasLastID && e.ID <= s.lastID {
+		return nil
+	}
+	if !s.responseStarted {
+		s.responseStarted = true
+		s.writer.BeginStream(a.response.Status, a.response.Header)
+	}
+	if err := s.writer.WriteEvent(e.Raw); err != nil {
+		failure := mayHaveRun(a.choice, context.Canceled)
+		s.countFailure(failure)
+		s.report(a, failure)
+		return s.withoutResponse(outcome.CodeCallerGone, "the caller no longer receives events", 0)
+	}
+	s.lastEventAt = a.lastReceived
+	if e.HasID {
+		s.lastID, s.hasLastID = e.ID, true
 	}
+	return nil
 }
 
-func (w *stallWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+// keep makes an attempt that has received an event the only one.
+func (s *streamRun) keep(a *streamAttempt) {
+	s.rerun.abandon()
+	s.rerun = nil
+	s.releaseJob()
+	switch {
+	case s.hedge == nil:
+	case a == s.current:
+		s.abandonHedge()
+	default:
+		s.replaceCurrent()
 	}
 }
 
-// serveStream serves a request whose response is a stream of events.
-func (x *execution) serveStream(ctx context.Context) outcome.Outcome {
-	for {
-		choice, err := x.pickUpstream(x.maxDelay())
-		if err != nil {
-			return x.failureOutcome(ctx, err)
-		}
-		failure := x.streamFrom(ctx, choice)
-		if failure == nil {
-			return x.answered()
-		}
-		if !x.mayRetry(ctx, failure, 0) {
-			return x.failureOutcome(ctx, failure)
-		}
-		if failed := x.rerunStages(ctx); failed != nil {
-			return failed
+// abandonHedge ends the second attempt.
+func (s *streamRun) abandonHedge() {
+	a := s.hedge
+	s.hedge = nil
+	a.cancel(errHedgeNotNeeded)
+	failure := mayHaveRun(a.choice, errHedgeNotNeeded)
+	s.countFailure(failure)
+	s.report(a, failure)
+}
+
+// replaceCurrent ends the silent attempt, and goes on with the second one.
+func (s *streamRun) replaceCurrent() {
+	a := s.current
+	s.current = s.hedge
+	s.hedge = nil
+	failure := mayHaveRun(a.choice, &silenceError{
+		silent: time.Since(a.lastReceived),
+		events: a.firstEvent > 0,
+	})
+	failure.TimedOut = true
+	a.cancel(failure)
+	s.countFailure(failure)
+	s.report(a, failure)
+	s.logContinued()
+}
+
+// logContinued logs that another upstream serves the request from now on.
+func (s *streamRun) logContinued() {
+	s.forwarder.cfg.Logger.Info("stream continues at another upstream",
+		zap.String("request_id", s.req.ID), zap.Int64("last_event_id", s.lastID), zap.Bool("begun", s.responseStarted))
+}
+
+// onOtherResponse handles a response that is not a stream. One that states that the request has not run is
+// a rejection. Another verified one is the upstream's error response, which is forwarded if the request
+// may not be retried.
+func (s *streamRun) onOtherResponse(a *streamAttempt, r otherResponse) outcome.Outcome {
+	if failure := s.rejection(a.choice, r.response); failure != nil {
+		if r.response.InputMissing {
+			s.releaseJob() // The stages run again.
 		}
-		x.forwarder.cfg.Logger.Info("stream continues at another upstream",
-			zap.String("request_id", x.req.ID), zap.Int64("last_event_id", x.lastID), zap.Bool("begun", x.responseStarted))
+		return s.onFailure(a, failure, r.response.Load)
+	}
+	if !r.response.Verified {
+		return s.onFailure(a, mayHaveRun(a.choice, errUnverified), r.response.Load)
+	}
+	failure := upstreamError(a.choice, r.response)
+	if r.err == nil && !s.responseStarted && !impliesNotRun(r.response.Status) && !s.route.Kind.Retryable() {
+		s.reportResult(a.choice, a.began, 0, false, failure, r.response.Load)
+		s.writer.WriteResponse(r.response.Status, r.response.Header, r.body)
+		return s.answered()
+	}
+	return s.onFailure(a, failure, r.response.Load)
+}
+
+// onEnd handles the end of an attempt. A stream that is complete ends the request.
+func (s *streamRun) onEnd(a *streamAttempt, err error) outcome.Outcome {
+	if errors.Is(err, io.EOF) && s.responseStarted {
+		s.keep(a)
+		s.report(a, nil)
+		return s.answered()
+	}
+	if errors.Is(err, io.EOF) {
+		err = errNoEvents
+	}
+	return s.onFailure(a, callError(a.choice, err), a.load())
+}
+
+// load returns the load that the response reports, or nil.
+func (a *streamAttempt) load() *upstream.Load {
+	if a.response == nil {
+		return nil
+	}
+	return a.response.Load
+}
+
+// report reports the result of an attempt.
+func (s *streamRun) report(a *streamAttempt, failure *pipeline.CallError) {
+	s.reportResult(a.choice, a.began, a.firstEvent, a.firstEvent > 0, failure, a.load())
+}
+
+// onFailure handles a failed attempt: the other one goes on, or a new one starts.
+func (s *streamRun) onFailure(a *streamAttempt, failure *pipeline.CallError, load *upstream.Load) outcome.Outcome {
+	a.cancel(nil)
+	s.reportResult(a.choice, a.began, a.firstEvent, a.firstEvent > 0, failure, load)
+	switch {
+	case a == s.hedge:
+		s.countFailure(failure)
+		s.hedge = nil
+		s.silence.Reset(s.gapTimeout())
+		return nil
+	case s.hedge != nil:
+		s.countFailure(failure)
+		s.current, s.hedge = s.hedge, nil
+		s.logContinued()
+		return nil
+	case !s.mayRetry(s.ctx, failure, 0):
+		return s.failureOutcome(s.ctx, failure)
+	}
+	s.current = nil
+	s.rerun.abandon()
+	s.rerun = nil
+	if failed := s.rerunStages(s.ctx); failed != nil {
+		return failed
 	}
+	s.logContinued()
+	return s.start()
 }
 
 // rerunStages runs the stages again if their results have been released already.
@@ -120,138 +323,115 @@
 	return x.runStages(ctx)
 }
 
-// streamFrom forwards the events of one upstream until the stream ends.
-func (x *execution) streamFrom(ctx context.Context, choice upstream.Choice) *pipeline.CallError {
-	if failure := awaitTurn(ctx, choice); failure != nil {
-		x.reportResult(choice, time.Now(), 0, false, failure, nil)
-		return failure
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stall := x.watchForStall(func() { cancel(errStalled) })
-	defer stall.stop()
-	began := time.Now()
-	var first time.Duration
-	resp, err := x.forwarder.cfg.Caller.Call(ctx, x.call(choice))
-	if err != nil {
-		failure := callError(choice, err)
-		markSilence(ctx, failure, began, false)
-		x.reportResult(choice, began, 0, false, failure, nil)
-		return failure
-	}
-	defer resp.Body.Close()
-	choice.Observe(resp.Notice)
-	if failure := x.streamRejection(choice, resp); failure != nil {
-		x.reportResult(choice, began, 0, false, failure, resp.Load)
-		return failure
-	}
-	if resp.Status != http.StatusOK || !resp.Verified {
-		return x.handleNonStream(choice, began, resp)
-	}
-	x.releaseJob()
-	err = x.forwardEvents(resp, stall, func() {
-		first = max(time.Since(began), 1)
-		choice.ResponseStarted()
-		x.forwarder.times.Observe(x.route.Name, first)
-	})
-	var failure *pipeline.CallError
-	if err != nil {
-		failure = mayHaveRun(choice, err)
-		if errors.Is(err, errCallerGone) {
-			failure.Err = context.Canceled
-		}
-		failure.TimedOut = errors.Is(context.Cause(ctx), errStalled)
-		markSilence(ctx, failure, x.lastReceivedAt(began), first > 0)
+// onSilence starts a second attempt, after the stages if they have to run again.
+func (s *streamRun) onSilence() {
+	if !s.route.Kind.Retryable() {
+		return
+	}
+	s.silence.Reset(s.gapTimeout())
+	if s.hedge != nil || s.rerun != nil || s.attempts+1 >= s.route.MaxAttempts || s.rejections > maxRejections {
+		return
 	}
-	x.reportResult(choice, began, first, first > 0, failure, resp.Load)
-	return failure
+	if s.inputs != nil && s.job == nil {
+		s.rerun = s.startRerun(s.ctx)
+		return
+	}
+	s.startHedge()
 }
 
-// lastReceivedAt returns when the attempt that began at began received its last event, or began.
-func (x *execution) lastReceivedAt(began time.Time) time.Time {
-	if x.lastEventAt.After(began) {
-		return x.lastEventAt
+// startHedge starts the second attempt if there is an upstream for it and the retry budget allows it.
+func (s *streamRun) startHedge() {
+	budget := s.forwarder.budget(s.service.Name)
+	if !budget.Withdraw() {
+		return
 	}
-	return began
+	choice, err := s.pickUpstream(0)
+	if err != nil {
+		budget.Return() // Without a second upstream the first continues alone.
+		return
+	}
+	s.forwarder.cfg.Logger.Info("upstream is silent, trying another one as well",
+		zap.String("request_id", s.req.ID), zap.String("upstream", s.current.choice.Incarnation), zap.String("second", choice.Incarnation),
+		zap.Duration("silent_ms", time.Since(s.current.lastReceived)), zap.Bool("begun", s.responseStarted))
+	s.hedge = s.attemptStream(s.ctx, choice)
+	s.silence.Reset(s.firstEventTimeout())
 }
 
-// markSilence makes a failure say that the attempt was given up because nothing had been received since a time,
-// if that is why ctx has ended.
-func markSilence(ctx context.Context, failure *pipeline.CallError, since time.Time, events bool) {
-	if !errors.Is(context.Cause(ctx), errStalled) {
+// onRerun starts the second attempt with the results of the stages, if there are any.
+func (s *streamRun) onRerun(r rerunResult) {
+	s.rerun = nil
+	if r.err != nil {
+		s.forwarder.cfg.Logger.Info("no second attempt while the upstream is silent, since the stages can't run again",
+			zap.String("request_id", s.req.ID), zap.Error(r.err))
 		return
 	}
-	failure.Err = &silenceError{
-		silent: time.Since(since),
-		events: events,
+	s.job, s.inputs = r.job, r.inputs
+	s.startHedge()
+}
+
+// stageRerun is a run of a request's stages in its own goroutine.
+type stageRerun struct {
+	cancel context.CancelFunc
+	result chan rerunResult
+}
+
+// rerunResult is the result of a stageRerun. job is nil if err is set.
+type rerunResult struct {
+	job    SubmittedJob
+	inputs []string
+	err    error
+}
+
+// startRerun runs the stages again.
+func (x *execution) startRerun(ctx context.Context) *stageRerun {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &stageRerun{
+		cancel: cancel,
+		result: make(chan rerunResult, 1),
 	}
+	job := x.stageJob(x.requestStages())
+	go func() { r.result <- runJob(ctx, x.forwarder.cfg.Stages, job) }()
+	return r
 }
 
-// streamRejection returns the error of a response that rejects the request. It releases
-// the stage results if one of them no longer exists, so that the stages run again.
-func (x *execution) streamRejection(choice upstream.Choice, resp *Response) *pipeline.CallError {
-	failure := x.rejection(choice, resp)
-	if failure == nil {
+// results returns the channel with the result, nil without a rerun.
+func (r *stageRerun) results() <-chan rerunResult {
+	if r == nil {
 		return nil
 	}
-	discardBody(resp.Body)
-	if resp.InputMissing {
-		x.releaseJob()
-	}
-	return failure
+	return r.result
 }
 
-// handleNonStream handles a response that is not a stream. A verified one is the
-// upstream's error response; it is forwarded if the request may not be retried.
-func (x *execution) handleNonStream(choice upstream.Choice, began time.Time, resp *Response) *pipeline.CallError {
-	failure := mayHaveRun(choice, errUnverified)
-	if resp.Verified {
-		body, err := io.ReadAll(io.LimitReader(resp.Body, x.forwarder.cfg.MaxResponseBytes))
-		failure = x.upstreamFailure(choice, began, resp, bufferedResponse{}).failure
-		if err == nil && !x.responseStarted && !impliesNotRun(resp.Status) && !x.route.Kind.Retryable() {
-			x.writer.WriteResponse(resp.Status, resp.Header, body)
-			return nil
-		}
-		return failure
+// abandon ends the run and releases its results.
+func (r *stageRerun) abandon() {
+	if r == nil {
+		return
 	}
-	x.reportResult(choice, began, 0, false, failure, resp.Load)
-	return failure
+	r.cancel()
+	go func() {
+		if result := <-r.result; result.job != nil {
+			result.job.Release()
+		}
+	}()
 }
 
-// forwardEvents forwards events until the stream is complete. The response begins with the
-// first event, so that before it the request can move to another upstream unnoticed.
-func (x *execution) forwardEvents(resp *Response, stall *stallWatch, onFirst func()) error {
-	events := eventstream.NewReader(resp.Body)
-	received := false
-	for {
-		e, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			if !x.responseStarted {
-				return errNoEvents
-			}
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		stall.eventReceived()
-		if !received {
-			received = true
-			onFirst()
-		}
-		if e.HasID && x.hasLastID && e.ID <= x.lastID {
-			continue // The caller has received it already.
-		}
-		if !x.responseStarted {
-			x.responseStarted = true
-			x.writer.BeginStream(resp.Status, resp.Header)
-		}
-		if err := x.writer.WriteEvent(e.Raw); err != nil {
-			return errCallerGone
+// runJob submits a job and waits for its results.
+func runJob(ctx context.Context, stages StageScheduler, j stagework.Job) rerunResult {
+	job, err := stages.Submit(ctx, j)
+	if err != nil {
+		return rerunResult{
+			err: err,
 		}
-		x.lastEventAt = time.Now()
-		if e.HasID {
-			x.lastID, x.hasLastID = e.ID, true
+	}
+	inputs, err := job.Wait(ctx)
+	if err != nil {
+		job.Release()
+		return rerunResult{
+			err: err,
 		}
 	}
+	return rerunResult{
+		job:    job,
+		inputs: inputs,
+	}
 }
--- /dev/null
+++ b/internal/forward/streamattempt.go
@@ -0,0 +1,141 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"sequoiafork/internal/eventstream"
+	"sequoiafork/internal/upstream"
+)
+
+// streamAttempt is one attempt at a request whose response is a stream. It runs in its own goroutine.
+type streamAttempt struct {
+	choice upstream.Choice
+	began  time.Time
+	cancel context.CancelCauseFunc
+	// received carries the response and then its events.
+	received chan received
+	// ended carries the error that ended the attempt, io.EOF after a complete stream.
+	ended chan error
+	// response is nil until the response has begun.
+	response *Response
+	// firstEvent is the time to the first event, zero before it.
+	firstEvent time.Duration
+	// lastReceived is the time of the last event, or of the start.
+	lastReceived time.Time
+}
+
+// received is what an attempt has received: streamBegun, otherResponse or streamEvent.
+type received interface{ isReceived() }
+
+// streamBegun is the response whose events follow.
+type streamBegun struct {
+	response *Response
+}
+
+// otherResponse is a response that is not a stream, with its body. It ends the attempt.
+type otherResponse struct {
+	response *Response
+	body     []byte
+	err      error
+}
+
+// streamEvent is an event.
+type streamEvent struct {
+	event eventstream.Event
+}
+
+func (streamBegun) isReceived()   {}
+func (otherResponse) isReceived() {}
+func (streamEvent) isReceived()   {}
+
+// attemptStream starts an attempt at an upstream.
+func (x *execution) attemptStream(ctx context.Context, choice upstream.Choice) *streamAttempt {
+	ctx, cancel := context.WithCancelCause(ctx)
+	began := time.Now().Add(choice.Delay)
+	a := &streamAttempt{
+		choice:       choice,
+		began:        began,
+		cancel:       cancel,
+		received:     make(chan received),
+		ended:        make(chan error, 1),
+		lastReceived: began,
+	}
+	call := x.call(choice)
+	go func() { a.ended <- a.run(ctx, x.forwarder.cfg, call) }()
+	return a
+}
+
+// run makes the call and sends what is received. It returns when the response has ended or ctx is done.
+func (a *streamAttempt) run(ctx context.Context, cfg Config, call Call) error {
+	if failure := awaitTurn(ctx, a.choice); failure != nil {
+		return failure
+	}
+	call.Remaining -= a.choice.Delay
+	response, err := cfg.Caller.Call(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if !isStream(response) {
+		return a.send(ctx, readOther(response, cfg.MaxResponseBytes))
+	}
+	if err := a.send(ctx, streamBegun{
+		response: response,
+	}); err != nil {
+		return err
+	}
+	events := eventstream.NewReader(response.Body)
+	for {
+		e, err := events.Next()
+		if err != nil {
+			return err
+		}
+		if err := a.send(ctx, streamEvent{
+			event: e,
+		}); err != nil {
+			return err
+		}
+	}
+}
+
+// send sends what was received unless ctx ends first.
+func (a *streamAttempt) send(ctx context.Context, r received) error {
+	select {
+	case a.received <- r:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// isStream reports whether events of this request follow a response.
+func isStream(r *Response) bool {
+	return !r.NotRun && r.Status == http.StatusOK && r.Verified
+}
+
+// readOther reads the body of a response that is not a stream.
+func readOther(r *Response, maxBytes int64) otherResponse {
+	if r.NotRun {
+		discardBody(r.Body)
+		return otherResponse{
+			response: r,
+		}
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBytes))
+	return otherResponse{
+		response: r,
+		body:     body,
+		err:      err,
+	}
+}
+
+// receivedFrom returns the channels of an attempt, which are nil without one.
+func receivedFrom(a *streamAttempt) (<-chan received, <-chan error) {
+	if a == nil {
+		return nil, nil
+	}
+	return a.received, a.ended
+}
