Let connections to upstreams outlast a pause of their host

TCP_USER_TIMEOUT of 1.5 s ends a connection whose keep-alive probes or written bytes nobody acknowledges for so long, as when the whole host pauses; a request that may have run fails with it, and a response that has begun can go on elsewhere only if everything for that is there.

Evidence: TestConnectionSurvivesSilentHost drops all that arrives for a connection for 2 s and failed with "read: connection timed out" before (two of two runs); three of three runs pass after, with the race detector. Ruled out: a shorter limit for dialing alone (400 ms) cuts nothing, since nothing was sent by then.

Change: 3 s, and four keep-alive probes to match. A dead host is noticed 1.5 s later on requests that run there once only; streams and idempotent requests have their second attempt before.

--- a/internal/upstreamhttp/pool.go
+++ b/internal/upstreamhttp/pool.go
@@ -17,8 +17,9 @@
 const (
 	// DefaultDialTimeout covers several round trips within a region.
 	DefaultDialTimeout = 400 * time.Millisecond
-	// DefaultUnackedTimeout is how long written bytes may stay unacknowledged.
-	DefaultUnackedTimeout = 1500 * time.Millisecond
+	// DefaultUnackedTimeout is how long written bytes and keep-alive probes may stay
+	// unacknowledged. A healthy host may pause for a second or two.
+	DefaultUnackedTimeout = 3 * time.Second
 	// DefaultIdleTimeout is the idle timeout of connections whose upstream sends none in
 	// a Keep-Alive header.
 	DefaultIdleTimeout = 4 * time.Second
@@ -26,10 +27,10 @@
 
 const (
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure the TCP keep-alive
-	// probes that detect an unresponsive upstream.
+	// probes that detect an unresponsive upstream within DefaultUnackedTimeout.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
+	keepAliveCount    = 4
 	// idempotentIdleFraction and nonIdempotentIdleFraction are the fractions of an
 	// upstream's idle timeout during which an idle connection is reused for a request
 	// that is idempotent and for one that is not.
