Test that streams keep the software version that began them (fails)

Three daemons, two or three versions side by side, 30 streams that are cut once: by their upstream, so that the daemon goes on itself, or by their caller, which comes back at another daemon with the ID of the request that began the stream. In two rows daemons that began streams have ended before.

--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -75,7 +75,27 @@
 func tableOf(version uint64) *routing.Table {
 	return routing.New(routing.Config{
 		Version: version,
+		Routes: []routing.Route{
+			{
+				Name:             "streams",
+				Host:             "h",
+				PathPrefix:       "/s/",
+				Kind:             routing.ResumableStream,
+				Timeout:          20 * time.Second,
+				LatencyObjective: time.Second,
+				MaxAttempts:      3,
+				Targets: []routing.Target{
+					{
+						Service: "s",
+						Weight:  1,
+					},
+				},
+			},
+		},
 		Services: []routing.Service{
+			{
+				Name: "s",
+			},
 			{
 				Name: "w",
 				Batch: &routing.BatchSpec{
@@ -135,16 +155,23 @@
 
 // idle returns a daemon that listens on its peer address but does not run yet.
 func idle(t *testing.T, v *invoker, seeds ...string) *running {
+	t.Helper()
+	return idleWith(t, noCaller{}, v, seeds...)
+}
+
+// idleWith returns an idle daemon that sends requests to upstreams by a caller of the test.
+func idleWith(t *testing.T, caller forward.Caller, v *invoker, seeds ...string) *running {
 	t.Helper()
 	s := settings.Default()
 	s.Daemon.PeerAddr = "127.0.0.1:0"
 	s.Daemon.CallerAddr = fmt.Sprintf("192.0.2.1:%d", callers.Add(1))
 	s.Daemon.DataCentre = "a"
 	s.Peers.Seeds = seeds
+	s.Retry.Burst = 1000
 	h, err := New(Config{
 		Settings:    s,
 		Logger:      zap.NewNop(),
-		Caller:      noCaller{},
+		Caller:      caller,
 		Invoker:     v,
 		DecodeTable: decodeVersion,
 	})
