Let a request ask for upstreams of one software version

If none of them can be chosen, a live one that is ejected, on probation or outside of the subset takes the request, since callers may not be refused for load or ejection while a live upstream of their version is there; pauses and rate limits that an upstream asked for hold. The error names the version. Set.HasLive tells whether there is one at all.

Nothing asks for a version yet.

--- a/internal/upstream/host.go
+++ b/internal/upstream/host.go
@@ -74,6 +74,9 @@
 	// Exclude lists addresses that must not be chosen, such as those that
 	// were tried already.
 	Exclude []string
+	// Version is the software version that the upstream must have. It is valid if PinVersion is set.
+	Version    string
+	PinVersion bool
 	// MaxDelay is how long the request may wait for an upstream that limits its rate, if no other
 	// upstream can take it.
 	MaxDelay time.Duration
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -82,6 +83,9 @@
 		g.rebuildSubset(now)
 	}
 	m := g.choose(r, now)
+	if m == nil {
+		m = g.chooseOfVersion(r, now)
+	}
 	delay := time.Duration(0)
 	if m == nil {
 		m, delay = g.chooseLater(r, now)
@@ -242,7 +246,36 @@
 }
 
 func (g *group) eligible(m *member, r *Request, now time.Time) bool {
-	return m.usable(now) && m.pacer.Ready(now) && !slices.Contains(r.Exclude, m.host.Addr)
+	return m.usable(now) && m.pacer.Ready(now) && r.allows(m)
+}
+
+// allows reports whether m has the version that r asks for and is not excluded.
+func (r *Request) allows(m *member) bool {
+	return r.wantsVersion(m) && !slices.Contains(r.Exclude, m.host.Addr)
+}
+
+// wantsVersion reports whether m has the version that r asks for, if it asks for one.
+func (r *Request) wantsVersion(m *member) bool {
+	return !r.PinVersion || m.host.Version == r.Version
+}
+
+// chooseOfVersion returns the live member with the fewest attempts in flight, for a request that only
+// upstreams of one version can take. It may be ejected, on probation or outside of the subset, since there
+// may be no other one.
+func (g *group) chooseOfVersion(r *Request, now time.Time) *member {
+	if !r.PinVersion {
+		return nil
+	}
+	var best *member
+	for _, m := range g.order {
+		if m.state(now) != Live || now.Before(m.pausedUntil) || !m.pacer.Ready(now) || !r.allows(m) {
+			continue
+		}
+		if best == nil || m.inFlight < best.inFlight {
+			best = m
+		}
+	}
+	return best
 }
 
 // chooseLater returns the member that is the first to take a request when all that could are waiting
@@ -253,7 +286,7 @@
 	var least time.Duration
 	for _, m := range g.subset {
 		wait, ok := m.pacer.Wait(now)
-		if ok && m.usable(now) && wait <= r.MaxDelay && !slices.Contains(r.Exclude, m.host.Addr) && (best == nil || wait < least) {
+		if ok && m.usable(now) && wait <= r.MaxDelay && r.allows(m) && (best == nil || wait < least) {
 			best, least = m, wait
 		}
 	}
@@ -305,10 +338,17 @@
 		Pool:   r.Pool.Name,
 		Reason: "no upstream of service " + g.service + " takes work",
 	}
-	if slices.ContainsFunc(g.subset, func(m *member) bool { return m.usable(now) && m.pacer.Limit().Limited }) {
+	limited := func(m *member) bool { return r.wantsVersion(m) && m.usable(now) && m.pacer.Limit().Limited }
+	switch {
+	case slices.ContainsFunc(g.subset, limited):
 		e.Reason = "the upstreams of service " + g.service + " that take work limit their rate"
+	case r.PinVersion:
+		e.Reason = "no upstream of service " + g.service + " with version " + strconv.Quote(r.Version) + " takes work"
 	}
 	for _, m := range g.subset {
+		if !r.wantsVersion(m) {
+			continue
+		}
 		at := m.ejectedUntil
 		if m.pausedUntil.After(at) {
 			at = m.pausedUntil
--- a/internal/upstream/script_test.go
+++ b/internal/upstream/script_test.go
@@ -115,6 +115,8 @@
 	d.MaybeScanArgs(s.t, "every_ms", &everyMs)
 	d.MaybeScanArgs(s.t, "affinity", &r.Affinity)
 	d.MaybeScanArgs(s.t, "exclude", &exclude)
+	d.MaybeScanArgs(s.t, "version", &r.Version)
+	r.PinVersion = d.HasArg("version")
 	r.Exclude = []string{exclude}
 	results := parseResults(s.t, d.Input)
 	counts := map[string]int{}
@@ -184,8 +186,12 @@
 			DataCentre: f[1],
 			Service:    "s",
 		}
-		if len(f) > 2 {
-			h.State = states[f[2]]
+		for _, word := range f[2:] {
+			if version, ok := strings.CutPrefix(word, "version="); ok {
+				h.Version = version
+				continue
+			}
+			h.State = states[word]
 		}
 		list = append(list, h)
 	}
--- a/internal/upstream/set.go
+++ b/internal/upstream/set.go
@@ -93,6 +93,23 @@
 	return counts
 }
 
+// HasLive reports whether a service has a live upstream of a version.
+func (s *Set) HasLive(service, version string) bool {
+	g := s.group(service)
+	if g == nil {
+		return false
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.order {
+		if m.host.Version == version && m.state(now) == Live {
+			return true
+		}
+	}
+	return false
+}
+
 // SetDaemons sets the number of daemons that share the upstreams. It determines the
 // size of subsets and this daemon's share of the upstreams' concurrency.
 func (s *Set) SetDaemons(n int) {
