Add streamorigin: where a stream may go on that its caller takes up

The package keeps the origins of the streams that a daemon began or that peers have announced, bounded in number and for as long as callers may come back, and decides from what the daemon and its peers know. It does no I/O; nothing uses it yet.

- Announced, to three peers by rendezvous hashing of the request's ID, are only origins of services that had a second version in that time, and those of a daemon that may have missed one: it has just started, it was frozen, or it can't read the list.
When that begins, the streams that it began before are announced too.
- If nobody knows a stream, it goes on only if one daemon that has answered has observed all of that time and all together have seen one version.
Otherwise it is refused.

Overturned: letting a daemon that can't read the list go on at the only version that it and its peers know. If the peers that answer can't read it either, and the announcement was lost, that guesses. Instead such a daemon announces what it begins.

--- /dev/null
+++ b/internal/streamorigin/peers.go
@@ -0,0 +1,50 @@
+package streamorigin
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// replicas is the number of peers to which an origin is announced.
+	replicas = 3
+	// queried is the number of peers that are asked for an origin. It is larger than replicas, since
+	// the daemon that asks does not count itself, and the one that announced didn't either.
+	queried = replicas + 1
+)
+
+// AnnounceTo returns the daemons, other than self, that are told the origin of a request's stream.
+func AnnounceTo(requestID, self string, living []string) []string {
+	return highest(requestID, self, living, replicas)
+}
+
+// AskOf returns the daemons, other than self, that are asked for the origin of a request's stream.
+func AskOf(requestID, self string, living []string) []string {
+	return highest(requestID, self, living, queried)
+}
+
+// highest returns the n daemons other than self that rank highest for a request (rendezvous hashing).
+func highest(requestID, self string, living []string, n int) []string {
+	type ranked struct {
+		name string
+		rank uint64
+	}
+	list := make([]ranked, 0, len(living))
+	for _, name := range living {
+		if name == self {
+			continue
+		}
+		list = append(list, ranked{
+			name: name,
+			rank: xxhash.Sum64String(name + " " + requestID),
+		})
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	names := make([]string, 0, n)
+	for _, r := range list[:min(n, len(list))] {
+		names = append(names, r.name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/streamorigin/script_test.go
@@ -0,0 +1,243 @@
+package streamorigin
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+)
+
+// TestScripts runs the scripts of testdata/scripts on a cluster of daemons without a network.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			c := &cluster{}
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return c.run(t, d) })
+		})
+	})
+}
+
+const (
+	testRetention = 40 * time.Second
+	// observeInterval is how often a daemon observes the list of upstreams.
+	observeInterval = 500 * time.Millisecond
+)
+
+// cluster is a number of daemons that read one list of upstreams.
+type cluster struct {
+	daemons []*testDaemon
+	listed  []Origin
+	cuts    []cut
+}
+
+// cut is a broken connection between two daemons.
+type cut struct {
+	a, b string
+}
+
+type testDaemon struct {
+	name  string
+	table *Table
+	// down daemons neither answer nor observe; frozen ones keep their table. blind ones can't read the list.
+	down, frozen, blind bool
+	seen                []Origin
+}
+
+func newCluster(names ...string) *cluster {
+	c := &cluster{}
+	for _, name := range names {
+		c.daemons = append(c.daemons, &testDaemon{
+			name:  name,
+			table: newTestTable(),
+		})
+	}
+	return c
+}
+
+func newTestTable() *Table {
+	return New(Config{
+		Retention:  testRetention,
+		MaxEntries: 1000,
+	})
+}
+
+func (c *cluster) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "new":
+		*c = *newCluster(strings.Fields(d.Input)...)
+	case "list":
+		c.list(strings.Fields(d.Input))
+	case "advance":
+		wait, err := time.ParseDuration(d.CmdArgs[0].Key)
+		require.NoError(t, err)
+		c.advance(wait)
+	case "begin":
+		var at, id, version string
+		d.ScanArgs(t, "at", &at)
+		d.ScanArgs(t, "id", &id)
+		d.ScanArgs(t, "version", &version)
+		c.daemon(at).table.Begin(id, Origin{
+			Service: "s",
+			Version: version,
+		})
+	case "announce":
+		return fmt.Sprintf("messages: %d\n", c.announce())
+	case "resume":
+		var at, id string
+		d.ScanArgs(t, "at", &at)
+		d.MaybeScanArgs(t, "id", &id)
+		return c.describe(at, id)
+	case "cut", "heal":
+		c.connect(d.CmdArgs[0].Key, d.CmdArgs[1].Key, d.Cmd == "heal")
+	default:
+		c.change(t, d)
+	}
+	return ""
+}
+
+// change changes the state of daemons.
+func (c *cluster) change(t *testing.T, d *datadriven.TestData) {
+	for _, arg := range d.CmdArgs {
+		m := c.daemon(arg.Key)
+		switch d.Cmd {
+		case "kill":
+			m.down = true
+		case "restart":
+			m.down = false
+			m.table = newTestTable()
+			c.observe(m)
+		case "freeze", "wake":
+			m.frozen = d.Cmd == "freeze"
+		case "blind", "see":
+			m.blind = d.Cmd == "blind"
+			m.table.SetReadable(!m.blind)
+			c.observe(m)
+		default:
+			t.Fatalf("unknown command %q", d.Cmd)
+		}
+	}
+}
+
+func (c *cluster) daemon(name string) *testDaemon {
+	i := slices.IndexFunc(c.daemons, func(m *testDaemon) bool { return m.name == name })
+	return c.daemons[i]
+}
+
+// list replaces the versions of the upstreams of service s.
+func (c *cluster) list(versions []string) {
+	c.listed = nil
+	for _, v := range versions {
+		c.listed = append(c.listed, Origin{
+			Service: "s",
+			Version: v,
+		})
+	}
+	c.observeAll()
+}
+
+func (c *cluster) observeAll() {
+	for _, m := range c.daemons {
+		c.observe(m)
+	}
+}
+
+func (c *cluster) observe(m *testDaemon) {
+	if m.down || m.frozen {
+		return
+	}
+	if !m.blind {
+		m.seen = c.listed
+	}
+	m.table.ObserveUpstreams(m.seen)
+}
+
+func (c *cluster) advance(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(min(observeInterval, time.Until(end)))
+		c.observeAll()
+	}
+}
+
+func (c *cluster) connect(a, b string, connected bool) {
+	if !connected {
+		c.cuts = append(c.cuts, cut{
+			a: a,
+			b: b,
+		})
+		return
+	}
+	c.cuts = slices.DeleteFunc(c.cuts, func(x cut) bool { return x.a == a && x.b == b || x.a == b && x.b == a })
+}
+
+func (c *cluster) reach(a, b *testDaemon) bool {
+	broken := slices.ContainsFunc(c.cuts, func(x cut) bool { return x.a == a.name && x.b == b.name || x.a == b.name && x.b == a.name })
+	return !broken && !b.down && !b.frozen
+}
+
+// living returns the names of the daemons that are not known to be dead.
+func (c *cluster) living() []string {
+	var names []string
+	for _, m := range c.daemons {
+		if !m.down {
+			names = append(names, m.name)
+		}
+	}
+	return names
+}
+
+// announce delivers what daemons have to announce, and returns the number of messages.
+func (c *cluster) announce() int {
+	sent := 0
+	for _, m := range c.daemons {
+		if m.down || m.frozen {
+			continue
+		}
+		byPeer := make(map[string][]Entry)
+		for _, e := range m.table.TakeUnannounced() {
+			for _, name := range AnnounceTo(e.RequestID, m.name, c.living()) {
+				byPeer[name] = append(byPeer[name], e)
+			}
+		}
+		for name, list := range byPeer {
+			sent++
+			if peer := c.daemon(name); c.reach(m, peer) {
+				peer.table.Receive(list)
+			}
+		}
+	}
+	return sent
+}
+
+// resume returns where a stream goes on that its caller takes up at a daemon.
+func (c *cluster) resume(at, id string) (Origin, error) {
+	m := c.daemon(at)
+	var answers []Answer
+	for _, name := range AskOf(id, at, c.living()) {
+		if peer := c.daemon(name); c.reach(m, peer) {
+			answers = append(answers, peer.table.Ask(id, "s"))
+		}
+	}
+	o, err := Decide("s", m.table.Ask(id, "s"), answers)
+	if err == nil && id != "" {
+		m.table.Receive([]Entry{
+			{
+				RequestID: id,
+				Origin:    o,
+			},
+		})
+	}
+	return o, err
+}
+
+func (c *cluster) describe(at, id string) string {
+	o, err := c.resume(at, id)
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	return "goes on at " + o.Version + "\n"
+}
