--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -78,6 +78,8 @@
 	StageWorker StageWorker
 	// Topics may be nil; peers can't read topics here then.
 	Topics TopicReader
+	// Origins may be nil; peers can't keep the origins of streams here then.
+	Origins OriginKeeper
 	// Logger may be nil.
 	Logger *zap.Logger
 	// DialTimeout bounds the time to make one connection.
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"sequoiafork/internal/membership"
+	"sequoiafork/internal/streamorigin"
 	"sequoiafork/internal/wire/peerpb"
 )
 
@@ -31,6 +32,7 @@
 	mu      sync.Mutex
 	records []*peerpb.LogRecord
 	topic   topicResponse
+	origins *streamorigin.Table
 }
 
 func (n *testNode) NextOffset() uint64 {
@@ -84,7 +86,9 @@
 // startNodeWith runs a node that does stage work for its peers.
 func startNodeWith(t *testing.T, lis net.Listener, addr, id string, worker StageWorker, seeds ...string) *testNode {
 	t.Helper()
-	n := &testNode{}
+	n := &testNode{
+		origins: streamorigin.New(streamorigin.Config{}),
+	}
 	n.table = membership.New(membership.Config{
 		Self: membership.Member{
 			Incarnation: addr + "/" + id,
@@ -105,6 +109,7 @@
 		Forwarder:   n,
 		StageWorker: worker,
 		Topics:      n,
+		Origins:     n.origins,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- /dev/null
+++ b/internal/peer/origin.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"sequoiafork/internal/membership"
+	"sequoiafork/internal/streamorigin"
+	"sequoiafork/internal/wire/peerpb"
+)
+
+// OriginKeeper keeps the origins of streams for peers.
+type OriginKeeper interface {
+	// Receive records origins that a peer has announced.
+	Receive(list []streamorigin.Entry)
+	// Ask returns what this process knows of the stream that a request of a service began.
+	Ask(requestID, service string) streamorigin.Answer
+}
+
+// AnnounceOrigins tells a member the origins of streams. The error is a *CallError.
+func (n *Node) AnnounceOrigins(ctx context.Context, m membership.Member, list []streamorigin.Entry) error {
+	conn, err := n.conn(ctx, m.PeerAddr)
+	if err != nil {
+		return &CallError{
+			Addr: m.PeerAddr,
+			Err:  err,
+		}
+	}
+	req := &peerpb.AnnounceOriginsRequest{}
+	for _, e := range list {
+		req.Origins = append(req.Origins, &peerpb.StreamOrigin{
+			RequestId: e.RequestID,
+			Service:   e.Origin.Service,
+			Version:   e.Origin.Version,
+			AgeMs:     e.Age.Milliseconds(),
+		})
+	}
+	if _, err := peerpb.NewPeerClient(conn).AnnounceOrigins(ctx, req); err != nil {
+		return &CallError{
+			Addr:      m.PeerAddr,
+			MaybeSent: true,
+			Err:       err,
+		}
+	}
+	return nil
+}
+
+// AnnounceOrigins records the origins that a peer announces.
+func (s *server) AnnounceOrigins(_ context.Context, req *peerpb.AnnounceOriginsRequest) (*peerpb.AnnounceOriginsResponse, error) {
+	if s.node.cfg.Origins == nil {
+		return nil, status.Error(codes.Unavailable, "no origins of streams here")
+	}
+	list := make([]streamorigin.Entry, 0, len(req.GetOrigins()))
+	for _, o := range req.GetOrigins() {
+		list = append(list, streamorigin.Entry{
+			RequestID: o.GetRequestId(),
+			Origin:    originFrom(o),
+			Age:       max(time.Duration(o.GetAgeMs()), 0) * time.Millisecond,
+		})
+	}
+	s.node.cfg.Origins.Receive(list)
+	return &peerpb.AnnounceOriginsResponse{}, nil
+}
+
+// QueryOrigin asks a member what it knows of the stream that a request of a service began. The error is a
+// *CallError.
+func (n *Node) QueryOrigin(ctx context.Context, m membership.Member, requestID, service string) (streamorigin.Answer, error) {
+	conn, err := n.conn(ctx, m.PeerAddr)
+	if err != nil {
+		return streamorigin.Answer{}, &CallError{
+			Addr: m.PeerAddr,
+			Err:  err,
+		}
+	}
+	resp, err := peerpb.NewPeerClient(conn).QueryOrigin(ctx, &peerpb.QueryOriginRequest{
+		RequestId: requestID,
+		Service:   service,
+	})
+	if err != nil {
+		return streamorigin.Answer{}, &CallError{
+			Addr:      m.PeerAddr,
+			MaybeSent: true,
+			Err:       err,
+		}
+	}
+	return streamorigin.Answer{
+		Known:    resp.GetOrigin() != nil,
+		Origin:   originFrom(resp.GetOrigin()),
+		Versions: resp.GetVersions(),
+		Complete: resp.GetComplete(),
+	}, nil
+}
+
+// QueryOrigin serves a peer what this process knows of a stream.
+func (s *server) QueryOrigin(_ context.Context, req *peerpb.QueryOriginRequest) (*peerpb.QueryOriginResponse, error) {
+	if s.node.cfg.Origins == nil {
+		return nil, status.Error(codes.Unavailable, "no origins of streams here")
+	}
+	a := s.node.cfg.Origins.Ask(req.GetRequestId(), req.GetService())
+	resp := &peerpb.QueryOriginResponse{
+		Versions: a.Versions,
+		Complete: a.Complete,
+	}
+	if a.Known {
+		resp.Origin = &peerpb.StreamOrigin{
+			RequestId: req.GetRequestId(),
+			Service:   a.Origin.Service,
+			Version:   a.Origin.Version,
+		}
+	}
+	return resp, nil
+}
+
+// originFrom converts an origin. That of nil is empty.
+func originFrom(o *peerpb.StreamOrigin) streamorigin.Origin {
+	return streamorigin.Origin{
+		Service: o.GetService(),
+		Version: o.GetVersion(),
+	}
+}
