Keep streams at the service and software version that began them

Cause: the choice of an upstream knew no versions. After a failure serveStream took any upstream of the service, also when events had been forwarded; and a request that takes a stream up was served like a new one: any version, and on a split route any service, since the service is drawn by the hash of the request's ID, which differs from try to try.

A function of the request's ID instead of a record: daemons don't see the same versions at the same time.

Change: with the first event that is forwarded, the service and version become the origin of the stream; pickUpstream asks for that version from then on, for retries and for second attempts beside a silent upstream. Origins are kept and announced by streamorigin. A request that takes a stream up draws its service by the ID of the request that began it, finds the origin at this daemon or within 150 ms at up to four peers, and goes on there; if nobody knows it, or no upstream of the version is live, or the route no longer leads to the service, it is refused as not run with a Retry-After of 200 ms, so that the caller can reach a daemon that knows. The retention is twice the longest timeout of resumable routes, at least 10 s.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -33,6 +33,7 @@
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/settings"
 	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/streamorigin"
 	"sequoiafork/internal/topic"
 	"sequoiafork/internal/upstream"
 )
@@ -94,6 +95,7 @@
 	started     time.Time
 	submitter   *submitter
 	readers     *topic.Readers
+	origins     origins
 	daemonCount atomic.Int64
 	draining    atomic.Bool
 	// upstreamsKnown reports that a list of upstreams has been set.
@@ -165,6 +167,10 @@
 		Invoker: cfg.Invoker,
 		Logger:  d.logger,
 	})
+	d.origins = origins{
+		Table:  streamorigin.New(streamorigin.Config{}),
+		daemon: d,
+	}
 	d.node = peer.New(peer.Config{
 		Listener: listener,
 		Table:    d.members,
@@ -175,7 +181,8 @@
 		Topics: topicServer{
 			daemon: d,
 		},
-		Logger: d.logger,
+		Origins: d.origins,
+		Logger:  d.logger,
 	})
 	d.submitter = &submitter{
 		daemon: d,
@@ -186,6 +193,7 @@
 		Caller:      cfg.Caller,
 		Stages:      d.submitter,
 		Upstreams:   d.upstreams,
+		Origins:     d.origins,
 		Table:       d.table.Load,
 		RetryRatio:  ratioFraction * cfg.Settings.Retry.Ratio,
 		RetryBurst:  burstFraction * float64(cfg.Settings.Retry.Burst),
@@ -280,6 +288,7 @@
 	}
 	d.raw = raw
 	d.table.Store(t)
+	d.origins.SetRetention(retentionOf(t))
 	d.scheduler.SetServices(t.Services())
 	d.applyUpstreams()
 	d.reportProgress()
@@ -292,6 +301,7 @@
 	defer d.mu.Unlock()
 	d.logUpstreams(list)
 	d.hosts = list
+	d.origins.observeVersions(list)
 	d.forgetLeaving()
 	d.applyUpstreams()
 	d.upstreamsKnown.Store(true)
@@ -358,6 +368,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return d.node.Serve(ctx) })
 	g.Go(func() error { return d.syncLoop(ctx) })
+	g.Go(func() error { return d.origins.announceLoop(ctx) })
 	err := g.Wait()
 	if errors.Is(err, context.Canceled) {
 		return nil
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -26,6 +26,7 @@
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/stagetime"
 	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/streamorigin"
 	"sequoiafork/internal/upstream"
 )
 
@@ -129,6 +130,15 @@
 	Submit(ctx context.Context, j stagework.Job) (SubmittedJob, error)
 }
 
+// StreamOrigins keeps and finds the origins of streams, also of those that other daemons began.
+type StreamOrigins interface {
+	// Begin records that the first event of the response to a request was forwarded.
+	Begin(requestID string, o streamorigin.Origin)
+	// Find returns where the stream began that a request of a service began. The error is a
+	// *streamorigin.UnknownError.
+	Find(ctx context.Context, requestID, service string) (streamorigin.Origin, error)
+}
+
 // ResponseWriter writes the response to the caller: either one call of WriteResponse, or one
 // call of BeginStream followed by calls of WriteEvent, never both.
 type ResponseWriter interface {
@@ -142,6 +152,8 @@
 	Caller    Caller
 	Stages    StageScheduler
 	Upstreams *upstream.Set
+	// Origins may be nil; a stream that a caller takes up then goes on at any version.
+	Origins StreamOrigins
 	// Table returns the routes in effect, or nil before any are known.
 	Table func() *routing.Table
 	// RetryRatio is the fraction of a service's requests that may be retried. RetryBurst
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -15,6 +15,7 @@
 	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/streamorigin"
 	"sequoiafork/internal/table"
 	"sequoiafork/internal/upstream"
 )
@@ -70,6 +71,8 @@
 	lastID          int64
 	hasLastID       bool
 	lastEventAt     time.Time // zero: no event has been forwarded
+	// origin is where the stream began, nil if it may begin anywhere.
+	origin *streamorigin.Origin
 	// lastFailure is the error of the last failed attempt; it goes into the outcome.
 	lastFailure *pipeline.CallError
 }
@@ -96,7 +99,7 @@
 			x.priority = x.workspace.Priority
 		}
 	}
-	service := route.PickService(xxhash.Sum64String(x.req.ID))
+	service := route.PickService(xxhash.Sum64String(x.beganBy()))
 	x.service, ok = x.table.Service(service)
 	if !ok {
 		return x.notRun(outcome.CodeNoUpstream, "the route's service is not known", noUpstreamRetryAfter)
@@ -133,6 +136,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	if unknown := x.findOrigin(ctx); unknown != nil {
+		return *unknown
+	}
 	if failed := x.runStages(ctx); failed != nil {
 		return failed
 	}
@@ -256,7 +262,7 @@
 	if x.service.Engine != nil {
 		slots = x.service.Engine.Slots
 	}
-	return upstream.Request{
+	r := upstream.Request{
 		Pool: &table.Pool{
 			Name:        x.service.Name,
 			Service:     x.service.Name,
@@ -266,6 +272,11 @@
 		DataCentreWeights: x.dataCentreWeights(),
 		Exclude:           x.tried,
 	}
+	if x.origin != nil {
+		r.Version = x.origin.Version
+		r.PinVersion = true
+	}
+	return r
 }
 
 // maxDelay returns how long the request may wait for an upstream that limits its rate: so long that its
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -178,6 +178,7 @@
 	}
 	if !s.responseStarted {
 		s.responseStarted = true
+		s.setOrigin(a.choice)
 		s.writer.BeginStream(a.response.Status, a.response.Header)
 	}
 	if err := s.writer.WriteEvent(e.Raw); err != nil {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -221,6 +221,19 @@
 	return Route{}, false
 }
 
+// LongestTimeout returns the longest timeout of the routes of a kind, zero if there is none.
+func (t *Table) LongestTimeout(k Kind) time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			if r.Kind == k {
+				longest = max(longest, r.Timeout)
+			}
+		}
+	}
+	return longest
+}
+
 // Service returns the service with a name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
