Let streams go on whose callers don't name the request that began them

No daemon can know such a stream, so asking and waiting for a complete record helps nobody.

Now such a stream goes on, without a question to peers, unless this daemon has seen several versions; then it is still refused. For streams that are named nothing changes.

Tests: two rows of TestStreamsKeepTheVersionThatBeganThem, the first failing before (30 of 30 refused, want 30 whole), and rows of streamorigin's scripts.

--- a/internal/entryhost/origins.go
+++ b/internal/entryhost/origins.go
@@ -39,15 +39,18 @@
 }
 
 // Find implements forward.StreamOrigins. It asks peers unless this daemon knows the stream, and remembers what they
-// say for the next try of the caller.
+// say for the next try of the caller. An empty ID means that the caller doesn't name the request.
 func (o origins) Find(ctx context.Context, requestID, service string) (streamorigin.Origin, error) {
 	own := o.Ask(requestID, service)
+	if requestID == "" {
+		return streamorigin.DecideUnnamed(service, own)
+	}
 	if own.Known {
 		return own.Origin, nil
 	}
 	peers := o.queryPeers(ctx, requestID, service)
 	origin, err := streamorigin.Decide(service, own, peers)
-	if err == nil && requestID != "" {
+	if err == nil {
 		o.Receive([]streamorigin.Entry{
 			{
 				RequestID: requestID,
--- a/internal/entryhost/versions_test.go
+++ b/internal/entryhost/versions_test.go
@@ -29,6 +29,7 @@
 			d.ScanArgs(t, "versions", &p.versions)
 			d.MaybeScanArgs(t, "ended", &p.ended)
 			p.cutByUpstream = d.HasArg("cut_by_upstream")
+			p.unnamed = d.HasArg("unnamed")
 			return p.play(t)
 		})
 	})
@@ -50,6 +51,8 @@
 	streams       int
 	versions      int
 	cutByUpstream bool
+	// unnamed callers don't say which request began their stream.
+	unnamed bool
 	// ended is the number of daemons that end before the callers come back.
 	ended int
 
@@ -79,7 +82,7 @@
 	for i, c := range callers {
 		if c.events < streamEvents {
 			next := p.ended + (i+1)%(len(daemons)-p.ended)
-			c.takeUp(t, daemons[next])
+			c.takeUp(t, daemons[next], p.unnamed)
 		}
 		switch {
 		case len(c.versions()) > 1:
@@ -173,10 +176,12 @@
 }
 
 // takeUp comes back for the rest of the stream.
-func (c *streamCaller) takeUp(t *testing.T, r *running) {
+func (c *streamCaller) takeUp(t *testing.T, r *running, unnamed bool) {
 	c.cutAfter = streamEvents
 	req := c.request(c.id + "-again")
-	req.Resumes = c.id
+	if !unnamed {
+		req.Resumes = c.id
+	}
 	req.LastEventID = int64(c.events)
 	req.HasLastEvent = true
 	_, c.refused = r.Serve(t.Context(), req, c).(outcome.NotRun)
--- a/internal/streamorigin/decide.go
+++ b/internal/streamorigin/decide.go
@@ -57,6 +57,21 @@
 	}, nil
 }
 
+// DecideUnnamed returns the origin of a stream whose caller does not say which request began it, so that no daemon can
+// know it. It goes on unless several versions have been seen. The error is an *UnknownError.
+func DecideUnnamed(service string, own Answer) (Origin, error) {
+	if len(own.Versions) != 1 {
+		return Origin{}, &UnknownError{
+			Service:  service,
+			Versions: own.Versions,
+		}
+	}
+	return Origin{
+		Service: service,
+		Version: own.Versions[0],
+	}, nil
+}
+
 // unite returns the versions of all answers, sorted.
 func unite(answers []Answer) []string {
 	var versions []string
--- a/internal/streamorigin/script_test.go
+++ b/internal/streamorigin/script_test.go
@@ -216,6 +216,9 @@
 // resume returns where a stream goes on that its caller takes up at a daemon.
 func (c *cluster) resume(at, id string) (Origin, error) {
 	m := c.daemon(at)
+	if id == "" {
+		return DecideUnnamed("s", m.table.Ask(id, "s"))
+	}
 	var answers []Answer
 	for _, name := range AskOf(id, at, c.living()) {
 		if peer := c.daemon(name); c.reach(m, peer) {
@@ -223,7 +226,7 @@
 		}
 	}
 	o, err := Decide("s", m.table.Ask(id, "s"), answers)
-	if err == nil && id != "" {
+	if err == nil {
 		m.table.Receive([]Entry{
 			{
 				RequestID: id,
