--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -55,12 +55,21 @@
 	}
 	if err != nil {
 		streamsNotResumedTotal.Inc()
-		return x.notRun(outcome.CodeNoUpstream, err.Error(), originRetryAfter)
+		return x.notRun(outcome.CodeNoUpstream, err.Error(), retryAfterOrigin(err))
 	}
 	x.origin = &o
 	return nil
 }
 
+// retryAfterOrigin returns the Retry-After delay of a stream that can't go on where it began.
+func retryAfterOrigin(err error) time.Duration {
+	var unknown *streamorigin.UnknownError
+	if errors.As(err, &unknown) {
+		return originRetryAfter
+	}
+	return noUpstreamRetryAfter
+}
+
 // errServiceNotOnRoute reports a stream that began at a service to which its route no longer leads.
 var errServiceNotOnRoute = errors.New("the route no longer leads to the service at which the stream began")
 
