Tell daemons that join the origins of streams

When all daemons restart in turn, those that were told the origin of a stream and the one that began it end one after the other, and none of the new ones was told: 30 of 30 streams whose callers came back after that were refused (row daemons_restart of TestStreamsKeepTheVersionThatBeganThem before this change), although at each moment two daemons knew them. Found in the search for the class: an announcement is made once, to the peers of that moment.

A daemon that sees a newcomer, or one that was thought dead, sends it the origins that it has to know: those of the streams that it has served itself, and those of which it is among the three highest by the hash. One teller alone was tried: 2 of 30 refused, since a daemon that had just ended still counted as living and was the highest. A daemon at which a stream is taken up keeps its origin like one that it began, and announces it if versions are uncertain.

All 30 go on. With -race: ./internal/streamorigin, ./internal/forward, ./internal/peer and the test itself pass; without, ./internal/entryhost and ./platform.

--- a/internal/entryhost/origins.go
+++ b/internal/entryhost/origins.go
@@ -19,6 +19,8 @@
 	announceDelay = 20 * time.Millisecond
 	// announceTimeout bounds the announcement to one peer.
 	announceTimeout = 500 * time.Millisecond
+	// newcomerInterval is how often peers are looked for that have joined.
+	newcomerInterval = 200 * time.Millisecond
 	// queryOriginTimeout bounds the time in which peers are asked for the origin of a stream.
 	queryOriginTimeout = 150 * time.Millisecond
 	// retentionFactor is the multiple of the longest timeout of a stream for which its caller may come back,
@@ -46,17 +48,13 @@
 		return streamorigin.DecideUnnamed(service, own)
 	}
 	if own.Known {
+		o.Begin(requestID, own.Origin)
 		return own.Origin, nil
 	}
 	peers := o.queryPeers(ctx, requestID, service)
 	origin, err := streamorigin.Decide(service, own, peers)
 	if err == nil {
-		o.Receive([]streamorigin.Entry{
-			{
-				RequestID: requestID,
-				Origin:    origin,
-			},
-		})
+		o.Begin(requestID, origin)
 	}
 	o.daemon.logger.Info("origin of a stream asked for", zap.String("begun_by", requestID), zap.String("service", service),
 		zap.Int("answers", len(peers)), zap.String("version", origin.Version), zap.Error(err))
@@ -106,11 +104,17 @@
 	}
 }
 
-// announceLoop announces the origins of streams to peers until ctx ends.
+// announceLoop announces the origins of streams to peers, also to those that join later, until ctx ends.
 func (o origins) announceLoop(ctx context.Context) error {
+	ticker := time.NewTicker(newcomerInterval)
+	defer ticker.Stop()
+	known := make(map[string]bool)
 	for {
 		select {
 		case <-o.Wake():
+		case <-ticker.C:
+			known = o.tellNewcomers(ctx, known)
+			continue
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -123,6 +127,23 @@
 	}
 }
 
+// tellNewcomers announces origins to the living peers that are not in known, and returns the living ones.
+func (o origins) tellNewcomers(ctx context.Context, known map[string]bool) map[string]bool {
+	living := o.daemon.living()
+	self := o.daemon.members.Self().Incarnation
+	found := make(map[string]bool, len(living))
+	for _, m := range living {
+		found[m.Incarnation] = true
+		if known[m.Incarnation] || m.Incarnation == self {
+			continue
+		}
+		if list := o.EntriesFor(m.Incarnation, self, names(living)); len(list) > 0 {
+			go o.announceTo(ctx, m, list)
+		}
+	}
+	return found
+}
+
 // announce sends each entry to its peers, one message for each peer.
 func (o origins) announce(ctx context.Context, list []streamorigin.Entry) {
 	living := o.daemon.living()
--- a/internal/entryhost/versions_test.go
+++ b/internal/entryhost/versions_test.go
@@ -30,6 +30,7 @@
 			d.MaybeScanArgs(t, "ended", &p.ended)
 			p.cutByUpstream = d.HasArg("cut_by_upstream")
 			p.unnamed = d.HasArg("unnamed")
+			p.restarts = d.HasArg("daemons_restart")
 			return p.play(t)
 		})
 	})
@@ -55,6 +56,8 @@
 	unnamed bool
 	// ended is the number of daemons that end before the callers come back.
 	ended int
+	// restarts reports that all daemons are replaced in turn before the callers come back.
+	restarts bool
 
 	mu    sync.Mutex
 	cutBy map[string]int
@@ -65,10 +68,7 @@
 	var daemons []*running
 	var seeds []string
 	for range 3 {
-		r := idleWith(t, p, v, seeds...)
-		r.run(t)
-		r.SetTable(tableOf(1), []byte("1"), "test")
-		r.SetUpstreams(p.upstreams())
+		r := p.start(t, v, seeds...)
 		daemons = append(daemons, r)
 		seeds = append(seeds, r.PeerAddr())
 	}
@@ -78,6 +78,15 @@
 	for _, r := range daemons[:p.ended] {
 		r.end()
 	}
+	for i := range daemons {
+		if p.restarts {
+			daemons[i].end()
+			daemons[i] = p.start(t, v, seeds...)
+			seeds = append(seeds, daemons[i].PeerAddr())
+			agreed(t, daemons)
+			time.Sleep(settleTime)
+		}
+	}
 	mixed, whole, refused := 0, 0, 0
 	for i, c := range callers {
 		if c.events < streamEvents {
@@ -96,6 +105,15 @@
 	return fmt.Sprintf("of two versions: %d, whole: %d, refused: %d\n", mixed, whole, refused)
 }
 
+// start starts a daemon that knows routes and upstreams.
+func (p *versionPlay) start(t *testing.T, v *invoker, seeds ...string) *running {
+	r := idleWith(t, p, v, seeds...)
+	r.run(t)
+	r.SetTable(tableOf(1), []byte("1"), "test")
+	r.SetUpstreams(p.upstreams())
+	return r
+}
+
 func (p *versionPlay) beginAll(t *testing.T, daemons []*running) []*streamCaller {
 	var callers []*streamCaller
 	for i := range p.streams {
--- a/internal/streamorigin/model_test.go
+++ b/internal/streamorigin/model_test.go
@@ -128,6 +128,9 @@
 		d.table.SetReadable(!d.blind)
 	}
 	m.cluster.observe(d)
+	if !d.down {
+		m.cluster.welcome(d)
+	}
 }
 
 func (m *model) cut(t *rapid.T) {
--- a/internal/streamorigin/peers.go
+++ b/internal/streamorigin/peers.go
@@ -25,6 +25,27 @@
 	return highest(requestID, self, living, queried)
 }
 
+// tells reports whether self is one of the living daemons that tell a newcomer the origin of a request's stream: it is among
+// the highest of the others, and the newcomer among those that are asked. There are several, since
+// some of the living daemons may be dead already.
+func tells(requestID, self, newcomer string, living []string) bool {
+	selfRank, newcomerRank := rankOf(self, requestID), rankOf(newcomer, requestID)
+	aboveSelf, aboveNewcomer := 0, 0
+	for _, name := range living {
+		r := rankOf(name, requestID)
+		if name != newcomer && r > selfRank {
+			aboveSelf++
+		}
+		if r > newcomerRank {
+			aboveNewcomer++
+		}
+	}
+	return aboveSelf < replicas && aboveNewcomer < queried
+}
+
+// rankOf returns the rank of a daemon for a request.
+func rankOf(name, requestID string) uint64 { return xxhash.Sum64String(name + " " + requestID) }
+
 // highest returns the n daemons other than self that rank highest for a request (rendezvous hashing).
 func highest(requestID, self string, living []string, n int) []string {
 	type ranked struct {
@@ -38,7 +59,7 @@
 		}
 		list = append(list, ranked{
 			name: name,
-			rank: xxhash.Sum64String(name + " " + requestID),
+			rank: rankOf(name, requestID),
 		})
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
--- a/internal/streamorigin/script_test.go
+++ b/internal/streamorigin/script_test.go
@@ -111,6 +111,7 @@
 			m.down = false
 			m.table = newTestTable()
 			c.observe(m)
+			c.welcome(m)
 		case "freeze", "wake":
 			m.frozen = d.Cmd == "freeze"
 		case "blind", "see":
@@ -213,6 +214,15 @@
 	return sent
 }
 
+// welcome delivers what the others tell a daemon that has joined.
+func (c *cluster) welcome(newcomer *testDaemon) {
+	for _, m := range c.daemons {
+		if m != newcomer && !m.down && !m.frozen && c.reach(m, newcomer) {
+			newcomer.table.Receive(m.table.EntriesFor(newcomer.name, m.name, c.living()))
+		}
+	}
+}
+
 // resume returns where a stream goes on that its caller takes up at a daemon.
 func (c *cluster) resume(at, id string) (Origin, error) {
 	m := c.daemon(at)
@@ -227,12 +237,7 @@
 	}
 	o, err := Decide("s", m.table.Ask(id, "s"), answers)
 	if err == nil {
-		m.table.Receive([]Entry{
-			{
-				RequestID: id,
-				Origin:    o,
-			},
-		})
+		m.table.Begin(id, o)
 	}
 	return o, err
 }
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -79,7 +79,7 @@
 
 type entry struct {
 	origin Origin
-	// own reports that this daemon began the stream, and announced that its peers were told.
+	// own reports that this daemon has served the stream, and announced that its peers were told.
 	own       bool
 	announced bool
 	usedAt    time.Time
@@ -109,12 +109,15 @@
 	t.retention = d
 }
 
-// Begin records that this daemon has forwarded the first event of a stream.
+// Begin records that this daemon serves a stream that began at an origin: it has forwarded the first event, or its
+// caller has taken the stream up here.
 func (t *Table) Begin(requestID string, o Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	t.put(requestID, o, now).own = true
+	e := t.put(requestID, o, now)
+	e.own = true
+	e.usedAt = now
 	t.announceIfUncertain(requestID, now)
 }
 
@@ -290,6 +293,28 @@
 	return list
 }
 
+// EntriesFor returns the entries that self has to tell a daemon that has just joined, since daemons that were told before may end:
+// those of the streams that it has served, and its part of the others.
+func (t *Table) EntriesFor(newcomer, self string, living []string) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.expire(now, 0)
+	var list []Entry
+	for id, e := range t.entries {
+		known := e.announced || !e.own // Other daemons know it.
+		if !known || !e.own && !tells(id, self, newcomer, living) {
+			continue
+		}
+		list = append(list, Entry{
+			RequestID: id,
+			Origin:    e.origin,
+			Age:       now.Sub(e.usedAt),
+		})
+	}
+	return list
+}
+
 // Ask returns what this daemon knows of the stream that a request of a service began. It keeps the entry
 // from expiring, since the caller is still there.
 func (t *Table) Ask(requestID, service string) Answer {
