Release stage results that ran again before their context ends

Since stages that run again do so with the context of serveStream, which ends before serve releases the job. The owner then sees a broken connection instead of the end of the job, keeps it for another 0.5 s, and the daemon may submit it again.

Change: the end of a stream releases the job first.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -123,6 +123,7 @@
 func (s *streamRun) stop() {
 	s.silence.Stop()
 	s.rerun.abandon()
+	s.releaseJob() // Before its context ends, which looks like a broken connection to the owner.
 	if s.hedge != nil {
 		s.abandonHedge()
 	}
