Don't take a failed call for the end of a stream

Since one function handles the end of a call and of a body, and takes io.EOF in either for a complete stream. A call whose error wraps io.EOF after the response has begun made it look complete, and one before lost its "not sent".

Not seen with upstreamhttp, since http.ReadResponse turns io.EOF into io.ErrUnexpectedEOF: a latent fault.

Change: only an attempt whose response has begun can be complete.

--- a/internal/forward/silence_retry_test.go
+++ b/internal/forward/silence_retry_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/stagework"
 )
 
@@ -157,3 +158,20 @@
 		require.Zero(t, stages.endedEarly.Load())
 	})
 }
+
+// TestFailedCallEndsNoStream guards against a response that looks complete since a second call failed.
+func TestFailedCallEndsNoStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		closed := callerFunc(func(_ context.Context, call Call) (*Response, error) {
+			return nil, &pipeline.CallError{
+				Addr:      call.Addr,
+				Execution: pipeline.MayHaveRun,
+				Err:       fmt.Errorf("read: %w", io.EOF),
+			}
+		})
+		o, response := serveResumable(t, sequence(scripted("events", "1", "2", "cut"), closed), &countedStages{
+			maxJobs: 3,
+		}, "20s")
+		require.NotEqual(t, "answered", outcome.Name(o), "events %d", response.events)
+	})
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -264,12 +264,13 @@
 
 // onEnd handles the end of an attempt. A stream that is complete ends the request.
 func (s *streamRun) onEnd(a *streamAttempt, err error) outcome.Outcome {
-	if errors.Is(err, io.EOF) && s.responseStarted {
+	complete := a.response != nil && errors.Is(err, io.EOF)
+	if complete && s.responseStarted {
 		s.keep(a)
 		s.report(a, nil)
 		return s.answered()
 	}
-	if errors.Is(err, io.EOF) {
+	if complete {
 		err = errNoEvents
 	}
 	return s.onFailure(a, callError(a.choice, err), a.load())
