--- a/internal/forward/silence_retry_test.go
+++ b/internal/forward/silence_retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -175,3 +176,127 @@
 		require.NotEqual(t, "answered", outcome.Name(o), "events %d", response.events)
 	})
 }
+
+// TestStagesRunAgainOnlyForAttemptsWithinBudget guards against stage work for second attempts that can't be made.
+func TestStagesRunAgainOnlyForAttemptsWithinBudget(t *testing.T) {
+	const streams, budget = 30, 2
+	synctest.Test(t, func(t *testing.T) {
+		stages := &countedStages{
+			stageTime: 50 * time.Millisecond,
+			maxJobs:   streams,
+		}
+		f := New(Config{
+			Caller:    callerFunc(scripted("events", "1", "2", "hang")),
+			Stages:    stages,
+			Upstreams: threeUpstreams(0),
+			Table: tableOf(t, map[string]string{
+				"kind":      "resumable_stream",
+				"attempts":  "2",
+				"timeout":   "3s",
+				"objective": "2s",
+			}),
+			RetryRatio: 0.001,
+			RetryBurst: budget,
+		})
+		var all sync.WaitGroup
+		for i := range streams {
+			all.Go(func() {
+				f.Serve(t.Context(), Request{
+					ID:          fmt.Sprintf("r%d", i),
+					Path:        "/a/x",
+					Host:        "h",
+					APIKey:      "k1",
+					Received:    time.Now(),
+					PieceCounts: []int{1},
+				}, &recordedResponse{})
+			})
+		}
+		all.Wait()
+		require.LessOrEqual(t, int(stages.total.Load()), streams+budget)
+	})
+}
+
+// TestStagesThatRunAgainSurviveTheSilentUpstream guards against accepted stage work that is given up, and rejected anew.
+func TestStagesThatRunAgainSurviveTheSilentUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, response := serveResumable(t, sequence(resetAfter(2, 2500*time.Millisecond), scripted("events", "3", "4", "whole")), &countedStages{
+			stageTime: time.Second,
+			maxJobs:   2,
+		}, "20s")
+		require.Equal(t, "answered", outcome.Name(o), "%+v, events %d", o, response.events)
+	})
+}
+
+// TestUnsentSecondAttemptUsesUpNoAttempt guards against responses that are cut though one upstream alone has run them.
+func TestUnsentSecondAttemptUsesUpNoAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		goesOnThenReset := callerFunc(func(ctx context.Context, _ Call) (*Response, error) {
+			return &Response{
+				Status:   http.StatusOK,
+				Verified: true,
+				Body: io.NopCloser(io.MultiReader(
+					eventsOf(ctx, []string{"1", "2", "whole"}),
+					&silentReader{
+						ctx:    ctx,
+						silent: 2200 * time.Millisecond,
+					},
+					eventsOf(ctx, []string{"3", "4", "cut"}))),
+			}, nil
+		})
+		dials := callerFunc(func(ctx context.Context, call Call) (*Response, error) {
+			<-ctx.Done()
+			return nil, &pipeline.CallError{
+				Addr:      call.Addr,
+				Execution: pipeline.NotSent,
+				Err:       errors.New("dial: operation was canceled"),
+			}
+		})
+		o, response := serveResumable(t, sequence(goesOnThenReset, dials, scripted("events", "5", "6", "whole")), &countedStages{
+			maxJobs: 9,
+		}, "20s")
+		require.Equal(t, "answered", outcome.Name(o), "%+v, events %d", o, response.events)
+	})
+}
+
+// TestEmptySecondStreamIsNotTheEnd guards against a response that looks complete while its upstream is only silent.
+func TestEmptySecondStreamIsNotTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		goesOn := callerFunc(func(ctx context.Context, _ Call) (*Response, error) {
+			return &Response{
+				Status:   http.StatusOK,
+				Verified: true,
+				Body: io.NopCloser(io.MultiReader(
+					eventsOf(ctx, []string{"1", "2", "whole"}),
+					&silentReader{
+						ctx:    ctx,
+						silent: 2500 * time.Millisecond,
+					},
+					eventsOf(ctx, []string{"3", "4", "whole"}))),
+			}, nil
+		})
+		empty := callerFunc(func(context.Context, Call) (*Response, error) {
+			return &Response{
+				Status:   http.StatusOK,
+				Verified: true,
+				Body:     http.NoBody,
+			}, nil
+		})
+		_, response := serveResumable(t, sequence(goesOn, empty), &countedStages{
+			maxJobs: 9,
+		}, "20s")
+		require.Equal(t, 4, response.events)
+	})
+}
+
+type silentReader struct {
+	ctx    context.Context
+	silent time.Duration
+}
+
+// Read implements io.Reader.
+func (r *silentReader) Read([]byte) (int, error) {
+	if err := sleepFor(r.ctx, r.silent); err != nil {
+		return 0, err
+	}
+	return 0, io.EOF
+}
