--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -123,6 +123,7 @@
 func (s *streamRun) stop() {
 	s.silence.Stop()
 	s.rerun.abandon()
+	s.releaseJob() // Before its context ends, which looks like a broken connection to the owner.
 	if s.hedge != nil {
 		s.abandonHedge()
 	}
@@ -263,12 +264,13 @@
 
 // onEnd handles the end of an attempt. A stream that is complete ends the request.
 func (s *streamRun) onEnd(a *streamAttempt, err error) outcome.Outcome {
-	if errors.Is(err, io.EOF) && s.responseStarted {
+	complete := a.response != nil && errors.Is(err, io.EOF)
+	if complete && s.responseStarted {
 		s.keep(a)
 		s.report(a, nil)
 		return s.answered()
 	}
-	if errors.Is(err, io.EOF) {
+	if complete {
 		err = errNoEvents
 	}
 	return s.onFailure(a, callError(a.choice, err), a.load())
