Withdraw a retry before the stages run for it

When an upstream fell silent, the stages of all its streams ran again at once, and only then was the retry withdrawn: the streams without one held the results until an event came. Callers of other requests got less of the scarce stages.

Evidence: TestStagesRunAgainOnlyForAttemptsWithinBudget failed with 60 jobs of 30 streams with two retries, want at most 32; it passes now.

Change: the retry is withdrawn first, and given back if the stages are rejected, nothing can be picked, or the silent upstream goes on.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -113,7 +113,7 @@
 	if !x.route.Kind.Retryable() || pending != 1 || x.attempts+pending >= x.route.MaxAttempts {
 		return false
 	}
-	return x.forwarder.budget(x.service.Name).Withdraw()
+	return x.retryBudget().Withdraw()
 }
 
 // attempt makes one call and reads its response to the end.
--- a/internal/forward/observe.go
+++ b/internal/forward/observe.go
@@ -40,7 +40,7 @@
 	if !answered && x.responseStarted {
 		metrics.GetOrCreateCounter(fmt.Sprintf(`sequoiafork_responses_cut_total{route=%q,code=%q}`, x.route.Name, outcome.CodeOf(o))).Inc()
 		fields = append(fields, zap.Bool("response_cut", true), zap.Int64("last_event_id", x.lastID), zap.Int("attempts", x.attempts),
-			zap.Duration("silent_ms", time.Since(x.lastEventAt)), zap.Int("retry_budget", x.forwarder.budget(x.service.Name).Balance()))
+			zap.Duration("silent_ms", time.Since(x.lastEventAt)), zap.Int("retry_budget", x.retryBudget().Balance()))
 	}
 	if !answered {
 		message, retry := outcomeDetail(o)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -137,7 +137,7 @@
 		return failed
 	}
 	defer x.releaseJob()
-	x.forwarder.budget(x.service.Name).Deposit()
+	x.retryBudget().Deposit()
 	if x.route.Kind.Streams() {
 		return x.serveStream(ctx)
 	}
@@ -386,7 +386,7 @@
 	case !x.route.Kind.Retryable() || x.attempts+pending >= max(x.route.MaxAttempts, 1):
 		return false
 	}
-	return x.forwarder.budget(x.service.Name).Withdraw()
+	return x.retryBudget().Withdraw()
 }
 
 // withoutResponse returns the outcome of a prepared request that gets no response. All
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"sequoiafork/internal/budget"
 	"sequoiafork/internal/eventstream"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/pipeline"
@@ -61,7 +62,8 @@
 	current *streamAttempt
 	// hedge is the second attempt, or nil.
 	hedge *streamAttempt
-	// rerun is the run of the stages that a second attempt waits for, or nil.
+	// rerun is the run of the stages that a second attempt waits for, or nil. Its retry has been
+	// withdrawn from the budget already.
 	rerun *stageRerun
 	// silence fires when nothing has been received for too long.
 	silence *time.Timer
@@ -122,7 +124,7 @@
 // stop ends all attempts.
 func (s *streamRun) stop() {
 	s.silence.Stop()
-	s.rerun.abandon()
+	s.abandonRerun()
 	s.releaseJob() // Before its context ends, which looks like a broken connection to the owner.
 	if s.hedge != nil {
 		s.abandonHedge()
@@ -196,8 +198,7 @@
 
 // keep makes an attempt that has received an event the only one.
 func (s *streamRun) keep(a *streamAttempt) {
-	s.rerun.abandon()
-	s.rerun = nil
+	s.abandonRerun()
 	s.releaseJob()
 	switch {
 	case s.hedge == nil:
@@ -308,8 +309,7 @@
 		return s.failureOutcome(s.ctx, failure)
 	}
 	s.current = nil
-	s.rerun.abandon()
-	s.rerun = nil
+	s.abandonRerun()
 	if failed := s.rerunStages(s.ctx); failed != nil {
 		return failed
 	}
@@ -325,7 +325,8 @@
 	return x.runStages(ctx)
 }
 
-// onSilence starts a second attempt, after the stages if they have to run again.
+// onSilence starts a second attempt, after the stages if they have to run again. The retry is withdrawn from
+// the budget first, so that stages run only for attempts that will be made.
 func (s *streamRun) onSilence() {
 	if !s.route.Kind.Retryable() {
 		return
@@ -334,6 +335,9 @@
 	if s.hedge != nil || s.rerun != nil || s.attempts+1 >= s.route.MaxAttempts || s.rejections > maxRejections {
 		return
 	}
+	if !s.retryBudget().Withdraw() {
+		return
+	}
 	if s.inputs != nil && s.job == nil {
 		s.rerun = s.startRerun(s.ctx)
 		return
@@ -341,15 +345,14 @@
 	s.startHedge()
 }
 
-// startHedge starts the second attempt if there is an upstream for it and the retry budget allows it.
+// retryBudget returns the budget of the request's service.
+func (x *execution) retryBudget() *budget.Budget { return x.forwarder.budget(x.service.Name) }
+
+// startHedge starts the second attempt if there is an upstream for it. Otherwise the first continues alone.
 func (s *streamRun) startHedge() {
-	budget := s.forwarder.budget(s.service.Name)
-	if !budget.Withdraw() {
-		return
-	}
 	choice, err := s.pickUpstream(0)
 	if err != nil {
-		budget.Return() // Without a second upstream the first continues alone.
+		s.retryBudget().Return()
 		return
 	}
 	s.forwarder.cfg.Logger.Info("upstream is silent, trying another one as well",
@@ -363,14 +366,30 @@
 func (s *streamRun) onRerun(r rerunResult) {
 	s.rerun = nil
 	if r.err != nil {
-		s.forwarder.cfg.Logger.Info("no second attempt while the upstream is silent, since the stages can't run again",
-			zap.String("request_id", s.req.ID), zap.Error(r.err))
+		s.retryBudget().Return()
+		s.onRerunFailure(r.err)
 		return
 	}
 	s.job, s.inputs = r.job, r.inputs
 	s.startHedge()
 }
 
+// onRerunFailure logs that there is no second attempt.
+func (s *streamRun) onRerunFailure(err error) {
+	s.forwarder.cfg.Logger.Info("no second attempt while the upstream is silent, since the stages can't run again",
+		zap.String("request_id", s.req.ID), zap.Error(err))
+}
+
+// abandonRerun ends the run of the stages that nothing waits for any more.
+func (s *streamRun) abandonRerun() {
+	if s.rerun == nil {
+		return
+	}
+	s.rerun.abandon()
+	s.rerun = nil
+	s.retryBudget().Return()
+}
+
 // stageRerun is a run of a request's stages in its own goroutine.
 type stageRerun struct {
 	cancel context.CancelFunc
@@ -406,9 +425,6 @@
 
 // abandon ends the run and releases its results.
 func (r *stageRerun) abandon() {
-	if r == nil {
-		return
-	}
 	r.cancel()
 	go func() {
 		if result := <-r.result; result.job != nil {
