Keep the stages that run again when the silent upstream fails

Callers saw a response cut.

Change: the request waits for the job that was accepted, and its next attempt uses the retry that was withdrawn for it.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -63,7 +63,7 @@
 	// hedge is the second attempt, or nil.
 	hedge *streamAttempt
 	// rerun is the run of the stages that a second attempt waits for, or nil. Its retry has been
-	// withdrawn from the budget already.
+	// withdrawn from the budget already. Without a current attempt, the next one waits for it.
 	rerun *stageRerun
 	// silence fires when nothing has been received for too long.
 	silence *time.Timer
@@ -103,7 +103,7 @@
 	case err := <-hedgeEnded:
 		return s.onEnd(s.hedge, err)
 	case r := <-s.rerun.results():
-		s.onRerun(r)
+		return s.onRerun(r)
 	case <-s.silence.C:
 		s.onSilence()
 	}
@@ -305,11 +305,14 @@
 		s.current, s.hedge = s.hedge, nil
 		s.logContinued()
 		return nil
+	case s.rerun != nil && s.ctx.Err() == nil:
+		s.countFailure(failure)
+		s.current = nil
+		return nil
 	case !s.mayRetry(s.ctx, failure, 0):
 		return s.failureOutcome(s.ctx, failure)
 	}
 	s.current = nil
-	s.abandonRerun()
 	if failed := s.rerunStages(s.ctx); failed != nil {
 		return failed
 	}
@@ -362,22 +365,30 @@
 	s.silence.Reset(s.firstEventTimeout())
 }
 
-// onRerun starts the second attempt with the results of the stages, if there are any.
-func (s *streamRun) onRerun(r rerunResult) {
+// onRerun starts the attempt that has waited for the stages.
+func (s *streamRun) onRerun(r rerunResult) outcome.Outcome {
 	s.rerun = nil
 	if r.err != nil {
 		s.retryBudget().Return()
-		s.onRerunFailure(r.err)
-		return
+		return s.onRerunFailure(r.err)
 	}
 	s.job, s.inputs = r.job, r.inputs
+	if s.current == nil {
+		s.logContinued()
+		return s.start()
+	}
 	s.startHedge()
+	return nil
 }
 
-// onRerunFailure logs that there is no second attempt.
-func (s *streamRun) onRerunFailure(err error) {
+// onRerunFailure ends the request if there is no attempt that goes on.
+func (s *streamRun) onRerunFailure(err error) outcome.Outcome {
+	if s.current == nil {
+		return s.stageFailure(s.ctx, err)
+	}
 	s.forwarder.cfg.Logger.Info("no second attempt while the upstream is silent, since the stages can't run again",
 		zap.String("request_id", s.req.ID), zap.Error(err))
+	return nil
 }
 
 // abandonRerun ends the run of the stages that nothing waits for any more.
