Count a second attempt that was not sent as none

A second attempt that was still dialing when the silent upstream went on counted as one that may have run. With two attempts a route, a later reset of the first upstream then cut the response, though one upstream alone had run the request.

Evidence: TestUnsentSecondAttemptUsesUpNoAttempt failed; it passes now, and 3,000 loads of TestStreamsThroughSilence.

Change: the end of the abandoned attempt is awaited, which its context brings about at once, and tells whether it was sent. If not, its retry goes back.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -214,7 +214,14 @@
 	a := s.hedge
 	s.hedge = nil
 	a.cancel(errHedgeNotNeeded)
-	failure := mayHaveRun(a.choice, errHedgeNotNeeded)
+	failure := &pipeline.CallError{
+		Addr:      a.choice.Addr,
+		Execution: callError(a.choice, <-a.ended).Execution,
+		Err:       errHedgeNotNeeded,
+	}
+	if failure.Execution == pipeline.NotSent {
+		s.retryBudget().Return()
+	}
 	s.countFailure(failure)
 	s.report(a, failure)
 }
