Don't end a response with an empty second stream while the first goes on

A second attempt whose response has no event ended the response as complete, though the first upstream was only silent. Callers saw a whole response that lacked events.

One that continues after the first has failed may still be empty: all events may have come before.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -273,7 +273,8 @@
 // onEnd handles the end of an attempt. A stream that is complete ends the request.
 func (s *streamRun) onEnd(a *streamAttempt, err error) outcome.Outcome {
 	complete := a.response != nil && errors.Is(err, io.EOF)
-	if complete && s.responseStarted {
+	empty := a == s.hedge && a.firstEvent == 0
+	if complete && s.responseStarted && !empty {
 		s.keep(a)
 		s.report(a, nil)
 		return s.answered()
