--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"sequoiafork/internal/budget"
 	"sequoiafork/internal/eventstream"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/pipeline"
@@ -61,7 +62,8 @@
 	current *streamAttempt
 	// hedge is the second attempt, or nil.
 	hedge *streamAttempt
-	// rerun is the run of the stages that a second attempt waits for, or nil.
+	// rerun is the run of the stages that a second attempt waits for, or nil. Its retry has been
+	// withdrawn from the budget already. Without a current attempt, the next one waits for it.
 	rerun *stageRerun
 	// silence fires when nothing has been received for too long.
 	silence *time.Timer
@@ -101,7 +103,7 @@
 	case err := <-hedgeEnded:
 		return s.onEnd(s.hedge, err)
 	case r := <-s.rerun.results():
-		s.onRerun(r)
+		return s.onRerun(r)
 	case <-s.silence.C:
 		s.onSilence()
 	}
@@ -122,7 +124,8 @@
 // stop ends all attempts.
 func (s *streamRun) stop() {
 	s.silence.Stop()
-	s.rerun.abandon()
+	s.abandonRerun()
+	s.releaseJob() // Before its context ends, which looks like a broken connection to the owner.
 	if s.hedge != nil {
 		s.abandonHedge()
 	}
@@ -196,8 +199,7 @@
 
 // keep makes an attempt that has received an event the only one.
 func (s *streamRun) keep(a *streamAttempt) {
-	s.rerun.abandon()
-	s.rerun = nil
+	s.abandonRerun()
 	s.releaseJob()
 	switch {
 	case s.hedge == nil:
@@ -213,7 +215,14 @@
 	a := s.hedge
 	s.hedge = nil
 	a.cancel(errHedgeNotNeeded)
-	failure := mayHaveRun(a.choice, errHedgeNotNeeded)
+	failure := &pipeline.CallError{
+		Addr:      a.choice.Addr,
+		Execution: callError(a.choice, <-a.ended).Execution,
+		Err:       errHedgeNotNeeded,
+	}
+	if failure.Execution == pipeline.NotSent {
+		s.retryBudget().Return()
+	}
 	s.countFailure(failure)
 	s.report(a, failure)
 }
@@ -264,12 +273,14 @@
 
 // onEnd handles the end of an attempt. A stream that is complete ends the request.
 func (s *streamRun) onEnd(a *streamAttempt, err error) outcome.Outcome {
-	if errors.Is(err, io.EOF) && s.responseStarted {
+	complete := a.response != nil && errors.Is(err, io.EOF)
+	empty := a == s.hedge && a.firstEvent == 0
+	if complete && s.responseStarted && !empty {
 		s.keep(a)
 		s.report(a, nil)
 		return s.answered()
 	}
-	if errors.Is(err, io.EOF) {
+	if complete {
 		err = errNoEvents
 	}
 	return s.onFailure(a, callError(a.choice, err), a.load())
@@ -303,12 +314,14 @@
 		s.current, s.hedge = s.hedge, nil
 		s.logContinued()
 		return nil
+	case s.rerun != nil && s.ctx.Err() == nil:
+		s.countFailure(failure)
+		s.current = nil
+		return nil
 	case !s.mayRetry(s.ctx, failure, 0):
 		return s.failureOutcome(s.ctx, failure)
 	}
 	s.current = nil
-	s.rerun.abandon()
-	s.rerun = nil
 	if failed := s.rerunStages(s.ctx); failed != nil {
 		return failed
 	}
@@ -324,7 +337,8 @@
 	return x.runStages(ctx)
 }
 
-// onSilence starts a second attempt, after the stages if they have to run again.
+// onSilence starts a second attempt, after the stages if they have to run again. The retry is withdrawn from
+// the budget first, so that stages run only for attempts that will be made.
 func (s *streamRun) onSilence() {
 	if !s.route.Kind.Retryable() {
 		return
@@ -333,6 +347,9 @@
 	if s.hedge != nil || s.rerun != nil || s.attempts+1 >= s.route.MaxAttempts || s.rejections > maxRejections {
 		return
 	}
+	if !s.retryBudget().Withdraw() {
+		return
+	}
 	if s.inputs != nil && s.job == nil {
 		s.rerun = s.startRerun(s.ctx)
 		return
@@ -340,15 +357,14 @@
 	s.startHedge()
 }
 
-// startHedge starts the second attempt if there is an upstream for it and the retry budget allows it.
+// retryBudget returns the budget of the request's service.
+func (x *execution) retryBudget() *budget.Budget { return x.forwarder.budget(x.service.Name) }
+
+// startHedge starts the second attempt if there is an upstream for it. Otherwise the first continues alone.
 func (s *streamRun) startHedge() {
-	budget := s.forwarder.budget(s.service.Name)
-	if !budget.Withdraw() {
-		return
-	}
 	choice, err := s.pickUpstream(0)
 	if err != nil {
-		budget.Return() // Without a second upstream the first continues alone.
+		s.retryBudget().Return()
 		return
 	}
 	s.forwarder.cfg.Logger.Info("upstream is silent, trying another one as well",
@@ -358,16 +374,40 @@
 	s.silence.Reset(s.firstEventTimeout())
 }
 
-// onRerun starts the second attempt with the results of the stages, if there are any.
-func (s *streamRun) onRerun(r rerunResult) {
+// onRerun starts the attempt that has waited for the stages.
+func (s *streamRun) onRerun(r rerunResult) outcome.Outcome {
 	s.rerun = nil
 	if r.err != nil {
-		s.forwarder.cfg.Logger.Info("no second attempt while the upstream is silent, since the stages can't run again",
-			zap.String("request_id", s.req.ID), zap.Error(r.err))
-		return
+		s.retryBudget().Return()
+		return s.onRerunFailure(r.err)
 	}
 	s.job, s.inputs = r.job, r.inputs
+	if s.current == nil {
+		s.logContinued()
+		return s.start()
+	}
 	s.startHedge()
+	return nil
+}
+
+// onRerunFailure ends the request if there is no attempt that goes on.
+func (s *streamRun) onRerunFailure(err error) outcome.Outcome {
+	if s.current == nil {
+		return s.stageFailure(s.ctx, err)
+	}
+	s.forwarder.cfg.Logger.Info("no second attempt while the upstream is silent, since the stages can't run again",
+		zap.String("request_id", s.req.ID), zap.Error(err))
+	return nil
+}
+
+// abandonRerun ends the run of the stages that nothing waits for any more.
+func (s *streamRun) abandonRerun() {
+	if s.rerun == nil {
+		return
+	}
+	s.rerun.abandon()
+	s.rerun = nil
+	s.retryBudget().Return()
 }
 
 // stageRerun is a run of a request's stages in its own goroutine.
@@ -405,9 +445,6 @@
 
 // abandon ends the run and releases its results.
 func (r *stageRerun) abandon() {
-	if r == nil {
-		return
-	}
 	r.cancel()
 	go func() {
 		if result := <-r.result; result.job != nil {
