Try upstreams of a stream's version that have refused a connection, if there is no other

If all upstreams of the version that a stream began at had refused a connection just before (a limit of connections that was reached, a restart), a caller who took the stream up was refused until the next probe was due, while new streams went to other versions. Callers may not be refused where an upstream of their version serves.

Set.HasVersion (HasLive before) counts all that aren't leaving.

--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -48,7 +48,7 @@
 	if err == nil {
 		err = x.useService(o.Service)
 	}
-	if err == nil && !x.forwarder.cfg.Upstreams.HasLive(o.Service, o.Version) {
+	if err == nil && !x.forwarder.cfg.Upstreams.HasVersion(o.Service, o.Version) {
 		err = &noVersionError{
 			origin: o,
 		}
@@ -94,7 +94,7 @@
 
 // Error implements error.
 func (e *noVersionError) Error() string {
-	return fmt.Sprintf("no live upstream of service %s has version %q, at which the stream began", e.origin.Service, e.origin.Version)
+	return fmt.Sprintf("no upstream of service %s that takes work has version %q, at which the stream began", e.origin.Service, e.origin.Version)
 }
 
 // setOrigin records where the stream begins, when its first event is forwarded. From then on it goes on
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -259,25 +259,33 @@
 	return !r.PinVersion || m.host.Version == r.Version
 }
 
-// chooseOfVersion returns the live member with the fewest attempts in flight, for a request that only
-// upstreams of one version can take. It may be ejected, on probation or outside of the subset, since there
-// may be no other one.
+// chooseOfVersion returns the best member for a request that only upstreams of one version can take, when there is no
+// eligible one. It may be ejected, on probation or outside of the subset, or have refused a connection.
 func (g *group) chooseOfVersion(r *Request, now time.Time) *member {
 	if !r.PinVersion {
 		return nil
 	}
 	var best *member
 	for _, m := range g.order {
-		if m.state(now) != Live || now.Before(m.pausedUntil) || !m.pacer.Ready(now) || !r.allows(m) {
+		if m.state(now) == Leaving || now.Before(m.pausedUntil) || !m.pacer.Ready(now) || !r.allows(m) {
 			continue
 		}
-		if best == nil || m.inFlight < best.inFlight {
+		if best == nil || m.betterLastResort(best, now) {
 			best = m
 		}
 	}
 	return best
 }
 
+// betterLastResort reports whether m is live and o is not or, if that is the same, has fewer attempts in flight.
+func (m *member) betterLastResort(o *member, now time.Time) bool {
+	live, otherLive := m.state(now) == Live, o.state(now) == Live
+	if live != otherLive {
+		return live
+	}
+	return m.inFlight < o.inFlight
+}
+
 // chooseLater returns the member that is the first to take a request when all that could are waiting
 // for the rate to which they limit requests, and how long that takes. It returns nil if it takes
 // longer than the request may wait.
--- a/internal/upstream/set.go
+++ b/internal/upstream/set.go
@@ -93,8 +93,8 @@
 	return counts
 }
 
-// HasLive reports whether a service has a live upstream of a version.
-func (s *Set) HasLive(service, version string) bool {
+// HasVersion reports whether a service has an upstream of a version that is not leaving.
+func (s *Set) HasVersion(service, version string) bool {
 	g := s.group(service)
 	if g == nil {
 		return false
@@ -103,7 +103,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range g.order {
-		if m.host.Version == version && m.state(now) == Live {
+		if m.host.Version == version && m.state(now) != Leaving {
 			return true
 		}
 	}
