Announce all origins of streams when a daemon stops

A daemon that has seen one version for long announces nothing, since any other such daemon can tell at which version its streams began. In a rolling restart the others have all been replaced just before the last one stops: none of them can be sure, and the streams that it cuts at the end of its grace period would be refused.

Entryhost's Drain makes the table announce all origins, also those that begin later. Test: last play of testdata/scripts/resume; without the change nothing was announced and the stream refused ("not all versions that service s has had are known").

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -259,6 +259,7 @@
 	if d.draining.Swap(true) {
 		return
 	}
+	d.origins.AnnounceAll()
 	d.members.SetLeaving()
 	d.logger.Info("draining", zap.Int("in_flight", d.forwarder.InFlight()))
 }
--- a/internal/streamorigin/script_test.go
+++ b/internal/streamorigin/script_test.go
@@ -112,6 +112,8 @@
 			m.table = newTestTable()
 			c.observe(m)
 			c.welcome(m)
+		case "stop":
+			m.table.AnnounceAll()
 		case "freeze", "wake":
 			m.frozen = d.Cmd == "freeze"
 		case "blind", "see":
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -74,7 +74,9 @@
 	observedAt    time.Time
 	// unreadable reports that the list of upstreams can't be read.
 	unreadable bool
-	wake       chan struct{}
+	// announceAll reports that all origins are announced.
+	announceAll bool
+	wake        chan struct{}
 }
 
 type entry struct {
@@ -173,10 +175,11 @@
 	}
 }
 
-// announceIfUncertain makes TakeUnannounced return an entry if its service may have several versions.
+// announceIfUncertain makes TakeUnannounced return an entry if its service may have several versions, or if all
+// are announced.
 func (t *Table) announceIfUncertain(requestID string, now time.Time) {
 	e := t.entries[requestID]
-	if e.announced || !t.uncertain(e.origin.Service, now) {
+	if e.announced || !t.announceAll && !t.uncertain(e.origin.Service, now) {
 		return
 	}
 	e.announced = true
@@ -260,6 +263,17 @@
 	t.announceOwn(func(string) bool { return true }, now)
 }
 
+// AnnounceAll makes the daemon announce all origins, since it is about to end: the others may not have observed
+// upstreams for long enough to be sure without it.
+func (t *Table) AnnounceAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.announceAll = true
+	now := time.Now()
+	t.expire(now, 0)
+	t.announceOwn(func(string) bool { return true }, now)
+}
+
 // announceOwn announces the streams of some services that this daemon began, if their versions are uncertain.
 func (t *Table) announceOwn(ofService func(service string) bool, now time.Time) {
 	for id, e := range t.entries {
