--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -58,7 +58,6 @@
 // be rejected.
 type streamRun struct {
 	*execution
-	ctx     context.Context
 	current *streamAttempt
 	// hedge is the second attempt, or nil.
 	hedge *streamAttempt
@@ -75,48 +74,47 @@
 	defer cancel()
 	s := &streamRun{
 		execution: x,
-		ctx:       ctx,
 		silence:   time.NewTimer(0),
 	}
 	defer s.stop()
-	if o := s.start(); o != nil {
+	if o := s.start(ctx); o != nil {
 		return o
 	}
 	for {
-		if o := s.step(); o != nil {
+		if o := s.step(ctx); o != nil {
 			return o
 		}
 	}
 }
 
 // step handles the next thing that happens. It returns the outcome when the request has ended, otherwise nil.
-func (s *streamRun) step() outcome.Outcome {
+func (s *streamRun) step(ctx context.Context) outcome.Outcome {
 	fromCurrent, currentEnded := receivedFrom(s.current)
 	fromHedge, hedgeEnded := receivedFrom(s.hedge)
 	select {
 	case r := <-fromCurrent:
-		return s.onReceived(s.current, r)
+		return s.onReceived(ctx, s.current, r)
 	case err := <-currentEnded:
-		return s.onEnd(s.current, err)
+		return s.onEnd(ctx, s.current, err)
 	case r := <-fromHedge:
-		return s.onReceived(s.hedge, r)
+		return s.onReceived(ctx, s.hedge, r)
 	case err := <-hedgeEnded:
-		return s.onEnd(s.hedge, err)
+		return s.onEnd(ctx, s.hedge, err)
 	case r := <-s.rerun.results():
-		return s.onRerun(r)
+		return s.onRerun(ctx, r)
 	case <-s.silence.C:
-		s.onSilence()
+		s.onSilence(ctx)
 	}
 	return nil
 }
 
 // start starts the first attempt, or the next one after a failure.
-func (s *streamRun) start() outcome.Outcome {
+func (s *streamRun) start(ctx context.Context) outcome.Outcome {
 	choice, err := s.pickUpstream(s.maxDelay())
 	if err != nil {
-		return s.failureOutcome(s.ctx, err)
+		return s.failureOutcome(ctx, err)
 	}
-	s.current = s.attemptStream(s.ctx, choice)
+	s.current = s.attemptStream(ctx, choice)
 	s.silence.Reset(choice.Delay + s.firstEventTimeout())
 	return nil
 }
@@ -149,7 +147,7 @@
 }
 
 // onReceived handles what an attempt has received.
-func (s *streamRun) onReceived(a *streamAttempt, r received) outcome.Outcome {
+func (s *streamRun) onReceived(ctx context.Context, a *streamAttempt, r received) outcome.Outcome {
 	switch r := r.(type) {
 	case streamBegun:
 		a.response = r.response
@@ -159,7 +157,7 @@
 		return s.onEvent(a, r.event)
 	case otherResponse:
 		a.choice.Observe(r.response.Notice)
-		return s.onOtherResponse(a, r)
+		return s.onOtherResponse(ctx, a, r)
 	}
 	return nil
 }
@@ -251,15 +249,15 @@
 // onOtherResponse handles a response that is not a stream. One that states that the request has not run is
 // a rejection. Another verified one is the upstream's error response, which is forwarded if the request
 // may not be retried.
-func (s *streamRun) onOtherResponse(a *streamAttempt, r otherResponse) outcome.Outcome {
+func (s *streamRun) onOtherResponse(ctx context.Context, a *streamAttempt, r otherResponse) outcome.Outcome {
 	if failure := s.rejection(a.choice, r.response); failure != nil {
 		if r.response.InputMissing {
 			s.releaseJob() // The stages run again.
 		}
-		return s.onFailure(a, failure, r.response.Load)
+		return s.onFailure(ctx, a, failure, r.response.Load)
 	}
 	if !r.response.Verified {
-		return s.onFailure(a, mayHaveRun(a.choice, errUnverified), r.response.Load)
+		return s.onFailure(ctx, a, mayHaveRun(a.choice, errUnverified), r.response.Load)
 	}
 	failure := upstreamError(a.choice, r.response)
 	if r.err == nil && !s.responseStarted && !impliesNotRun(r.response.Status) && !s.route.Kind.Retryable() {
@@ -267,11 +265,11 @@
 		s.writer.WriteResponse(r.response.Status, r.response.Header, r.body)
 		return s.answered()
 	}
-	return s.onFailure(a, failure, r.response.Load)
+	return s.onFailure(ctx, a, failure, r.response.Load)
 }
 
 // onEnd handles the end of an attempt. A stream that is complete ends the request.
-func (s *streamRun) onEnd(a *streamAttempt, err error) outcome.Outcome {
+func (s *streamRun) onEnd(ctx context.Context, a *streamAttempt, err error) outcome.Outcome {
 	complete := a.response != nil && errors.Is(err, io.EOF)
 	empty := a == s.hedge && a.firstEvent == 0
 	if complete && s.responseStarted && !empty {
@@ -282,7 +280,7 @@
 	if complete {
 		err = errNoEvents
 	}
-	return s.onFailure(a, callError(a.choice, err), a.load())
+	return s.onFailure(ctx, a, callError(a.choice, err), a.load())
 }
 
 // load returns the load that the response reports, or nil.
@@ -299,7 +297,7 @@
 }
 
 // onFailure handles a failed attempt: the other one goes on, or a new one starts.
-func (s *streamRun) onFailure(a *streamAttempt, failure *pipeline.CallError, load *upstream.Load) outcome.Outcome {
+func (s *streamRun) onFailure(ctx context.Context, a *streamAttempt, failure *pipeline.CallError, load *upstream.Load) outcome.Outcome {
 	a.cancel(nil)
 	s.reportResult(a.choice, a.began, a.firstEvent, a.firstEvent > 0, failure, load)
 	switch {
@@ -313,19 +311,19 @@
 		s.current, s.hedge = s.hedge, nil
 		s.logContinued()
 		return nil
-	case s.rerun != nil && s.ctx.Err() == nil:
+	case s.rerun != nil && ctx.Err() == nil:
 		s.countFailure(failure)
 		s.current = nil
 		return nil
-	case !s.mayRetry(s.ctx, failure, 0):
-		return s.failureOutcome(s.ctx, failure)
+	case !s.mayRetry(ctx, failure, 0):
+		return s.failureOutcome(ctx, failure)
 	}
 	s.current = nil
-	if failed := s.rerunStages(s.ctx); failed != nil {
+	if failed := s.rerunStages(ctx); failed != nil {
 		return failed
 	}
 	s.logContinued()
-	return s.start()
+	return s.start(ctx)
 }
 
 // rerunStages runs the stages again if their results have been released already.
@@ -338,7 +336,7 @@
 
 // onSilence starts a second attempt, after the stages if they have to run again. The retry is withdrawn from
 // the budget first, so that stages run only for attempts that will be made.
-func (s *streamRun) onSilence() {
+func (s *streamRun) onSilence(ctx context.Context) {
 	if !s.route.Kind.Retryable() {
 		return
 	}
@@ -350,17 +348,17 @@
 		return
 	}
 	if s.inputs != nil && s.job == nil {
-		s.rerun = s.startRerun(s.ctx)
+		s.rerun = s.startRerun(ctx)
 		return
 	}
-	s.startHedge()
+	s.startHedge(ctx)
 }
 
 // retryBudget returns the budget of the request's service.
 func (x *execution) retryBudget() *budget.Budget { return x.forwarder.budget(x.service.Name) }
 
 // startHedge starts the second attempt if there is an upstream for it. Otherwise the first continues alone.
-func (s *streamRun) startHedge() {
+func (s *streamRun) startHedge(ctx context.Context) {
 	choice, err := s.pickUpstream(0)
 	if err != nil {
 		s.retryBudget().Return()
@@ -369,30 +367,30 @@
 	s.forwarder.cfg.Logger.Info("upstream is silent, trying another one as well",
 		zap.String("request_id", s.req.ID), zap.String("upstream", s.current.choice.Incarnation), zap.String("second", choice.Incarnation),
 		zap.Duration("silent_ms", time.Since(s.current.lastReceived)), zap.Bool("begun", s.responseStarted))
-	s.hedge = s.attemptStream(s.ctx, choice)
+	s.hedge = s.attemptStream(ctx, choice)
 	s.silence.Reset(s.firstEventTimeout())
 }
 
 // onRerun starts the attempt that has waited for the stages.
-func (s *streamRun) onRerun(r rerunResult) outcome.Outcome {
+func (s *streamRun) onRerun(ctx context.Context, r rerunResult) outcome.Outcome {
 	s.rerun = nil
 	if r.err != nil {
 		s.retryBudget().Return()
-		return s.onRerunFailure(r.err)
+		return s.onRerunFailure(ctx, r.err)
 	}
 	s.job, s.inputs = r.job, r.inputs
 	if s.current == nil {
 		s.logContinued()
-		return s.start()
+		return s.start(ctx)
 	}
-	s.startHedge()
+	s.startHedge(ctx)
 	return nil
 }
 
 // onRerunFailure ends the request if there is no attempt that goes on.
-func (s *streamRun) onRerunFailure(err error) outcome.Outcome {
+func (s *streamRun) onRerunFailure(ctx context.Context, err error) outcome.Outcome {
 	if s.current == nil {
-		return s.stageFailure(s.ctx, err)
+		return s.stageFailure(ctx, err)
 	}
 	s.forwarder.cfg.Logger.Info("no second attempt while the upstream is silent, since the stages can't run again",
 		zap.String("request_id", s.req.ID), zap.Error(err))
