Answer the requests that the end of the grace period ends

At the end of the grace period the daemon closed all connections, also of requests that had not begun to respond, such as those that wait for silent stage upstreams.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -255,6 +255,9 @@
 	d.logger.Info("draining", zap.Int("in_flight", d.forwarder.InFlight()))
 }
 
+// EndRequests ends the requests in progress with a final answer. Call it shortly before the process exits.
+func (d *Daemon) EndRequests() { d.forwarder.EndRequests() }
+
 // Resolve returns the addresses that a caller should use, and how long it may cache them.
 func (d *Daemon) Resolve(caller, dataCentre string) ([]string, time.Duration) {
 	return d.members.Resolve(caller, dataCentre)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -160,6 +160,10 @@
 	times    *stagetime.Tracker
 	budgets  sync.Map // service name to *budget.Budget
 	inFlight atomic.Int64
+	// stopping reports that requests are to end at once. running holds a
+	// context.CancelCauseFunc for each *execution in progress.
+	stopping atomic.Bool
+	running  sync.Map
 }
 
 // New returns a Forwarder.
@@ -177,6 +181,16 @@
 	}
 }
 
+// EndRequests ends all requests at once, since the process stops: those that have not begun to
+// respond get an outcome that tells whether they may have run.
+func (f *Forwarder) EndRequests() {
+	f.stopping.Store(true)
+	f.running.Range(func(_, end any) bool {
+		end.(context.CancelCauseFunc)(errStopping)
+		return true
+	})
+}
+
 // InFlight returns the number of requests in progress.
 func (f *Forwarder) InFlight() int { return int(f.inFlight.Load()) }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -55,6 +55,7 @@
 		"limits":          "0",
 		"upstreams_leave": "0s",
 		"pause":           "0s",
+		"stops":           "0s",
 	}
 	for _, arg := range d.CmdArgs {
 		opts[arg.Key] = arg.Vals[0]
@@ -88,6 +89,9 @@
 	if d := durationOf(t, opts["leaves"]); d > 0 {
 		time.AfterFunc(d, cancel)
 	}
+	if d := durationOf(t, opts["stops"]); d > 0 {
+		time.AfterFunc(d, f.EndRequests)
+	}
 	a := &recordedResponse{}
 	began := time.Now()
 	req := Request{
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -47,6 +47,9 @@
 // taking work, before its turn.
 var errNoTurn = errors.New("the request ended or the upstream stopped taking work before the request's turn at it")
 
+// errStopping ends requests because the process stops.
+var errStopping = errors.New("the daemon is stopping")
+
 // execution is the state of one request while it is served.
 type execution struct {
 	forwarder *Forwarder
@@ -133,6 +136,13 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	x.forwarder.running.Store(x, end)
+	defer x.forwarder.running.Delete(x)
+	if x.forwarder.stopping.Load() {
+		end(errStopping)
+	}
 	if failed := x.runStages(ctx); failed != nil {
 		return failed
 	}
@@ -192,6 +202,8 @@
 func (x *execution) stageFailure(ctx context.Context, err error) outcome.Outcome {
 	var rejected *stagework.RejectedError
 	switch {
+	case errors.Is(context.Cause(ctx), errStopping):
+		return x.stoppedOutcome()
 	case errors.As(err, &rejected):
 		return x.withoutResponse(outcome.CodeOverloaded, rejected.Message, rejected.RetryAfter)
 	case errors.Is(ctx.Err(), context.Canceled):
@@ -411,11 +423,18 @@
 	}
 }
 
+// stoppedOutcome returns the outcome of a request that EndRequests has ended. Other daemons take it at once.
+func (x *execution) stoppedOutcome() outcome.Outcome {
+	return x.withoutResponse(outcome.CodeDraining, errStopping.Error(), notReadyRetryAfter)
+}
+
 // failureOutcome converts the error of the last attempt into an outcome.
 func (x *execution) failureOutcome(ctx context.Context, err error) outcome.Outcome {
 	var none *upstream.NoUpstreamError
 	var failure *pipeline.CallError
 	switch {
+	case errors.Is(context.Cause(ctx), errStopping):
+		return x.stoppedOutcome()
 	case errors.Is(ctx.Err(), context.Canceled):
 		return x.withoutResponse(outcome.CodeCallerGone, "the caller went away", 0)
 	case ctx.Err() != nil:
