Follow the number of daemons with the share of the retry burst

The share of the burst was that of the daemons known at the first request of a service: a daemon that started alone kept the burst of all others, so that all together could go beyond the retry budget that the users set.

Evidence: TestRetryBurstFollowsNumberOfDaemons failed with 28, want at most 7; it passes now. TestBudgetAgainstModel changes the burst as well.

Change: the burst is set at each use, and a balance above it is reduced.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -43,7 +43,7 @@
 type Budget struct {
 	unlimited       bool
 	unitsPerDeposit int64
-	maxBalance      int64
+	maxBalance      atomic.Int64
 	balance         atomic.Int64
 }
 
@@ -53,17 +53,31 @@
 	b := &Budget{
 		unlimited:       cfg.Unlimited,
 		unitsPerDeposit: int64(cfg.Ratio * unitsPerToken),
-		maxBalance:      int64(cfg.Burst) * unitsPerToken,
 	}
-	b.balance.Store(b.maxBalance)
+	b.maxBalance.Store(int64(cfg.Burst) * unitsPerToken)
+	b.balance.Store(b.maxBalance.Load())
 	return b
 }
 
+// SetBurst changes the maximum balance in tokens. A balance above it is reduced to it, and a lower one stays.
+func (b *Budget) SetBurst(burst int) {
+	limit := int64(max(burst, 0)) * unitsPerToken
+	if b.maxBalance.Swap(limit) == limit {
+		return
+	}
+	for {
+		old := b.balance.Load()
+		if old <= limit || b.balance.CompareAndSwap(old, limit) {
+			return
+		}
+	}
+}
+
 // Deposit adds the fraction of a token that one first attempt earns.
 func (b *Budget) Deposit() {
 	for {
 		old := b.balance.Load()
-		next := min(old+b.unitsPerDeposit, b.maxBalance)
+		next := min(old+b.unitsPerDeposit, b.maxBalance.Load())
 		if next == old || b.balance.CompareAndSwap(old, next) {
 			return
 		}
@@ -91,7 +105,7 @@
 func (b *Budget) Return() {
 	for {
 		old := b.balance.Load()
-		next := min(old+unitsPerToken, b.maxBalance)
+		next := min(old+unitsPerToken, b.maxBalance.Load())
 		if next == old || b.balance.CompareAndSwap(old, next) {
 			return
 		}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -16,9 +16,10 @@
 	deposit step = iota
 	withdraw
 	giveBack
+	halve
 )
 
-// TestBudgetAgainstModel compares random deposits, withdrawals and returns with a model that
+// TestBudgetAgainstModel compares random deposits, withdrawals, returns and changes of the burst with a model that
 // counts in quarters of a token.
 func TestBudgetAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -28,7 +29,7 @@
 			Burst: burst,
 		})
 		quarters := 4 * burst
-		for _, s := range rapid.SliceOf(rapid.SampledFrom([]step{deposit, withdraw, giveBack})).Draw(t, "steps") {
+		for _, s := range rapid.SliceOf(rapid.SampledFrom([]step{deposit, withdraw, giveBack, halve})).Draw(t, "steps") {
 			switch s {
 			case deposit:
 				b.Deposit()
@@ -36,6 +37,10 @@
 			case giveBack:
 				b.Return()
 				quarters = min(quarters+4, 4*burst)
+			case halve:
+				burst = (burst + 1) / 2
+				b.SetBurst(burst)
+				quarters = min(quarters, 4*burst)
 			case withdraw:
 				require.Equal(t, quarters >= 4, b.Withdraw())
 				if quarters >= 4 {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -217,13 +217,15 @@
 // budget returns the retry budget of a service. Each daemon gets an equal share of the
 // burst, so that all of them together stay within it.
 func (f *Forwarder) budget(service string) *budget.Budget {
+	burst := max(int(f.cfg.RetryBurst)/max(f.cfg.DaemonCount(), 1), 1)
 	if b, ok := f.budgets.Load(service); ok {
-		return b.(*budget.Budget)
+		b := b.(*budget.Budget)
+		b.SetBurst(burst)
+		return b
 	}
-	burst := int(f.cfg.RetryBurst) / max(f.cfg.DaemonCount(), 1)
 	b, _ := f.budgets.LoadOrStore(service, budget.New(budget.Config{
 		Ratio: f.cfg.RetryRatio,
-		Burst: max(burst, 1),
+		Burst: burst,
 	}))
 	return b.(*budget.Budget)
 }
