Don't eject upstreams for the length of streams whose callers leave

A cancelled attempt counts as slow if it ran longer than usual, and usual is the time to the first event. For a stream that had begun it ran for its length: callers that leave long streams had a healthy upstream ejected, so that its other callers moved.

Evidence: TestCallersThatLeaveStreamsEjectNoUpstream failed with "no upstream of service s takes work" after eight callers had left streams of 10 s; it passes now.

Change: a cancelled attempt whose response has started says nothing of the upstream's speed; its time to the first event has been seen by then.

--- a/internal/upstream/done.go
+++ b/internal/upstream/done.go
@@ -70,8 +70,8 @@
 		g.setOverride(m, g.newOverride(Leaving, "answered that it leaves", now), now)
 	case Cancelled, TimedOut:
 		// The attempt ran at least this long. A short time is no evidence: the
-		// request may have had little time left.
-		if float64(r.Latency) > m.latency {
+		// request may have had little time left. Nor is the length of a stream.
+		if float64(r.Latency) > m.latency && !(r.Outcome == Cancelled && r.ResponseStarted) {
 			g.observe(m, r.Latency)
 			g.ejectIfSlow(m, st.at, now)
 		}
