--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -175,6 +175,10 @@
 	times    *stagetime.Tracker
 	budgets  sync.Map // service name to *budget.Budget
 	inFlight atomic.Int64
+	// stopping reports that requests are to end at once. running holds a
+	// context.CancelCauseFunc for each *execution in progress.
+	stopping atomic.Bool
+	running  sync.Map
 }
 
 // New returns a Forwarder.
@@ -192,6 +196,16 @@
 	}
 }
 
+// EndRequests ends all requests at once, since the process stops: those that have not begun to
+// respond get an outcome that tells whether they may have run.
+func (f *Forwarder) EndRequests() {
+	f.stopping.Store(true)
+	f.running.Range(func(_, end any) bool {
+		end.(context.CancelCauseFunc)(errStopping)
+		return true
+	})
+}
+
 // InFlight returns the number of requests in progress.
 func (f *Forwarder) InFlight() int { return int(f.inFlight.Load()) }
 
@@ -218,13 +232,15 @@
 // budget returns the retry budget of a service. Each daemon gets an equal share of the
 // burst, so that all of them together stay within it.
 func (f *Forwarder) budget(service string) *budget.Budget {
+	burst := max(int(f.cfg.RetryBurst)/max(f.cfg.DaemonCount(), 1), 1)
 	if b, ok := f.budgets.Load(service); ok {
-		return b.(*budget.Budget)
+		b := b.(*budget.Budget)
+		b.SetBurst(burst)
+		return b
 	}
-	burst := int(f.cfg.RetryBurst) / max(f.cfg.DaemonCount(), 1)
 	b, _ := f.budgets.LoadOrStore(service, budget.New(budget.Config{
 		Ratio: f.cfg.RetryRatio,
-		Burst: max(burst, 1),
+		Burst: burst,
 	}))
 	return b.(*budget.Budget)
 }
