--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -15,6 +15,7 @@
 	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/streamorigin"
 	"sequoiafork/internal/table"
 	"sequoiafork/internal/upstream"
 )
@@ -73,6 +74,8 @@
 	lastID          int64
 	hasLastID       bool
 	lastEventAt     time.Time // zero: no event has been forwarded
+	// origin is where the stream began, nil if it may begin anywhere.
+	origin *streamorigin.Origin
 	// lastFailure is the error of the last failed attempt; it goes into the outcome.
 	lastFailure *pipeline.CallError
 }
@@ -99,7 +102,7 @@
 			x.priority = x.workspace.Priority
 		}
 	}
-	service := route.PickService(xxhash.Sum64String(x.req.ID))
+	service := route.PickService(xxhash.Sum64String(x.beganBy()))
 	x.service, ok = x.table.Service(service)
 	if !ok {
 		return x.notRun(outcome.CodeNoUpstream, "the route's service is not known", noUpstreamRetryAfter)
@@ -143,6 +146,9 @@
 	if x.forwarder.stopping.Load() {
 		end(errStopping)
 	}
+	if unknown := x.findOrigin(ctx); unknown != nil {
+		return *unknown
+	}
 	if failed := x.runStages(ctx); failed != nil {
 		return failed
 	}
@@ -268,7 +274,7 @@
 	if x.service.Engine != nil {
 		slots = x.service.Engine.Slots
 	}
-	return upstream.Request{
+	r := upstream.Request{
 		Pool: &table.Pool{
 			Name:        x.service.Name,
 			Service:     x.service.Name,
@@ -278,6 +284,11 @@
 		DataCentreWeights: x.dataCentreWeights(),
 		Exclude:           x.tried,
 	}
+	if x.origin != nil {
+		r.Version = x.origin.Version
+		r.PinVersion = true
+	}
+	return r
 }
 
 // maxDelay returns how long the request may wait for an upstream that limits its rate: so long that its
@@ -321,9 +332,10 @@
 		return choice, err
 	}
 	x.tried = append(slices.Clip(x.tried), choice.Addr)
+	x.logResumption(choice)
 	if len(x.tried) > 1 || logging.Sampled(x.req.ID) {
 		x.forwarder.cfg.Logger.Info("upstream chosen",
-			zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("data_centre", choice.DataCentre),
+			zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("data_centre", choice.DataCentre), zap.String("version", choice.Version),
 			zap.Int("in_flight", choice.InFlight), zap.Int("attempt", len(x.tried)), zap.Uint64("affinity", x.affinity()),
 			zap.Int("inputs", len(x.inputs)), zap.Duration("left_ms", time.Until(x.deadline)), zap.Duration("delay_ms", choice.Delay))
 	}
@@ -486,6 +498,6 @@
 	}
 	choice.Done(res)
 	x.forwarder.cfg.Logger.Info("attempt failed",
-		zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("addr", choice.Addr),
+		zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("addr", choice.Addr), zap.String("version", choice.Version),
 		zap.Int("reach", int(failure.Execution)), zap.Duration("took_ms", res.Latency), zap.Error(failure.Err))
 }
--- a/internal/upstream/host.go
+++ b/internal/upstream/host.go
@@ -47,7 +47,9 @@
 	Incarnation string
 	DataCentre  string
 	Service     string
-	State       State
+	// Version is the version of the software that the upstream runs. Empty means unknown.
+	Version string
+	State   State
 }
 
 // key identifies a host across host lists.
@@ -72,6 +74,9 @@
 	// Exclude lists addresses that must not be chosen, such as those that
 	// were tried already.
 	Exclude []string
+	// Version is the software version that the upstream must have. It is valid if PinVersion is set.
+	Version    string
+	PinVersion bool
 	// MaxDelay is how long the request may wait for an upstream that limits its rate, if no other
 	// upstream can take it.
 	MaxDelay time.Duration
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -24,6 +25,8 @@
 	Addr        string
 	Incarnation string
 	DataCentre  string
+	// Version is the version of the upstream's software.
+	Version string
 	// InFlight is the number of this daemon's attempts on the upstream,
 	// including this one.
 	InFlight int
@@ -80,6 +83,9 @@
 		g.rebuildSubset(now)
 	}
 	m := g.choose(r, now)
+	if m == nil {
+		m = g.chooseOfVersion(r, now)
+	}
 	delay := time.Duration(0)
 	if m == nil {
 		m, delay = g.chooseLater(r, now)
@@ -106,6 +112,7 @@
 		Addr:        m.host.Addr,
 		Incarnation: m.host.Incarnation,
 		DataCentre:  m.host.DataCentre,
+		Version:     m.host.Version,
 		InFlight:    m.inFlight,
 		Delay:       delay,
 		group:       g,
@@ -239,7 +246,44 @@
 }
 
 func (g *group) eligible(m *member, r *Request, now time.Time) bool {
-	return m.usable(now) && m.pacer.Ready(now) && !slices.Contains(r.Exclude, m.host.Addr)
+	return m.usable(now) && m.pacer.Ready(now) && r.allows(m)
+}
+
+// allows reports whether m has the version that r asks for and is not excluded.
+func (r *Request) allows(m *member) bool {
+	return r.wantsVersion(m) && !slices.Contains(r.Exclude, m.host.Addr)
+}
+
+// wantsVersion reports whether m has the version that r asks for, if it asks for one.
+func (r *Request) wantsVersion(m *member) bool {
+	return !r.PinVersion || m.host.Version == r.Version
+}
+
+// chooseOfVersion returns the best member for a request that only upstreams of one version can take, when there is no
+// eligible one. It may be ejected, on probation or outside of the subset, or have refused a connection.
+func (g *group) chooseOfVersion(r *Request, now time.Time) *member {
+	if !r.PinVersion {
+		return nil
+	}
+	var best *member
+	for _, m := range g.order {
+		if m.state(now) == Leaving || now.Before(m.pausedUntil) || !m.pacer.Ready(now) || !r.allows(m) {
+			continue
+		}
+		if best == nil || m.betterLastResort(best, now) {
+			best = m
+		}
+	}
+	return best
+}
+
+// betterLastResort reports whether m is live and o is not or, if that is the same, has fewer attempts in flight.
+func (m *member) betterLastResort(o *member, now time.Time) bool {
+	live, otherLive := m.state(now) == Live, o.state(now) == Live
+	if live != otherLive {
+		return live
+	}
+	return m.inFlight < o.inFlight
 }
 
 // chooseLater returns the member that is the first to take a request when all that could are waiting
@@ -250,7 +294,7 @@
 	var least time.Duration
 	for _, m := range g.subset {
 		wait, ok := m.pacer.Wait(now)
-		if ok && m.usable(now) && wait <= r.MaxDelay && !slices.Contains(r.Exclude, m.host.Addr) && (best == nil || wait < least) {
+		if ok && m.usable(now) && wait <= r.MaxDelay && r.allows(m) && (best == nil || wait < least) {
 			best, least = m, wait
 		}
 	}
@@ -302,10 +346,17 @@
 		Pool:   r.Pool.Name,
 		Reason: "no upstream of service " + g.service + " takes work",
 	}
-	if slices.ContainsFunc(g.subset, func(m *member) bool { return m.usable(now) && m.pacer.Limit().Limited }) {
+	limited := func(m *member) bool { return r.wantsVersion(m) && m.usable(now) && m.pacer.Limit().Limited }
+	switch {
+	case slices.ContainsFunc(g.subset, limited):
 		e.Reason = "the upstreams of service " + g.service + " that take work limit their rate"
+	case r.PinVersion:
+		e.Reason = "no upstream of service " + g.service + " with version " + strconv.Quote(r.Version) + " takes work"
 	}
 	for _, m := range g.subset {
+		if !r.wantsVersion(m) {
+			continue
+		}
 		at := m.ejectedUntil
 		if m.pausedUntil.After(at) {
 			at = m.pausedUntil
