--- a/internal/upstreamhttp/exchange_test.go
+++ b/internal/upstreamhttp/exchange_test.go
@@ -22,7 +22,7 @@
 }
 
 // serve runs handle for each connection until the test ends.
-func serve(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) *rawUpstream {
+func serve(t testing.TB, handle func(c net.Conn, r *bufio.Reader)) *rawUpstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
