Bound the head of a response of an upstream

An upstream may send bytes that are no answer without end. http.ReadResponse on a bufio.Reader keeps header fields, and one line, as long as they come, and interim responses were skipped as long as they come: TestEndlessHeads failed at its first case with "context deadline exceeded" after the 10 s of its context, and the process of the test grew to 142 MB for one connection.

The status line and the fields of a response, with the interim ones before it, are now at most 16 KiB; a longer head is a *HeadTooLongError with the upstream and the limit, the request may have been sent, and the connection is closed. What was fine before: two responses to other requests at most, 1 MiB of each, and the end of the context, which the data file also plays.

--- a/internal/upstreamhttp/conn.go
+++ b/internal/upstreamhttp/conn.go
@@ -14,16 +14,21 @@
 type conn struct {
 	net.Conn
 	endpoint  Endpoint
-	reader    *bufio.Reader
+	limited   *limitedReader
+	reader    *bufio.Reader // reads from limited
 	idleSince time.Time
 	idleLimit time.Duration
 }
 
 func newConn(nc net.Conn, endpoint Endpoint, idle time.Duration) *conn {
+	limited := &limitedReader{
+		r: nc,
+	}
 	return &conn{
 		Conn:      nc,
 		endpoint:  endpoint,
-		reader:    bufio.NewReader(nc),
+		limited:   limited,
+		reader:    bufio.NewReader(limited),
 		idleLimit: idle,
 	}
 }
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -141,20 +141,15 @@
 	return w.Flush()
 }
 
-// readHead reads the header of the final response to req. It skips interim (1xx)
-// responses and a limited number of responses to other requests.
+// readHead reads the header of the final response to req. It skips a limited number of
+// responses to other requests.
 func (x *exchange) readHead(req Request) (*http.Response, error) {
 	mismatched := 0
 	for {
-		res, err := http.ReadResponse(x.conn.reader, &http.Request{
-			Method: req.Method,
-		})
+		res, err := x.readFinalHead(req.Method)
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode < http.StatusOK {
-			continue
-		}
 		if req.MatchResponse == nil || req.MatchResponse(res.Header) {
 			x.res = res
 			return res, nil
@@ -169,6 +164,30 @@
 	}
 }
 
+// readFinalHead reads the next header of a final response. It skips interim (1xx)
+// responses, whose headers count towards the limit.
+func (x *exchange) readFinalHead(method string) (*http.Response, error) {
+	x.conn.limited.setLimit(maxHeadBytes)
+	defer x.conn.limited.removeLimit()
+	for {
+		res, err := http.ReadResponse(x.conn.reader, &http.Request{
+			Method: method,
+		})
+		if x.conn.limited.exceeded {
+			return nil, &HeadTooLongError{
+				Addr:  x.conn.endpoint.Addr,
+				Limit: maxHeadBytes,
+			}
+		}
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode >= http.StatusOK {
+			return res, nil
+		}
+	}
+}
+
 const (
 	// maxMismatched and maxMismatchedBytes bound how many responses to other requests are
 	// skipped, and the body of each.
