Bound the time for which the body of a rejection is discarded

A rejection's body was read up to 64 KiB, so that its connection could be reused, but for as long as it took: with a body that has no end and arrives slowly, the request was held until its deadline in place of the next attempt.

The rest of a body is now discarded where the connection is, at the end of an exchange in upstreamhttp: 64 KiB and 20 ms at most, and not if the connection ends with the response or the request has ended; then the connection is closed. forward no longer reads what it doesn't need.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -129,7 +129,6 @@
 	defer resp.Body.Close()
 	choice.Observe(resp.Notice)
 	if failure := x.rejection(choice, resp); failure != nil {
-		discardBody(resp.Body)
 		return x.attemptFailed(choice, began, failure)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, x.forwarder.cfg.MaxResponseBytes+1))
@@ -229,9 +228,3 @@
 		Err:       err,
 	}
 }
-
-// discardBody reads the rest of a short body, so that its connection can be reused.
-func discardBody(body io.Reader) {
-	const maxBytes = 64 << 10
-	_, _ = io.CopyN(io.Discard, body, maxBytes)
-}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -311,6 +311,8 @@
 		}))
 	case "events":
 		resp.Body = eventsOf(ctx, words[1:])
+	case "endless":
+		return endlessResponse(ctx, call, words[1:])
 	}
 	return resp, nil
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -194,7 +194,6 @@
 	if failure == nil {
 		return nil
 	}
-	discardBody(resp.Body)
 	if resp.InputMissing {
 		x.releaseJob()
 	}
--- a/internal/upstreamhttp/endless_test.go
+++ b/internal/upstreamhttp/endless_test.go
@@ -99,3 +99,38 @@
 	}
 	require.Equal(t, int64(1), u.accepted.Load())
 }
+
+// A body without end, or one that arrives slowly, must not delay the end of its exchange, and its
+// connection must not be reused.
+func TestEndlessBodies(t *testing.T) {
+	const maxCloseTime = time.Second
+	datadriven.RunTest(t, "testdata/endless_bodies", func(t *testing.T, d *datadriven.TestData) string {
+		endless := newEndlessUpstream(t, d)
+		u := serve(t, endless.handle)
+		p := New(Config{})
+		res, err := p.Do(t.Context(), u.endpoint(), newPost("1"))
+		require.NoError(t, err)
+		began := time.Now()
+		require.NoError(t, res.Body.Close())
+		inTime := time.Since(began) < maxCloseTime
+		select {
+		case <-endless.closed:
+		case <-time.After(exchangeTimeout):
+			t.Error("the connection is still open")
+		}
+		return fmt.Sprintf("closed in time: %t, idle connections: %d\n", inTime, len(p.idle[u.endpoint()]))
+	})
+}
+
+// A response that is closed before it is read, as a rejection is, must not cost its connection if
+// its body is short.
+func TestUnreadShortBodyKeepsItsConnection(t *testing.T) {
+	u := serve(t, respondWith(response1, response2))
+	p := New(Config{})
+	for _, id := range []string{"1", "2"} {
+		res, err := p.Do(t.Context(), u.endpoint(), newPost(id))
+		require.NoError(t, err)
+		require.NoError(t, res.Body.Close())
+	}
+	require.Equal(t, int64(1), u.accepted.Load())
+}
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -207,10 +207,11 @@
 }
 
 // Close ends the exchange. The connection is released for reuse if the response was read
-// to its end, the complete request was written, and no further bytes were received.
+// to its end, the complete request was written, and no further bytes were received. A short
+// rest of the body that has arrived, or is about to, is discarded first.
 func (x *exchange) Close() error {
 	x.once.Do(func() {
-		if x.reusable() {
+		if x.cancelAbort() && x.discardRest() && x.reusable() {
 			x.pool.release(x.conn)
 			return
 		}
@@ -219,6 +220,25 @@
 	return nil
 }
 
+const (
+	// maxDiscardedBytes and discardTimeout bound how much of a body is discarded, and for
+	// how long, to reuse its connection.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 20 * time.Millisecond
+)
+
+// discardRest reads the rest of the body and reports whether it is complete.
+func (x *exchange) discardRest() bool {
+	if x.complete || x.endsWithConnection() {
+		return x.complete
+	}
+	if err := x.conn.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return false // The connection is closed.
+	}
+	_, _ = io.CopyN(io.Discard, x, maxDiscardedBytes) // The caller no longer needs the body.
+	return x.complete && x.conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // abort closes the connection.
 func (x *exchange) abort() {
 	x.once.Do(func() {
@@ -227,10 +247,15 @@
 	})
 }
 
-// reusable reports whether the connection may be reused. A body without a length and
-// without chunks ends with the connection.
+// endsWithConnection reports whether the connection ends after the response, as it does
+// after a body without a length and without chunks.
+func (x *exchange) endsWithConnection() bool {
+	return x.res.Close || x.res.ContentLength < 0 && len(x.res.TransferEncoding) == 0
+}
+
+// reusable reports whether the connection may be reused after a complete response.
 func (x *exchange) reusable() bool {
-	if !x.cancelAbort() || !x.complete || x.res.Close || x.res.ContentLength < 0 && len(x.res.TransferEncoding) == 0 {
+	if x.endsWithConnection() {
 		return false
 	}
 	select {
