Bound a line of an event stream while it is read

The length of an event was checked after each line, so a line without end was collected in memory as long as it came. TestEndlessLineIsTooLong failed before: "read too much of the line", after 4 MiB of one line.

A line is now read in the parts that the buffer holds, and the length is checked before each is kept. 15 s of FuzzNext pass.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -40,23 +40,27 @@
 // event, and io.ErrUnexpectedEOF if it ends within one.
 func (r *Reader) Next() (Event, error) {
 	var e Event
+	lineStart := 0
 	for {
-		line, err := r.r.ReadBytes('\n')
-		if errors.Is(err, io.EOF) && len(e.Raw)+len(line) > 0 {
-			return Event{}, io.ErrUnexpectedEOF
+		part, err := r.r.ReadSlice('\n')
+		if len(e.Raw)+len(part) > maxEventBytes {
+			return Event{}, ErrTooLong
 		}
-		if err != nil {
+		e.Raw = append(e.Raw, part...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue // The line goes on.
+		case errors.Is(err, io.EOF) && len(e.Raw) > 0:
+			return Event{}, io.ErrUnexpectedEOF
+		case err != nil:
 			return Event{}, err
 		}
-		e.Raw = append(e.Raw, line...)
-		if len(e.Raw) > maxEventBytes {
-			return Event{}, ErrTooLong
-		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(e.Raw[lineStart:], "\r\n")
 		if len(text) == 0 {
 			return e, nil
 		}
 		e.parseID(text)
+		lineStart = len(e.Raw)
 	}
 }
 
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -69,6 +69,32 @@
 	}
 }
 
+// endlessLine is a line that does not end within limit bytes.
+type endlessLine struct {
+	read  int
+	limit int
+}
+
+func (l *endlessLine) Read(p []byte) (int, error) {
+	if l.read >= l.limit {
+		return 0, errors.New("read too much of the line")
+	}
+	for i := range p {
+		p[i] = 'a'
+	}
+	l.read += len(p)
+	return len(p), nil
+}
+
+// A line without end must not be collected in memory for longer than an event may be.
+func TestEndlessLineIsTooLong(t *testing.T) {
+	line := &endlessLine{
+		limit: 4 * maxEventBytes,
+	}
+	_, err := NewReader(line).Next()
+	require.ErrorIs(t, err, ErrTooLong)
+}
+
 // FuzzNext checks that the concatenated events are a prefix of the stream, and equal to it
 // if the stream ends after a complete event.
 func FuzzNext(f *testing.F) {
