Divide memory among the responses that are read

A buffered response could have 32 MiB whatever the others had, so some ten upstreams that send bytes without end, each to a few requests, exhausted a daemon's memory: nothing bounded the sum.

bytequota divides 64 MiB: beyond 8 KiB, which each buffer may have, one may grow to the size of what then remains free. One response alone still gets 32 MiB; n without end leave one part in n+1 for others, so short responses pass, and those without end fail sooner the more there are. The attempt then fails like one whose response is too long: it may have run, the upstream failed, its connection is closed. Ruled out: first come, first served (a few responses without end take all from the others); a lower limit for each (the sum still grows with the requests).

The memory of a response stays reserved until its request ends. Its errors name the operation, the upstream and the limit.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
+	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/upstream"
@@ -131,16 +131,16 @@
 	if failure := x.rejection(choice, resp); failure != nil {
 		return x.attemptFailed(choice, began, failure)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, x.forwarder.cfg.MaxResponseBytes+1))
-	if err == nil && int64(len(body)) > x.forwarder.cfg.MaxResponseBytes {
-		err = fmt.Errorf("the response exceeds %d bytes", x.forwarder.cfg.MaxResponseBytes)
-	}
+	memory := x.forwarder.cfg.Memory.Reserve()
+	body, err := x.readBody(memory, choice, resp)
 	if err != nil || !resp.Verified {
+		memory.Release()
 		if err == nil {
 			err = errUnverified
 		}
 		return x.attemptFailed(choice, began, mayHaveRun(choice, err))
 	}
+	memory.ReleaseAfter(ctx)
 	response := bufferedResponse{
 		status: resp.Status,
 		header: resp.Header,
@@ -155,6 +155,15 @@
 	}
 }
 
+// readBody reads the complete body of a response into reserved memory.
+func (x *execution) readBody(memory *bytequota.Reservation, choice upstream.Choice, resp *Response) ([]byte, error) {
+	body, err := memory.ReadAll(resp.Body, x.forwarder.cfg.MaxResponseBytes)
+	if err != nil {
+		return nil, fmt.Errorf("read response of %s: %w", choice.Addr, err)
+	}
+	return body, nil
+}
+
 func (x *execution) attemptFailed(choice upstream.Choice, began time.Time, failure *pipeline.CallError) attemptResult {
 	x.reportResult(choice, began, 0, false, failure, nil)
 	return attemptResult{
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"sequoiafork/internal/budget"
+	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/stagetime"
@@ -149,7 +150,10 @@
 	DaemonCount func() int
 	// MaxResponseBytes bounds a buffered response. Zero means 32 MiB.
 	MaxResponseBytes int64
-	Logger           *zap.Logger
+	// Memory is shared by the buffers of all responses. Nil means a quota with the default
+	// size.
+	Memory *bytequota.Quota
+	Logger *zap.Logger
 }
 
 const defaultMaxResponseBytes = 32 << 20
@@ -165,6 +169,9 @@
 // New returns a Forwarder.
 func New(cfg Config) *Forwarder {
 	cfg.MaxResponseBytes = cmp.Or(cfg.MaxResponseBytes, defaultMaxResponseBytes)
+	if cfg.Memory == nil {
+		cfg.Memory = bytequota.New(bytequota.Config{})
+	}
 	if cfg.DaemonCount == nil {
 		cfg.DaemonCount = func() int { return 1 }
 	}
