Forward no error response that was cut at the limit

It also read the body before the request moved to another upstream, so that one that arrives slowly held a stream that may be resumed until its deadline.

TestEndlessBodies failed before: "answered after 0s ... caller got: 500" with 32 MiB of a body without end, now "unknown upstream_broken"; and "failed deadline_exceeded after 800ms", now the other upstream's events after 0s. The body is read only if it is forwarded, within the limit and the shared memory; the error names the upstream and the limit.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -203,18 +203,24 @@
 // handleNonStream handles a response that is not a stream. A verified one is the
 // upstream's error response; it is forwarded if the request may not be retried.
 func (x *execution) handleNonStream(choice upstream.Choice, began time.Time, resp *Response) *pipeline.CallError {
-	failure := mayHaveRun(choice, errUnverified)
-	if resp.Verified {
-		body, err := io.ReadAll(io.LimitReader(resp.Body, x.forwarder.cfg.MaxResponseBytes))
-		failure = x.upstreamFailure(choice, began, resp, bufferedResponse{}).failure
-		if err == nil && !x.responseStarted && !impliesNotRun(resp.Status) && !x.route.Kind.Retryable() {
-			x.writer.WriteResponse(resp.Status, resp.Header, body)
-			return nil
-		}
+	if !resp.Verified {
+		failure := mayHaveRun(choice, errUnverified)
+		x.reportResult(choice, began, 0, false, failure, resp.Load)
 		return failure
 	}
-	x.reportResult(choice, began, 0, false, failure, resp.Load)
-	return failure
+	if x.responseStarted || impliesNotRun(resp.Status) || x.route.Kind.Retryable() {
+		return x.upstreamFailure(choice, began, resp, bufferedResponse{}).failure
+	}
+	memory := x.forwarder.cfg.Memory.Reserve()
+	defer memory.Release()
+	body, err := x.readBody(memory, choice, resp)
+	failure := x.upstreamFailure(choice, began, resp, bufferedResponse{}).failure
+	if err != nil {
+		failure.Err = err
+		return failure
+	}
+	x.writer.WriteResponse(resp.Status, resp.Header, body)
+	return nil
 }
 
 // forwardEvents forwards events until the stream is complete. The response begins with the
