Read no response that isn't the upstream's

A buffered response without the upstream's stamp was read to its end before it counted as failed, so one without end held its request until the hedge or the deadline. TestEndlessBodies failed before at its first new case, "answered after 150ms" (the hedge), now after 0s; a request that may not be repeated ends at once as one that may have run.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -131,13 +131,13 @@
 	if failure := x.rejection(choice, resp); failure != nil {
 		return x.attemptFailed(choice, began, failure)
 	}
+	if !resp.Verified {
+		return x.attemptFailed(choice, began, mayHaveRun(choice, errUnverified))
+	}
 	memory := x.forwarder.cfg.Memory.Reserve()
 	body, err := x.readBody(memory, choice, resp)
-	if err != nil || !resp.Verified {
+	if err != nil {
 		memory.Release()
-		if err == nil {
-			err = errUnverified
-		}
 		return x.attemptFailed(choice, began, mayHaveRun(choice, err))
 	}
 	memory.ReleaseAfter(ctx)
