Divide memory among the events that are read

An event now takes its part of the quota that forward's buffered responses have, from 8 KiB on, until it is complete; a stream that gets none ends like one with an event that is too long, and is not complete for its caller.

NewReader takes a configuration, so that no reader is without the quota. The tests of the package build their readers through newTestReader; their cases are as before.

--- a/internal/bytequota/bytequota.go
+++ b/internal/bytequota/bytequota.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 )
 
 // Defaults of Config.
@@ -90,8 +91,8 @@
 // Reservation is the part of a Quota that one buffer has. It is safe for concurrent use.
 type Reservation struct {
 	quota *Quota
-	// beyond is the size beyond the minimum. Quota.mu guards it and released.
-	beyond   int64
+	// beyond is the size beyond the minimum. It and released change under Quota.mu.
+	beyond   atomic.Int64
 	released bool
 }
 
@@ -100,39 +101,49 @@
 func (r *Reservation) Resize(size int64) error {
 	q := r.quota
 	beyond := max(size-q.cfg.MinimumBytes, 0)
+	if beyond == r.beyond.Load() {
+		return nil
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if r.released {
 		return nil
 	}
-	used := q.used + beyond - r.beyond
-	if beyond > r.beyond && beyond > q.cfg.Bytes-used {
+	used := q.used - r.beyond.Load() + beyond
+	if beyond > r.beyond.Load() && beyond > q.cfg.Bytes-used {
 		return &ExceededError{
 			Size:  size,
 			Limit: q.cfg.Bytes,
 		}
 	}
 	q.used = used
-	r.beyond = beyond
+	r.beyond.Store(beyond)
 	return nil
 }
 
+// Reset returns the bytes to the quota. The reservation may be resized again.
+func (r *Reservation) Reset() {
+	if r.beyond.Load() == 0 {
+		return
+	}
+	q := r.quota
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.used -= r.beyond.Swap(0)
+}
+
 // Release returns the bytes to the quota. Further calls of Resize reserve nothing.
 func (r *Reservation) Release() {
 	q := r.quota
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.used -= r.beyond
-	r.beyond = 0
+	q.used -= r.beyond.Swap(0)
 	r.released = true
 }
 
 // ReleaseAfter releases the reservation when ctx ends.
 func (r *Reservation) ReleaseAfter(ctx context.Context) {
-	r.quota.mu.Lock()
-	empty := r.beyond == 0
-	r.quota.mu.Unlock()
-	if !empty {
+	if r.beyond.Load() > 0 {
 		context.AfterFunc(ctx, r.Release)
 	}
 }
--- a/internal/bytequota/bytequota_test.go
+++ b/internal/bytequota/bytequota_test.go
@@ -12,8 +12,8 @@
 )
 
 // TestScripts plays testdata/scripts on a quota of 100 bytes with a minimum of 10 for each
-// buffer. Each line of "play" is the name of a buffer and its new size, "release", or
-// "grow": by one byte until it may not.
+// buffer. Each line of "play" is the name of a buffer and its new size, "reset",
+// "release", or "grow": by one byte until it may not.
 func TestScripts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/scripts", func(t *testing.T, d *datadriven.TestData) string {
 		q := New(Config{
@@ -36,11 +36,14 @@
 func play(t *testing.T, r *Reservation, action string) string {
 	t.Helper()
 	switch action {
+	case "reset":
+		r.Reset()
+		return "ok"
 	case "release":
 		r.Release()
 		return "ok"
 	case "grow":
-		size := r.quota.cfg.MinimumBytes + r.beyond
+		size := r.quota.cfg.MinimumBytes + r.beyond.Load()
 		for r.Resize(size+1) == nil {
 			size++
 		}
--- a/internal/eventstream/bench_test.go
+++ b/internal/eventstream/bench_test.go
@@ -13,7 +13,7 @@
 	text := bytes.Repeat([]byte("id: 1234\ndata: {\"text\":\"some words of an answer\"}\n\n"), events)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i += events {
-		r := NewReader(bytes.NewReader(text))
+		r := newTestReader(bytes.NewReader(text))
 		for range events {
 			_, err := r.Next()
 			require.NoError(b, err)
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -8,6 +8,8 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"sequoiafork/internal/bytequota"
 )
 
 // maxEventBytes bounds the size of one event, so that an upstream can't exhaust the memory.
@@ -24,21 +26,34 @@
 	HasID bool
 }
 
+// Config configures a Reader. Both fields are required.
+type Config struct {
+	// Source is the stream.
+	Source io.Reader
+	// Memory is shared by the events that are read at the same time.
+	Memory *bytequota.Quota
+}
+
 // Reader reads events from a stream. It is not safe for concurrent use.
 type Reader struct {
 	r *bufio.Reader
+	// memory is reserved for an event until it is complete.
+	memory *bytequota.Reservation
 }
 
-// NewReader returns a reader of the events in r.
-func NewReader(r io.Reader) *Reader {
+// NewReader returns a reader of the events of a stream.
+func NewReader(cfg Config) *Reader {
 	return &Reader{
-		r: bufio.NewReader(r),
+		r:      bufio.NewReader(cfg.Source),
+		memory: cfg.Memory.Reserve(),
 	}
 }
 
 // Next returns the next event. The error is io.EOF if the stream ends after a complete
-// event, and io.ErrUnexpectedEOF if it ends within one.
+// event, and io.ErrUnexpectedEOF if it ends within one. It is a *bytequota.ExceededError if
+// there is no memory for the event.
 func (r *Reader) Next() (Event, error) {
+	defer r.memory.Reset()
 	var e Event
 	lineStart := 0
 	for {
@@ -46,6 +61,9 @@
 		if len(e.Raw)+len(part) > maxEventBytes {
 			return Event{}, ErrTooLong
 		}
+		if err := r.memory.Resize(int64(len(e.Raw) + len(part))); err != nil {
+			return Event{}, err
+		}
 		e.Raw = append(e.Raw, part...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -5,11 +5,24 @@
 	"errors"
 	"io"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/bytequota"
 )
 
+func newTestReader(source io.Reader) *Reader {
+	return NewReader(Config{
+		Source: source,
+		Memory: bytequota.New(bytequota.Config{}),
+	})
+}
+
 func TestNext(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -51,7 +64,7 @@
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			r := NewReader(strings.NewReader(c.text))
+			r := newTestReader(strings.NewReader(c.text))
 			var ids []int64
 			for {
 				e, err := r.Next()
@@ -91,17 +104,70 @@
 	line := &endlessLine{
 		limit: 4 * maxEventBytes,
 	}
-	_, err := NewReader(line).Next()
+	_, err := newTestReader(line).Next()
 	require.ErrorIs(t, err, ErrTooLong)
 }
 
+// slowLine is an endlessLine of which 1 KiB arrives in each millisecond. It counts in total the bytes
+// that arrived on all lines which are still read.
+type slowLine struct {
+	endlessLine
+	total *atomic.Int64
+	max   *atomic.Int64
+}
+
+func (l *slowLine) Read(p []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	n, err := l.endlessLine.Read(p[:min(len(p), 1<<10)])
+	if total := l.total.Add(int64(n)); total > l.max.Load() {
+		l.max.Store(total)
+	}
+	return n, err
+}
+
+// Events without end that arrive side by side must not use up the memory.
+func TestEndlessEventsShareMemory(t *testing.T) {
+	const (
+		lines       = 400
+		memoryBytes = 4 << 20
+	)
+	synctest.Test(t, func(t *testing.T) {
+		memory := bytequota.New(bytequota.Config{
+			Bytes: memoryBytes,
+		})
+		var total, most atomic.Int64
+		var g sync.WaitGroup
+		for range lines {
+			g.Go(func() {
+				line := &slowLine{
+					endlessLine: endlessLine{
+						limit: 4 * maxEventBytes,
+					},
+					total: &total,
+					max:   &most,
+				}
+				_, err := NewReader(Config{
+					Source: line,
+					Memory: memory,
+				}).Next()
+				var exceeded *bytequota.ExceededError
+				require.True(t, errors.As(err, &exceeded) || errors.Is(err, ErrTooLong), "Next: %v", err)
+				total.Add(-int64(line.read))
+			})
+		}
+		g.Wait()
+		require.LessOrEqual(t, most.Load(), int64(memoryBytes+lines*2*bytequota.DefaultMinimumBytes))
+		require.Zero(t, memory.Used())
+	})
+}
+
 // FuzzNext checks that the concatenated events are a prefix of the stream, and equal to it
 // if the stream ends after a complete event.
 func FuzzNext(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"))
 	f.Add([]byte("\r\n\n\nid:\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		r := NewReader(bytes.NewReader(text))
+		r := newTestReader(bytes.NewReader(text))
 		var got []byte
 		for {
 			e, err := r.Next()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -226,7 +226,10 @@
 // forwardEvents forwards events until the stream is complete. The response begins with the
 // first event, so that before it the request can move to another upstream unnoticed.
 func (x *execution) forwardEvents(resp *Response, stall *stallWatch, onFirst func()) error {
-	events := eventstream.NewReader(resp.Body)
+	events := eventstream.NewReader(eventstream.Config{
+		Source: resp.Body,
+		Memory: x.forwarder.cfg.Memory,
+	})
 	received := false
 	for {
 		e, err := events.Next()
