--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -25,6 +25,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/forward"
 	"sequoiafork/internal/ident"
 	"sequoiafork/internal/membership"
@@ -70,10 +71,12 @@
 	syncInterval = 100 * time.Millisecond
 )
 
-// Config configures a Daemon. All fields are required.
+// Config configures a Daemon. All fields but Memory are required.
 type Config struct {
 	Settings settings.Settings
 	Logger   *zap.Logger
+	// Memory is shared by the buffers of responses. Nil means a quota with the default size.
+	Memory *bytequota.Quota
 	// Caller sends requests to upstreams, and Invoker runs stage work on them.
 	Caller  forward.Caller
 	Invoker stagework.Invoker
@@ -190,6 +193,7 @@
 		RetryRatio:  ratioFraction * cfg.Settings.Retry.Ratio,
 		RetryBurst:  burstFraction * float64(cfg.Settings.Retry.Burst),
 		DaemonCount: func() int { return int(d.daemonCount.Load()) },
+		Memory:      cfg.Memory,
 		Logger:      d.logger,
 	})
 	return d, nil
