Enforce invoke's MaxResponseBytes

TestResponseTooLong failed before: no error for a result of 4 KiB at a limit of 1 KiB, and responses without end were read to the 64 MiB that the test sends of them ("unexpected EOF").

httplimit is a transport whose response bodies fail at the limit, 16 MiB unless it is set, with the call, the address and the limit; draining stops there too and the connection is closed. A head may have 16 KiB. The call may have run, also if the status was that of a rejection. completion uses the same transport, so a completion is bounded as a whole.

--- a/internal/invoke/invoke.go
+++ b/internal/invoke/invoke.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/upstream"
 	"sequoiafork/internal/wire/upstreamapi"
@@ -33,7 +34,7 @@
 type Config struct {
 	DialTimeout         time.Duration
 	MaxIdleConnsPerHost int
-	// MaxResponseBytes is not enforced.
+	// MaxResponseBytes bounds the body of a response.
 	MaxResponseBytes int64
 }
 
@@ -73,20 +74,25 @@
 }
 
 // NewTransport returns a transport that uses no proxy and, with disableKeepAlives, never
-// reuses a connection.
-func NewTransport(cfg Config, disableKeepAlives bool) *http.Transport {
+// reuses a connection. A response that is too long is a *httplimit.TooLongError.
+func NewTransport(cfg Config, disableKeepAlives bool) http.RoundTripper {
 	cfg.DialTimeout = cmp.Or(cfg.DialTimeout, DefaultDialTimeout)
 	cfg.MaxIdleConnsPerHost = cmp.Or(cfg.MaxIdleConnsPerHost, DefaultMaxIdleConnsPerHost)
+	cfg.MaxResponseBytes = cmp.Or(cfg.MaxResponseBytes, DefaultMaxResponseBytes)
 	dialer := &net.Dialer{
 		Timeout: cfg.DialTimeout,
 	}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		DisableKeepAlives:   disableKeepAlives,
-		MaxIdleConnsPerHost: cfg.MaxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-	}
+	return httplimit.New(httplimit.Config{
+		Base: &http.Transport{
+			DialContext:            dialer.DialContext,
+			DisableCompression:     true,
+			DisableKeepAlives:      disableKeepAlives,
+			MaxIdleConnsPerHost:    cfg.MaxIdleConnsPerHost,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+		},
+		MaxBodyBytes: cfg.MaxResponseBytes,
+	})
 }
 
 // Invoke runs one attempt. It returns the response only if it has the ID of this attempt
