Don't resume a completion that is too long

A completion that exceeds MaxResponseBytes counted as truncated and was resumed twice, so three times the limit was collected. TestEndlessCompletionIsNotResumed failed before: 3 completions, want 1.

--- a/internal/completion/completion.go
+++ b/internal/completion/completion.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/jx"
 	"github.com/ogen-go/ogen/sse"
 
+	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/invoke"
 	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/upstream"
@@ -134,6 +135,10 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
+			var tooLong *httplimit.TooLongError
+			if errors.As(err, &tooLong) {
+				return tooLong // Resuming would read as much again.
+			}
 			return fmt.Errorf("%w: %w", ErrStreamTruncated, err)
 		}
 		if event.Data == endMarker {
