Bound the host list, and the delay after a poll that fails

The host list was read as long as it comes for 5 s, and each received byte delayed the next poll, at 2 KB a second: one response without end stopped the polls for hours. TestEndlessList failed before: the error was that of the decoder after the 64 MiB that the test sends, and with the limit alone no further poll came within 10 s.

A list has at most 8 MiB, longer ones fail with the address and the limit, and a poll that fails delays the next by 30 s at most.

--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/upstream"
 	"sequoiafork/internal/wire/platformapi"
 )
@@ -29,6 +30,8 @@
 	DefaultInterval       = 2 * time.Second
 	DefaultTimeout        = 5 * time.Second
 	DefaultBytesPerSecond = 2048
+	DefaultMaxListBytes   = 8 << 20
+	DefaultRetryDelay     = 30 * time.Second
 )
 
 // Config configures a Poller. Zero fields mean the defaults above.
@@ -40,6 +43,11 @@
 	// BytesPerSecond bounds the average rate at which polls receive body bytes: a long
 	// list is read less often.
 	BytesPerSecond int
+	// MaxListBytes bounds the size of a list.
+	MaxListBytes int64
+	// RetryDelay bounds the time from a poll that fails to the next one, however much it
+	// received. It is not less than Interval.
+	RetryDelay time.Duration
 	// Timeout bounds one poll.
 	Timeout time.Duration
 	// OnHosts is called with the complete list when its version has changed.
@@ -88,10 +96,17 @@
 	cfg.Interval = cmp.Or(cfg.Interval, DefaultInterval)
 	cfg.Timeout = cmp.Or(cfg.Timeout, DefaultTimeout)
 	cfg.BytesPerSecond = cmp.Or(cfg.BytesPerSecond, DefaultBytesPerSecond)
+	cfg.MaxListBytes = cmp.Or(cfg.MaxListBytes, DefaultMaxListBytes)
+	cfg.RetryDelay = max(cmp.Or(cfg.RetryDelay, DefaultRetryDelay), cfg.Interval)
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
-	transport := &countingTransport{}
+	transport := &countingTransport{
+		base: httplimit.New(httplimit.Config{
+			Base:         http.DefaultTransport,
+			MaxBodyBytes: cfg.MaxListBytes,
+		}),
+	}
 	client, err := platformapi.NewClient("http://"+cfg.Addr, platformapi.WithClient(&http.Client{
 		Timeout:   cfg.Timeout,
 		Transport: transport,
@@ -113,8 +128,12 @@
 func (l *Poller) Run(ctx context.Context) error {
 	for {
 		before := l.transport.bytes.Load()
-		l.poll(ctx)
-		timer := time.NewTimer(l.pollDelay(l.transport.bytes.Load() - before))
+		ok := l.poll(ctx)
+		delay := l.pollDelay(l.transport.bytes.Load() - before)
+		if !ok {
+			delay = min(delay, l.cfg.RetryDelay)
+		}
+		timer := time.NewTimer(delay)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -133,18 +152,20 @@
 	return d - d/20 + rand.N(d/10+1)
 }
 
-func (l *Poller) poll(ctx context.Context) {
+// poll reads the list once and reports whether that succeeded.
+func (l *Poller) poll(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Timeout)
 	defer cancel()
 	list, err := l.client.ReadHosts(ctx)
 	if err != nil {
 		l.recordFailure(err)
-		return
+		return false
 	}
 	hosts := convertHosts(list)
 	if l.recordSuccess(list.Version, len(hosts)) && l.cfg.OnHosts != nil {
 		l.cfg.OnHosts(hosts)
 	}
+	return true
 }
 
 // recordFailure records the error of a poll, and logs it if the poll before succeeded.
--- a/internal/hostlist/hostlist_test.go
+++ b/internal/hostlist/hostlist_test.go
@@ -79,6 +79,42 @@
 	require.InDelta(t, 40*time.Second, l.pollDelay(40*DefaultBytesPerSecond), float64(3*time.Second))
 }
 
+// A list without end must be an error, and must not delay the next poll as a list of that length would.
+func TestEndlessList(t *testing.T) {
+	var polls atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if polls.Add(1) > 1 {
+			_, _ = w.Write([]byte(`{"version":1,"hosts":[]}`))
+			return
+		}
+		text := make([]byte, 4<<10)
+		for written := 0; written < 64<<20; written += len(text) {
+			if _, err := w.Write(text); err != nil {
+				return
+			}
+		}
+	}))
+	defer srv.Close()
+	l, err := New(Config{
+		Addr:         srv.Listener.Addr().String(),
+		Interval:     time.Millisecond,
+		MaxListBytes: 128 << 10,
+		RetryDelay:   10 * time.Millisecond,
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		done <- l.Run(ctx)
+	}()
+	require.Eventually(t, func() bool { return l.Status().Problem != "" }, 10*time.Second, time.Millisecond)
+	require.Contains(t, l.Status().Problem, "is longer than 131072 bytes")
+	require.Eventually(t, func() bool { return l.Status().Version == 1 }, 10*time.Second, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+}
+
 // BenchmarkPoll polls lists of several sizes over loopback.
 func BenchmarkPoll(b *testing.B) {
 	for _, n := range []int{50, 250, 500, 970} {
--- a/internal/hostlist/transport.go
+++ b/internal/hostlist/transport.go
@@ -8,12 +8,13 @@
 
 // countingTransport counts the response body bytes that are read.
 type countingTransport struct {
+	base  http.RoundTripper
 	bytes atomic.Int64
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *countingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := t.base.RoundTrip(req)
 	if err != nil {
 		return nil, err
 	}
