Bound the responses of the log service

They were read as long as they come for 5 s. TestEndlessResponses failed before: the decoder's error after the 64 MiB that the test sends. A response has at most 64 MiB now, its head 16 KiB; an append that gets a longer one has an unknown outcome.

--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/time/rate"
 
+	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/wire/platformapi"
 )
 
@@ -26,6 +27,8 @@
 	DefaultAppendsPerSecond = 30
 	// DefaultMaxRecords is the maximum number of records of one read.
 	DefaultMaxRecords = 500
+	// DefaultMaxResponseBytes bounds a response, such as the records of one read.
+	DefaultMaxResponseBytes = 64 << 20
 )
 
 // Config configures a Client.
@@ -39,6 +42,8 @@
 	// AppendsPerSecond limits the rate of appends other than operators' edits. Zero
 	// means DefaultAppendsPerSecond.
 	AppendsPerSecond float64
+	// MaxResponseBytes bounds the body of a response. Zero means DefaultMaxResponseBytes.
+	MaxResponseBytes int64
 	// Metrics receives the counters. Nil means the default set.
 	Metrics *metrics.Set
 }
@@ -62,14 +67,19 @@
 	}
 	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
 	c.AppendsPerSecond = cmp.Or(c.AppendsPerSecond, DefaultAppendsPerSecond)
+	c.MaxResponseBytes = cmp.Or(c.MaxResponseBytes, DefaultMaxResponseBytes)
 	if c.Metrics == nil {
 		c.Metrics = metrics.GetDefaultSet()
 	}
 	api, err := platformapi.NewClient("http://"+c.Addr, platformapi.WithClient(&http.Client{
-		Transport: &http.Transport{
-			DisableCompression: true,
-			IdleConnTimeout:    time.Minute,
-		},
+		Transport: httplimit.New(httplimit.Config{
+			Base: &http.Transport{
+				DisableCompression:     true,
+				IdleConnTimeout:        time.Minute,
+				MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+			},
+			MaxBodyBytes: c.MaxResponseBytes,
+		}),
 	}))
 	if err != nil {
 		return nil, fmt.Errorf("log service client for %s: %w", c.Addr, err)
--- a/internal/logservice/client_test.go
+++ b/internal/logservice/client_test.go
@@ -1,6 +1,7 @@
 package logservice_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 
+	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/logservice"
 )
 
@@ -151,6 +153,36 @@
 	}, batch)
 }
 
+// respondWithoutEnd responds with 64 MiB of white space, which is far more than the clients of these
+// tests read.
+func respondWithoutEnd(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	text := bytes.Repeat([]byte(" "), 4<<10)
+	for written := 0; written < 64<<20; written += len(text) {
+		if _, err := w.Write(text); err != nil {
+			return
+		}
+	}
+}
+
+// A response without end must not be collected in memory. An append that gets one may have been made.
+func TestEndlessResponses(t *testing.T) {
+	c, err := logservice.New(logservice.Config{
+		Addr:             startServer(t, respondWithoutEnd),
+		Stream:           "s",
+		MaxResponseBytes: 1 << 10,
+		Metrics:          metrics.NewSet(),
+	})
+	require.NoError(t, err)
+	_, err = c.Read(t.Context(), 0, 0, 0)
+	var tooLong *httplimit.TooLongError
+	require.ErrorAs(t, err, &tooLong)
+	_, err = c.Append(t.Context(), []byte("x"))
+	var unknown *logservice.UnknownOutcomeError
+	require.ErrorAs(t, err, &unknown)
+	require.ErrorAs(t, err, &tooLong)
+}
+
 func TestNewRejectsHostNames(t *testing.T) {
 	_, err := logservice.New(logservice.Config{
 		Addr:   "localhost:7000",
