Bound the responses that callers' and operators' clients read

callerclient and operatorclient read a response as long as it came, a stream of callerclient without a limit of time either. TestEndlessAnswer, TestEndlessStream and operatorclient's TestEndlessResponses failed before, with the errors of an end after the 64 MiB that they send.

A response, streamed or not, has at most 64 MiB, its head 16 KiB. A call or a command that gets a longer one has an unknown outcome, and a stream that has begun is not complete.

--- a/internal/callerclient/callerclient.go
+++ b/internal/callerclient/callerclient.go
@@ -6,6 +6,7 @@
 package callerclient
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -14,10 +15,14 @@
 	"net/netip"
 	"time"
 
+	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/wire/callerapi"
 )
 
+// DefaultMaxResponseBytes is the default of Config.MaxResponseBytes.
+const DefaultMaxResponseBytes = 64 << 20
+
 // Config configures a Client. Addrs is required.
 type Config struct {
 	// Addrs are the caller addresses (IP:port) of one or more daemons. Resolve queries
@@ -29,6 +34,9 @@
 	DataCentre string
 	// SkipResolve sends requests to Addrs without resolving.
 	SkipResolve bool
+	// MaxResponseBytes bounds the body of a response, a streamed one too. Zero means
+	// DefaultMaxResponseBytes.
+	MaxResponseBytes int64
 }
 
 // Client sends requests. It is safe for concurrent use.
@@ -50,10 +58,14 @@
 	return &Client{
 		config: config,
 		http: &http.Client{
-			// On a reused connection, http.Transport may itself send a request twice.
-			Transport: &http.Transport{
-				DisableKeepAlives: true,
-			},
+			Transport: httplimit.New(httplimit.Config{
+				// On a reused connection, http.Transport may itself send a request twice.
+				Base: &http.Transport{
+					DisableKeepAlives:      true,
+					MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+				},
+				MaxBodyBytes: cmp.Or(config.MaxResponseBytes, DefaultMaxResponseBytes),
+			}),
 		},
 	}, nil
 }
--- a/internal/operatorclient/operatorclient.go
+++ b/internal/operatorclient/operatorclient.go
@@ -2,6 +2,7 @@
 package operatorclient
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"net/netip"
 	"time"
 
+	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/wire/operatorapi"
 )
 
@@ -21,12 +23,17 @@
 // changed nothing.
 const codeNotReady = "not_ready"
 
-// Config holds the addresses and the timeout of a Client.
+// DefaultMaxResponseBytes is the default of Config.MaxResponseBytes.
+const DefaultMaxResponseBytes = 64 << 20
+
+// Config holds the addresses, the timeout and the limit of a Client.
 type Config struct {
 	// Addrs are the operators' addresses, IP:port, of one or more daemons.
 	Addrs []string
 	// Timeout is the timeout of one request. Zero means DefaultTimeout.
 	Timeout time.Duration
+	// MaxResponseBytes bounds the body of a response. Zero means DefaultMaxResponseBytes.
+	MaxResponseBytes int64
 }
 
 // Client sends requests to the daemons in the order of Config.Addrs.
@@ -52,12 +59,8 @@
 			return nil, fmt.Errorf("address %q: use IP:port, no host name", addr)
 		}
 		client, err := operatorapi.NewClient("http://"+addr, operatorapi.WithClient(&http.Client{
-			Timeout: timeout,
-			// On a reused connection net/http may retry a request on its own, which
-			// could send an edit twice.
-			Transport: &http.Transport{
-				DisableKeepAlives: true,
-			},
+			Timeout:   timeout,
+			Transport: newTransport(config),
 		}))
 		if err != nil {
 			return nil, fmt.Errorf("create a client for %s: %w", addr, err)
@@ -67,6 +70,18 @@
 	return c, nil
 }
 
+func newTransport(config Config) http.RoundTripper {
+	return httplimit.New(httplimit.Config{
+		// On a reused connection net/http may retry a request on its own, which could send
+		// an edit twice.
+		Base: &http.Transport{
+			DisableKeepAlives:      true,
+			MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+		},
+		MaxBodyBytes: cmp.Or(config.MaxResponseBytes, DefaultMaxResponseBytes),
+	})
+}
+
 // UnreachableError reports that no daemon accepted the command, or that a query got no
 // usable response from any daemon.
 type UnreachableError struct {
