Collect garbage more often when many responses have no end

The daemon lets its heap grow to five times what is live, since that is a few megabytes.

From 192 MiB on the collector now runs as often as needed (GOMEMLIMIT sets another limit).

--- a/cmd/sequoiaforkd/main.go
+++ b/cmd/sequoiaforkd/main.go
@@ -38,10 +38,17 @@
 // megabytes, so the garbage collector would otherwise run many times a second.
 const gcPercent = 400
 
+// memoryLimit is the size in bytes from which on the garbage collector runs more often than
+// gcPercent asks for. Buffers of responses may make the live heap many times larger than usual.
+const memoryLimit = 192 << 20
+
 func main() {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
 	os.Exit(run())
 }
 
