Name the upstream of a head that can't be read, and shorten the cause

The error of a malformed head quoted the whole line, up to 16 KiB in each log line about the attempt, and didn't say what failed. TestEndlessHeads failed before at its first new case with 220 bytes of the line; a quote ends after 160 bytes now.

--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -180,7 +180,10 @@
 			}
 		}
 		if err != nil {
-			return nil, err
+			return nil, &HeadError{
+				Addr: x.conn.endpoint.Addr,
+				Err:  err,
+			}
 		}
 		if res.StatusCode >= http.StatusOK {
 			return res, nil
--- a/internal/upstreamhttp/head.go
+++ b/internal/upstreamhttp/head.go
@@ -22,6 +22,27 @@
 	return fmt.Sprintf("read response head of %s: more than %d bytes", e.Addr, e.Limit)
 }
 
+// maxReasonBytes bounds what a HeadError says of its cause, which may quote what was read.
+const maxReasonBytes = 160
+
+// HeadError reports a response whose status line and header fields could not be read.
+type HeadError struct {
+	Addr string
+	Err  error
+}
+
+// Error returns the upstream and the cause, of which the start if it is long.
+func (e *HeadError) Error() string {
+	reason := e.Err.Error()
+	if len(reason) > maxReasonBytes {
+		reason = reason[:maxReasonBytes] + " (truncated)"
+	}
+	return fmt.Sprintf("read response head of %s: %s", e.Addr, reason)
+}
+
+// Unwrap returns the cause.
+func (e *HeadError) Unwrap() error { return e.Err }
+
 // errReadLimit reports that a limitedReader has read as many bytes as it may.
 var errReadLimit = errors.New("read limit exceeded")
 
