Estimate a late job as the last one, also without time after its stages

Such a job was accepted with an estimate that left out all waiting work, and failed at once when the queue was looked at again. Nothing changes for other jobs.

--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -49,7 +49,7 @@
 			end: now,
 		}, nil
 	}
-	end, bottleneck := s.estimateEnd(j, now)
+	end, bottleneck := s.estimateEnd(j, now, false)
 	responseStart := end.Add(j.TimeAfterStages + s.delay[j.Priority])
 	if !responseStart.After(j.SoftDeadline) || len(j.Results) > 0 {
 		return forecast{
@@ -74,7 +74,7 @@
 // estimateLateEnd estimates when the stages of a job end if it runs after all others.
 func (s *Scheduler) estimateLateEnd(j Job, now time.Time) time.Time {
 	j.SoftDeadline = now
-	end, _ := s.estimateEnd(j, now)
+	end, _ := s.estimateEnd(j, now, true)
 	return end
 }
 
@@ -106,13 +106,13 @@
 }
 
 // estimateEnd estimates when the stages of a job end, and returns the service at which it
-// waits longest.
-func (s *Scheduler) estimateEnd(j Job, now time.Time) (time.Time, string) {
+// waits longest. If the job is late, it runs after all jobs that can meet their soft deadline.
+func (s *Scheduler) estimateEnd(j Job, now time.Time, late bool) (time.Time, string) {
 	finish := make([]time.Time, len(j.Stages))
 	end := now
 	var longest time.Duration
 	bottleneck := ""
-	sum := s.workAhead(j, now)
+	sum := s.workAhead(j, now, late)
 	for i, st := range j.Stages {
 		start := now
 		for _, input := range st.DependsOn {
@@ -168,10 +168,11 @@
 // workAhead returns the work that takes precedence over a new job, by service: the waiting
 // pieces of jobs that are at least as urgent, including the pieces of stages that are
 // still blocked.
-func (s *Scheduler) workAhead(j Job, now time.Time) map[*service]workload {
+func (s *Scheduler) workAhead(j Job, now time.Time, late bool) map[*service]workload {
 	x := &job{
-		Job:               j,
-		softStageDeadline: j.softStageDeadline(),
+		Job:                j,
+		softStageDeadline:  j.softStageDeadline(),
+		missesSoftDeadline: late,
 	}
 	x.updateLateAfter()
 	sum := make(map[*service]workload)
