--- a/internal/confsync/ingest.go
+++ b/internal/confsync/ingest.go
@@ -75,11 +75,16 @@
 	}
 }
 
-// restore replaces the state with a snapshot.
+// restore replaces the state with a snapshot. The records before it are no longer kept for
+// peers, because those that the snapshot contains are missing after them.
 func (s *Syncer) restore(snapshot []byte) error {
 	s.ingestMu.Lock()
 	defer s.ingestMu.Unlock()
-	return s.machine.Restore(snapshot)
+	if err := s.machine.Restore(snapshot); err != nil {
+		return err
+	}
+	s.recent.reset()
+	return nil
 }
 
 func toPeerRecords(records []logservice.Record) []*peerpb.LogRecord {
--- a/internal/confsync/recent.go
+++ b/internal/confsync/recent.go
@@ -6,7 +6,7 @@
 const maxRecentBytes = 4 << 20
 
 // recentRecords holds the latest applied records, without gaps. After the state has been
-// restored from a snapshot it holds older records until the next one is applied.
+// restored from a snapshot it holds none until the next one is applied.
 type recentRecords struct {
 	limit   int
 	bytes   int
