--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -134,9 +134,9 @@
 	g := &sectionBuilder{
 		section: "drain",
 	}
-	g.duration("keep_answers", "How long callers may cache resolved addresses. A draining daemon keeps serving for as long.", 10*time.Second, 100*time.Millisecond, time.Hour,
+	g.duration("keep_answers", "How long callers may cache resolved addresses. A draining daemon keeps serving for as long, with platform kind keyed_log for three times as long.", 10*time.Second, 100*time.Millisecond, time.Hour,
 		func(s *Settings) *time.Duration { return &s.Drain.ResolveTTL })
-	g.duration("grace", "Longest wait for requests in flight after that.", time.Minute, 100*time.Millisecond, 24*time.Hour,
+	g.duration("grace", "Longest wait for requests in flight after that, with platform kind keyed_log from the start of draining until the process ends.", time.Minute, 100*time.Millisecond, 24*time.Hour,
 		func(s *Settings) *time.Duration { return &s.Drain.Grace })
 	return g.fields
 }
