--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
+	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/upstream"
@@ -129,19 +129,18 @@
 	defer resp.Body.Close()
 	choice.Observe(resp.Notice)
 	if failure := x.rejection(choice, resp); failure != nil {
-		discardBody(resp.Body)
 		return x.attemptFailed(choice, began, failure)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, x.forwarder.cfg.MaxResponseBytes+1))
-	if err == nil && int64(len(body)) > x.forwarder.cfg.MaxResponseBytes {
-		err = fmt.Errorf("the response exceeds %d bytes", x.forwarder.cfg.MaxResponseBytes)
+	if !resp.Verified {
+		return x.attemptFailed(choice, began, mayHaveRun(choice, errUnverified))
 	}
-	if err != nil || !resp.Verified {
-		if err == nil {
-			err = errUnverified
-		}
+	memory := x.forwarder.cfg.Memory.Reserve()
+	body, err := readBody(memory, choice.Addr, resp, x.forwarder.cfg.MaxResponseBytes)
+	if err != nil {
+		memory.Release()
 		return x.attemptFailed(choice, began, mayHaveRun(choice, err))
 	}
+	memory.ReleaseAfter(ctx)
 	response := bufferedResponse{
 		status: resp.Status,
 		header: resp.Header,
@@ -156,6 +155,15 @@
 	}
 }
 
+// readBody reads the complete body of a response into reserved memory.
+func readBody(memory *bytequota.Reservation, addr string, resp *Response, maxBytes int64) ([]byte, error) {
+	body, err := memory.ReadAll(resp.Body, maxBytes)
+	if err != nil {
+		return nil, fmt.Errorf("read response of %s: %w", addr, err)
+	}
+	return body, nil
+}
+
 func (x *execution) attemptFailed(choice upstream.Choice, began time.Time, failure *pipeline.CallError) attemptResult {
 	x.reportResult(choice, began, 0, false, failure, nil)
 	return attemptResult{
@@ -232,9 +240,3 @@
 		Err:       err,
 	}
 }
-
-// discardBody reads the rest of a short body, so that its connection can be reused.
-func discardBody(body io.Reader) {
-	const maxBytes = 64 << 10
-	_, _ = io.CopyN(io.Discard, body, maxBytes)
-}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -261,6 +261,9 @@
 		return s.onFailure(ctx, a, mayHaveRun(a.choice, errUnverified), r.response.Load)
 	}
 	failure := upstreamError(a.choice, r.response)
+	if r.err != nil {
+		failure.Err = r.err
+	}
 	if r.err == nil && !s.responseStarted && !impliesNotRun(r.response.Status) && !s.route.Kind.Retryable() {
 		s.reportResult(a.choice, a.began, 0, false, failure, r.response.Load)
 		s.writer.WriteResponse(r.response.Status, r.response.Header, r.body)
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -141,20 +141,15 @@
 	return w.Flush()
 }
 
-// readHead reads the header of the final response to req. It skips interim (1xx)
-// responses and a limited number of responses to other requests.
+// readHead reads the header of the final response to req. It skips a limited number of
+// responses to other requests.
 func (x *exchange) readHead(req Request) (*http.Response, error) {
 	mismatched := 0
 	for {
-		res, err := http.ReadResponse(x.conn.reader, &http.Request{
-			Method: req.Method,
-		})
+		res, err := x.readFinalHead(req.Method)
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode < http.StatusOK {
-			continue
-		}
 		if req.MatchResponse == nil || req.MatchResponse(res.Header) {
 			x.res = res
 			return res, nil
@@ -169,6 +164,33 @@
 	}
 }
 
+// readFinalHead reads the next header of a final response. It skips interim (1xx)
+// responses, whose headers count towards the limit.
+func (x *exchange) readFinalHead(method string) (*http.Response, error) {
+	x.conn.limited.setLimit(maxHeadBytes)
+	defer x.conn.limited.removeLimit()
+	for {
+		res, err := http.ReadResponse(x.conn.reader, &http.Request{
+			Method: method,
+		})
+		if x.conn.limited.exceeded {
+			return nil, &HeadTooLongError{
+				Addr:  x.conn.endpoint.Addr,
+				Limit: maxHeadBytes,
+			}
+		}
+		if err != nil {
+			return nil, &HeadError{
+				Addr: x.conn.endpoint.Addr,
+				Err:  err,
+			}
+		}
+		if res.StatusCode >= http.StatusOK {
+			return res, nil
+		}
+	}
+}
+
 const (
 	// maxMismatched and maxMismatchedBytes bound how many responses to other requests are
 	// skipped, and the body of each.
@@ -188,10 +210,11 @@
 }
 
 // Close ends the exchange. The connection is released for reuse if the response was read
-// to its end, the complete request was written, and no further bytes were received.
+// to its end, the complete request was written, and no further bytes were received. A short
+// rest of the body that has arrived, or is about to, is discarded first.
 func (x *exchange) Close() error {
 	x.once.Do(func() {
-		if x.reusable() {
+		if x.cancelAbort() && x.discardRest() && x.reusable() {
 			x.pool.release(x.conn)
 			return
 		}
@@ -200,6 +223,25 @@
 	return nil
 }
 
+const (
+	// maxDiscardedBytes and discardTimeout bound how much of a body is discarded, and for
+	// how long, to reuse its connection.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 20 * time.Millisecond
+)
+
+// discardRest reads the rest of the body and reports whether it is complete.
+func (x *exchange) discardRest() bool {
+	if x.complete || x.endsWithConnection() {
+		return x.complete
+	}
+	if err := x.conn.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return false // The connection is closed.
+	}
+	_, _ = io.CopyN(io.Discard, x, maxDiscardedBytes) // The caller no longer needs the body.
+	return x.complete && x.conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // abort closes the connection.
 func (x *exchange) abort() {
 	x.once.Do(func() {
@@ -208,10 +250,15 @@
 	})
 }
 
-// reusable reports whether the connection may be reused. A body without a length and
-// without chunks ends with the connection.
+// endsWithConnection reports whether the connection ends after the response, as it does
+// after a body without a length and without chunks.
+func (x *exchange) endsWithConnection() bool {
+	return x.res.Close || x.res.ContentLength < 0 && len(x.res.TransferEncoding) == 0
+}
+
+// reusable reports whether the connection may be reused after a complete response.
 func (x *exchange) reusable() bool {
-	if !x.cancelAbort() || !x.complete || x.res.Close || x.res.ContentLength < 0 && len(x.res.TransferEncoding) == 0 {
+	if x.endsWithConnection() {
 		return false
 	}
 	select {
