--- a/internal/forward/streamattempt.go
+++ b/internal/forward/streamattempt.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
+	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/eventstream"
 	"sequoiafork/internal/upstream"
 )
@@ -35,7 +35,8 @@
 	response *Response
 }
 
-// otherResponse is a response that is not a stream, with its body. It ends the attempt.
+// otherResponse is a response that is not a stream. It ends the attempt. body is that of an error response that
+// may be forwarded, or err says why it was not read.
 type otherResponse struct {
 	response *Response
 	body     []byte
@@ -80,14 +81,19 @@
 	}
 	defer response.Body.Close()
 	if !isStream(response) {
-		return a.send(ctx, readOther(response, cfg.MaxResponseBytes))
+		memory := cfg.Memory.Reserve()
+		defer memory.ReleaseAfter(ctx)
+		return a.send(ctx, readOther(call, response, memory, cfg.MaxResponseBytes))
 	}
 	if err := a.send(ctx, streamBegun{
 		response: response,
 	}); err != nil {
 		return err
 	}
-	events := eventstream.NewReader(response.Body)
+	events := eventstream.NewReader(eventstream.Config{
+		Source: response.Body,
+		Memory: cfg.Memory,
+	})
 	for {
 		e, err := events.Next()
 		if err != nil {
@@ -116,20 +122,17 @@
 	return !r.NotRun && r.Status == http.StatusOK && r.Verified
 }
 
-// readOther reads the body of a response that is not a stream.
-func readOther(r *Response, maxBytes int64) otherResponse {
-	if r.NotRun {
-		discardBody(r.Body)
-		return otherResponse{
-			response: r,
-		}
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBytes))
-	return otherResponse{
+// readOther reads the body of a response that is not a stream, if it is an error response that may be forwarded:
+// that of a request that can't be retried.
+func readOther(call Call, r *Response, memory *bytequota.Reservation, maxBytes int64) otherResponse {
+	other := otherResponse{
 		response: r,
-		body:     body,
-		err:      err,
 	}
+	if r.NotRun || !r.Verified || call.Retryable || impliesNotRun(r.Status) {
+		return other
+	}
+	other.body, other.err = readBody(memory, call.Addr, r, maxBytes)
+	return other
 }
 
 // receivedFrom returns the channels of an attempt, which are nil without one.
