--- a/internal/confsync/catchup_test.go
+++ b/internal/confsync/catchup_test.go
@@ -26,7 +26,7 @@
 		})
 		require.NoError(t, err)
 		records = append(records, &peerpb.LogRecord{
-			Offset: uint64(i),
+			Offset: uint64(i) + 1,
 			Data:   data,
 		})
 	}
@@ -42,7 +42,7 @@
 	resp, err := restored.CatchUp(t.Context(), behind.machine.NextOffset())
 	require.NoError(t, err)
 	require.NoError(t, behind.applyResponse(resp))
-	require.Equal(t, uint64(all), behind.machine.NextOffset(), "next offset after the catch-up")
+	require.Equal(t, uint64(all)+1, behind.machine.NextOffset(), "next offset after the catch-up")
 }
 
 func newTestSyncer() *Syncer {
