Give another change of a row no outcome of the edit that used its ID

Another change of the same row with that ID was told accepted, though it was not made: testdata/edits of operatorhttp got "state":"accepted" for a pool with 16 slots after one with 8. The editor knows the digest of each change (a submission was compared by it); LookupEdit compares an earlier one too, and the operators' API asks it. The text for another row is as before.

--- a/internal/confsync/editor_query.go
+++ b/internal/confsync/editor_query.go
@@ -23,6 +23,15 @@
 	}
 }
 
+// LookupEdit returns the outcome of an earlier submission of an edit, like Lookup. It is
+// Refused if the edit's ID was used for another change.
+func (e *Editor) LookupEdit(edit table.Edit) EditResult {
+	if outcome, ok := e.machine.Edit(edit.ID); ok {
+		return e.resolvedResult(edit, outcome)
+	}
+	return e.Lookup(edit.ID)
+}
+
 // resolvedResult returns the result of an edit that was read back. It rejects an edit
 // whose ID was used for another change.
 func (e *Editor) resolvedResult(edit table.Edit, outcome fold.EditOutcome) EditResult {
--- a/internal/daemon/edits.go
+++ b/internal/daemon/edits.go
@@ -36,6 +36,16 @@
 	return s, nil
 }
 
+// LookupEdit implements operatorhttp.Editor.
+func (e edits) LookupEdit(_ context.Context, edit table.Edit) (operatorhttp.EditStatus, error) {
+	s := editStatus(e.daemon.editor.LookupEdit(edit))
+	if o, ok := e.daemon.machine.Edit(edit.ID); ok {
+		s.Name = o.RowName
+		s.Pool = o.IsPool
+	}
+	return s, nil
+}
+
 func editStatus(r confsync.EditResult) operatorhttp.EditStatus {
 	s := operatorhttp.EditStatus{
 		Revision: r.Revision,
--- a/internal/operatorhttp/command.go
+++ b/internal/operatorhttp/command.go
@@ -141,12 +141,12 @@
 }
 
 // earlierResult returns the result of an earlier edit with the same ID. If that edit
-// changed another row, the result rejects the request.
+// was another change, the result rejects the request.
 func (h *Handler) earlierResult(ctx context.Context, req editRequest) (*operatorapi.EditResult, bool) {
 	if req.dryRun {
 		return nil, false
 	}
-	status, err := h.config.Editor.Lookup(ctx, req.edit.ID)
+	status, err := h.config.Editor.LookupEdit(ctx, req.edit)
 	if err != nil || status.State == NotFound {
 		return nil, false
 	}
--- a/internal/operatorhttp/handler.go
+++ b/internal/operatorhttp/handler.go
@@ -59,6 +59,9 @@
 	Submit(ctx context.Context, e table.Edit) (EditStatus, error)
 	// Lookup returns what is known about an earlier edit.
 	Lookup(ctx context.Context, id string) (EditStatus, error)
+	// LookupEdit returns what is known about an earlier submission of an edit. It is
+	// Refused if the edit's ID was used for another change.
+	LookupEdit(ctx context.Context, e table.Edit) (EditStatus, error)
 }
 
 // Tables provides the current tables.
--- a/internal/operatorhttp/operatorhttptest/daemon.go
+++ b/internal/operatorhttp/operatorhttptest/daemon.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"reflect"
 	"strings"
 	"sync"
 
@@ -21,6 +22,7 @@
 	mu       sync.Mutex
 	tables   *table.Tables
 	statuses map[string]operatorhttp.EditStatus
+	edits    map[string]table.Edit
 	offset   uint64
 	fault    string
 	notReady bool
@@ -124,7 +126,9 @@
 	}
 	if d.statuses == nil {
 		d.statuses = map[string]operatorhttp.EditStatus{}
+		d.edits = map[string]table.Edit{}
 	}
+	d.edits[e.ID] = e
 	d.statuses[e.ID] = s
 	return s
 }
@@ -136,6 +140,23 @@
 	return d.statuses[id], nil
 }
 
+// LookupEdit implements operatorhttp.Editor.
+func (d *Daemon) LookupEdit(ctx context.Context, e table.Edit) (operatorhttp.EditStatus, error) {
+	status, err := d.Lookup(ctx, e.ID)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if first, ok := d.edits[e.ID]; ok && !reflect.DeepEqual(first.Change, e.Change) {
+		status.State = operatorhttp.Refused
+		status.Problems = []table.Problem{
+			{
+				Field:   "edit_id",
+				Message: "was used for another change: take a new ID",
+			},
+		}
+	}
+	return status, err
+}
+
 func (d *Daemon) tablesLocked() *table.Tables {
 	if d.tables == nil {
 		d.tables = table.New()
