Divide memory among the responses that invoke and completion read

Each response could have 16 MiB whatever the others had. TestBodiesShareMemory failed with the refusal taken out (a trial): "An error is expected but got nil" for bodies of 1 MiB at a quota of 64 KiB.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 
 	"sequoiafork/internal/admission"
 	"sequoiafork/internal/budget"
+	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/callerhttp"
 	"sequoiafork/internal/completion"
 	"sequoiafork/internal/confsync"
@@ -204,12 +205,15 @@
 }
 
 func (d *Daemon) buildService() error {
-	services, err := invoke.New(invoke.Config{})
+	responses := invoke.Config{
+		Memory: bytequota.New(bytequota.Config{}),
+	}
+	services, err := invoke.New(responses)
 	if err != nil {
 		return err
 	}
 	d.services = services
-	engines, err := completion.New(invoke.Config{})
+	engines, err := completion.New(responses)
 	if err != nil {
 		return err
 	}
--- a/internal/httplimit/httplimit.go
+++ b/internal/httplimit/httplimit.go
@@ -13,21 +13,27 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"sequoiafork/internal/bytequota"
 )
 
 // MaxHeadBytes bounds the header of a response. It is meant for
 // http.Transport.MaxResponseHeaderBytes.
 const MaxHeadBytes = 16 << 10
 
-// Config configures a Transport. Both fields are required.
+// Config configures a Transport. Base and MaxBodyBytes are required.
 type Config struct {
 	Base http.RoundTripper
 	// MaxBodyBytes bounds the body of a response.
 	MaxBodyBytes int64
+	// Memory is shared by the bodies that are read at the same time. Nil means that there
+	// is no bound on all together.
+	Memory *bytequota.Quota
 }
 
-// Transport makes reading more than MaxBodyBytes of a body fail with a *TooLongError.
-// It is safe for concurrent use.
+// Transport makes reading more than MaxBodyBytes of a body fail with a *TooLongError, and
+// reading more than there is memory for with a *bytequota.ExceededError. It is safe for
+// concurrent use.
 type Transport struct {
 	cfg Config
 }
@@ -45,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	res.Body = &body{
+	limited := &body{
 		ReadCloser: res.Body,
 		remaining:  t.cfg.MaxBodyBytes,
 		exceeded: &TooLongError{
@@ -55,6 +61,10 @@
 			Limit:  t.cfg.MaxBodyBytes,
 		},
 	}
+	if t.cfg.Memory != nil {
+		limited.memory = t.cfg.Memory.Reserve()
+	}
+	res.Body = limited
 	return res, nil
 }
 
@@ -78,6 +88,9 @@
 	io.ReadCloser
 	remaining int64
 	exceeded  *TooLongError
+	// memory is reserved for the bytes that were read, until Close. It may be nil.
+	memory *bytequota.Reservation
+	read   int64
 }
 
 // Read implements io.Reader.
@@ -91,5 +104,20 @@
 	if b.remaining < 0 {
 		return n - 1, b.exceeded
 	}
+	b.read += int64(n)
+	if b.memory == nil {
+		return n, err
+	}
+	if exceeded := b.memory.Resize(b.read); exceeded != nil {
+		return 0, fmt.Errorf("read response of %s to %s %s: %w", b.exceeded.Addr, b.exceeded.Method, b.exceeded.Path, exceeded)
+	}
 	return n, err
 }
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	if b.memory != nil {
+		b.memory.Release()
+	}
+	return b.ReadCloser.Close()
+}
--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/bytequota"
 )
 
 // TestScripts reads responses with a limit of 10 bytes. "get" has the argument bytes, or endless for
@@ -60,3 +62,43 @@
 	}
 	_, _ = io.WriteString(w, strings.Repeat("a", size))
 }
+
+// Bodies without end that are read side by side must not use up the memory, and one that was closed
+// must return its part.
+func TestBodiesShareMemory(t *testing.T) {
+	const (
+		bodies      = 8
+		memoryBytes = 64 << 10
+		sentBytes   = 1 << 20
+	)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, sentBytes))
+	}))
+	defer server.Close()
+	memory := bytequota.New(bytequota.Config{
+		Bytes: memoryBytes,
+	})
+	client := &http.Client{
+		Transport: New(Config{
+			Base:         &http.Transport{},
+			MaxBodyBytes: sentBytes,
+			Memory:       memory,
+		}),
+	}
+	var open []*http.Response
+	total := 0
+	for range bodies {
+		res, err := client.Get(server.URL)
+		require.NoError(t, err)
+		open = append(open, res)
+		data, err := io.ReadAll(res.Body)
+		var exceeded *bytequota.ExceededError
+		require.ErrorAs(t, err, &exceeded)
+		total += len(data)
+	}
+	require.LessOrEqual(t, total, memoryBytes+bodies*bytequota.DefaultMinimumBytes)
+	for _, res := range open {
+		require.NoError(t, res.Body.Close())
+	}
+	require.Zero(t, memory.Used())
+}
--- a/internal/invoke/invoke.go
+++ b/internal/invoke/invoke.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/upstream"
@@ -36,6 +37,9 @@
 	MaxIdleConnsPerHost int
 	// MaxResponseBytes bounds the body of a response.
 	MaxResponseBytes int64
+	// Memory is shared by the responses that are read at the same time. Nil means a quota
+	// of the client's own.
+	Memory *bytequota.Quota
 }
 
 // Client calls upstreams. It is safe for concurrent use.
@@ -46,6 +50,9 @@
 
 // New returns a Client.
 func New(cfg Config) (*Client, error) {
+	if cfg.Memory == nil {
+		cfg.Memory = bytequota.New(bytequota.Config{})
+	}
 	idempotent, err := newAPI(cfg, false)
 	if err != nil {
 		return nil, err
@@ -79,6 +86,9 @@
 	cfg.DialTimeout = cmp.Or(cfg.DialTimeout, DefaultDialTimeout)
 	cfg.MaxIdleConnsPerHost = cmp.Or(cfg.MaxIdleConnsPerHost, DefaultMaxIdleConnsPerHost)
 	cfg.MaxResponseBytes = cmp.Or(cfg.MaxResponseBytes, DefaultMaxResponseBytes)
+	if cfg.Memory == nil {
+		cfg.Memory = bytequota.New(bytequota.Config{})
+	}
 	dialer := &net.Dialer{
 		Timeout: cfg.DialTimeout,
 	}
@@ -92,6 +102,7 @@
 			MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
 		},
 		MaxBodyBytes: cfg.MaxResponseBytes,
+		Memory:       cfg.Memory,
 	})
 }
 
