Seed the draws of TestStoreFromOlderCopy and play rows with several seeds (fails)

Change: each daemon of the test's cluster draws its backoffs from a source of its own, seeded; the pauses between returns likewise. A row is played with three seeds, or as many as it names, and prints the first one that fails. Bounds and expected output stay as they are; no row is dropped.

--- a/internal/topic/cluster_test.go
+++ b/internal/topic/cluster_test.go
@@ -229,6 +229,9 @@
 	faults []string
 	// upstreams are the hosts whose entries are the records.
 	upstreams *hostset.Set
+	// random draws the backoffs. Each daemon has its own, so that they don't depend on the order in which
+	// daemons run.
+	random *rand.Rand
 }
 
 // fakeCluster is the daemons of one data centre, in the order in which they are chosen as reader.
@@ -243,6 +246,11 @@
 
 // newFakeClusterIn returns a cluster with one daemon for each name of a data centre.
 func newFakeClusterIn(dataCentres []string) *fakeCluster {
+	return newSeededCluster(dataCentres, rand.Uint64())
+}
+
+// newSeededCluster is the same with the backoffs that a seed draws.
+func newSeededCluster(dataCentres []string, seed uint64) *fakeCluster {
 	c := &fakeCluster{
 		store: newFakeStore(),
 	}
@@ -256,6 +264,7 @@
 				Offset: -1,
 			},
 			upstreams: hostset.New(hostset.Config{}),
+			random:    rand.New(rand.NewPCG(seed, uint64(i))),
 		}
 		d.member.DataCentre = dataCentres[i]
 		d.readers = NewReaders(ReadersConfig{
@@ -264,7 +273,7 @@
 			Excluded:   func() string { return "" },
 			Read:       c.read,
 			ReadNewest: c.readNewest,
-			Backoff:    func(failures int) time.Duration { return jittered(failures, testProbeBackoff) },
+			Backoff:    func(failures int) time.Duration { return d.jittered(failures, testProbeBackoff) },
 		})
 		d.follower = d.readers.Follow(Config{
 			Name: "t",
@@ -274,7 +283,7 @@
 			},
 			PollInterval:  func() time.Duration { return testInterval },
 			PollTimeout:   func() time.Duration { return testWait },
-			Backoff:       func(failures int) time.Duration { return jittered(failures, testMaxBackoff) },
+			Backoff:       func(failures int) time.Duration { return d.jittered(failures, testMaxBackoff) },
 			OnRecords:     d.onRecords,
 			OnNewest:      d.onNewest,
 			OnUnreachable: d.upstreams.MarkStoreUnavailable,
@@ -386,9 +395,9 @@
 }
 
 // jittered returns the backoff of entryhost after a number of failures.
-func jittered(failures int, longest time.Duration) time.Duration {
+func (d *fakeDaemon) jittered(failures int, longest time.Duration) time.Duration {
 	backoff := min(testBackoff<<min(max(failures-1, 0), 8), longest)
-	return backoff/2 + rand.N(backoff/2)
+	return backoff/2 + time.Duration(d.random.Int64N(int64(backoff/2)))
 }
 
 // membersInOrder returns members d0, d1 and so on, in the order in which they are chosen as reader.
--- a/internal/topic/era_test.go
+++ b/internal/topic/era_test.go
@@ -20,9 +20,14 @@
 	datadriven.Walk(t, "testdata/era", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			p := rewindFrom(t, d)
-			out := ""
-			synctest.Test(t, func(t *testing.T) { out = p.play(t) })
-			return out
+			for seed := p.firstSeed; seed < p.firstSeed+p.seeds; seed++ {
+				out := ""
+				synctest.Test(t, func(t *testing.T) { out = p.play(t, seed) })
+				if out != d.Expected {
+					return fmt.Sprintf("%sseed: %d\n", out, seed)
+				}
+			}
+			return d.Expected
 		})
 	})
 }
@@ -30,6 +35,9 @@
 // rewind is a number of returns of the store from an older copy, and what happens to an upstream between
 // copy and return.
 type rewind struct {
+	// firstSeed is the first of the seeds with which the returns are played, and seeds their number.
+	firstSeed, seeds uint64
+
 	count       int
 	dataCentres []string
 	// event is what the upstream does: leaves (says so in its entry), goes (its entry is removed),
@@ -46,15 +54,16 @@
 	frozen, turnedAway, late string
 	// awayFor is how long after the return the store turns daemons away.
 	awayFor time.Duration
-	random  *rand.Rand
 }
 
 func rewindFrom(t *testing.T, d *datadriven.TestData) rewind {
 	p := rewind{
-		ghost:  d.HasArg("ghost"),
-		twice:  d.HasArg("twice"),
-		random: rand.New(rand.NewPCG(7, 8)),
+		seeds: defaultSeeds,
+		ghost: d.HasArg("ghost"),
+		twice: d.HasArg("twice"),
 	}
+	d.MaybeScanArgs(t, "first_seed", &p.firstSeed)
+	d.MaybeScanArgs(t, "seeds", &p.seeds)
 	d.ScanArgs(t, "count", &p.count)
 	d.ScanArgs(t, "event", &p.event)
 	d.MaybeScanArgs(t, "frozen", &p.frozen)
@@ -75,6 +84,8 @@
 }
 
 const (
+	// defaultSeeds is the number of seeds of a row that names none.
+	defaultSeeds = 3
 	// copyAge is the age of the copy, eventAge how long before the return the event is, and awayTime how
 	// long the store is away.
 	copyAge  = 5 * time.Second
@@ -94,10 +105,12 @@
 	laterTime = 7 * time.Second
 )
 
-// play plays the returns and returns how often a daemon had an upstream wrong, and what else it had wrong.
-func (p rewind) play(t *testing.T) string {
+// play plays the returns with the draws of a seed, and returns how often a daemon had an upstream wrong, and
+// what else it had wrong.
+func (p rewind) play(t *testing.T, seed uint64) string {
 	ctx, cancel := context.WithCancel(t.Context())
-	c := newFakeClusterIn(p.dataCentres)
+	c := newSeededCluster(p.dataCentres, seed)
+	pauses := rand.New(rand.NewPCG(seed, uint64(len(c.daemons))))
 	for _, d := range c.daemons {
 		if d.name != p.late {
 			go func() { _ = d.follower.Run(ctx) }()
@@ -109,7 +122,7 @@
 		if p.event != "comes" {
 			c.store.append(name)
 		}
-		time.Sleep(20*time.Second + time.Duration(p.random.Int64N(int64(3*time.Second))))
+		time.Sleep(20*time.Second + time.Duration(pauses.Int64N(int64(3*time.Second))))
 		wrong += p.round(ctx, c, name)
 	}
 	c.store.append("last")
