--- a/internal/topic/era_test.go
+++ b/internal/topic/era_test.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
+var returnSeeds = flag.Uint64("return_seeds", 100, "the number of seeds of TestTurnedAwayAfterReturn")
+
 // TestStoreFromOlderCopy guards against updates that are missed or taken for older ones when the store comes
 // back from an older copy, and against upstreams that are used again, or lost, because the copy shows them
 // as they were.
@@ -41,17 +46,19 @@
 	count       int
 	dataCentres []string
 	// event is what the upstream does: leaves (says so in its entry), goes (its entry is removed),
-	// comes (it is new), or stays; with leaves_later it leaves laterTime after the return.
+	// comes (it is new), or stays; with leaves_later and goes_later it does so later after the return.
 	event string
+	later time.Duration
 	// writtenAgain is when the lost records are written again after the return. ghost reports that the
 	// removal of an upstream that is gone is not, and that its entry expires instead.
 	writtenAgain time.Duration
 	ghost        bool
 	// twice reports that the store comes back from a second copy soon after.
 	twice bool
-	// frozen are the numbers of the daemons that are frozen at the return, turnedAway of those that the
-	// store does not serve around it, and late of one that starts right after it.
-	frozen, turnedAway, late string
+	// frozen is the daemon that is frozen at the return, turnedAway are those that the store does not serve
+	// around it, and late is one that starts right after it.
+	frozen, late string
+	turnedAway   []string
 	// awayFor is how long after the return the store turns daemons away.
 	awayFor time.Duration
 }
@@ -61,15 +68,19 @@
 		seeds: defaultSeeds,
 		ghost: d.HasArg("ghost"),
 		twice: d.HasArg("twice"),
+		later: laterTime,
 	}
 	d.MaybeScanArgs(t, "first_seed", &p.firstSeed)
 	d.MaybeScanArgs(t, "seeds", &p.seeds)
 	d.ScanArgs(t, "count", &p.count)
 	d.ScanArgs(t, "event", &p.event)
 	d.MaybeScanArgs(t, "frozen", &p.frozen)
-	d.MaybeScanArgs(t, "turned_away", &p.turnedAway)
 	d.MaybeScanArgs(t, "late", &p.late)
-	var centres, again string
+	var centres, turnedAway, again string
+	d.MaybeScanArgs(t, "turned_away", &turnedAway)
+	if turnedAway != "" {
+		p.turnedAway = strings.Split(turnedAway, "/")
+	}
 	d.ScanArgs(t, "data_centres", &centres)
 	p.dataCentres = strings.Split(centres, "/")
 	d.ScanArgs(t, "written_again", &again)
@@ -94,7 +105,7 @@
 	// expiryTime is when the entry of an upstream that is gone expires after the return.
 	expiryTime = 3600 * time.Millisecond
 	// useBound is how long after it has left an upstream may be used, and watchTime for how long it is
-	// watched after the return.
+	// watched after the return at least.
 	useBound  = 2 * time.Second
 	watchTime = 15 * time.Second
 	watchStep = 20 * time.Millisecond
@@ -157,12 +168,12 @@
 	}
 	go p.writeAgain(c, name, lost)
 	wrong := make(map[string]bool)
-	for passed := time.Duration(0); passed < watchTime; passed += watchStep {
+	for passed := time.Duration(0); passed < p.watchedFor(); passed += watchStep {
 		if passed >= p.awayFor && passed-watchStep < p.awayFor {
 			p.set(c, false)
 		}
-		if p.event == "leaves_later" && passed >= laterTime && passed-watchStep < laterTime {
-			c.store.write(name, []byte("x"))
+		if passed >= p.later && passed-watchStep < p.later {
+			p.happenLater(c, name)
 		}
 		for _, d := range c.daemons {
 			if p.isWrong(d, name, passed) {
@@ -186,6 +197,16 @@
 	}
 }
 
+// happenLater plays an event after the return.
+func (p rewind) happenLater(c *fakeCluster, name string) {
+	switch p.event {
+	case "leaves_later":
+		c.store.write(name, []byte("x"))
+	case "goes_later":
+		c.store.write(name, nil)
+	}
+}
+
 // writeAgain writes what was lost.
 func (p rewind) writeAgain(c *fakeCluster, name string, lost []Record) {
 	time.Sleep(p.writtenAgain)
@@ -205,7 +226,7 @@
 		if d.name == p.frozen {
 			d.freeze(on)
 		}
-		if d.name == p.turnedAway {
+		if slices.Contains(p.turnedAway, d.name) {
 			c.store.set(func() { c.store.turnedAway[d.name] = on })
 		}
 	}
@@ -228,14 +249,80 @@
 	switch p.event {
 	case "leaves", "goes":
 		return passed+eventAge+awayTime > useBound && d.listsLive(name)
-	case "leaves_later":
-		return passed > laterTime+useBound && d.listsLive(name)
+	case "leaves_later", "goes_later":
+		return passed > p.knownAfter() && d.listsLive(name)
 	case "comes", "stays":
 		return !d.listsLive(name)
 	}
 	return true
 }
 
+// knownAfter returns how long after the return no daemon may send new work to the upstream any more, because of
+// the later event.
+func (p rewind) knownAfter() time.Duration {
+	return max(p.later, p.servedAfter()+lateTime) + useBound
+}
+
+// watchedFor returns for how long after the return the upstream is watched.
+func (p rewind) watchedFor() time.Duration {
+	const margin = 2 * watchStep
+	return max(watchTime, p.awayFor+margin, p.knownAfter()+margin)
+}
+
+// servedAfter returns how long after the return the store serves the first daemon.
+func (p rewind) servedAfter() time.Duration {
+	if len(p.turnedAway) == len(p.dataCentres) {
+		return p.awayFor
+	}
+	return 0
+}
+
+// TestTurnedAwayAfterReturn guards against daemons that the store turns away after it has come back from an
+// older copy, and that learn late from the others which upstreams left.
+func TestTurnedAwayAfterReturn(t *testing.T) {
+	for seed := range *returnSeeds {
+		p := drawTurnedAway(seed)
+		out := ""
+		synctest.Test(t, func(t *testing.T) { out = p.play(t, seed) })
+		assert.Equal(t, fmt.Sprintf("wrong: 0 of %d\n", p.count*len(p.dataCentres)), out, "seed %d: %+v", seed, p)
+	}
+}
+
+// drawTurnedAway draws a return around which the store turns away one daemon, or all of a data centre.
+func drawTurnedAway(seed uint64) rewind {
+	const (
+		minDaemons, maxDaemons = 2, 6
+		minAwayFor, maxAwayFor = time.Second, 30 * time.Second
+		minLater, maxLater     = 3 * time.Second, laterTime
+		maxWrittenAgain        = 2 * time.Second
+		maxDataCentres         = 3
+		returns                = 3
+	)
+	random := rand.New(rand.NewPCG(seed, 0))
+	between := func(low, high time.Duration) time.Duration {
+		return low + time.Duration(random.Int64N(int64(high-low)))
+	}
+	p := rewind{
+		count:        returns,
+		event:        []string{"leaves_later", "goes_later"}[random.IntN(2)],
+		later:        between(minLater, maxLater),
+		writtenAgain: between(0, maxWrittenAgain),
+		awayFor:      between(minAwayFor, maxAwayFor),
+	}
+	centres := 1 + random.IntN(maxDataCentres)
+	for range minDaemons + random.IntN(maxDaemons-minDaemons+1) {
+		p.dataCentres = append(p.dataCentres, string(rune('a'+random.IntN(centres))))
+	}
+	first := random.IntN(len(p.dataCentres))
+	all := random.IntN(2) == 0
+	for i, dc := range p.dataCentres {
+		if i == first || all && dc == p.dataCentres[first] {
+			p.turnedAway = append(p.turnedAway, fmt.Sprint("d", i))
+		}
+	}
+	return p
+}
+
 // TestStartDuringOutage guards against a daemon that starts while the store serves nobody, or not this daemon,
 // and knows nothing until the store is back, although the others know all.
 func TestStartDuringOutage(t *testing.T) {
