Take the newest records from a peer also after a failed call to the store

Cause: a follower took the newest records from a peer only in a step in which the breaker allowed no call. After a failed call the pause is mostly as long as the breaker's backoff, so that the next step may call again; only the draws of the backoffs decided when one did not.

Ruled out: a reader in the old era that is followed (d0 asked the daemons of the new era each time), the order of readers, hostset's retention (the entry says that it leaves, and is not removed).

Change: a step in which a peer that reads the store, or the store, lacks the position ends with the newest records of a peer, whether the store was called or not. A daemon is thus one step behind the peer that has the new era. Starting is a step of its own (start), and readNewest only reads the store.

--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -103,15 +103,10 @@
 func (f *Follower) Newest() (Snapshot, error) { return f.newest.snapshot(f.cfg.Name) }
 
 // step reads once: from another daemon if there is one that reads for this one, and otherwise
-// from the store.
+// from the store. If neither has the records at the position, it takes the newest ones from another daemon.
 func (f *Follower) step(ctx context.Context) error {
 	if f.next.Offset < 0 {
-		if !f.cfg.Breaker.Allow() {
-			return f.adoptNewest(ctx, &NotCurrentError{
-				Topic: f.cfg.Name,
-			})
-		}
-		return f.readNewest(ctx)
+		return f.start(ctx)
 	}
 	page, err := f.cfg.Peers.ReadTopic(ctx, f.cfg.Name, f.next, f.pollTimeout())
 	if err == nil {
@@ -124,14 +119,38 @@
 	if !errors.As(err, &own) && ctx.Err() == nil {
 		f.cfg.Logger.Debug("reading the store, since no peer has the records", zap.String("topic", f.cfg.Name), zap.Error(err))
 	}
-	if !f.cfg.Breaker.Allow() {
-		var expired *ExpiredError
-		if errors.As(err, &expired) {
-			return f.adoptNewest(ctx, err)
+	if f.cfg.Breaker.Allow() {
+		storeErr := f.readStore(ctx)
+		if storeErr == nil {
+			return nil
 		}
-		return err
+		err = errors.Join(storeErr, err)
 	}
-	return f.readStore(ctx)
+	if isPositionGone(err) {
+		return f.adoptNewest(ctx, err)
+	}
+	return err
+}
+
+// isPositionGone reports whether an error tells that the records at a position can't be read any more.
+func isPositionGone(err error) bool {
+	var expired *ExpiredError
+	var otherEra *EraError
+	return errors.As(err, &expired) || errors.As(err, &otherEra)
+}
+
+// start reads the first records.
+func (f *Follower) start(ctx context.Context) error {
+	var err error = &NotCurrentError{
+		Topic: f.cfg.Name,
+	}
+	if f.cfg.Breaker.Allow() {
+		err = f.readNewest(ctx)
+	}
+	if err != nil {
+		return f.adoptNewest(ctx, err)
+	}
+	return nil
 }
 
 // adoptNewest continues with the newest records of another daemon after the store could not be read. It
@@ -168,10 +187,11 @@
 func (f *Follower) readStore(ctx context.Context) error {
 	began := time.Now()
 	page, err := f.cfg.Store.Read(ctx, f.cfg.Name, f.next, f.storePollTimeout())
-	var expired *ExpiredError
-	var otherEra *EraError
-	if errors.As(err, &expired) || errors.As(err, &otherEra) {
-		return f.readNewest(ctx)
+	if isPositionGone(err) {
+		if newestErr := f.readNewest(ctx); newestErr != nil {
+			return errors.Join(newestErr, err)
+		}
+		return nil
 	}
 	f.reportStore(began, err)
 	if err != nil {
@@ -217,7 +237,7 @@
 	}
 	if err != nil {
 		f.reportStore(began, err)
-		return f.adoptNewest(ctx, err)
+		return err
 	}
 	f.startAt(&s)
 	f.reportStore(began, nil)
