Take the newest records from the daemon that reads the topic first

A daemon that the store turns away asked the first candidate, that is the first daemon of its own data centre. If the store turns that one away, too, it answers with the records of the old era, which are no newer, and no other daemon is asked: the daemons of a data centre asked each other until the store served them again.

Change: a daemon that reads the topic but lacks the records at a position is remembered as the source of the topic, like one that served it, and the source is asked first. The other candidates follow in their order.

The package's other tests pass with the race detector.

--- a/internal/topic/readers.go
+++ b/internal/topic/readers.go
@@ -170,19 +170,14 @@
 	return f != nil && f.tail.isRead()
 }
 
-// ReadNewest implements Peers. It asks the candidates in turn.
+// ReadNewest implements Peers. It asks the daemon that last served the topic to this one, and then the other
+// candidates in turn.
 func (r *Readers) ReadNewest(ctx context.Context, topic string) (Snapshot, error) {
 	var err error = &NotCurrentError{
 		Topic: topic,
 	}
-	tries := 0
-	for _, m := range r.candidates() {
-		if m.Incarnation == r.cfg.Self.Incarnation {
-			continue
-		}
-		if tries++; tries > maxReaderTries {
-			break
-		}
+	list := r.newestCandidates(topic)
+	for _, m := range list[:min(len(list), maxReaderTries)] {
 		var s Snapshot
 		if s, err = r.readNewest(ctx, m, topic); err == nil {
 			return s, nil
@@ -191,18 +186,34 @@
 	return Snapshot{}, err
 }
 
+// newestCandidates returns the daemons that are asked for the newest records of a topic, in order. The one that
+// reads the topic from the store comes first, since those of this data centre may not be served, either.
+func (r *Readers) newestCandidates(topic string) []membership.Member {
+	r.mu.Lock()
+	source := r.sources[topic]
+	r.mu.Unlock()
+	list := slices.DeleteFunc(r.candidates(), func(m membership.Member) bool { return m.Incarnation == r.cfg.Self.Incarnation })
+	i := slices.IndexFunc(list, func(m membership.Member) bool { return m.Incarnation == source })
+	if i < 0 {
+		return list
+	}
+	return slices.Concat(list[i:i+1], list[:i], list[i+1:])
+}
+
 func (r *Readers) readNewest(ctx context.Context, m membership.Member, topic string) (Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, readerMargin)
 	defer cancel()
 	return r.cfg.ReadNewest(ctx, m, topic)
 }
 
-// setSource records the result of a read from another daemon.
+// setSource records the result of a read from another daemon. One that reads the topic, but lacks the records at
+// the position, is a source, too.
 func (r *Readers) setSource(topic, incarnation string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var expired *ExpiredError
 	switch {
-	case err == nil:
+	case err == nil || errors.As(err, &expired):
 		r.sources[topic] = incarnation
 	case r.sources[topic] == incarnation:
 		delete(r.sources, topic)
