Drop a retained upstream whose time is over before the next outage begins

Cause: Set dropped retained entries only when its hosts were listed. The daemon lists them every 500 ms and the test only from the bound on, so that on a daemon this can only happen when the time ends between the last listing and the outage; it is then used for the whole outage.

Ruled out: that the time of retention begins when the daemon takes the new era (Rewind) and not when its peer did.

Change: the start of an outage and a return of the store drop what is over first (dropExpired). A host whose time is not over when the next outage begins is still kept.

Packages hostset (race detector), topic and platform pass.

--- a/internal/hostset/hostset.go
+++ b/internal/hostset/hostset.go
@@ -198,7 +198,9 @@
 func (s *Set) Rewind(list []Listed, end era.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reachableAt = time.Now()
+	now := time.Now()
+	s.dropExpired(now)
+	s.reachableAt = now
 	listed := make(map[string]bool, len(list))
 	for _, l := range list {
 		listed[l.Name] = true
@@ -235,10 +237,12 @@
 	s.entries[l.Name] = known
 }
 
-// MarkStoreUnavailable records that the store is unreachable.
+// MarkStoreUnavailable records that the store is unreachable. Entries whose time to reappear is over are not
+// retained any longer.
 func (s *Set) MarkStoreUnavailable() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dropExpired(time.Now())
 	s.unreachable = true
 }
 
@@ -262,20 +266,28 @@
 	return s.unreachable || !s.reachableAt.IsZero() && now.Sub(s.reachableAt) < reregistrationTime
 }
 
+// dropExpired drops the retained entries whose time to reappear is over.
+func (s *Set) dropExpired(now time.Time) {
+	if s.inOutage(now) {
+		return
+	}
+	for name, e := range s.entries {
+		if e.expired {
+			s.remove(name, e)
+			s.log.Info("retained upstream dropped, since its entry has not reappeared", zap.String("upstream", e.Host.Incarnation))
+		}
+	}
+}
+
 // Hosts returns the usable hosts, ordered by service, address and incarnation (one run of
 // an upstream process).
 func (s *Set) Hosts() []upstream.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	over := !s.inOutage(now)
+	s.dropExpired(now)
 	var hosts []upstream.Host
-	for name, e := range s.entries {
-		if e.expired && over {
-			s.remove(name, e)
-			s.log.Info("retained upstream dropped, since its entry has not reappeared", zap.String("upstream", e.Host.Incarnation))
-			continue
-		}
+	for _, e := range s.entries {
 		if e.Usable && !now.Before(e.hiddenUntil) {
 			hosts = append(hosts, e.Host)
 		}
--- a/internal/hostset/hostset_test.go
+++ b/internal/hostset/hostset_test.go
@@ -89,6 +89,54 @@
 	})
 }
 
+// TestNextOutageDoesNotKeepEntryLonger guards against a host that is used in an outage although its entry, which
+// was removed around the outage before, had its time to reappear: nothing lists the hosts between that time and
+// the outage.
+func TestNextOutageDoesNotKeepEntryLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		s.Put("gone", live("gone", upstream.Live), at(1))
+		s.MarkStoreUnavailable()
+		s.Remove("gone", at(2))
+		s.MarkStoreAvailable(time.Now())
+		time.Sleep(reregistrationTime)
+		s.MarkStoreUnavailable()
+		require.Empty(t, names(s))
+	})
+}
+
+// TestReturnDoesNotKeepEntryLonger guards against the same when the store comes back from an older copy.
+func TestReturnDoesNotKeepEntryLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		s.Put("gone", live("gone", upstream.Live), at(1))
+		s.MarkStoreUnavailable()
+		s.Remove("gone", at(2))
+		s.MarkStoreAvailable(time.Now())
+		time.Sleep(reregistrationTime)
+		s.Rewind(nil, era.Position{
+			Era: 1,
+		})
+		require.Empty(t, names(s))
+	})
+}
+
+// TestNextOutageKeepsEntryWhoseTimeIsNotOver guards against the loss of a host whose entry had no time to reappear
+// between two outages.
+func TestNextOutageKeepsEntryWhoseTimeIsNotOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		s.Put("a", live("a", upstream.Live), at(1))
+		s.MarkStoreUnavailable()
+		s.Remove("a", at(2))
+		s.MarkStoreAvailable(time.Now())
+		time.Sleep(reregistrationTime / 2)
+		s.MarkStoreUnavailable()
+		time.Sleep(time.Minute)
+		require.Equal(t, []string{"a"}, names(s))
+	})
+}
+
 func TestReplace(t *testing.T) {
 	s := New(Config{})
 	s.Put("a", live("a", upstream.Live), at(1))
