Ask all daemons in turn for the newest records at a start

A daemon that starts while the store does not serve it asks three daemons, those of its own data centre first, and the same three at each try. If these have just started, too, it learned nothing until the store served it, though other data centres know all.

Change: Readers counts the daemons that were asked in vain and goes on with the next one.

--- a/internal/topic/era_test.go
+++ b/internal/topic/era_test.go
@@ -364,3 +364,30 @@
 		})
 	}
 }
+
+// TestStartOfDataCentreDuringOutage guards against the daemons of a data centre that all start while the store does
+// not serve them, and that ask only each other.
+func TestStartOfDataCentreDuringOutage(t *testing.T) {
+	const knownWithin = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		o := outage{
+			kind:        "some_error",
+			dataCentres: []string{"a", "a", "a", "a", "a", "a", "b"},
+		}
+		c := newFakeClusterIn(o.dataCentres)
+		go func() { _ = c.daemons[6].follower.Run(ctx) }()
+		c.store.append("u")
+		time.Sleep(5 * time.Second)
+		o.set(c, true)
+		for _, d := range c.daemons[:6] {
+			go func() { _ = d.follower.Run(ctx) }()
+		}
+		time.Sleep(knownWithin)
+		for _, d := range c.daemons {
+			require.True(t, d.listsLive("u"), "%s", d.name)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/topic/readers.go
+++ b/internal/topic/readers.go
@@ -54,14 +54,17 @@
 	followers map[string]*Follower
 	// sources are the daemons from which this one last read the topics, by the name of the topic.
 	sources map[string]string
+	// newestTries is how many daemons were asked for the newest records of a topic in vain, by its name.
+	newestTries map[string]int
 }
 
 // NewReaders returns Readers without followers.
 func NewReaders(cfg ReadersConfig) *Readers {
 	r := &Readers{
-		cfg:       cfg,
-		followers: make(map[string]*Follower),
-		sources:   make(map[string]string),
+		cfg:         cfg,
+		followers:   make(map[string]*Follower),
+		sources:     make(map[string]string),
+		newestTries: make(map[string]int),
 	}
 	r.breaker = NewBreaker(BreakerConfig{
 		Backoff:   r.backoff,
@@ -182,22 +185,33 @@
 		if s, err = r.readNewest(ctx, m, topic); err == nil {
 			return s, nil
 		}
+		r.addNewestTry(topic)
 	}
 	return Snapshot{}, err
 }
 
+func (r *Readers) addNewestTry(topic string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.newestTries[topic]++
+}
+
 // newestCandidates returns the daemons that are asked for the newest records of a topic, in order. The one that
-// reads the topic from the store comes first, since those of this data centre may not be served, either.
+// reads the topic from the store comes first, since those of this data centre may not be served, either. The others
+// follow from the first one that was not asked in vain, so that all are asked in turn.
 func (r *Readers) newestCandidates(topic string) []membership.Member {
 	r.mu.Lock()
-	source := r.sources[topic]
+	source, tries := r.sources[topic], r.newestTries[topic]
 	r.mu.Unlock()
 	list := slices.DeleteFunc(r.candidates(), func(m membership.Member) bool { return m.Incarnation == r.cfg.Self.Incarnation })
-	i := slices.IndexFunc(list, func(m membership.Member) bool { return m.Incarnation == source })
-	if i < 0 {
-		return list
+	if len(list) == 0 {
+		return nil
+	}
+	if i := slices.IndexFunc(list, func(m membership.Member) bool { return m.Incarnation == source }); i >= 0 {
+		return slices.Concat(list[i:i+1], list[:i], list[i+1:])
 	}
-	return slices.Concat(list[i:i+1], list[:i], list[i+1:])
+	next := tries % len(list)
+	return slices.Concat(list[next:], list[:next])
 }
 
 func (r *Readers) readNewest(ctx context.Context, m membership.Member, topic string) (Snapshot, error) {
