--- a/internal/topic/era_test.go
+++ b/internal/topic/era_test.go
@@ -16,7 +16,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-var returnSeeds = flag.Uint64("return_seeds", 100, "the number of seeds of TestTurnedAwayAfterReturn")
+var returnSeeds = flag.Uint64("return_seeds", 100, "the number of seeds of each test of daemons that are turned away after a return")
 
 // TestStoreFromOlderCopy guards against updates that are missed or taken for older ones when the store comes
 // back from an older copy, and against upstreams that are used again, or lost, because the copy shows them
@@ -59,8 +59,10 @@
 	// around it, and late is one that starts right after it.
 	frozen, late string
 	turnedAway   []string
-	// awayFor is how long after the return the store turns daemons away.
+	// awayFor is how long after the return the store turns daemons away. silent reports that it does not respond
+	// to them, rather than with an error.
 	awayFor time.Duration
+	silent  bool
 }
 
 func rewindFrom(t *testing.T, d *datadriven.TestData) rewind {
@@ -227,11 +229,23 @@
 			d.freeze(on)
 		}
 		if slices.Contains(p.turnedAway, d.name) {
-			c.store.set(func() { c.store.turnedAway[d.name] = on })
+			p.turnAway(c, d, on)
 		}
 	}
 }
 
+// turnAway makes the store serve a daemon no longer, or again.
+func (p rewind) turnAway(c *fakeCluster, d *fakeDaemon, on bool) {
+	c.store.set(func() {
+		if !p.silent {
+			c.store.turnedAway[d.name] = on
+			return
+		}
+		c.store.ignored[d.name] = on
+		c.store.signal()
+	})
+}
+
 // startLate starts the daemon that starts after the first return.
 func (p rewind) startLate(ctx context.Context, c *fakeCluster) {
 	for _, d := range c.daemons {
@@ -280,14 +294,28 @@
 // TestTurnedAwayAfterReturn guards against daemons that the store turns away after it has come back from an
 // older copy, and that learn late from the others which upstreams left.
 func TestTurnedAwayAfterReturn(t *testing.T) {
+	for seed := range *returnSeeds {
+		drawTurnedAway(seed).check(t, seed)
+	}
+}
+
+// TestIgnoredAfterReturn guards against the same where the store does not respond to the daemons.
+func TestIgnoredAfterReturn(t *testing.T) {
 	for seed := range *returnSeeds {
 		p := drawTurnedAway(seed)
-		out := ""
-		synctest.Test(t, func(t *testing.T) { out = p.play(t, seed) })
-		assert.Equal(t, fmt.Sprintf("wrong: 0 of %d\n", p.count*len(p.dataCentres)), out, "seed %d: %+v", seed, p)
+		p.silent = true
+		p.check(t, seed)
 	}
 }
 
+// check plays the returns and requires that no daemon has an upstream wrong.
+func (p rewind) check(t *testing.T, seed uint64) {
+	t.Helper()
+	out := ""
+	synctest.Test(t, func(t *testing.T) { out = p.play(t, seed) })
+	assert.Equal(t, fmt.Sprintf("wrong: 0 of %d\n", p.count*len(p.dataCentres)), out, "seed %d: %+v", seed, p)
+}
+
 // drawTurnedAway draws a return around which the store turns away one daemon, or all of a data centre.
 func drawTurnedAway(seed uint64) rewind {
 	const (
