Take the newest records from a peer before a call to a store that fails

While calls to the store failed, a daemon whose position a peer no longer had still called the store first, if the breaker allowed it. If the store does not respond, that takes the call's timeout, and the new era is known that much later.

Change: while the breaker is open, the newest records of a peer come first, and the store is called only if there are none. The daemon calls the store again when it reads from no peer, as before.

--- a/internal/topic/era_test.go
+++ b/internal/topic/era_test.go
@@ -67,10 +67,11 @@
 
 func rewindFrom(t *testing.T, d *datadriven.TestData) rewind {
 	p := rewind{
-		seeds: defaultSeeds,
-		ghost: d.HasArg("ghost"),
-		twice: d.HasArg("twice"),
-		later: laterTime,
+		seeds:  defaultSeeds,
+		ghost:  d.HasArg("ghost"),
+		twice:  d.HasArg("twice"),
+		silent: d.HasArg("silent"),
+		later:  laterTime,
 	}
 	d.MaybeScanArgs(t, "first_seed", &p.firstSeed)
 	d.MaybeScanArgs(t, "seeds", &p.seeds)
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -119,6 +119,9 @@
 	if !errors.As(err, &own) && ctx.Err() == nil {
 		f.cfg.Logger.Debug("reading the store, since no peer has the records", zap.String("topic", f.cfg.Name), zap.Error(err))
 	}
+	if isPositionGone(err) && f.cfg.Breaker.Open() && f.adoptNewest(ctx, err) {
+		return err
+	}
 	if f.cfg.Breaker.Allow() {
 		storeErr := f.readStore(ctx)
 		if storeErr == nil {
@@ -127,7 +130,7 @@
 		err = errors.Join(storeErr, err)
 	}
 	if isPositionGone(err) {
-		return f.adoptNewest(ctx, err)
+		f.adoptNewest(ctx, err)
 	}
 	return err
 }
@@ -148,22 +151,23 @@
 		err = f.readNewest(ctx)
 	}
 	if err != nil {
-		return f.adoptNewest(ctx, err)
+		f.adoptNewest(ctx, err)
 	}
-	return nil
+	return err
 }
 
-// adoptNewest continues with the newest records of another daemon after the store could not be read. It
-// returns the error of that, since nothing is known yet of how new they are.
-func (f *Follower) adoptNewest(ctx context.Context, cause error) error {
+// adoptNewest continues with the newest records of another daemon while the store can't be read because of a
+// cause, and reports whether there are any. The step still counts as failed, since nothing is known yet of how new
+// they are.
+func (f *Follower) adoptNewest(ctx context.Context, cause error) bool {
 	s, err := f.cfg.Peers.ReadNewest(ctx, f.cfg.Name)
 	if err != nil || !f.next.Before(s.End) {
-		return cause
+		return false
 	}
 	f.cfg.Logger.Info("newest records taken from a peer, since the store can't be read", zap.String("topic", f.cfg.Name), zap.Error(cause))
 	f.startAt(&s)
 	f.cfg.OnNewest(s)
-	return cause
+	return true
 }
 
 // pollTimeout returns how long a read waits for a record. While reads fail it does not wait, since
