Retain upstreams that a copy of the store lacks from when the store was reached, not learned of

A daemon that took the new era from a peer counted them from then, some two seconds later than its peer where its own calls got no response, and used what was gone for that much longer.

Change: taking the newest records from a peer first marks the store as unreachable, so that Rewind retains as in any outage, and the next read from a peer tells since when that one has reached the store. With a new era a follower begins that time anew: a reader that found the era without a failed read told a time of the era before.

--- a/internal/hostset/hostset.go
+++ b/internal/hostset/hostset.go
@@ -200,7 +200,9 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.dropExpired(now)
-	s.reachableAt = now
+	if !s.unreachable { // Otherwise MarkStoreAvailable tells since when it is reachable.
+		s.reachableAt = now
+	}
 	listed := make(map[string]bool, len(list))
 	for _, l := range list {
 		listed[l.Name] = true
--- a/internal/hostset/hostset_test.go
+++ b/internal/hostset/hostset_test.go
@@ -121,6 +121,26 @@
 	})
 }
 
+// TestReturnDuringOutage guards against an entry that a daemon retains from when it learns of the return of the store
+// from a peer, rather than from when that one reached the store.
+func TestReturnDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		s.Put("gone", live("gone", upstream.Live), at(1))
+		s.MarkStoreUnavailable()
+		reachedByPeer := time.Now()
+		time.Sleep(reregistrationTime / 2)
+		s.Rewind(nil, era.Position{
+			Era: 1,
+		})
+		require.Equal(t, []string{"gone"}, names(s))
+		s.MarkStoreAvailable(reachedByPeer)
+		require.Equal(t, []string{"gone"}, names(s))
+		time.Sleep(reregistrationTime / 2)
+		require.Empty(t, names(s))
+	})
+}
+
 // TestNextOutageKeepsEntryWhoseTimeIsNotOver guards against the loss of a host whose entry had no time to reappear
 // between two outages.
 func TestNextOutageKeepsEntryWhoseTimeIsNotOver(t *testing.T) {
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -51,6 +51,8 @@
 	values   map[string][]byte // the last value of each key that was read with it
 	next     era.Position      // to read from; the offset is negative before the first read
 	failures int
+	// unreachable reports that OnUnreachable was called and OnReachable was not called since.
+	unreachable bool
 	// calledStore reports that the current step has called the store.
 	calledStore bool
 	// reachableSince is since when the daemon that reads the topic for this one has reached the
@@ -165,6 +167,7 @@
 		return false
 	}
 	f.cfg.Logger.Info("newest records taken from a peer, since the store can't be read", zap.String("topic", f.cfg.Name), zap.Error(cause))
+	f.markUnreachable(cause)
 	f.startAt(&s)
 	f.cfg.OnNewest(s)
 	return true
@@ -258,6 +261,10 @@
 	}
 	f.cfg.Logger.Info("newest records of topic read", zap.String("topic", f.cfg.Name), zap.Int("keys", len(s.Records)),
 		zap.Int64("era", s.End.Era), zap.Int64("end", s.End.Offset))
+	if s.Rewound { // The store is reachable since this era began for the daemon that reads it.
+		f.reachableSince = time.Time{}
+		f.tail.setReachableSince(time.Now())
+	}
 	f.next = s.End
 	storeEra.Set(float64(s.End.Era))
 	clear(f.values)
@@ -313,19 +320,26 @@
 	case ctx.Err() != nil:
 	case err != nil:
 		f.failures++
-		if f.failures == 1 {
-			f.cfg.Logger.Warn("store unreachable", zap.String("topic", f.cfg.Name), zap.Error(err))
-			callIfSet(f.cfg.OnUnreachable)
-		}
+		f.markUnreachable(err)
 	case f.failures > 0:
 		f.cfg.Logger.Info("store reachable again", zap.String("topic", f.cfg.Name), zap.Int("failures", f.failures), zap.Int64("took_ms", took.Milliseconds()))
-		f.failures = 0
+		f.failures, f.unreachable = 0, false
 		if f.cfg.OnReachable != nil {
 			f.cfg.OnReachable(f.reachableSince)
 		}
 	}
 }
 
+// markUnreachable reports the start of an outage, once.
+func (f *Follower) markUnreachable(cause error) {
+	if f.unreachable {
+		return
+	}
+	f.unreachable = true
+	f.cfg.Logger.Warn("store unreachable", zap.String("topic", f.cfg.Name), zap.Error(cause))
+	callIfSet(f.cfg.OnUnreachable)
+}
+
 func callIfSet(f func()) {
 	if f != nil {
 		f()
