--- a/internal/topic/readers.go
+++ b/internal/topic/readers.go
@@ -296,7 +296,7 @@
 // does. The error is a *NotCurrentError also if this daemon does not follow the topic.
 func (r *Readers) Serve(ctx context.Context, topic string, from era.Position, wait time.Duration) (Page, error) {
 	r.mu.Lock()
-	f, source := r.followers[topic], r.sources[topic]
+	f := r.followers[topic]
 	r.mu.Unlock()
 	if f == nil {
 		return Page{}, &NotCurrentError{
@@ -306,7 +306,14 @@
 	page, err := f.ReadTopic(ctx, from, wait)
 	var notCurrent *NotCurrentError
 	if errors.As(err, &notCurrent) {
-		notCurrent.Reader = source
+		notCurrent.Reader = r.source(topic) // It may have changed while the read waited.
 	}
 	return page, err
 }
+
+// source returns the daemon from which this one last read a topic, if any.
+func (r *Readers) source(topic string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sources[topic]
+}
--- a/internal/topic/topic_test.go
+++ b/internal/topic/topic_test.go
@@ -163,6 +163,27 @@
 	require.Empty(t, page.Records)
 }
 
+// TestWaitingDaemonIsSentOn guards against a daemon that waits for a record while its reader begins to read from
+// another one, and that is not told which.
+func TestWaitingDaemonIsSentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newFakeCluster(2)
+		r := c.daemons[1].readers
+		f := c.daemons[1].follower
+		f.tail.reset(at(0))
+		f.tail.setReadAt(time.Now())
+		go func() {
+			time.Sleep(testInterval)
+			r.setSource("t", "d0", nil)
+			f.tail.setReadAt(time.Time{})
+		}()
+		_, err := r.Serve(t.Context(), "t", at(0), testWait)
+		var notCurrent *NotCurrentError
+		require.ErrorAs(t, err, &notCurrent)
+		require.Equal(t, "d0", notCurrent.Reader)
+	})
+}
+
 // TestTailIsBounded checks that a tail keeps a bounded number of bytes, and always the last record.
 func TestTailIsBounded(t *testing.T) {
 	tail := newTail("t")
