--- a/internal/topic/era_test.go
+++ b/internal/topic/era_test.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
+var returnSeeds = flag.Uint64("return_seeds", 100, "the number of seeds of each test of daemons that are turned away after a return")
+
 // TestStoreFromOlderCopy guards against updates that are missed or taken for older ones when the store comes
 // back from an older copy, and against upstreams that are used again, or lost, because the copy shows them
 // as they were.
@@ -20,9 +25,14 @@
 	datadriven.Walk(t, "testdata/era", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			p := rewindFrom(t, d)
-			out := ""
-			synctest.Test(t, func(t *testing.T) { out = p.play(t) })
-			return out
+			for seed := p.firstSeed; seed < p.firstSeed+p.seeds; seed++ {
+				out := ""
+				synctest.Test(t, func(t *testing.T) { out = p.play(t, seed) })
+				if out != d.Expected {
+					return fmt.Sprintf("%sseed: %d\n", out, seed)
+				}
+			}
+			return d.Expected
 		})
 	})
 }
@@ -30,37 +40,50 @@
 // rewind is a number of returns of the store from an older copy, and what happens to an upstream between
 // copy and return.
 type rewind struct {
+	// firstSeed is the first of the seeds with which the returns are played, and seeds their number.
+	firstSeed, seeds uint64
+
 	count       int
 	dataCentres []string
 	// event is what the upstream does: leaves (says so in its entry), goes (its entry is removed),
-	// comes (it is new), or stays; with leaves_later it leaves laterTime after the return.
+	// comes (it is new), or stays; with leaves_later and goes_later it does so later after the return.
 	event string
+	later time.Duration
 	// writtenAgain is when the lost records are written again after the return. ghost reports that the
 	// removal of an upstream that is gone is not, and that its entry expires instead.
 	writtenAgain time.Duration
 	ghost        bool
 	// twice reports that the store comes back from a second copy soon after.
 	twice bool
-	// frozen are the numbers of the daemons that are frozen at the return, turnedAway of those that the
-	// store does not serve around it, and late of one that starts right after it.
-	frozen, turnedAway, late string
-	// awayFor is how long after the return the store turns daemons away.
+	// frozen is the daemon that is frozen at the return, turnedAway are those that the store does not serve
+	// around it, and late is one that starts right after it.
+	frozen, late string
+	turnedAway   []string
+	// awayFor is how long after the return the store turns daemons away. silent reports that it does not respond
+	// to them, rather than with an error.
 	awayFor time.Duration
-	random  *rand.Rand
+	silent  bool
 }
 
 func rewindFrom(t *testing.T, d *datadriven.TestData) rewind {
 	p := rewind{
+		seeds:  defaultSeeds,
 		ghost:  d.HasArg("ghost"),
 		twice:  d.HasArg("twice"),
-		random: rand.New(rand.NewPCG(7, 8)),
+		silent: d.HasArg("silent"),
+		later:  laterTime,
 	}
+	d.MaybeScanArgs(t, "first_seed", &p.firstSeed)
+	d.MaybeScanArgs(t, "seeds", &p.seeds)
 	d.ScanArgs(t, "count", &p.count)
 	d.ScanArgs(t, "event", &p.event)
 	d.MaybeScanArgs(t, "frozen", &p.frozen)
-	d.MaybeScanArgs(t, "turned_away", &p.turnedAway)
 	d.MaybeScanArgs(t, "late", &p.late)
-	var centres, again string
+	var centres, turnedAway, again string
+	d.MaybeScanArgs(t, "turned_away", &turnedAway)
+	if turnedAway != "" {
+		p.turnedAway = strings.Split(turnedAway, "/")
+	}
 	d.ScanArgs(t, "data_centres", &centres)
 	p.dataCentres = strings.Split(centres, "/")
 	d.ScanArgs(t, "written_again", &again)
@@ -75,6 +98,8 @@
 }
 
 const (
+	// defaultSeeds is the number of seeds of a row that names none.
+	defaultSeeds = 3
 	// copyAge is the age of the copy, eventAge how long before the return the event is, and awayTime how
 	// long the store is away.
 	copyAge  = 5 * time.Second
@@ -83,7 +108,7 @@
 	// expiryTime is when the entry of an upstream that is gone expires after the return.
 	expiryTime = 3600 * time.Millisecond
 	// useBound is how long after it has left an upstream may be used, and watchTime for how long it is
-	// watched after the return.
+	// watched after the return at least.
 	useBound  = 2 * time.Second
 	watchTime = 15 * time.Second
 	watchStep = 20 * time.Millisecond
@@ -94,10 +119,12 @@
 	laterTime = 7 * time.Second
 )
 
-// play plays the returns and returns how often a daemon had an upstream wrong, and what else it had wrong.
-func (p rewind) play(t *testing.T) string {
+// play plays the returns with the draws of a seed, and returns how often a daemon had an upstream wrong, and
+// what else it had wrong.
+func (p rewind) play(t *testing.T, seed uint64) string {
 	ctx, cancel := context.WithCancel(t.Context())
-	c := newFakeClusterIn(p.dataCentres)
+	c := newSeededCluster(p.dataCentres, seed)
+	pauses := rand.New(rand.NewPCG(seed, uint64(len(c.daemons))))
 	for _, d := range c.daemons {
 		if d.name != p.late {
 			go func() { _ = d.follower.Run(ctx) }()
@@ -109,7 +136,7 @@
 		if p.event != "comes" {
 			c.store.append(name)
 		}
-		time.Sleep(20*time.Second + time.Duration(p.random.Int64N(int64(3*time.Second))))
+		time.Sleep(20*time.Second + time.Duration(pauses.Int64N(int64(3*time.Second))))
 		wrong += p.round(ctx, c, name)
 	}
 	c.store.append("last")
@@ -144,12 +171,12 @@
 	}
 	go p.writeAgain(c, name, lost)
 	wrong := make(map[string]bool)
-	for passed := time.Duration(0); passed < watchTime; passed += watchStep {
+	for passed := time.Duration(0); passed < p.watchedFor(); passed += watchStep {
 		if passed >= p.awayFor && passed-watchStep < p.awayFor {
 			p.set(c, false)
 		}
-		if p.event == "leaves_later" && passed >= laterTime && passed-watchStep < laterTime {
-			c.store.write(name, []byte("x"))
+		if passed >= p.later && passed-watchStep < p.later {
+			p.happenLater(c, name)
 		}
 		for _, d := range c.daemons {
 			if p.isWrong(d, name, passed) {
@@ -173,6 +200,16 @@
 	}
 }
 
+// happenLater plays an event after the return.
+func (p rewind) happenLater(c *fakeCluster, name string) {
+	switch p.event {
+	case "leaves_later":
+		c.store.write(name, []byte("x"))
+	case "goes_later":
+		c.store.write(name, nil)
+	}
+}
+
 // writeAgain writes what was lost.
 func (p rewind) writeAgain(c *fakeCluster, name string, lost []Record) {
 	time.Sleep(p.writtenAgain)
@@ -192,12 +229,24 @@
 		if d.name == p.frozen {
 			d.freeze(on)
 		}
-		if d.name == p.turnedAway {
-			c.store.set(func() { c.store.turnedAway[d.name] = on })
+		if slices.Contains(p.turnedAway, d.name) {
+			p.turnAway(c, d, on)
 		}
 	}
 }
 
+// turnAway makes the store serve a daemon no longer, or again.
+func (p rewind) turnAway(c *fakeCluster, d *fakeDaemon, on bool) {
+	c.store.set(func() {
+		if !p.silent {
+			c.store.turnedAway[d.name] = on
+			return
+		}
+		c.store.ignored[d.name] = on
+		c.store.signal()
+	})
+}
+
 // startLate starts the daemon that starts after the first return.
 func (p rewind) startLate(ctx context.Context, c *fakeCluster) {
 	for _, d := range c.daemons {
@@ -215,14 +264,94 @@
 	switch p.event {
 	case "leaves", "goes":
 		return passed+eventAge+awayTime > useBound && d.listsLive(name)
-	case "leaves_later":
-		return passed > laterTime+useBound && d.listsLive(name)
+	case "leaves_later", "goes_later":
+		return passed > p.knownAfter() && d.listsLive(name)
 	case "comes", "stays":
 		return !d.listsLive(name)
 	}
 	return true
 }
 
+// knownAfter returns how long after the return no daemon may send new work to the upstream any more, because of
+// the later event.
+func (p rewind) knownAfter() time.Duration {
+	return max(p.later, p.servedAfter()+lateTime) + useBound
+}
+
+// watchedFor returns for how long after the return the upstream is watched.
+func (p rewind) watchedFor() time.Duration {
+	const margin = 2 * watchStep
+	return max(watchTime, p.awayFor+margin, p.knownAfter()+margin)
+}
+
+// servedAfter returns how long after the return the store serves the first daemon.
+func (p rewind) servedAfter() time.Duration {
+	if len(p.turnedAway) == len(p.dataCentres) {
+		return p.awayFor
+	}
+	return 0
+}
+
+// TestTurnedAwayAfterReturn guards against daemons that the store turns away after it has come back from an
+// older copy, and that learn late from the others which upstreams left.
+func TestTurnedAwayAfterReturn(t *testing.T) {
+	for seed := range *returnSeeds {
+		drawTurnedAway(seed).check(t, seed)
+	}
+}
+
+// TestIgnoredAfterReturn guards against the same where the store does not respond to the daemons.
+func TestIgnoredAfterReturn(t *testing.T) {
+	for seed := range *returnSeeds {
+		p := drawTurnedAway(seed)
+		p.silent = true
+		p.check(t, seed)
+	}
+}
+
+// check plays the returns and requires that no daemon has an upstream wrong.
+func (p rewind) check(t *testing.T, seed uint64) {
+	t.Helper()
+	out := ""
+	synctest.Test(t, func(t *testing.T) { out = p.play(t, seed) })
+	assert.Equal(t, fmt.Sprintf("wrong: 0 of %d\n", p.count*len(p.dataCentres)), out, "seed %d: %+v", seed, p)
+}
+
+// drawTurnedAway draws a return around which the store turns away one daemon, or all of a data centre.
+func drawTurnedAway(seed uint64) rewind {
+	const (
+		minDaemons, maxDaemons = 2, 6
+		minAwayFor, maxAwayFor = time.Second, 30 * time.Second
+		minLater, maxLater     = 3 * time.Second, laterTime
+		maxWrittenAgain        = 2 * time.Second
+		maxDataCentres         = 3
+		returns                = 3
+	)
+	random := rand.New(rand.NewPCG(seed, 0))
+	between := func(low, high time.Duration) time.Duration {
+		return low + time.Duration(random.Int64N(int64(high-low)))
+	}
+	p := rewind{
+		count:        returns,
+		event:        []string{"leaves_later", "goes_later"}[random.IntN(2)],
+		later:        between(minLater, maxLater),
+		writtenAgain: between(0, maxWrittenAgain),
+		awayFor:      between(minAwayFor, maxAwayFor),
+	}
+	centres := 1 + random.IntN(maxDataCentres)
+	for range minDaemons + random.IntN(maxDaemons-minDaemons+1) {
+		p.dataCentres = append(p.dataCentres, string(rune('a'+random.IntN(centres))))
+	}
+	first := random.IntN(len(p.dataCentres))
+	all := random.IntN(2) == 0
+	for i, dc := range p.dataCentres {
+		if i == first || all && dc == p.dataCentres[first] {
+			p.turnedAway = append(p.turnedAway, fmt.Sprint("d", i))
+		}
+	}
+	return p
+}
+
 // TestStartDuringOutage guards against a daemon that starts while the store serves nobody, or not this daemon,
 // and knows nothing until the store is back, although the others know all.
 func TestStartDuringOutage(t *testing.T) {
@@ -264,3 +393,30 @@
 		})
 	}
 }
+
+// TestStartOfDataCentreDuringOutage guards against the daemons of a data centre that all start while the store does
+// not serve them, and that ask only each other.
+func TestStartOfDataCentreDuringOutage(t *testing.T) {
+	const knownWithin = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		o := outage{
+			kind:        "some_error",
+			dataCentres: []string{"a", "a", "a", "a", "a", "a", "b"},
+		}
+		c := newFakeClusterIn(o.dataCentres)
+		go func() { _ = c.daemons[6].follower.Run(ctx) }()
+		c.store.append("u")
+		time.Sleep(5 * time.Second)
+		o.set(c, true)
+		for _, d := range c.daemons[:6] {
+			go func() { _ = d.follower.Run(ctx) }()
+		}
+		time.Sleep(knownWithin)
+		for _, d := range c.daemons {
+			require.True(t, d.listsLive("u"), "%s", d.name)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -51,6 +51,8 @@
 	values   map[string][]byte // the last value of each key that was read with it
 	next     era.Position      // to read from; the offset is negative before the first read
 	failures int
+	// unreachable reports that OnUnreachable was called and OnReachable was not called since.
+	unreachable bool
 	// calledStore reports that the current step has called the store.
 	calledStore bool
 	// reachableSince is since when the daemon that reads the topic for this one has reached the
@@ -103,15 +105,10 @@
 func (f *Follower) Newest() (Snapshot, error) { return f.newest.snapshot(f.cfg.Name) }
 
 // step reads once: from another daemon if there is one that reads for this one, and otherwise
-// from the store.
+// from the store. If neither has the records at the position, it takes the newest ones from another daemon.
 func (f *Follower) step(ctx context.Context) error {
 	if f.next.Offset < 0 {
-		if !f.cfg.Breaker.Allow() {
-			return f.adoptNewest(ctx, &NotCurrentError{
-				Topic: f.cfg.Name,
-			})
-		}
-		return f.readNewest(ctx)
+		return f.start(ctx)
 	}
 	page, err := f.cfg.Peers.ReadTopic(ctx, f.cfg.Name, f.next, f.pollTimeout())
 	if err == nil {
@@ -124,27 +121,56 @@
 	if !errors.As(err, &own) && ctx.Err() == nil {
 		f.cfg.Logger.Debug("reading the store, since no peer has the records", zap.String("topic", f.cfg.Name), zap.Error(err))
 	}
-	if !f.cfg.Breaker.Allow() {
-		var expired *ExpiredError
-		if errors.As(err, &expired) {
-			return f.adoptNewest(ctx, err)
-		}
+	if isPositionGone(err) && f.cfg.Breaker.Open() && f.adoptNewest(ctx, err) {
 		return err
 	}
-	return f.readStore(ctx)
+	if f.cfg.Breaker.Allow() {
+		storeErr := f.readStore(ctx)
+		if storeErr == nil {
+			return nil
+		}
+		err = errors.Join(storeErr, err)
+	}
+	if isPositionGone(err) {
+		f.adoptNewest(ctx, err)
+	}
+	return err
+}
+
+// isPositionGone reports whether an error tells that the records at a position can't be read any more.
+func isPositionGone(err error) bool {
+	var expired *ExpiredError
+	var otherEra *EraError
+	return errors.As(err, &expired) || errors.As(err, &otherEra)
+}
+
+// start reads the first records.
+func (f *Follower) start(ctx context.Context) error {
+	var err error = &NotCurrentError{
+		Topic: f.cfg.Name,
+	}
+	if f.cfg.Breaker.Allow() {
+		err = f.readNewest(ctx)
+	}
+	if err != nil {
+		f.adoptNewest(ctx, err)
+	}
+	return err
 }
 
-// adoptNewest continues with the newest records of another daemon after the store could not be read. It
-// returns the error of that, since nothing is known yet of how new they are.
-func (f *Follower) adoptNewest(ctx context.Context, cause error) error {
+// adoptNewest continues with the newest records of another daemon while the store can't be read because of a
+// cause, and reports whether there are any. The step still counts as failed, since nothing is known yet of how new
+// they are.
+func (f *Follower) adoptNewest(ctx context.Context, cause error) bool {
 	s, err := f.cfg.Peers.ReadNewest(ctx, f.cfg.Name)
 	if err != nil || !f.next.Before(s.End) {
-		return cause
+		return false
 	}
 	f.cfg.Logger.Info("newest records taken from a peer, since the store can't be read", zap.String("topic", f.cfg.Name), zap.Error(cause))
+	f.markUnreachable(cause)
 	f.startAt(&s)
 	f.cfg.OnNewest(s)
-	return cause
+	return true
 }
 
 // pollTimeout returns how long a read waits for a record. While reads fail it does not wait, since
@@ -168,10 +194,11 @@
 func (f *Follower) readStore(ctx context.Context) error {
 	began := time.Now()
 	page, err := f.cfg.Store.Read(ctx, f.cfg.Name, f.next, f.storePollTimeout())
-	var expired *ExpiredError
-	var otherEra *EraError
-	if errors.As(err, &expired) || errors.As(err, &otherEra) {
-		return f.readNewest(ctx)
+	if isPositionGone(err) {
+		if newestErr := f.readNewest(ctx); newestErr != nil {
+			return errors.Join(newestErr, err)
+		}
+		return nil
 	}
 	f.reportStore(began, err)
 	if err != nil {
@@ -217,7 +244,7 @@
 	}
 	if err != nil {
 		f.reportStore(began, err)
-		return f.adoptNewest(ctx, err)
+		return err
 	}
 	f.startAt(&s)
 	f.reportStore(began, nil)
@@ -234,6 +261,10 @@
 	}
 	f.cfg.Logger.Info("newest records of topic read", zap.String("topic", f.cfg.Name), zap.Int("keys", len(s.Records)),
 		zap.Int64("era", s.End.Era), zap.Int64("end", s.End.Offset))
+	if s.Rewound { // The store is reachable since this era began for the daemon that reads it.
+		f.reachableSince = time.Time{}
+		f.tail.setReachableSince(time.Now())
+	}
 	f.next = s.End
 	storeEra.Set(float64(s.End.Era))
 	clear(f.values)
@@ -289,19 +320,26 @@
 	case ctx.Err() != nil:
 	case err != nil:
 		f.failures++
-		if f.failures == 1 {
-			f.cfg.Logger.Warn("store unreachable", zap.String("topic", f.cfg.Name), zap.Error(err))
-			callIfSet(f.cfg.OnUnreachable)
-		}
+		f.markUnreachable(err)
 	case f.failures > 0:
 		f.cfg.Logger.Info("store reachable again", zap.String("topic", f.cfg.Name), zap.Int("failures", f.failures), zap.Int64("took_ms", took.Milliseconds()))
-		f.failures = 0
+		f.failures, f.unreachable = 0, false
 		if f.cfg.OnReachable != nil {
 			f.cfg.OnReachable(f.reachableSince)
 		}
 	}
 }
 
+// markUnreachable reports the start of an outage, once.
+func (f *Follower) markUnreachable(cause error) {
+	if f.unreachable {
+		return
+	}
+	f.unreachable = true
+	f.cfg.Logger.Warn("store unreachable", zap.String("topic", f.cfg.Name), zap.Error(cause))
+	callIfSet(f.cfg.OnUnreachable)
+}
+
 func callIfSet(f func()) {
 	if f != nil {
 		f()
--- a/internal/topic/readers.go
+++ b/internal/topic/readers.go
@@ -54,14 +54,17 @@
 	followers map[string]*Follower
 	// sources are the daemons from which this one last read the topics, by the name of the topic.
 	sources map[string]string
+	// newestTries is how many daemons were asked for the newest records of a topic in vain, by its name.
+	newestTries map[string]int
 }
 
 // NewReaders returns Readers without followers.
 func NewReaders(cfg ReadersConfig) *Readers {
 	r := &Readers{
-		cfg:       cfg,
-		followers: make(map[string]*Follower),
-		sources:   make(map[string]string),
+		cfg:         cfg,
+		followers:   make(map[string]*Follower),
+		sources:     make(map[string]string),
+		newestTries: make(map[string]int),
 	}
 	r.breaker = NewBreaker(BreakerConfig{
 		Backoff:   r.backoff,
@@ -170,39 +173,61 @@
 	return f != nil && f.tail.isRead()
 }
 
-// ReadNewest implements Peers. It asks the candidates in turn.
+// ReadNewest implements Peers. It asks the daemon that last served the topic to this one, and then the other
+// candidates in turn.
 func (r *Readers) ReadNewest(ctx context.Context, topic string) (Snapshot, error) {
 	var err error = &NotCurrentError{
 		Topic: topic,
 	}
-	tries := 0
-	for _, m := range r.candidates() {
-		if m.Incarnation == r.cfg.Self.Incarnation {
-			continue
-		}
-		if tries++; tries > maxReaderTries {
-			break
-		}
+	list := r.newestCandidates(topic)
+	for _, m := range list[:min(len(list), maxReaderTries)] {
 		var s Snapshot
 		if s, err = r.readNewest(ctx, m, topic); err == nil {
 			return s, nil
 		}
+		r.addNewestTry(topic)
 	}
 	return Snapshot{}, err
 }
 
+func (r *Readers) addNewestTry(topic string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.newestTries[topic]++
+}
+
+// newestCandidates returns the daemons that are asked for the newest records of a topic, in order. The one that
+// reads the topic from the store comes first, since those of this data centre may not be served, either. The others
+// follow from the first one that was not asked in vain, so that all are asked in turn.
+func (r *Readers) newestCandidates(topic string) []membership.Member {
+	r.mu.Lock()
+	source, tries := r.sources[topic], r.newestTries[topic]
+	r.mu.Unlock()
+	list := slices.DeleteFunc(r.candidates(), func(m membership.Member) bool { return m.Incarnation == r.cfg.Self.Incarnation })
+	if len(list) == 0 {
+		return nil
+	}
+	if i := slices.IndexFunc(list, func(m membership.Member) bool { return m.Incarnation == source }); i >= 0 {
+		return slices.Concat(list[i:i+1], list[:i], list[i+1:])
+	}
+	next := tries % len(list)
+	return slices.Concat(list[next:], list[:next])
+}
+
 func (r *Readers) readNewest(ctx context.Context, m membership.Member, topic string) (Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, readerMargin)
 	defer cancel()
 	return r.cfg.ReadNewest(ctx, m, topic)
 }
 
-// setSource records the result of a read from another daemon.
+// setSource records the result of a read from another daemon. One that reads the topic, but lacks the records at
+// the position, is a source, too.
 func (r *Readers) setSource(topic, incarnation string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var expired *ExpiredError
 	switch {
-	case err == nil:
+	case err == nil || errors.As(err, &expired):
 		r.sources[topic] = incarnation
 	case r.sources[topic] == incarnation:
 		delete(r.sources, topic)
@@ -271,7 +296,7 @@
 // does. The error is a *NotCurrentError also if this daemon does not follow the topic.
 func (r *Readers) Serve(ctx context.Context, topic string, from era.Position, wait time.Duration) (Page, error) {
 	r.mu.Lock()
-	f, source := r.followers[topic], r.sources[topic]
+	f := r.followers[topic]
 	r.mu.Unlock()
 	if f == nil {
 		return Page{}, &NotCurrentError{
@@ -281,7 +306,14 @@
 	page, err := f.ReadTopic(ctx, from, wait)
 	var notCurrent *NotCurrentError
 	if errors.As(err, &notCurrent) {
-		notCurrent.Reader = source
+		notCurrent.Reader = r.source(topic) // It may have changed while the read waited.
 	}
 	return page, err
 }
+
+// source returns the daemon from which this one last read a topic, if any.
+func (r *Readers) source(topic string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sources[topic]
+}
