--- a/internal/topic/era_test.go
+++ b/internal/topic/era_test.go
@@ -23,6 +23,7 @@
 // as they were.
 func TestStoreFromOlderCopy(t *testing.T) {
 	datadriven.Walk(t, "testdata/era", func(t *testing.T, path string) {
+		t.Parallel()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			p := rewindFrom(t, d)
 			for seed := p.firstSeed; seed < p.firstSeed+p.seeds; seed++ {
@@ -295,6 +296,7 @@
 // TestTurnedAwayAfterReturn guards against daemons that the store turns away after it has come back from an
 // older copy, and that learn late from the others which upstreams left.
 func TestTurnedAwayAfterReturn(t *testing.T) {
+	t.Parallel()
 	for seed := range *returnSeeds {
 		drawTurnedAway(seed).check(t, seed)
 	}
@@ -302,6 +304,7 @@
 
 // TestIgnoredAfterReturn guards against the same where the store does not respond to the daemons.
 func TestIgnoredAfterReturn(t *testing.T) {
+	t.Parallel()
 	for seed := range *returnSeeds {
 		p := drawTurnedAway(seed)
 		p.silent = true
