Retain no upstream for outages in which no entry can expire

Cause: a call for another topic failed, the circuit breaker that the topics of a daemon share was open for 26 ms, and the follower of the list of upstreams counted that as an outage. Each outage, however short, let entries that were removed in the next 2.5 s be retained, for the case that they had only expired in it. The host set didn't know how long an outage was.

Not marking the topic as unreachable when no call was made: then a store that fails for all would be noticed only by the topic that happens to probe.

Change: the follower tells when the store was surely reached last, and entries are retained only after outages of 2 s or more: an entry expires 3.6 s after its last heartbeat, which is at most 1.2 s older than the outage, and the next comes at most 1.2 s after it, less 0.4 s for heartbeats that are late. Outages with less than a heartbeat between them are one; a daemon that has never reached the store, reads from a peer, or sees the store come back from an older copy retains as before. Tests whose outages had no length have one now, where the length matters.

Tests for outages in a row, one since the start, and a short one.

--- a/internal/hostset/hostset.go
+++ b/internal/hostset/hostset.go
@@ -27,11 +27,18 @@
 	// it may take to reappear: the platform specifies two seconds, and reading takes a little
 	// longer.
 	reregistrationTime = 2500 * time.Millisecond
+	// heartbeatInterval is the time between two writes of a host to its entry, and entryTTL how long after the last
+	// one the entry expires.
+	heartbeatInterval = 1200 * time.Millisecond
+	entryTTL          = 3 * heartbeatInterval
+	// minExpiryOutage is the shortest outage in which the entry of a live host can expire. Heartbeats may be a little
+	// late.
+	minExpiryOutage = entryTTL - heartbeatInterval - 400*time.Millisecond
 	// removedTTL is how long a removed entry is remembered, in case that the store comes back from a
 	// copy that still has it.
 	removedTTL = time.Minute
 	// hiddenTTL is how long an entry that was removed stays hidden when an older copy of the store has
-	// it again. If its host is gone, the entry expires within three heartbeats, 3.6 s.
+	// it again. If its host is gone, the entry expires within entryTTL.
 	hiddenTTL = 5 * time.Second
 )
 
@@ -72,6 +79,12 @@
 	entries     map[string]entry
 	removed     map[string]removed
 	unreachable bool
+	// lostAt is when the store was last reached before the outage, and returnedAt when the last outage ended.
+	// Outages with less than heartbeatInterval between them are one.
+	lostAt     time.Time
+	returnedAt time.Time
+	// reachableAt is when the store was reached again after an outage in which entries could expire, or came back
+	// from an older copy.
 	reachableAt time.Time
 }
 
@@ -200,7 +213,9 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.dropExpired(now)
-	if !s.unreachable { // Otherwise MarkStoreAvailable tells since when it is reachable.
+	if s.unreachable { // MarkStoreAvailable tells since when it is reachable.
+		s.lostAt = time.Time{} // The copy may lack entries however short the outage was.
+	} else {
 		s.reachableAt = now
 	}
 	listed := make(map[string]bool, len(list))
@@ -239,13 +254,19 @@
 	s.entries[l.Name] = known
 }
 
-// MarkStoreUnavailable records that the store is unreachable. Entries whose time to reappear is over are not
-// retained any longer.
-func (s *Set) MarkStoreUnavailable() {
+// MarkStoreUnavailable records that the store is unreachable, and when it was last reached; zero means never. Entries
+// whose time to reappear is over are not retained any longer.
+func (s *Set) MarkStoreUnavailable(reached time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropExpired(time.Now())
+	if s.unreachable {
+		return
+	}
 	s.unreachable = true
+	if s.returnedAt.IsZero() || reached.Sub(s.returnedAt) >= heartbeatInterval {
+		s.lostAt = reached
+	}
 }
 
 // MarkStoreAvailable records that the store is reachable, and since when. It does nothing if the
@@ -257,6 +278,12 @@
 		return
 	}
 	s.unreachable = false
+	s.returnedAt = since
+	length := since.Sub(s.lostAt)
+	if length < minExpiryOutage {
+		s.log.Info("outage of the store too short for entries to expire, retaining none", zap.Duration("length", length))
+		return
+	}
 	if since.After(s.reachableAt) {
 		s.reachableAt = since
 	}
--- a/internal/hostset/hostset_test.go
+++ b/internal/hostset/hostset_test.go
@@ -73,7 +73,7 @@
 		s.Put("back", live("back", upstream.Live), at(1))
 		s.Put("gone", live("gone", upstream.Live), at(2))
 		s.Put("leaving", live("leaving", upstream.Leaving), at(3))
-		s.MarkStoreUnavailable()
+		s.MarkStoreUnavailable(time.Now())
 		time.Sleep(10 * time.Second)
 		s.MarkStoreAvailable(time.Now())
 		s.MarkStoreAvailable(time.Time{}) // Has no effect.
@@ -96,11 +96,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Config{})
 		s.Put("gone", live("gone", upstream.Live), at(1))
-		s.MarkStoreUnavailable()
+		s.MarkStoreUnavailable(time.Now())
+		time.Sleep(minExpiryOutage)
 		s.Remove("gone", at(2))
 		s.MarkStoreAvailable(time.Now())
 		time.Sleep(reregistrationTime)
-		s.MarkStoreUnavailable()
+		s.MarkStoreUnavailable(time.Now())
 		require.Empty(t, names(s))
 	})
 }
@@ -110,7 +111,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Config{})
 		s.Put("gone", live("gone", upstream.Live), at(1))
-		s.MarkStoreUnavailable()
+		s.MarkStoreUnavailable(time.Now())
+		time.Sleep(minExpiryOutage)
 		s.Remove("gone", at(2))
 		s.MarkStoreAvailable(time.Now())
 		time.Sleep(reregistrationTime)
@@ -127,7 +129,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Config{})
 		s.Put("gone", live("gone", upstream.Live), at(1))
-		s.MarkStoreUnavailable()
+		s.MarkStoreUnavailable(time.Now())
 		reachedByPeer := time.Now()
 		time.Sleep(reregistrationTime / 2)
 		s.Rewind(nil, era.Position{
@@ -147,16 +149,67 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Config{})
 		s.Put("a", live("a", upstream.Live), at(1))
-		s.MarkStoreUnavailable()
+		s.MarkStoreUnavailable(time.Now())
+		time.Sleep(minExpiryOutage)
 		s.Remove("a", at(2))
 		s.MarkStoreAvailable(time.Now())
 		time.Sleep(reregistrationTime / 2)
-		s.MarkStoreUnavailable()
+		s.MarkStoreUnavailable(time.Now())
 		time.Sleep(time.Minute)
 		require.Equal(t, []string{"a"}, names(s))
 	})
 }
 
+// TestShortOutageRetainsNothing guards against a host that gets work after its entry was removed, because calls to
+// the store failed for a time in which no entry can expire.
+func TestShortOutageRetainsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		s.Put("during", live("during", upstream.Live), at(1))
+		s.Put("after", live("after", upstream.Live), at(2))
+		reached := time.Now()
+		time.Sleep(minExpiryOutage / 2)
+		s.MarkStoreUnavailable(reached)
+		s.Remove("during", at(3))
+		time.Sleep(minExpiryOutage/2 - time.Millisecond)
+		s.MarkStoreAvailable(time.Now())
+		require.Equal(t, []string{"after"}, names(s))
+		s.Remove("after", at(4))
+		require.Empty(t, names(s))
+	})
+}
+
+// TestShortOutagesInARow guards against the loss of a live host whose entry expired because its heartbeats fell into
+// outages that were short each.
+func TestShortOutagesInARow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		s.Put("a", live("a", upstream.Live), at(1))
+		for range 4 {
+			s.MarkStoreUnavailable(time.Now())
+			time.Sleep(minExpiryOutage / 2)
+			s.MarkStoreAvailable(time.Now())
+			time.Sleep(heartbeatInterval / 2)
+		}
+		s.Remove("a", at(2))
+		require.Equal(t, []string{"a"}, names(s))
+		time.Sleep(reregistrationTime)
+		require.Empty(t, names(s))
+	})
+}
+
+// TestOutageSinceStart guards against the loss of a live host at a daemon that has not reached the store before.
+func TestOutageSinceStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{})
+		s.MarkStoreUnavailable(time.Time{})
+		s.Put("a", live("a", upstream.Live), at(1))
+		s.MarkStoreAvailable(time.Now())
+		s.Remove("a", at(2))
+		require.Equal(t, []string{"a"}, names(s))
+	})
+}
+
 func TestReplace(t *testing.T) {
 	s := New(Config{})
 	s.Put("a", live("a", upstream.Live), at(1))
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -37,8 +37,9 @@
 	// OnNewest receives the newest record of each key.
 	OnNewest func(s Snapshot)
 	// OnUnreachable and OnReachable are called when the store becomes unreachable and reachable
-	// again. since is when the daemon that reads the topic for this one first reached it again.
-	OnUnreachable func()
+	// again. reached is when it was surely reached last, or zero, and since is when the daemon that reads the
+	// topic for this one first reached it again.
+	OnUnreachable func(reached time.Time)
 	OnReachable   func(since time.Time)
 	Logger        *zap.Logger
 }
@@ -58,6 +59,8 @@
 	// reachableSince is since when the daemon that reads the topic for this one has reached the
 	// store. It is zero before the first read.
 	reachableSince time.Time
+	// reachedAt is when the daemon that reads the topic for this one surely reached the store last.
+	reachedAt time.Time
 }
 
 // New returns a follower that reads nothing before Run.
@@ -114,6 +117,7 @@
 	if err == nil {
 		f.tail.setReadAt(time.Time{})
 		f.markReachable(page.ReachableFor)
+		f.markReachedByPeer()
 		f.apply(page.Records)
 		return nil
 	}
@@ -217,7 +221,16 @@
 		return
 	}
 	f.markReachable(0)
-	f.tail.setReadAt(time.Now())
+	f.reachedAt = time.Now()
+	f.tail.setReadAt(f.reachedAt)
+}
+
+// markReachedByPeer records that another daemon reads the topic. Its last read from the store may have ended a time
+// ago for which it still serves records.
+func (f *Follower) markReachedByPeer() {
+	if at := time.Now().Add(-currentFor); at.After(f.reachedAt) {
+		f.reachedAt = at
+	}
 }
 
 // markReachable records, at the first read and at the end of an outage, for how long the store has
@@ -337,7 +350,9 @@
 	}
 	f.unreachable = true
 	f.cfg.Logger.Warn("store unreachable", zap.String("topic", f.cfg.Name), zap.Error(cause))
-	callIfSet(f.cfg.OnUnreachable)
+	if f.cfg.OnUnreachable != nil {
+		f.cfg.OnUnreachable(f.reachedAt)
+	}
 }
 
 func callIfSet(f func()) {
