Move the outages of the host set into a type of their own

When entries may be missing because of an outage is a decision of its own; its rules stand in one file now. Nothing changes: the tests of hostset (with the race detector) and topic pass as before.

--- a/internal/hostset/hostset.go
+++ b/internal/hostset/hostset.go
@@ -23,17 +23,6 @@
 )
 
 const (
-	// reregistrationTime is how long after an outage of the store an entry that expired during
-	// it may take to reappear: the platform specifies two seconds, and reading takes a little
-	// longer.
-	reregistrationTime = 2500 * time.Millisecond
-	// heartbeatInterval is the time between two writes of a host to its entry, and entryTTL how long after the last
-	// one the entry expires.
-	heartbeatInterval = 1200 * time.Millisecond
-	entryTTL          = 3 * heartbeatInterval
-	// minExpiryOutage is the shortest outage in which the entry of a live host can expire. Heartbeats may be a little
-	// late.
-	minExpiryOutage = entryTTL - heartbeatInterval - 400*time.Millisecond
 	// removedTTL is how long a removed entry is remembered, in case that the store comes back from a
 	// copy that still has it.
 	removedTTL = time.Minute
@@ -75,17 +64,10 @@
 type Set struct {
 	log *zap.Logger
 
-	mu          sync.Mutex
-	entries     map[string]entry
-	removed     map[string]removed
-	unreachable bool
-	// lostAt is when the store was last reached before the outage, and returnedAt when the last outage ended.
-	// Outages with less than heartbeatInterval between them are one.
-	lostAt     time.Time
-	returnedAt time.Time
-	// reachableAt is when the store was reached again after an outage in which entries could expire, or came back
-	// from an older copy.
-	reachableAt time.Time
+	mu      sync.Mutex
+	entries map[string]entry
+	removed map[string]removed
+	outages outages
 }
 
 type entry struct {
@@ -144,7 +126,7 @@
 	if !ok || at.Before(e.at) {
 		return
 	}
-	if s.inOutage(time.Now()) && e.Host.State == upstream.Live {
+	if s.outages.entriesMayBeMissing(time.Now()) && e.Host.State == upstream.Live {
 		s.retain(name, e, at)
 		return
 	}
@@ -171,10 +153,10 @@
 	fields := []zap.Field{
 		zap.String("upstream", e.Host.Incarnation),
 		zap.Stringer("position", at),
-		zap.Bool("store_unreachable", s.unreachable),
+		zap.Bool("store_unreachable", s.outages.unreachable),
 	}
-	if !s.unreachable {
-		fields = append(fields, zap.Int64("reachable_for_ms", time.Since(s.reachableAt).Milliseconds()))
+	if !s.outages.unreachable {
+		fields = append(fields, zap.Int64("reachable_for_ms", time.Since(s.outages.reachableAt).Milliseconds()))
 	}
 	s.log.Info("upstream entry removed around an outage of the store, host retained", fields...)
 }
@@ -213,11 +195,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.dropExpired(now)
-	if s.unreachable { // MarkStoreAvailable tells since when it is reachable.
-		s.lostAt = time.Time{} // The copy may lack entries however short the outage was.
-	} else {
-		s.reachableAt = now
-	}
+	s.outages.rewind(now)
 	listed := make(map[string]bool, len(list))
 	for _, l := range list {
 		listed[l.Name] = true
@@ -260,13 +238,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropExpired(time.Now())
-	if s.unreachable {
-		return
-	}
-	s.unreachable = true
-	if s.returnedAt.IsZero() || reached.Sub(s.returnedAt) >= heartbeatInterval {
-		s.lostAt = reached
-	}
+	s.outages.begin(reached)
 }
 
 // MarkStoreAvailable records that the store is reachable, and since when. It does nothing if the
@@ -274,30 +246,17 @@
 func (s *Set) MarkStoreAvailable(since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.unreachable {
+	if !s.outages.unreachable {
 		return
 	}
-	s.unreachable = false
-	s.returnedAt = since
-	length := since.Sub(s.lostAt)
-	if length < minExpiryOutage {
+	if length, couldExpire := s.outages.end(since); !couldExpire {
 		s.log.Info("outage of the store too short for entries to expire, retaining none", zap.Duration("length", length))
-		return
-	}
-	if since.After(s.reachableAt) {
-		s.reachableAt = since
 	}
 }
 
-// inOutage reports whether the store is unreachable or has been reachable for less than
-// reregistrationTime.
-func (s *Set) inOutage(now time.Time) bool {
-	return s.unreachable || !s.reachableAt.IsZero() && now.Sub(s.reachableAt) < reregistrationTime
-}
-
 // dropExpired drops the retained entries whose time to reappear is over.
 func (s *Set) dropExpired(now time.Time) {
-	if s.inOutage(now) {
+	if s.outages.entriesMayBeMissing(now) {
 		return
 	}
 	for name, e := range s.entries {
