Read the host of a noticed upstream under the group's lock

Cause: observeNotice passed m.host to OnLeaving and OnLimit without the group's lock, while Replace writes it: the response to one attempt marks the upstream as leaving and replaces the host list, that to the next reads the host meanwhile. Seen by the race detector in a load play of leaving upstreams.

Ruled out: the other uses of m.host in the package; all hold the lock.

Change: hostOf copies the host under the lock.

Test: TestNoticesBesideNewHostLists with -race failed on the old code in three runs of three (reads at notice.go:56 and :63), and passes 20 times.

--- a/internal/upstream/notice.go
+++ b/internal/upstream/notice.go
@@ -53,17 +53,24 @@
 // observeNotice records a notice in the response to an attempt that began at a time.
 func (g *group) observeNotice(m *member, began time.Time, n Notice, now time.Time) {
 	if n.Leaving && g.cfg.OnLeaving != nil {
-		g.cfg.OnLeaving(m.host)
+		g.cfg.OnLeaving(g.hostOf(m))
 	}
 	if n.Pause > 0 {
 		g.pause(m, n.Pause, now)
 	}
 	l := n.Limit(began, now)
 	if g.updateLimit(m, l, now) && g.cfg.OnLimit != nil {
-		g.cfg.OnLimit(m.host, l)
+		g.cfg.OnLimit(g.hostOf(m), l)
 	}
 }
 
+// hostOf returns the host of a member, which a new host list may replace.
+func (g *group) hostOf(m *member) Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return m.host
+}
+
 // ObserveLimit records the limit of an upstream that another daemon observed.
 func (s *Set) ObserveLimit(service, incarnation string, l ratelimit.Limit) {
 	g := s.group(service)
