Choose by affinity without a logarithm for each upstream

Cause: pickByAffinity ranked every upstream of the subset by a logarithm (weightedRank, half of the profile of BenchmarkPick at 50 upstreams) and looked up the weight of its data centre. Few of them can beat the best so far.

Change: log(x) is at most x-1, and close to it at the high ranks that decide, so (x-1)/maxWeight rules out an upstream without its logarithm, its weight or its member. What is left is checked for eligibility first, since that is cheaper than the logarithm (PickVersion).

--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -74,6 +74,33 @@
 	}
 }
 
+// BenchmarkPickWeighted picks by affinity where data centres have weights.
+func BenchmarkPickWeighted(b *testing.B) {
+	s := New(Config{
+		DataCentre: "a",
+	})
+	s.Replace(hosts(50))
+	r := Request{
+		Pool: pool(),
+		DataCentreWeights: map[string]float64{
+			"a": 2.5,
+			"b": 0.4,
+		},
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Affinity++
+		c, err := s.Pick(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.Done(Result{
+			Outcome: OK,
+			Latency: time.Millisecond,
+		})
+	}
+}
+
 func hosts(n int) []Host {
 	list := make([]Host, n)
 	for i := range list {
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -194,15 +194,23 @@
 // probation or stalled.
 func (g *group) pickByAffinity(r *Request, now time.Time) *member {
 	bound := g.cfg.AffinityBound * (g.meanLoad(now) + 1)
+	maxWeight := r.maxWeight()
 	var best *member
 	var rank float64
 	for i, hash := range g.hashes {
+		u := uniform(mix(hash ^ r.Affinity))
+		if best != nil && maxRank(u, maxWeight) <= rank {
+			continue
+		}
 		m := g.subset[i]
-		h := weightedRank(mix(hash^r.Affinity), r.weight(m.host.DataCentre))
+		if !g.eligible(m, r, now) {
+			continue
+		}
+		h := weightedRank(u, r.weight(m.host.DataCentre))
 		if best != nil && h <= rank {
 			continue
 		}
-		if g.eligible(m, r, now) && g.load(m, now) <= min(bound, float64(m.slots(r.Pool.Concurrency)-1)) && !m.probation && !g.stalled(m, r, now) {
+		if g.load(m, now) <= min(bound, float64(m.slots(r.Pool.Concurrency)-1)) && !m.probation && !g.stalled(m, r, now) {
 			best, rank = m, h
 		}
 	}
@@ -216,16 +224,35 @@
 	return 1
 }
 
-// weightedRank turns a hash into a rank, so that the member with the highest rank is
-// chosen in proportion to its weight. Without weights it keeps the order of the hashes.
-func weightedRank(hash uint64, weight float64) float64 {
+// maxWeight returns the highest weight that a data centre may have.
+func (r *Request) maxWeight() float64 {
+	highest := 1.0
+	for _, w := range r.DataCentreWeights {
+		highest = max(highest, w)
+	}
+	return highest
+}
+
+// uniform turns a hash into a number above 0, and 1 at most.
+func uniform(hash uint64) float64 {
+	return (float64(hash>>11) + 0.5) / (1 << 53)
+}
+
+// weightedRank turns a uniform number into a rank, so that the member with the highest rank is
+// chosen in proportion to its weight. Without weights it keeps the order of the numbers.
+func weightedRank(uniform, weight float64) float64 {
 	if weight <= 0 {
 		return math.Inf(-1)
 	}
-	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
 	return math.Log(uniform) / weight
 }
 
+// maxRank returns an upper bound of weightedRank for all weights up to maxWeight, without a logarithm: log(x)
+// is at most x-1. High ranks, which decide, are close to it.
+func maxRank(uniform, maxWeight float64) float64 {
+	return (uniform - 1) / maxWeight
+}
+
 // meanLoad returns the mean load of the usable members, cached for meanLoadTTL.
 func (g *group) meanLoad(now time.Time) float64 {
 	if now.Before(g.mean.expiry) {
