Let daemons read from the owner of stage work if nobody else can tell them

A daemon that starts while the store does not serve it takes the newest records from another daemon. The owner of the stage work is no reader, since it needs its link; it is always one of the daemons that know the routes. If it is the only one, the new daemon got the routes (catchUp asks neighbours), but never the list of upstreams, and was not ready until the store served it.

Change: the owner is excluded only if two others know the routes, so that one is left when the store turns the other away. Nothing changes in larger deployments.

--- a/internal/entryhost/reader.go
+++ b/internal/entryhost/reader.go
@@ -17,10 +17,9 @@
 // newReaders returns the readers of a daemon whose members are set.
 func (d *Daemon) newReaders() *topic.Readers {
 	return topic.NewReaders(topic.ReadersConfig{
-		Self:    d.members.Self(),
-		Members: d.members.Members,
-		// The owner of the stage work needs its link for that.
-		Excluded: func() string { return d.submitter.owner().Incarnation },
+		Self:     d.members.Self(),
+		Members:  d.members.Members,
+		Excluded: func() string { return excludedReader(d.members.Members(), d.submitter.owner()) },
 		Read: func(ctx context.Context, m membership.Member, name string, from era.Position, wait time.Duration) (topic.Page, error) {
 			return d.node.ReadTopic(ctx, m, name, from, wait)
 		},
@@ -31,6 +30,26 @@
 	})
 }
 
+// minOtherReaders is the number of daemons beside the owner of the stage work that know the routes, from which on
+// the owner is not used as reader: the store may turn one of them away.
+const minOtherReaders = 2
+
+// excludedReader returns the incarnation of the daemon that is not used as reader, if any: the owner of the stage work,
+// which needs its link for that, unless others that start, or that the store turns away, have nobody else to read
+// from.
+func excludedReader(members []membership.Member, owner membership.Member) string {
+	others := 0
+	for _, m := range members {
+		if m.State == membership.Alive && m.Revision > 0 && m.Incarnation != owner.Incarnation {
+			others++
+		}
+	}
+	if others < minOtherReaders {
+		return ""
+	}
+	return owner.Incarnation
+}
+
 // topicServer serves the topics that this daemon reads. It implements peer.TopicReader.
 type topicServer struct {
 	daemon *Daemon
