Query the memory of stage upstreams as the queued pieces need it

Cause: a scheduler with its first job asked every upstream of every stage service for its free memory before it dispatched, each on a new connection. The upstreams grow with the fleet, the work of a second does not. From 36.0 to 37.3 s 61 daemons log "stage owner unreachable" (168 times) and 26 of them schedule for themselves, each with 540 queries of its own: 13,305 in all. Of what arrived in the two seconds from 34 s, 272 of 599 are in time.

Ruled out with the same log: the member tables (101 alive 0.1 s after the start), the list of upstreams (the last daemon has it 0.4 s after the start), the store's rate of reads (each start reads at its first try).

Change: a dispatch pass queries unknown upstreams only until twice the upstreams that the queued pieces need, and two more, are ready or queried, by the data centre where the pieces preferably run, and in all. A pass waits for a first response only while too few are ready. The order is a hash that differs by daemon.

TestFirstJobsAmongManyUpstreams plays the load: 100 jobs in the first second, 30, 100 and 341 daemons.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -168,6 +168,7 @@
 	})
 	d.scheduler = stagework.New(stagework.Config{
 		Invoker: cfg.Invoker,
+		Self:    incarnation,
 		Logger:  d.logger,
 	})
 	d.origins = origins{
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -112,7 +112,9 @@
 			known.draining = false
 			continue
 		}
-		svc.upstreams[u.Incarnation] = newUpstream(u)
+		x := newUpstream(u)
+		x.queryOrder = s.queryOrder(u)
+		svc.upstreams[u.Incarnation] = x
 	}
 	for _, svc := range s.services {
 		for id, u := range svc.upstreams {
--- a/internal/stagework/script_test.go
+++ b/internal/stagework/script_test.go
@@ -149,6 +149,18 @@
 }
 
 func (p *scriptRun) upstream(name, service string, opts map[string]string) {
+	p.addUpstream(name, service, opts)
+	p.setUpstreams()
+}
+
+// setUpstreams gives the schedulers the upstreams that were added.
+func (p *scriptRun) setUpstreams() {
+	p.scheduler.SetUpstreams(p.upstreams)
+	p.newOwner.SetUpstreams(p.upstreams)
+}
+
+// addUpstream adds an upstream that the schedulers do not know yet.
+func (p *scriptRun) addUpstream(name, service string, opts map[string]string) {
 	i := slices.IndexFunc(p.services, func(s routing.Service) bool { return s.Name == service })
 	spec := p.services[i].Batch
 	factor := 1.0
@@ -196,8 +208,6 @@
 		DataCentre:  opts["dc"],
 		Service:     service,
 	})
-	p.scheduler.SetUpstreams(p.upstreams)
-	p.newOwner.SetUpstreams(p.upstreams)
 }
 
 func (p *scriptRun) job(name string, words []string, opts map[string]string) {
--- a/internal/stagework/stagework.go
+++ b/internal/stagework/stagework.go
@@ -164,6 +164,8 @@
 // Config configures a Scheduler. Invoker is required.
 type Config struct {
 	Invoker Invoker
+	// Self is the incarnation of the daemon of the scheduler. It may be empty if there is only one.
+	Self string
 	// Logger may be nil.
 	Logger *zap.Logger
 }
--- a/internal/stagework/upstream.go
+++ b/internal/stagework/upstream.go
@@ -56,8 +56,10 @@
 // upstream is one process that runs stages, with the accounting of its result memory.
 type upstream struct {
 	Upstream
-	calls    int
-	draining bool
+	// queryOrder is the place in the order in which upstreams are queried for their free memory.
+	queryOrder uint64
+	calls      int
+	draining   bool
 	// held is the memory of results that this scheduler has, or expects from calls in
 	// progress, on the upstream.
 	held int64
@@ -201,29 +203,6 @@
 	}()
 }
 
-// refreshFreeMemory queries the upstreams whose free memory is unknown, or which were
-// found to hold results of another scheduler at least memoryQueryInterval ago.
-func (s *Scheduler) refreshFreeMemory(svc *service, now time.Time) {
-	for _, u := range svc.upstreams {
-		u.expireEstimates(now)
-		u.pacer.Expire(0, now)
-		if !u.draining && !u.restrained(now) && (!u.memoryKnown || u.foreignBytes > 0 && now.Sub(u.foreignAt) >= memoryQueryInterval) {
-			s.queryFreeMemory(svc, u)
-		}
-	}
-}
-
-// awaitsFreeMemory reports whether a first memory query was sent less than
-// firstMemoryQueryWait ago and is unanswered.
-func (svc *service) awaitsFreeMemory(now time.Time) bool {
-	for _, u := range svc.upstreams {
-		if u.querying && !u.memoryKnown && !u.draining && !u.restrained(now) && now.Sub(u.queriedAt) < firstMemoryQueryWait {
-			return true
-		}
-	}
-	return false
-}
-
 // forgetFreeMemory starts a new period of activity when a job is submitted after
 // idleMemoryTTL without any: the free memory of all upstreams is unknown then.
 func (s *Scheduler) forgetFreeMemory(now time.Time) {
