Acquire ownership of the stage work only with routes and upstreams

Cause: joinPeriod ends 2 s after the start. A daemon that knows no other daemon with routes then took itself for the owner and began a term, even without upstreams of its own.

Change: a daemon acquires ownership only once it has announced a revision, which it does when it knows routes and upstreams. While none has, all take the first of the known addresses, as in the first two seconds.

--- a/internal/entryhost/owner.go
+++ b/internal/entryhost/owner.go
@@ -25,7 +25,8 @@
 // the routes, it is the one with the highest term, or, while none has acquired ownership,
 // the one that is to acquire it. During its own joinPeriod a daemon may not have learned of
 // the others yet. It then takes the first of the known addresses, so that daemons that start
-// together agree, unless it knows a daemon that has been running for longer.
+// together agree, unless it knows a daemon that has been running for longer. It does the same as long
+// as it knows no daemon that knows the routes.
 func (s *submitter) owner() membership.Member {
 	self := s.daemon.members.Self()
 	owner := self
@@ -41,7 +42,8 @@
 			found = true
 		}
 	}
-	if owner.Term == 0 && !older && time.Since(s.daemon.started) < joinPeriod {
+	joining := owner.Term == 0 && !older && time.Since(s.daemon.started) < joinPeriod
+	if joining || !found {
 		return s.firstByAddress(self)
 	}
 	return owner
@@ -76,10 +78,10 @@
 }
 
 // acquireOwnership starts a new term if this daemon is to be the owner and has no term
-// yet.
+// yet. A daemon that does not know the routes and upstreams is none, and says so by its revision.
 func (s *submitter) acquireOwnership() {
 	self := s.daemon.members.Self()
-	if time.Since(s.daemon.started) < joinPeriod || self.Term > 0 || self.State != membership.Alive || s.owner().Incarnation != self.Incarnation {
+	if time.Since(s.daemon.started) < joinPeriod || self.Revision == 0 || self.Term > 0 || self.State != membership.Alive || s.owner().Incarnation != self.Incarnation {
 		return
 	}
 	last := uint64(0)
--- a/internal/entryhost/startup_test.go
+++ b/internal/entryhost/startup_test.go
@@ -117,3 +117,33 @@
 	require.Less(t, time.Since(late.started), joinPeriod, "the daemons took too long to learn of each other for this test")
 	require.Len(t, owners(live), 1)
 }
+
+// While no daemon has read the list of upstreams, which takes longer than joinPeriod if many read a long list from the
+// store at once, none knows an owner among the others. Each must not take itself for the owner then, or as many
+// owners as daemons begin to schedule the stage work.
+func TestNoOwnershipWithoutUpstreams(t *testing.T) {
+	var hosts []*running
+	var seeds []string
+	for range 3 {
+		h := startWithout(t, &invoker{}, seeds...)
+		h.SetTable(tableOf(1), []byte("1"), "test")
+		hosts = append(hosts, h)
+		seeds = append(seeds, h.PeerAddr())
+	}
+	for _, h := range hosts {
+		h.AddPeers(seeds)
+	}
+	time.Sleep(joinPeriod + 3*syncInterval)
+	for i, h := range hosts {
+		require.Zero(t, h.members.Self().Term, "term of daemon %d", i)
+	}
+	first := make(map[string]bool)
+	for _, h := range hosts {
+		first[h.submitter.owner().PeerAddr] = true
+	}
+	require.Len(t, first, 1, "the daemons agree on the one that is to schedule the first jobs")
+	for _, h := range hosts {
+		h.SetUpstreams(upstreams())
+	}
+	agreed(t, hosts)
+}
