Serve with the first part of the list of upstreams

Cause of the slow start at 300: all reads of the store share its read-mb-s (80 on the large site), and each daemon reads the whole list of upstreams, 2,995 entries in six or seven pages, before it serves. With ten upstreams a daemon the bytes grow with the square of the fleet.

Change: the pages of the first list are applied as they are read, and a daemon serves once it knows routes and a live upstream of each of their services. The whole list then replaces the part. Origins of streams still count a list as observed only when it is whole. What all daemons read together is as much as before.

--- a/internal/entryhost/configuration_test.go
+++ b/internal/entryhost/configuration_test.go
@@ -9,6 +9,7 @@
 
 	"sequoiafork/internal/forward"
 	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/upstream"
 )
 
 // discard is a ResponseWriter that ignores the response.
@@ -57,3 +58,24 @@
 	require.Equal(t, outcome.CodeNotReady, code)
 	require.Less(t, took, limit/2)
 }
+
+// A long list of upstreams takes seconds to read if many daemons start at once. A daemon that knows only a part of it
+// serves requests once it has an upstream of each service, and must not take a part for a newer list than a whole one.
+func TestServesWithFirstUpstreams(t *testing.T) {
+	d := startWithout(t, &invoker{})
+	d.SetTable(tableOf(1), []byte("1"), "test")
+	all := append(upstreams(), upstream.Host{
+		Addr:        "192.0.2.98:80",
+		Incarnation: "i-2",
+		Service:     "s",
+	})
+	d.SetFirstUpstreams(all[:1])
+	require.False(t, d.Ready(), "no upstream of service s is known")
+	require.Zero(t, d.members.Self().Revision)
+	d.SetFirstUpstreams(all)
+	require.True(t, d.Ready())
+	require.Equal(t, uint64(1), d.members.Self().Revision)
+	d.SetUpstreams(all)
+	d.SetFirstUpstreams(all[:1])
+	require.Len(t, d.upstreams.Upstreams(), len(all))
+}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -101,16 +101,16 @@
 	origins     origins
 	daemonCount atomic.Int64
 	draining    atomic.Bool
-	// upstreamsKnown reports that a list of upstreams has been set.
-	upstreamsKnown atomic.Bool
 	// configured is closed once routes and upstreams are known.
 	configured     chan struct{}
 	configuredOnce sync.Once
 
-	mu    sync.Mutex // guards raw, hosts, evacuated and leaving, and serializes changes of table
+	mu    sync.Mutex // guards raw, hosts, listComplete, evacuated and leaving, and serializes changes of table
 	table atomic.Pointer[routing.Table]
 	raw   []byte // encoded form of table, for peers
 	hosts []upstream.Host
+	// listComplete reports that hosts is a whole list of upstreams.
+	listComplete bool
 	// evacuated are the data centres whose upstreams get no work, with the end of the evacuation if it
 	// is in doubt, and leaving the incarnations of upstreams that have said that they leave, with the
 	// time when that was last of use.
@@ -253,7 +253,12 @@
 // Ready reports whether this daemon accepts new callers: it knows routes and upstreams and
 // is not draining.
 func (d *Daemon) Ready() bool {
-	return d.table.Load() != nil && d.upstreamsKnown.Load() && !d.draining.Load()
+	select {
+	case <-d.configured:
+		return !d.draining.Load()
+	default:
+		return false
+	}
 }
 
 // Draining reports whether the daemon is draining.
@@ -304,7 +309,7 @@
 	d.logger.Info("routes applied", zap.Uint64("config_version", t.Version()), zap.String("source", source))
 }
 
-// SetUpstreams replaces the list of upstreams.
+// SetUpstreams replaces the list of upstreams by another whole list.
 func (d *Daemon) SetUpstreams(list []upstream.Host) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -313,17 +318,22 @@
 	d.origins.observeVersions(list)
 	d.forgetLeaving()
 	d.applyUpstreams()
-	d.upstreamsKnown.Store(true)
+	d.listComplete = true
 	d.reportProgress()
 }
 
 // reportProgress announces to the peers which version of the routes is applied here, once
 // upstreams are known too, so that this daemon can serve requests. The caller holds mu.
 func (d *Daemon) reportProgress() {
-	if t := d.table.Load(); t != nil && d.upstreamsKnown.Load() {
-		d.configuredOnce.Do(func() { close(d.configured) })
-		d.members.SetProgress(t.Version(), t.Version())
+	t := d.table.Load()
+	if t == nil || !d.knowsUpstreams(t) {
+		return
 	}
+	d.configuredOnce.Do(func() {
+		close(d.configured)
+		d.logProgress()
+	})
+	d.members.SetProgress(t.Version(), t.Version())
 }
 
 // logUpstreams logs the difference between the current and a new list. The caller holds mu.
