--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -77,6 +77,17 @@
 	Deadline time.Time
 	// MinServiceTime is the estimated time from the grant of the slot to the response.
 	MinServiceTime time.Duration
+	// Granted, if not nil, is told of the grant of the slot.
+	Granted GrantObserver
+}
+
+// GrantObserver is told that its request got a slot. Requests that get slots at the same
+// time are told in the order of the grants, so that what they do then does not depend on
+// which goroutine runs first.
+type GrantObserver interface {
+	// SlotGranted is called once, before Acquire returns the slot. The pool is locked
+	// meanwhile: it must neither block nor call the Controller.
+	SlotGranted()
 }
 
 // The codes of a RejectedError.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -25,6 +25,9 @@
 	waiting  int
 	sequence uint64
 	accounts map[string]*account
+	// ordered holds all accounts in the order of their first requests. Estimates sum over
+	// it: the sum of fractions depends on their order.
+	ordered []*account
 	// active holds the accounts that have waiters.
 	active []*account
 	// heldTime is the sum over all slots of the time held since the last release,
@@ -69,7 +72,7 @@
 	latest := p.latestStart(r)
 	switch p.cfg.Discipline.(type) {
 	case Unlimited:
-		return nil, p.grant(a), nil
+		return nil, p.grant(a, r.Granted), nil
 	case FIFO:
 		if err := p.checkLatestStart(a, latest, now); err != nil {
 			return nil, nil, err
@@ -81,12 +84,12 @@
 	}
 	p.dispatch(now)
 	if p.waiting == 0 && p.inUse < p.slots {
-		return nil, p.grant(a), nil
+		return nil, p.grant(a, r.Granted), nil
 	}
 	if err := p.checkQueueSpace(a, latest, now); err != nil {
 		return nil, nil, err
 	}
-	return p.enqueue(a, r.Deadline, latest), nil, nil
+	return p.enqueue(a, r, latest), nil, nil
 }
 
 // latestStart returns the latest time at which a slot still lets r meet its deadline,
@@ -124,6 +127,7 @@
 			account: a,
 		}
 		p.accounts[r.Workspace] = a
+		p.ordered = append(p.ordered, a)
 	}
 	a.weight = weight(r.Pool.Shares, r.Workspace)
 	return a
@@ -138,12 +142,15 @@
 	return 1
 }
 
-// grant charges one slot to a.
-func (p *poolState) grant(a *account) *Slot {
+// grant charges one slot to a and tells the observer, if there is one.
+func (p *poolState) grant(a *account, o GrantObserver) *Slot {
 	p.sequence++
 	a.lastGrant = p.sequence
 	a.inUse++
 	p.inUse++
+	if o != nil {
+		o.SlotGranted()
+	}
 	return &a.slot
 }
 
@@ -203,7 +210,7 @@
 			p.resolve(w, p.rejectionLocked(w.account, CodeDeadline, "no slot before the deadline"))
 			continue
 		}
-		p.grant(w.account)
+		p.grant(w.account, w.granted)
 		p.resolve(w, nil)
 	}
 }
--- a/internal/admission/rejection.go
+++ b/internal/admission/rejection.go
@@ -93,7 +93,7 @@
 func (p *poolState) expectedSlots(a *account) float64 {
 	own := p.fairShare(a)
 	left := float64(max(p.slots, 1))
-	for _, other := range p.accounts {
+	for _, other := range p.ordered {
 		if other != a {
 			left -= min(float64(other.demand()), own*float64(other.weight)/float64(a.weight))
 		}
@@ -105,7 +105,7 @@
 // wait for slots.
 func (p *poolState) fairShare(a *account) float64 {
 	total := a.weight
-	for _, other := range p.accounts {
+	for _, other := range p.ordered {
 		if other != a && other.demand() > 0 {
 			total += other.weight
 		}
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -13,19 +13,21 @@
 	latestStart time.Time
 	sequence    uint64
 	index       int
+	granted     GrantObserver
 	err         error
 	// done is closed once err is final. A nil err means that a slot was granted.
 	done chan struct{}
 }
 
-// enqueue adds a waiter to a's queue.
-func (p *poolState) enqueue(a *account, deadline, latest time.Time) *waiter {
+// enqueue adds a waiter for r to a's queue.
+func (p *poolState) enqueue(a *account, r Request, latest time.Time) *waiter {
 	p.sequence++
 	w := &waiter{
 		account:     a,
-		deadline:    deadline,
+		deadline:    r.Deadline,
 		latestStart: latest,
 		sequence:    p.sequence,
+		granted:     r.Granted,
 		done:        make(chan struct{}),
 	}
 	if _, ok := p.cfg.Discipline.(FIFO); ok {
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -155,14 +155,6 @@
 // runStage waits for admission to a stage's pool and runs the stage there.
 func (rr *requestRun) runStage(ctx context.Context, index int, st table.Stage, pool *table.Pool, input string, report *outcome.StageReport) (string, error) {
 	laterStagesTime := rr.executor.cfg.Times.MinTotalTime(stageKeys(rr.req.Route.Stages[index+1:]))
-	slot, err := rr.executor.cfg.Admission.Acquire(ctx, rr.admission(index, pool))
-	if err != nil {
-		return "", err
-	}
-	defer slot.Release()
-	if st.NonIdempotent && !rr.commit() {
-		return "", context.DeadlineExceeded
-	}
 	run := &stageRun{
 		requestRun:      rr,
 		index:           index,
@@ -170,7 +162,18 @@
 		pool:            pool,
 		input:           input,
 		laterStagesTime: laterStagesTime,
-		slot:            slot,
+	}
+	admitted := rr.admission(index, pool)
+	admitted.Granted = run
+	slot, err := rr.executor.cfg.Admission.Acquire(ctx, admitted)
+	if err != nil {
+		return "", err
+	}
+	run.slot = slot
+	defer slot.Release()
+	defer run.dropFirst()
+	if st.NonIdempotent && !rr.commit() {
+		return "", context.DeadlineExceeded
 	}
 	if rr.req.OnToken != nil && pool.Kind == table.KindEngine && index == len(rr.req.Route.Stages)-1 {
 		run.splicer = &splicer{
--- a/internal/pipeline/stagerun.go
+++ b/internal/pipeline/stagerun.go
@@ -27,11 +27,53 @@
 	slot            *admission.Slot
 	splicer         *splicer
 
+	// first is the choice that was made when the slot was granted. It is nil once an
+	// attempt has taken it.
+	first *firstChoice
+
 	tried    []string
 	attempts int
 	winner   string
 }
 
+// firstChoice is the target of the first attempt, or the error of the choice.
+type firstChoice struct {
+	target target
+	err    error
+}
+
+// SlotGranted implements admission.GrantObserver. It chooses the upstream of the first
+// attempt, so that requests choose in the order in which they get slots.
+func (r *stageRun) SlotGranted() {
+	t, err := r.pick()
+	r.first = &firstChoice{
+		target: t,
+		err:    err,
+	}
+}
+
+// nextTarget returns the first choice if no attempt has taken it, or else chooses an
+// upstream.
+func (r *stageRun) nextTarget() (target, error) {
+	if r.first == nil {
+		return r.pick()
+	}
+	first := r.first
+	r.first = nil
+	return first.target, first.err
+}
+
+// dropFirst ends the first choice if no attempt has taken it.
+func (r *stageRun) dropFirst() {
+	if r.first == nil || r.first.err != nil {
+		return
+	}
+	r.first.target.choice.Done(upstream.Result{
+		Outcome: upstream.Cancelled,
+	})
+	r.first = nil
+}
+
 // result is the reply or the error of one attempt.
 type result struct {
 	addr  string
@@ -80,7 +122,7 @@
 	if err := ctx.Err(); err != nil {
 		return Reply{}, err
 	}
-	first, err := r.pick()
+	first, err := r.nextTarget()
 	if err != nil {
 		return Reply{}, err
 	}
--- a/internal/replay/entry.go
+++ b/internal/replay/entry.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,16 +27,19 @@
 // entry is one entry host, which runs the real pipeline, admission and upstream
 // selection.
 type entry struct {
-	lost       atomic.Bool
-	hostCtx    context.Context
-	cancelHost context.CancelCauseFunc
-	upstreams  *upstream.Set
-	executor   *pipeline.Executor
+	lost      atomic.Bool
+	upstreams *upstream.Set
+	executor  *pipeline.Executor
+
+	mu sync.Mutex
+	// running holds the requests that the host runs, by arrival.
+	running map[arrivalIndex]context.CancelCauseFunc
 }
 
 func newEntry(cfg Config, i int, f *fleet, p *player) *entry {
-	e := &entry{}
-	e.hostCtx, e.cancelHost = context.WithCancelCause(context.Background())
+	e := &entry{
+		running: make(map[arrivalIndex]context.CancelCauseFunc),
+	}
 	up := cfg.Policy.Upstream
 	up.DataCentre = cfg.Deployment.DataCentres[i%len(cfg.Deployment.DataCentres)]
 	up.Seed = cfg.Seed + uint64(i)
@@ -59,16 +65,38 @@
 	return e
 }
 
-// run runs r and reports whether the host is still alive afterwards.
-func (e *entry) run(r pipeline.Request) (outcome.Outcome, bool) {
-	ctx, cancel := context.WithCancelCause(e.hostCtx)
+// run runs the request of an arrival and reports whether the host is still alive
+// afterwards.
+func (e *entry) run(i arrivalIndex, r pipeline.Request) (outcome.Outcome, bool) {
+	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
+	e.setRunning(i, cancel)
+	defer e.setRunning(i, nil)
 	o, _ := e.executor.Run(ctx, r)
 	return o, !e.lost.Load()
 }
 
-// kill simulates the loss of the host: it aborts all requests that it is running.
+// setRunning records how the request of an arrival is aborted, or with nil that it ended.
+func (e *entry) setRunning(i arrivalIndex, cancel context.CancelCauseFunc) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cancel == nil {
+		delete(e.running, i)
+		return
+	}
+	e.running[i] = cancel
+}
+
+// kill simulates the loss of the host: it aborts all requests that it is running, in the
+// order of their arrivals, each at an instant of its own.
 func (e *entry) kill() {
 	e.lost.Store(true)
-	e.cancelHost(errHostLost)
+	start := time.Now()
+	e.mu.Lock()
+	running := maps.Clone(e.running)
+	e.mu.Unlock()
+	for _, i := range slices.Sorted(maps.Keys(running)) {
+		time.Sleep(time.Until(start.Add(i.offset())))
+		running[i](errHostLost)
+	}
 }
--- a/internal/replay/fleet.go
+++ b/internal/replay/fleet.go
@@ -69,7 +69,8 @@
 // Invoke implements pipeline.Invoker. It adds the network delay in each direction.
 func (f *fleet) Invoke(ctx context.Context, c pipeline.Call) (pipeline.Reply, error) {
 	s := f.servers[c.Addr]
-	if err := wait(ctx, f.oneWay); err != nil {
+	// Calls that daemons send at one instant reach the upstream in the order of their arrivals.
+	if err := wait(ctx, f.oneWay+arrivalOf(c.RequestID).offset()); err != nil {
 		return pipeline.Reply{}, interruptedError(ctx, c)
 	}
 	defer time.Sleep(f.oneWay)
--- a/internal/replay/play.go
+++ b/internal/replay/play.go
@@ -39,7 +39,7 @@
 	fleet   *fleet
 	entries []*entry
 
-	mu      sync.Mutex
+	// results holds the result of each arrival, in the order of the trace.
 	results []Result
 }
 
@@ -50,9 +50,10 @@
 		return nil, err
 	}
 	p := &player{
-		cfg:    cfg,
-		tables: tables,
-		fleet:  newFleet(cfg),
+		cfg:     cfg,
+		tables:  tables,
+		fleet:   newFleet(cfg),
+		results: make([]Result, len(cfg.Trace)),
 	}
 	for i := range cfg.Deployment.EntryHosts {
 		p.entries = append(p.entries, newEntry(cfg, i, p.fleet, p))
@@ -63,10 +64,9 @@
 	var wg sync.WaitGroup
 	start := time.Now()
 	for i, a := range cfg.Trace {
-		// Each arrival is shifted by its index in nanoseconds: no two are at the
-		// same instant, so that runs with the same seed are reproducible.
-		time.Sleep(time.Until(start.Add(a.At() + time.Duration(i))))
-		wg.Go(func() { p.runCaller(i, a) })
+		index := arrivalIndex(i)
+		time.Sleep(time.Until(start.Add(a.At() + index.offset())))
+		wg.Go(func() { p.runCaller(index, a) })
 	}
 	wg.Wait()
 	time.Sleep(drainTime)
@@ -75,7 +75,7 @@
 
 // runCaller sends one request, repeats it while it is rejected, as often as the
 // scenario allows, and records the result.
-func (p *player) runCaller(i int, a Arrival) {
+func (p *player) runCaller(i arrivalIndex, a Arrival) {
 	rng := rand.New(rand.NewPCG(p.cfg.Seed, uint64(i)))
 	res := Result{
 		Arrival: a,
@@ -83,9 +83,9 @@
 	start := time.Now()
 	for res.Tries < max(p.cfg.Scenario.Tries, 1) {
 		res.Tries++
-		id := fmt.Sprintf("r%d-%d", i, res.Tries)
+		id := i.requestID(res.Tries)
 		sent := time.Now()
-		o := p.send(id, a, rng.IntN(len(p.entries)))
+		o := p.send(i, id, a, rng.IntN(len(p.entries)))
 		res.record(o, time.Since(start), time.Since(sent))
 		res.falseNotRun = res.falseNotRun || p.falseNotRun(id, o)
 		rejected, ok := o.(outcome.NotRun)
@@ -94,14 +94,12 @@
 		}
 		time.Sleep(rejected.RetryAfter + time.Duration(rng.Int64N(int64(rejected.RetryAfter/2+1))))
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.results = append(p.results, res)
+	p.results[i] = res
 }
 
 // send sends a to the entry host first. If a host is lost, it tries the next one,
 // unless the host may have run the request already and a is not repeatable.
-func (p *player) send(id string, a Arrival, first int) outcome.Outcome {
+func (p *player) send(i arrivalIndex, id string, a Arrival, first int) outcome.Outcome {
 	deadline := time.Now().Add(a.Deadline())
 	row, _ := p.tables.Route(a.Route)
 	time.Sleep(callerOneWayDelay)
@@ -112,7 +110,7 @@
 			time.Sleep(connectFailureTime)
 			continue
 		}
-		o, alive := e.run(pipeline.Request{
+		o, alive := e.run(i, pipeline.Request{
 			ID:        fmt.Sprintf("%s-%d", id, n),
 			Workspace: a.Workspace,
 			Input:     a.Input(),
