See a full queue when a request is checked before its first stage

Check also took over the number of slots without granting those that it had learned of, so that requests waited beside free slots until the next release.

Change: Check and Acquire share checkQueue, which says what Acquire would refuse at once and which waiter would be displaced; only Acquire displaces it. Check grants free slots to those that wait.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -85,9 +85,8 @@
 	return &w.account.slot, nil
 }
 
-// Check returns the *RejectedError that Acquire would return for the deadline, for
-// lack of slots or for the estimated wait, or nil. It does not check whether the queue is
-// full, and takes no slot.
+// Check returns the *RejectedError that Acquire would return at once, or nil. It takes
+// no slot and no place in the queue.
 func (c *Controller) Check(r Request) error {
 	return c.pool(r.Pool.Name).check(r, time.Now())
 }
--- a/internal/admission/rejection.go
+++ b/internal/admission/rejection.go
@@ -10,20 +10,25 @@
 // requests ahead in the queue that are abandoned make the real wait shorter.
 const earlyRejectionFraction = 0.3
 
-// check returns the rejection that a request would get now, or nil. It does not check
-// whether the queue is full.
+// check returns the rejection that a request would get now, or nil.
 func (p *poolState) check(r Request, now time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, unlimited := p.cfg.Discipline.(Unlimited); unlimited {
 		return nil
 	}
+	p.updateHeldTime(now)
 	p.slots = r.Slots
 	a, latest := p.account(r), p.latestStart(r)
-	if err := p.checkLatestStart(a, latest, now); err != nil || (p.waiting == 0 && p.inUse < p.slots) {
+	if err := p.checkLatestStart(a, latest, now); err != nil {
 		return err
 	}
-	return p.checkWait(a, latest, now)
+	p.dispatch(now)
+	if p.waiting == 0 && p.inUse < p.slots {
+		return nil
+	}
+	_, err := p.checkQueue(a, latest, now)
+	return err
 }
 
 // checkLatestStart rejects a request whose latest start has passed.
@@ -34,23 +39,34 @@
 	return nil
 }
 
-// checkQueueSpace rejects a request that would wait too long or finds the queue full.
-// If another workspace fills more than its share of a full queue, it rejects a waiter
-// of that workspace instead.
-func (p *poolState) checkQueueSpace(a *account, latest, now time.Time) error {
-	if err := p.checkWait(a, latest, now); err != nil {
+// makeQueueSpace rejects a request that checkQueue rejects. Otherwise it rejects the waiter that the request
+// displaces, if there is one.
+func (p *poolState) makeQueueSpace(a *account, latest, now time.Time) error {
+	displaced, err := p.checkQueue(a, latest, now)
+	if err != nil {
 		return err
 	}
+	if displaced != nil {
+		p.resolve(displaced, p.rejectionLocked(displaced.account, CodeQueueFull, "too many requests wait"))
+	}
+	return nil
+}
+
+// checkQueue rejects a request that would wait too long or finds the queue full. If
+// another workspace fills more than its share of a full queue, it returns the waiter of
+// that workspace that the request displaces.
+func (p *poolState) checkQueue(a *account, latest, now time.Time) (*waiter, error) {
+	if err := p.checkWait(a, latest, now); err != nil {
+		return nil, err
+	}
 	if p.waiting < p.cfg.MaxQueue {
-		return nil
+		return nil, nil
 	}
 	longest := p.accountWithLongestQueue()
 	if longest == a || len(longest.waiters)*a.weight <= (len(a.waiters)+1)*longest.weight {
-		return p.rejectionLocked(a, CodeQueueFull, "too many requests wait")
+		return nil, p.rejectionLocked(a, CodeQueueFull, "too many requests wait")
 	}
-	last := longest.waiters.lowestPriority()
-	p.resolve(last, p.rejectionLocked(longest, CodeQueueFull, "too many requests wait"))
-	return nil
+	return longest.waiters.lowestPriority(), nil
 }
 
 // checkWait rejects a request if the pool has no slots, or if the estimated wait does
