Estimate a wait in the order of the queue

Cause: the queue is ordered by deadline, but the estimate of a wait counted the waiters whose latest start is not later.

TestEstimateInOrderOfQueue failed before: behind 150 requests of 100 ms a request with 3 s to spare got no error.

--- a/internal/admission/check_test.go
+++ b/internal/admission/check_test.go
@@ -81,3 +81,12 @@
 		require.Zero(t, c.Waiting("p"))
 	})
 }
+
+// TestEstimateInOrderOfQueue guards against a request that is accepted although those before it in the queue take
+// all its time: the queue is ordered by deadline, whatever time the requests take afterwards.
+func TestEstimateInOrderOfQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := busyController(t, 200, 150, 19*time.Second)
+		requireRejected(t, c, slotRequest("w", 20*time.Second, 17*time.Second), CodeDeadline)
+	})
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -83,7 +83,7 @@
 	if p.waiting == 0 && p.inUse < p.slots {
 		return nil, p.grant(a), nil
 	}
-	if err := p.makeQueueSpace(a, latest, now); err != nil {
+	if err := p.makeQueueSpace(a, r.Deadline, latest, now); err != nil {
 		return nil, nil, err
 	}
 	return p.enqueue(a, r.Deadline, latest), nil, nil
--- a/internal/admission/rejection.go
+++ b/internal/admission/rejection.go
@@ -27,7 +27,7 @@
 	if p.waiting == 0 && p.inUse < p.slots {
 		return nil
 	}
-	_, err := p.checkQueue(a, latest, now)
+	_, err := p.checkQueue(a, r.Deadline, latest, now)
 	return err
 }
 
@@ -41,8 +41,8 @@
 
 // makeQueueSpace rejects a request that checkQueue rejects. Otherwise it rejects the waiter that the request
 // displaces, if there is one.
-func (p *poolState) makeQueueSpace(a *account, latest, now time.Time) error {
-	displaced, err := p.checkQueue(a, latest, now)
+func (p *poolState) makeQueueSpace(a *account, deadline, latest, now time.Time) error {
+	displaced, err := p.checkQueue(a, deadline, latest, now)
 	if err != nil {
 		return err
 	}
@@ -55,8 +55,8 @@
 // checkQueue rejects a request that would wait too long or finds the queue full. If
 // another workspace fills more than its share of a full queue, it returns the waiter of
 // that workspace that the request displaces.
-func (p *poolState) checkQueue(a *account, latest, now time.Time) (*waiter, error) {
-	if err := p.checkWait(a, latest, now); err != nil {
+func (p *poolState) checkQueue(a *account, deadline, latest, now time.Time) (*waiter, error) {
+	if err := p.checkWait(a, deadline, latest, now); err != nil {
 		return nil, err
 	}
 	if p.waiting < p.cfg.MaxQueue {
@@ -71,12 +71,12 @@
 
 // checkWait rejects a request if the pool has no slots, or if the estimated wait does
 // not fit its deadline.
-func (p *poolState) checkWait(a *account, latest, now time.Time) error {
+func (p *poolState) checkWait(a *account, deadline, latest, now time.Time) error {
 	if p.slots <= 0 {
 		return p.rejectionLocked(a, CodeNoCapacity, "no upstream of the pool takes work")
 	}
 	if _, fair := p.cfg.Discipline.(Fair); fair && !latest.IsZero() {
-		wait := p.estimate(a, latest)
+		wait := p.estimate(a, deadline)
 		if now.Add(time.Duration(earlyRejectionFraction * float64(wait))).After(latest) {
 			return p.rejectionLocked(a, CodeDeadline, fmt.Sprintf("the wait is about %v", wait.Round(time.Millisecond)))
 		}
@@ -84,16 +84,15 @@
 	return nil
 }
 
-// estimate returns how long a request of a with the given latest start would wait:
-// the time to serve the waiters of its workspace whose latest start is not after latest,
-// at the number of slots that the workspace can expect.
-func (p *poolState) estimate(a *account, latest time.Time) time.Duration {
+// estimate returns how long a request of a with the given deadline would wait: the time
+// to serve the waiters of its workspace that are before it in the queue, at the number
+// of slots that the workspace can expect.
+func (p *poolState) estimate(a *account, deadline time.Time) time.Duration {
 	ahead := 0
 	for _, w := range a.waiters {
-		if w.latestStart.IsZero() || w.latestStart.After(latest) {
-			continue
+		if !w.deadline.IsZero() && !w.deadline.After(deadline) {
+			ahead++
 		}
-		ahead++
 	}
 	return p.timeToSlots(a, ahead+1)
 }
