Say whether a stand-in has ended when its ledger can't be read

TestRefusalInFrozenQueue once failed with "connection reset by peer" in the test's own call to a stand-in. Ruled out: an idle connection that the stand-in closed, since the test's client keeps none; the stand-in's own resets, none of which is set in this test or applies to the ledger; the accept queue, since the kernel drops and doesn't reset when it is full. A stand-in that was ended from outside would reset a connection that it had not accepted. The failure now says whether the stand-in has ended, and its last lines. Nothing is retried: the finding stays listed.

--- a/internal/e2e/standin_test.go
+++ b/internal/e2e/standin_test.go
@@ -60,6 +60,6 @@
 		return &standinapi.Ledger{}
 	}
 	ledger, err := s.api.ReadLedger(t.Context())
-	require.NoError(t, err)
+	require.NoError(t, err, "stand-in %s at %s, ended: %t, last lines:\n%s", s.cmd.Args, s.addr, s.ended(), strings.Join(s.lastLines(), "\n"))
 	return ledger
 }
