Send each result of a job once

On the code of today they are: the end of a job carries the results that were not sent yet. But those were sent again after it, if the results and the end of the job came while an earlier message was being sent, which a full link of the owner makes likely. The receiver ignored the second copy.

TestHandedOffJobSendsResultsOnce failed before: 5 results of 4 pieces.

--- a/internal/peer/stagework.go
+++ b/internal/peer/stagework.go
@@ -230,20 +230,23 @@
 		case <-changed:
 		case <-done:
 			done = nil
-			if err := sendOutcome(st, job, sent); err != nil {
+			n, err := sendOutcome(st, job, sent)
+			if err != nil {
 				return err
 			}
+			sent += n
 		}
 	}
 }
 
-// sendOutcome sends the results that were not sent yet, and the result of a job that is done.
-func sendOutcome(st grpc.BidiStreamingServer[peerpb.StageWorkRequest, peerpb.StageWorkResponse], job *stagework.SubmittedJob, sent int) error {
+// sendOutcome sends the results from the index sent on, and the result of a job that is done. It
+// returns the number of results that it has sent.
+func sendOutcome(st grpc.BidiStreamingServer[peerpb.StageWorkRequest, peerpb.StageWorkResponse], job *stagework.SubmittedJob, sent int) (int, error) {
 	handles, err := job.Wait(st.Context())
 	resp := stageWorkResponse(handles, err)
 	results, _ := job.Results(sent)
 	resp.Made = stageResults(results)
-	return st.Send(resp)
+	return len(results), st.Send(resp)
 }
 
 func stageResults(results []stagework.PieceResult) []*peerpb.StageResult {
--- a/internal/peer/stagework_test.go
+++ b/internal/peer/stagework_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
 
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/wire/peerpb"
 )
 
 // slowInvoker completes each call after callTime, and counts the pieces that ran and the results
@@ -39,9 +43,8 @@
 	return 1 << 30, nil
 }
 
-// startOwner runs a node with a scheduler of stage work behind a relay.
-func startOwner(t *testing.T, v *slowInvoker) (owner *testNode, r *relay) {
-	t.Helper()
+// newScheduler returns a scheduler with one upstream.
+func newScheduler(v *slowInvoker) *stagework.Scheduler {
 	s := stagework.New(stagework.Config{
 		Invoker: v,
 	})
@@ -65,6 +68,12 @@
 			Service:     "w",
 		},
 	})
+	return s
+}
+
+// startOwner runs a node with a scheduler of stage work behind a relay.
+func startOwner(t *testing.T, s *stagework.Scheduler) (owner *testNode, r *relay) {
+	t.Helper()
 	lis := listen(t, "127.0.0.1:0")
 	r = startRelay(t, lis.Addr().String())
 	owner = startNodeWith(t, lis, r.lis.Addr().String(), "owner", s)
@@ -92,7 +101,7 @@
 	v := &slowInvoker{
 		callTime: 100 * time.Millisecond,
 	}
-	owner, r := startOwner(t, v)
+	owner, r := startOwner(t, newScheduler(v))
 	lis := listen(t, "127.0.0.1:0")
 	client := startNode(t, lis, lis.Addr().String(), "client")
 	submit := func(j stagework.Job) *RemoteJob {
@@ -137,7 +146,7 @@
 	v := &slowInvoker{
 		callTime: 10 * time.Millisecond,
 	}
-	owner, _ := startOwner(t, v)
+	owner, _ := startOwner(t, newScheduler(v))
 	lis := listen(t, "127.0.0.1:0")
 	client := startNode(t, lis, lis.Addr().String(), "client")
 	job, err := client.node.StageWork(t.Context(), owner.table.Self(), stageWorkJob(), time.Second)
@@ -149,3 +158,62 @@
 	require.Eventually(t, func() bool { return v.freed.Load() == 3 }, waitTimeout, time.Millisecond)
 	require.Less(t, time.Since(began), 300*time.Millisecond)
 }
+
+// slowStream is the server's side of a call whose messages each take sendTime. It records the results that are sent.
+type slowStream struct {
+	grpc.BidiStreamingServer[peerpb.StageWorkRequest, peerpb.StageWorkResponse]
+
+	ctx      context.Context
+	sendTime time.Duration
+	results  []*peerpb.StageResult
+	moved    bool
+}
+
+func (s *slowStream) Context() context.Context { return s.ctx }
+
+func (s *slowStream) Send(r *peerpb.StageWorkResponse) error {
+	time.Sleep(s.sendTime)
+	s.results = append(s.results, r.GetMade()...)
+	s.moved = s.moved || r.GetMoved()
+	return nil
+}
+
+// TestHandedOffJobSendsResultsOnce guards against pieces that run twice, since the owner hands a job off and does not
+// send the results that arrive then, and against results that are sent twice over a slow link.
+func TestHandedOffJobSendsResultsOnce(t *testing.T) {
+	const callTime = 50 * time.Millisecond
+	for range 20 { // Results and end are there at once: either may be seen first.
+		synctest.Test(t, func(t *testing.T) {
+			s := newScheduler(&slowInvoker{
+				callTime: callTime,
+			})
+			j := stageWorkJob()
+			for i := range 2 {
+				j.Stages = append(j.Stages, stagework.Stage{
+					Service:     "w",
+					DependsOn:   []int{i},
+					Pieces:      1,
+					ResultBytes: 1000,
+				})
+			}
+			job, err := s.Submit(j)
+			require.NoError(t, err)
+			st := &slowStream{
+				ctx:      t.Context(),
+				sendTime: callTime * 4 / 5,
+			}
+			end := make(chan error, 1)
+			reported := make(chan error, 1)
+			time.Sleep(callTime / 2)
+			go func() { reported <- reportJob(st, job, end) }()
+			time.Sleep(callTime) // The results of the first stage are being sent, and the second stage is in a call.
+			s.HandOffJobs()
+			time.Sleep(time.Second)
+			end <- io.EOF
+			require.ErrorIs(t, <-reported, io.EOF)
+			require.True(t, st.moved)
+			require.Len(t, st.results, 4)
+			job.Release()
+		})
+	}
+}
