--- a/internal/daemon/placer.go
+++ b/internal/daemon/placer.go
@@ -200,9 +200,9 @@
 	for _, addr := range addrs {
 		if obs, ok := p.observed[addr]; ok || p.pending[addr] {
 			engines = append(engines, placement.Engine{
-				Addr:         addr,
-				LoadedModels: obs.loaded,
-				OrderPending: p.pending[addr],
+				Addr:              addr,
+				LoadedModels:      obs.loaded,
+				AssignmentPending: p.pending[addr],
 			})
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -13,8 +13,8 @@
 	Addr string
 	// LoadedModels lists the models that the engine has loaded.
 	LoadedModels []string
-	// OrderPending is set while the engine has not responded to an assignment.
-	OrderPending bool
+	// AssignmentPending is set while the engine has not responded to an assignment.
+	AssignmentPending bool
 }
 
 // Service is a group of engines and the models that its pools require.
@@ -65,7 +65,7 @@
 func countPending(engines []Engine) int {
 	n := 0
 	for _, e := range engines {
-		if e.OrderPending {
+		if e.AssignmentPending {
 			n++
 		}
 	}
@@ -87,7 +87,7 @@
 func idleByLoad(s Service) []Engine {
 	var idle []Engine
 	for _, e := range s.Engines {
-		if !e.OrderPending {
+		if !e.AssignmentPending {
 			idle = append(idle, e)
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -20,9 +20,9 @@
 	}
 	for i := range rapid.IntRange(1, 6).Draw(t, "engines") {
 		s.Engines = append(s.Engines, placement.Engine{
-			Addr:         fmt.Sprintf("10.0.0.%d:%s", i, name),
-			LoadedModels: rapid.SliceOfNDistinct(rapid.SampledFrom(models), 0, len(models), rapid.ID).Draw(t, "held"),
-			OrderPending: rapid.Bool().Draw(t, "open"),
+			Addr:              fmt.Sprintf("10.0.0.%d:%s", i, name),
+			LoadedModels:      rapid.SliceOfNDistinct(rapid.SampledFrom(models), 0, len(models), rapid.ID).Draw(t, "held"),
+			AssignmentPending: rapid.Bool().Draw(t, "open"),
 		})
 	}
 	return s
@@ -85,8 +85,8 @@
 				if e.Addr != a.Addr {
 					continue
 				}
-				require.False(t, e.OrderPending, "%s has a pending assignment already", e.Addr)
-				e.OrderPending = true
+				require.False(t, e.AssignmentPending, "%s has a pending assignment already", e.Addr)
+				e.AssignmentPending = true
 				e.LoadedModels = a.Models
 			}
 		}
@@ -98,7 +98,7 @@
 	var pending []*placement.Engine
 	for i := range services {
 		for j := range services[i].Engines {
-			if e := &services[i].Engines[j]; e.OrderPending {
+			if e := &services[i].Engines[j]; e.AssignmentPending {
 				pending = append(pending, e)
 			}
 		}
@@ -106,7 +106,7 @@
 	if len(pending) == 0 {
 		return false
 	}
-	pending[rapid.IntRange(0, len(pending)-1).Draw(t, "finished")].OrderPending = false
+	pending[rapid.IntRange(0, len(pending)-1).Draw(t, "finished")].AssignmentPending = false
 	return true
 }
 
@@ -114,7 +114,7 @@
 	n := 0
 	for _, s := range services {
 		for _, e := range s.Engines {
-			if e.OrderPending {
+			if e.AssignmentPending {
 				n++
 			}
 		}
