--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -207,7 +207,7 @@
 		Execution: pipeline.Refused,
 		Err:       fmt.Errorf("the upstream rejected the request with status %d", resp.Status),
 	}
-	if resp.WrongInstance || resp.Draining {
+	if resp.OtherIncarnation || resp.Draining {
 		failure.Execution = pipeline.RefusedLeaving
 	}
 	return failure
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -103,14 +103,14 @@
 	Verified bool
 	// NotRun reports that the upstream states that it did not run the request.
 	NotRun bool
-	// WrongInstance reports that another incarnation has the upstream's address.
-	WrongInstance bool
+	// OtherIncarnation reports that another incarnation has the upstream's address.
+	OtherIncarnation bool
 	// InputMissing reports that a stage result no longer exists.
 	InputMissing bool
 	// Draining reports that the upstream is draining and closes the connection.
 	Draining bool
 	Load     *upstream.Load
-	// Notice is what the upstream says of itself. It is empty if WrongInstance is set.
+	// Notice is what the upstream says of itself. It is empty if OtherIncarnation is set.
 	Notice upstream.Notice
 }
 
