--- a/internal/confsync/catchup.go
+++ b/internal/confsync/catchup.go
@@ -108,7 +108,7 @@
 func (s *Syncer) applyResponse(resp *peerpb.CatchUpResponse) error {
 	if len(resp.GetSnapshot()) > 0 {
 		err := s.restore(resp.GetSnapshot())
-		if _, stale := errors.AsType[*fold.StaleError](err); err != nil && !stale {
+		if _, stale := errors.AsType[*fold.SnapshotTooOldError](err); err != nil && !stale {
 			return err
 		}
 	}
--- a/internal/confsync/recover.go
+++ b/internal/confsync/recover.go
@@ -60,7 +60,7 @@
 // are all retained.
 func (s *Syncer) usableSnapshot(rec logservice.Record, first uint64) (covered uint64, ok bool) {
 	covered, err := fold.SnapshotOffset(rec.Data)
-	if _, corrupted := errors.AsType[*fold.DigestError](err); corrupted {
+	if _, corrupted := errors.AsType[*fold.DigestMismatchError](err); corrupted {
 		s.config.Logger.Error("corrupted snapshot in the log", zap.Uint64("offset", rec.Offset), zap.Error(err))
 	}
 	return covered, err == nil && covered+1 >= first && covered < rec.Offset
--- a/internal/fold/apply.go
+++ b/internal/fold/apply.go
@@ -29,7 +29,7 @@
 	m.applyRecord(offset, rec)
 	m.expire()
 	m.counters.Applied++
-	m.digests.add(offset, m.digestLocked(offset), m.config.DigestWindow)
+	m.digests.add(offset, m.digestLocked(offset), m.config.MaxDigests)
 	m.advance(offset + 1)
 	return nil
 }
--- a/internal/fold/errors.go
+++ b/internal/fold/errors.go
@@ -14,9 +14,9 @@
 	return fmt.Sprintf("apply record %d: the next offset is %d", e.Offset, e.Next)
 }
 
-// DigestError reports that the digest stated in a snapshot isn't the one computed from
+// DigestMismatchError reports that the digest stated in a snapshot isn't the one computed from
 // its content, or isn't the digest of this machine's state at the same offset.
-type DigestError struct {
+type DigestMismatchError struct {
 	// Covered is the offset of the last record that the snapshot covers.
 	Covered uint64
 	Writer  string
@@ -27,7 +27,7 @@
 }
 
 // Error returns the covered offset, the writer and both digests.
-func (e *DigestError) Error() string {
+func (e *DigestMismatchError) Error() string {
 	return fmt.Sprintf("snapshot at offset %d by %q: computed digest %x, snapshot states %x", e.Covered, e.Writer, e.Got, e.Stated)
 }
 
@@ -41,8 +41,8 @@
 	return "decode snapshot: " + e.Reason
 }
 
-// StaleError reports that a snapshot is older than the machine's state.
-type StaleError struct {
+// SnapshotTooOldError reports that a snapshot is older than the machine's state.
+type SnapshotTooOldError struct {
 	// Covered is the offset of the last record that the snapshot covers, and Revision the
 	// snapshot's revision. Next and Current are the machine's next offset and revision.
 	Covered  uint64
@@ -52,6 +52,6 @@
 }
 
 // Error returns the offsets and revisions of both.
-func (e *StaleError) Error() string {
+func (e *SnapshotTooOldError) Error() string {
 	return fmt.Sprintf("restore snapshot at offset %d, revision %d: state has next offset %d, revision %d", e.Covered, e.Revision, e.Next, e.Current)
 }
--- a/internal/fold/machine.go
+++ b/internal/fold/machine.go
@@ -13,10 +13,10 @@
 
 // Defaults of Config.
 const (
-	DefaultClaimWindow  = 24 * time.Hour
-	DefaultEditWindow   = 24 * time.Hour
-	DefaultEditLimit    = 10_000
-	DefaultDigestWindow = 4096
+	DefaultClaimWindow = 24 * time.Hour
+	DefaultEditWindow  = 24 * time.Hour
+	DefaultEditLimit   = 10_000
+	DefaultMaxDigests  = 4096
 )
 
 // Config configures a StateMachine. ClaimWindow, EditWindow and EditLimit determine the
@@ -31,9 +31,9 @@
 	// EditLimit is the maximum number of outcomes that are kept. Zero means
 	// DefaultEditLimit.
 	EditLimit int
-	// DigestWindow is the number of offsets whose digests are kept to compare
-	// snapshots with. Zero means DefaultDigestWindow.
-	DigestWindow int
+	// MaxDigests is the number of offsets whose digests are kept to compare
+	// snapshots with. Zero means DefaultMaxDigests.
+	MaxDigests int
 	// Logger receives an error for each corrupted or differing snapshot. Nil disables
 	// logging.
 	Logger *zap.Logger
@@ -43,7 +43,7 @@
 	c.ClaimWindow = cmp.Or(c.ClaimWindow, DefaultClaimWindow)
 	c.EditWindow = cmp.Or(c.EditWindow, DefaultEditWindow)
 	c.EditLimit = cmp.Or(c.EditLimit, DefaultEditLimit)
-	c.DigestWindow = cmp.Or(c.DigestWindow, DefaultDigestWindow)
+	c.MaxDigests = cmp.Or(c.MaxDigests, DefaultMaxDigests)
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
--- a/internal/fold/restore.go
+++ b/internal/fold/restore.go
@@ -13,7 +13,7 @@
 }
 
 // SnapshotOffset returns the last offset that a snapshot covers. It fails with a
-// *SnapshotError or a *DigestError if the snapshot is corrupted.
+// *SnapshotError or a *DigestMismatchError if the snapshot is corrupted.
 func SnapshotOffset(data []byte) (uint64, error) {
 	snap, err := decodeSnapshot(data)
 	if err != nil {
@@ -23,9 +23,9 @@
 }
 
 // Restore replaces the state by that of a newer snapshot. It returns a *SnapshotError
-// or a *DigestError if the snapshot is corrupted, and a *StaleError if it is older than
+// or a *DigestMismatchError if the snapshot is corrupted, and a *SnapshotTooOldError if it is older than
 // the state. A snapshot at the offset of the state is only compared with it, which fails
-// with a *DigestError if they differ. The state is unchanged after an error.
+// with a *DigestMismatchError if they differ. The state is unchanged after an error.
 func (m *StateMachine) Restore(data []byte) error {
 	snap, err := decodeSnapshot(data)
 	if err != nil {
@@ -36,7 +36,7 @@
 	defer m.mu.Unlock()
 	next, revision := m.next.Load(), m.tables.Load().Revision()
 	if snap.covered+1 < next || snap.tables.Revision() < revision {
-		return &StaleError{
+		return &SnapshotTooOldError{
 			Covered:  snap.covered,
 			Revision: snap.tables.Revision(),
 			Next:     next,
@@ -62,7 +62,7 @@
 	}
 	m.tables.Store(snap.tables)
 	m.updateLastSnapshot(snap.covered)
-	m.digests.add(snap.covered, m.digestLocked(snap.covered), m.config.DigestWindow)
+	m.digests.add(snap.covered, m.digestLocked(snap.covered), m.config.MaxDigests)
 	m.advance(snap.covered + 1)
 }
 
@@ -103,7 +103,7 @@
 	}
 }
 
-// compareDigest returns a *DigestError if the state after an offset had another digest.
+// compareDigest returns a *DigestMismatchError if the state after an offset had another digest.
 // It returns nil if that is no longer known.
 func (m *StateMachine) compareDigest(covered uint64, writer string, stated Digest) error {
 	own, known := m.digests.at(covered)
@@ -115,7 +115,7 @@
 		return nil
 	}
 	m.counters.SnapshotMismatches++
-	err := &DigestError{
+	err := &DigestMismatchError{
 		Covered: covered,
 		Writer:  writer,
 		Stated:  stated[:],
--- a/internal/fold/snapshot.go
+++ b/internal/fold/snapshot.go
@@ -94,7 +94,7 @@
 }
 
 // decodeSnapshot decodes a snapshot and verifies its digest. Its error is a
-// *SnapshotError or a *DigestError.
+// *SnapshotError or a *DigestMismatchError.
 func decodeSnapshot(data []byte) (*decodedSnapshot, error) {
 	r := decodeRecord(data)
 	if r.message.GetSnapshot() == nil {
@@ -136,7 +136,7 @@
 	}
 	snap.digest = snap.hashes.digest(snap.covered, snap.tables.Revision(), snap.logTimeMs)
 	if !bytes.Equal(snap.digest[:], s.GetDigest()) {
-		return nil, &DigestError{
+		return nil, &DigestMismatchError{
 			Covered: snap.covered,
 			Writer:  snap.writer,
 			Stated:  s.GetDigest(),
