--- a/internal/confsync/editor.go
+++ b/internal/confsync/editor.go
@@ -49,7 +49,7 @@
 
 // Submit appends an edit and waits for its outcome. Submitting an ID again returns
 // the earlier outcome. An error, such as *NotReadyError, *RevisionNotReadError or
-// *logservice.RefusedError, means that this call did not make the edit.
+// *logservice.RejectedError, means that this call did not make the edit.
 //
 // An edit that is invalid whatever the tables contain is rejected at once. All others
 // are decided by their place in the log, even if they conflict with the tables of this
@@ -73,7 +73,7 @@
 	}
 	e.addUnresolved(edit.ID)
 	offset, err := e.config.Log.AppendEdit(ctx, data)
-	if refused, ok := errors.AsType[*logservice.RefusedError](err); ok {
+	if refused, ok := errors.AsType[*logservice.RejectedError](err); ok {
 		e.removeUnresolved(edit.ID)
 		if e.isUnresolved(edit.ID) {
 			return unknownResult(edit.ID), nil
--- a/internal/confsync/fakelog_test.go
+++ b/internal/confsync/fakelog_test.go
@@ -173,12 +173,12 @@
 func (l *link) Append(ctx context.Context, data []byte) (uint64, error) {
 	time.Sleep(l.delay())
 	if l.isCut() || l.log.isDown() {
-		return 0, &logservice.RefusedError{
+		return 0, &logservice.RejectedError{
 			Code: "unavailable",
 		}
 	}
 	if err := ctx.Err(); err != nil {
-		return 0, &logservice.RefusedError{
+		return 0, &logservice.RejectedError{
 			Code: logservice.CodeCancelled,
 		}
 	}
--- a/internal/confsync/oracle_test.go
+++ b/internal/confsync/oracle_test.go
@@ -104,7 +104,7 @@
 // check compares a response with the outcome according to the complete log.
 func (m model) check(r submitResponse, sentBefore bool) error {
 	edit, accepted := m.accepted[r.id]
-	refused, _ := errors.AsType[*logservice.RefusedError](r.err)
+	refused, _ := errors.AsType[*logservice.RejectedError](r.err)
 	r.edit.offset = edit.offset
 	accepted = accepted && r.edit == edit
 	switch {
--- a/internal/idempotency/claimer.go
+++ b/internal/idempotency/claimer.go
@@ -127,7 +127,7 @@
 		}
 		return Owner{}, fmt.Errorf("waiting for the append of a claim: %w", ctx.Err())
 	}
-	var refused *logservice.RefusedError
+	var refused *logservice.RejectedError
 	if errors.As(pending.err, &refused) {
 		return Owner{}, &NotClaimedError{
 			RetryAfter: max(refused.RetryAfter, minRetryAfter),
--- a/internal/idempotency/cluster_test.go
+++ b/internal/idempotency/cluster_test.go
@@ -110,7 +110,7 @@
 		Err: errors.New("scripted"),
 	}
 	if fault == appendRejected {
-		return 0, &logservice.RefusedError{
+		return 0, &logservice.RejectedError{
 			Code: "unavailable",
 		}
 	}
--- a/internal/logservice/append.go
+++ b/internal/logservice/append.go
@@ -12,11 +12,11 @@
 	"sequoiafork/internal/wire/platformapi"
 )
 
-// retryAfter is the delay that every RefusedError suggests, whatever its code.
+// retryAfter is the delay that every RejectedError suggests, whatever its code.
 const retryAfter = time.Second
 
 // Append appends a record other than an operator's edit, within the rate limit. It
-// returns a *RefusedError if the record was certainly not appended and an
+// returns a *RejectedError if the record was certainly not appended and an
 // *UnknownOutcomeError if it may have been.
 func (c *Client) Append(ctx context.Context, data []byte) (uint64, error) {
 	if err := c.WaitRateLimit(ctx); err != nil {
@@ -26,7 +26,7 @@
 }
 
 // WaitRateLimit waits until the rate limit allows one append, for a caller that builds
-// its record only then. It returns a *RefusedError if ctx would end before that.
+// its record only then. It returns a *RejectedError if ctx would end before that.
 func (c *Client) WaitRateLimit(ctx context.Context) error {
 	if err := c.limiter.Wait(ctx); err != nil {
 		return c.rejection(CodeOverBudget, err.Error())
@@ -79,7 +79,7 @@
 
 func (c *Client) rejection(code, message string) error {
 	c.counters.refused.Inc()
-	return &RefusedError{
+	return &RejectedError{
 		Code:       code,
 		Message:    message,
 		RetryAfter: retryAfter,
--- a/internal/logservice/client_test.go
+++ b/internal/logservice/client_test.go
@@ -96,7 +96,7 @@
 				require.ErrorAs(t, err, &unknown)
 				return
 			}
-			var refused *logservice.RefusedError
+			var refused *logservice.RejectedError
 			require.ErrorAs(t, err, &refused)
 			require.Equal(t, tc.code, refused.Code)
 		})
@@ -109,7 +109,7 @@
 	addr := l.Addr().String()
 	require.NoError(t, l.Close())
 	_, err = newClient(t, addr, metrics.NewSet()).Append(t.Context(), nil)
-	var refused *logservice.RefusedError
+	var refused *logservice.RejectedError
 	require.ErrorAs(t, err, &refused)
 	require.Equal(t, logservice.CodeUnreachable, refused.Code)
 }
@@ -123,7 +123,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 	defer cancel()
 	_, err = c.Append(ctx, []byte("x"))
-	var refused *logservice.RefusedError
+	var refused *logservice.RejectedError
 	require.ErrorAs(t, err, &refused)
 	require.Equal(t, logservice.CodeOverBudget, refused.Code)
 	_, err = c.AppendEdit(t.Context(), []byte("x"))
--- a/internal/logservice/errors.go
+++ b/internal/logservice/errors.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Codes of a RefusedError that the client itself returns. All others come from the
+// Codes of a RejectedError that the client itself returns. All others come from the
 // service.
 const (
 	CodeOverBudget  = "over_budget"
@@ -13,8 +13,8 @@
 	CodeCancelled   = "cancelled"
 )
 
-// RefusedError means that a record was certainly not appended.
-type RefusedError struct {
+// RejectedError means that a record was certainly not appended.
+type RejectedError struct {
 	Code    string
 	Message string
 	// RetryAfter is how long to wait before the next attempt.
@@ -22,7 +22,7 @@
 }
 
 // Error returns the code and the message.
-func (e *RefusedError) Error() string {
+func (e *RejectedError) Error() string {
 	return fmt.Sprintf("append to log: %s: %s", e.Code, e.Message)
 }
 
