--- a/internal/admission/check_test.go
+++ b/internal/admission/check_test.go
@@ -37,11 +37,11 @@
 
 func slotRequest(workspace string, deadline, service time.Duration) Request {
 	return Request{
-		Pool:           pool(nil),
-		Slots:          1,
-		Workspace:      workspace,
-		Deadline:       time.Now().Add(deadline),
-		MinServiceTime: service,
+		Pool:        pool(nil),
+		Slots:       1,
+		Workspace:   workspace,
+		Deadline:    time.Now().Add(deadline),
+		ServiceTime: service,
 	}
 }
 
--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -75,8 +75,8 @@
 	Workspace string
 	// Deadline is when the response is due. Zero means no deadline.
 	Deadline time.Time
-	// MinServiceTime is the estimated time from the grant of the slot to the response.
-	MinServiceTime time.Duration
+	// ServiceTime is the estimated time from the grant of the slot to the response.
+	ServiceTime time.Duration
 }
 
 // The codes of a RejectedError.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -96,7 +96,7 @@
 	if r.Deadline.IsZero() {
 		return time.Time{}
 	}
-	need := r.MinServiceTime
+	need := r.ServiceTime
 	if p.waiting > 0 {
 		need = max(need, p.meanHoldTime)
 	}
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -91,11 +91,11 @@
 func (s *source) request(c *Controller, p *table.Pool, slots int) {
 	deadline := time.Now().Add(s.deadline)
 	slot, err := c.Acquire(context.Background(), Request{
-		Pool:           p,
-		Slots:          slots,
-		Workspace:      s.workspace,
-		Deadline:       deadline,
-		MinServiceTime: s.holdTime,
+		Pool:        p,
+		Slots:       slots,
+		Workspace:   s.workspace,
+		Deadline:    deadline,
+		ServiceTime: s.holdTime,
 	})
 	var rejected *RejectedError
 	if errors.As(err, &rejected) {
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -120,11 +120,11 @@
 	stages := rr.req.Route.Stages
 	laterStagesTime := rr.executor.cfg.Times.MinTotalTime(stageKeys(stages[index+1:]))
 	return admission.Request{
-		Pool:           pool,
-		Slots:          rr.executor.slots(pool),
-		Workspace:      rr.req.Workspace,
-		Deadline:       rr.req.Deadline.Add(-laterStagesTime),
-		MinServiceTime: rr.executor.typicalTime(stages[index]),
+		Pool:        pool,
+		Slots:       rr.executor.slots(pool),
+		Workspace:   rr.req.Workspace,
+		Deadline:    rr.req.Deadline.Add(-laterStagesTime),
+		ServiceTime: rr.executor.typicalTime(stages[index]),
 	}
 }
 
