--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -75,8 +75,8 @@
 	Workspace string
 	// Deadline is when the response is due. Zero means no deadline.
 	Deadline time.Time
-	// MinServiceTime is the estimated time from the grant of the slot to the response.
-	MinServiceTime time.Duration
+	// ServiceTime is the estimated time from the grant of the slot to the response.
+	ServiceTime time.Duration
 	// Granted, if not nil, is told of the grant of the slot.
 	Granted GrantObserver
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -86,7 +86,7 @@
 	if p.waiting == 0 && p.inUse < p.slots {
 		return nil, p.grant(a, r.Granted), nil
 	}
-	if err := p.checkQueueSpace(a, latest, now); err != nil {
+	if err := p.makeQueueSpace(a, r.Deadline, latest, now); err != nil {
 		return nil, nil, err
 	}
 	return p.enqueue(a, r, latest), nil, nil
@@ -99,7 +99,7 @@
 	if r.Deadline.IsZero() {
 		return time.Time{}
 	}
-	need := r.MinServiceTime
+	need := r.ServiceTime
 	if p.waiting > 0 {
 		need = max(need, p.meanHoldTime)
 	}
