--- a/internal/upstream/return_load_test.go
+++ b/internal/upstream/return_load_test.go
@@ -132,7 +132,7 @@
 	i.away = away
 	for _, d := range i.daemons {
 		if away {
-			d.hosts.MarkStoreUnavailable()
+			d.hosts.MarkStoreUnavailable(time.Now())
 		} else {
 			d.hosts.MarkStoreAvailable(time.Now())
 		}
