--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -78,8 +78,8 @@
 	Logger   *zap.Logger
 	// Memory is shared by the buffers of responses. Nil means a quota with the default size.
 	Memory *bytequota.Quota
-	// Caller sends requests to upstreams, and Invoker runs stage work on them.
-	Caller  forward.Caller
+	// Client sends requests to upstreams, and Invoker runs stage work on them.
+	Client  forward.UpstreamClient
 	Invoker stagework.Invoker
 	// DecodeTable decodes a table that was received from a peer.
 	DecodeTable func(raw []byte) (*routing.Table, error)
@@ -193,7 +193,7 @@
 	d.submitter.addAddresses(cfg.Settings.Peers.Seeds)
 	d.readers = d.newReaders()
 	d.forwarder = forward.New(forward.Config{
-		Caller:      cfg.Caller,
+		Client:      cfg.Client,
 		Stages:      d.submitter,
 		Upstreams:   d.upstreams,
 		Origins:     d.origins,
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -159,8 +159,8 @@
 	return idleWith(t, noCaller{}, v, seeds...)
 }
 
-// idleWith returns an idle daemon that sends requests to upstreams by a caller of the test.
-func idleWith(t *testing.T, caller forward.Caller, v *invoker, seeds ...string) *running {
+// idleWith returns an idle daemon that sends requests to upstreams by a client of the test.
+func idleWith(t *testing.T, client forward.UpstreamClient, v *invoker, seeds ...string) *running {
 	t.Helper()
 	s := settings.Default()
 	s.Daemon.PeerAddr = "127.0.0.1:0"
@@ -171,7 +171,7 @@
 	h, err := New(Config{
 		Settings:    s,
 		Logger:      zap.NewNop(),
-		Caller:      caller,
+		Client:      client,
 		Invoker:     v,
 		DecodeTable: decodeVersion,
 	})
--- a/internal/entryhost/versions_test.go
+++ b/internal/entryhost/versions_test.go
@@ -143,7 +143,7 @@
 	return hosts
 }
 
-// Call implements forward.Caller. Each event names the version that made it.
+// Call implements forward.UpstreamClient. Each event names the version that made it.
 func (p *versionPlay) Call(_ context.Context, call forward.Call) (*forward.Response, error) {
 	version := ""
 	for _, h := range p.upstreams() {
--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -122,7 +122,7 @@
 		return x.attemptFailed(choice, time.Now(), failure)
 	}
 	began := time.Now()
-	resp, err := x.forwarder.cfg.Caller.Call(ctx, x.call(choice))
+	resp, err := x.forwarder.cfg.Client.Call(ctx, x.call(choice))
 	if err != nil {
 		return x.attemptFailed(choice, began, callError(choice, err))
 	}
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -137,12 +137,12 @@
 	return nil
 }
 
-// countedCaller responds with a body that has no end, or to paths that end in "short" with 1 KiB.
-type countedCaller struct {
+// countedClient responds with a body that has no end, or to paths that end in "short" with 1 KiB.
+type countedClient struct {
 	retained *retainedBytes
 }
 
-func (c countedCaller) Call(ctx context.Context, call Call) (*Response, error) {
+func (c countedClient) Call(ctx context.Context, call Call) (*Response, error) {
 	var body io.Reader = endlessReader{
 		ctx: ctx,
 	}
@@ -161,7 +161,7 @@
 
 func newEndlessForwarder(t *testing.T, quota *bytequota.Quota, retained *retainedBytes) *Forwarder {
 	return New(Config{
-		Caller: countedCaller{
+		Client: countedClient{
 			retained: retained,
 		},
 		Stages:    &scriptedStages{},
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -114,8 +114,8 @@
 	Notice upstream.Notice
 }
 
-// Caller calls upstreams. Errors are *pipeline.CallError.
-type Caller interface {
+// UpstreamClient calls upstreams. Errors are *pipeline.CallError.
+type UpstreamClient interface {
 	Call(ctx context.Context, c Call) (*Response, error)
 }
 
@@ -148,9 +148,9 @@
 	WriteEvent(raw []byte) error
 }
 
-// Config configures a Forwarder. Caller, Stages, Upstreams and Table are required.
+// Config configures a Forwarder. Client, Stages, Upstreams and Table are required.
 type Config struct {
-	Caller    Caller
+	Client    UpstreamClient
 	Stages    StageScheduler
 	Upstreams *upstream.Set
 	// Origins may be nil; a stream that a caller takes up then goes on at any version.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -77,7 +77,7 @@
 		})
 	}
 	f := New(Config{
-		Caller:     script,
+		Client:     script,
 		Stages:     stages,
 		Upstreams:  set,
 		Table:      tableOf(t, opts),
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -70,7 +70,7 @@
 	p.reached = make(map[string]int)
 	p.outcomes = make(map[string]int)
 	f := New(Config{
-		Caller:     p,
+		Client:     p,
 		Stages:     &p.stages,
 		Upstreams:  p.upstreams(),
 		Origins:    p,
--- a/internal/forward/silence_model_test.go
+++ b/internal/forward/silence_model_test.go
@@ -153,7 +153,7 @@
 	p.began = time.Now()
 	p.set = threeUpstreams(0)
 	f := New(Config{
-		Caller:    p,
+		Client:    p,
 		Stages:    p,
 		Upstreams: p.set,
 		Table: tableOf(t, map[string]string{
--- a/internal/forward/silence_retry_test.go
+++ b/internal/forward/silence_retry_test.go
@@ -68,14 +68,14 @@
 	}
 }
 
-// callerFunc is a Caller.
-type callerFunc func(ctx context.Context, call Call) (*Response, error)
+// clientFunc is a Caller.
+type clientFunc func(ctx context.Context, call Call) (*Response, error)
 
 // Call implements Caller.
-func (f callerFunc) Call(ctx context.Context, call Call) (*Response, error) { return f(ctx, call) }
+func (f clientFunc) Call(ctx context.Context, call Call) (*Response, error) { return f(ctx, call) }
 
 // sequence returns a Caller whose nth call is handled by the nth function, further ones by the last.
-func sequence(calls ...callerFunc) callerFunc {
+func sequence(calls ...clientFunc) clientFunc {
 	var n atomic.Int64
 	return func(ctx context.Context, call Call) (*Response, error) {
 		i := min(int(n.Add(1)), len(calls)) - 1
@@ -84,14 +84,14 @@
 }
 
 // scripted returns a call of an upstream that behaves as a line of the scripts says.
-func scripted(words ...string) callerFunc {
+func scripted(words ...string) clientFunc {
 	return func(ctx context.Context, call Call) (*Response, error) {
 		return scriptedResponse(ctx, call, words)
 	}
 }
 
 // resetAfter returns a call with some events, and a reset after a time of silence.
-func resetAfter(events int, silent time.Duration) callerFunc {
+func resetAfter(events int, silent time.Duration) clientFunc {
 	return func(ctx context.Context, _ Call) (*Response, error) {
 		return &Response{
 			Status:   http.StatusOK,
@@ -120,9 +120,9 @@
 }
 
 // serveResumable serves one resumable stream with stages.
-func serveResumable(t *testing.T, caller Caller, stages StageScheduler, timeout string) (outcome.Outcome, *recordedResponse) {
+func serveResumable(t *testing.T, client UpstreamClient, stages StageScheduler, timeout string) (outcome.Outcome, *recordedResponse) {
 	f := New(Config{
-		Caller:    caller,
+		Client:    client,
 		Stages:    stages,
 		Upstreams: threeUpstreams(0),
 		Table: tableOf(t, map[string]string{
@@ -163,7 +163,7 @@
 // TestFailedCallEndsNoStream guards against a response that looks complete since a second call failed.
 func TestFailedCallEndsNoStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		closed := callerFunc(func(_ context.Context, call Call) (*Response, error) {
+		closed := clientFunc(func(_ context.Context, call Call) (*Response, error) {
 			return nil, &pipeline.CallError{
 				Addr:      call.Addr,
 				Execution: pipeline.MayHaveRun,
@@ -186,7 +186,7 @@
 			maxJobs:   streams,
 		}
 		f := New(Config{
-			Caller:    callerFunc(scripted("events", "1", "2", "hang")),
+			Client:    clientFunc(scripted("events", "1", "2", "hang")),
 			Stages:    stages,
 			Upstreams: threeUpstreams(0),
 			Table: tableOf(t, map[string]string{
@@ -230,7 +230,7 @@
 // TestUnsentSecondAttemptUsesUpNoAttempt guards against responses that are cut though one upstream alone has run them.
 func TestUnsentSecondAttemptUsesUpNoAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		goesOnThenReset := callerFunc(func(ctx context.Context, _ Call) (*Response, error) {
+		goesOnThenReset := clientFunc(func(ctx context.Context, _ Call) (*Response, error) {
 			return &Response{
 				Status:   http.StatusOK,
 				Verified: true,
@@ -243,7 +243,7 @@
 					eventsOf(ctx, []string{"3", "4", "cut"}))),
 			}, nil
 		})
-		dials := callerFunc(func(ctx context.Context, call Call) (*Response, error) {
+		dials := clientFunc(func(ctx context.Context, call Call) (*Response, error) {
 			<-ctx.Done()
 			return nil, &pipeline.CallError{
 				Addr:      call.Addr,
@@ -261,7 +261,7 @@
 // TestEmptySecondStreamIsNotTheEnd guards against a response that looks complete while its upstream is only silent.
 func TestEmptySecondStreamIsNotTheEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		goesOn := callerFunc(func(ctx context.Context, _ Call) (*Response, error) {
+		goesOn := clientFunc(func(ctx context.Context, _ Call) (*Response, error) {
 			return &Response{
 				Status:   http.StatusOK,
 				Verified: true,
@@ -274,7 +274,7 @@
 					eventsOf(ctx, []string{"3", "4", "whole"}))),
 			}, nil
 		})
-		empty := callerFunc(func(context.Context, Call) (*Response, error) {
+		empty := clientFunc(func(context.Context, Call) (*Response, error) {
 			return &Response{
 				Status:   http.StatusOK,
 				Verified: true,
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -77,7 +77,7 @@
 func (p *silence) play(t *testing.T) {
 	p.began = time.Now()
 	f := New(Config{
-		Caller: p,
+		Client: p,
 		Stages: rerunScheduler{
 			rejectReruns: p.rejectReruns,
 			submitted:    &sync.Map{},
--- a/internal/forward/streamattempt.go
+++ b/internal/forward/streamattempt.go
@@ -75,7 +75,7 @@
 		return failure
 	}
 	call.Remaining -= a.choice.Delay
-	response, err := cfg.Caller.Call(ctx, call)
+	response, err := cfg.Client.Call(ctx, call)
 	if err != nil {
 		return err
 	}
