--- a/internal/idempotency/outcome_test.go
+++ b/internal/idempotency/outcome_test.go
@@ -92,11 +92,11 @@
 			Code:      outcome.CodeOverloaded,
 		}
 		for _, key := range []string{chosen, issued} {
-			require.Equal(t, outcome.Outcome(rejection), r.Refuse(t.Context(), nonIdempotentRequest(key), rejection), "a new key")
+			require.Equal(t, outcome.Outcome(rejection), r.Reject(t.Context(), nonIdempotentRequest(key), rejection), "a new key")
 		}
 		time.Sleep(idempotency.DefaultClaimWindow + time.Minute)
 		for _, key := range []string{chosen, issued, ident.NewIssuedKey(testSelf, time.Now().Add(-time.Hour)).String()} {
-			o := r.Refuse(t.Context(), nonIdempotentRequest(key), rejection)
+			o := r.Reject(t.Context(), nonIdempotentRequest(key), rejection)
 			require.IsType(t, outcome.Unknown{}, o, "key %s", key)
 			require.Equal(t, outcome.CodeKeyExpired, outcome.CodeOf(o))
 		}
--- a/internal/idempotency/refuse.go
+++ b/internal/idempotency/reject.go
@@ -12,11 +12,11 @@
 // rejected request.
 const unclaimedCheckTimeout = 500 * time.Millisecond
 
-// Refuse returns the outcome of a request that this process does not accept. It is
+// Reject returns the outcome of a request that this process does not accept. It is
 // rejection for a non-idempotent request only if no process can have run it; otherwise
 // it is the outcome of the key, which may be an answer, or Unknown. It is Unknown for a
 // key that is so old that its claim or outcome may have been discarded.
-func (r *Registry) Refuse(ctx context.Context, req Request, rejection outcome.NotRun) outcome.Outcome {
+func (r *Registry) Reject(ctx context.Context, req Request, rejection outcome.NotRun) outcome.Outcome {
 	if o, ok := r.joinExisting(ctx, req); ok {
 		return o
 	}
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -96,7 +96,7 @@
 	p, rejection := s.prepare(r)
 	switch {
 	case rejection != nil && r.Key != "":
-		return s.cfg.Registry.Refuse(ctx, s.registryRequest(r, p), *rejection)
+		return s.cfg.Registry.Reject(ctx, s.registryRequest(r, p), *rejection)
 	case rejection != nil:
 		return *rejection
 	case r.Key != "":
