--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -7,7 +7,7 @@
 
 // Defaults of Config.
 const (
-	DefaultHeartbeat          = time.Second
+	DefaultHeartbeatInterval  = time.Second
 	DefaultHeartbeatTimeout   = 3 * time.Second
 	DefaultUnreachableAfter   = 5 * time.Second
 	DefaultForgetAfter        = 10 * time.Minute
@@ -40,8 +40,8 @@
 	// daemons.
 	OnNotice func(n UpstreamNotice)
 
-	// Heartbeat is the interval between two heartbeats on a link.
-	Heartbeat time.Duration
+	// HeartbeatInterval is the interval between two heartbeats on a link.
+	HeartbeatInterval time.Duration
 	// HeartbeatTimeout is the time without a message after which a linked neighbour
 	// is declared dead.
 	HeartbeatTimeout time.Duration
@@ -80,7 +80,7 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Heartbeat = cmp.Or(c.Heartbeat, DefaultHeartbeat)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
 	c.HeartbeatTimeout = cmp.Or(c.HeartbeatTimeout, DefaultHeartbeatTimeout)
 	c.UnreachableAfter = cmp.Or(c.UnreachableAfter, DefaultUnreachableAfter)
 	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -185,7 +185,7 @@
 // reportDead reports to a peer that it is dead in this table, so that the peer refutes it.
 // It sends at most one report in half a heartbeat interval.
 func (l *Link) reportDead(m Member, now time.Time) {
-	if now.Sub(l.deadReportedAt) < l.t.cfg.Heartbeat/2 {
+	if now.Sub(l.deadReportedAt) < l.t.cfg.HeartbeatInterval/2 {
 		return
 	}
 	l.deadReportedAt = now
--- a/internal/membership/neighbours.go
+++ b/internal/membership/neighbours.go
@@ -180,7 +180,7 @@
 func (t *Table) nextProbe(now time.Time) []string {
 	interval := t.cfg.ProbeInterval
 	if len(t.linked) == 0 {
-		interval = t.cfg.Heartbeat
+		interval = t.cfg.HeartbeatInterval
 	}
 	if now.Sub(t.probeAt) < interval {
 		return nil
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -135,7 +135,7 @@
 		OnNotice: func(u UpstreamNotice) { n.setNotice(p, u) },
 	}
 	if n.fast {
-		cfg.Heartbeat = 400 * time.Millisecond
+		cfg.HeartbeatInterval = 400 * time.Millisecond
 		cfg.HeartbeatTimeout = 1600 * time.Millisecond
 		cfg.UnreachableAfter = 2500 * time.Millisecond
 		cfg.ProbeInterval = 500 * time.Millisecond
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -85,7 +85,7 @@
 
 // Run sends heartbeats and watches neighbours until ctx is done.
 func (t *Table) Run(ctx context.Context) error {
-	ticker := time.NewTicker(t.cfg.Heartbeat / ticksPerHeartbeat)
+	ticker := time.NewTicker(t.cfg.HeartbeatInterval / ticksPerHeartbeat)
 	defer ticker.Stop()
 	for {
 		t.tick(time.Now())
@@ -105,7 +105,7 @@
 	t.flushUpstreams(now)
 	// Half a tick is subtracted because a tick that comes slightly early would otherwise delay
 	// the heartbeat by a whole tick.
-	if now.Sub(t.lastHeartbeat) >= t.cfg.Heartbeat-t.cfg.Heartbeat/(2*ticksPerHeartbeat) {
+	if now.Sub(t.lastHeartbeat) >= t.cfg.HeartbeatInterval-t.cfg.HeartbeatInterval/(2*ticksPerHeartbeat) {
 		t.dropUnwanted(now)
 		t.expire(now)
 		t.sendHeartbeats(now)
@@ -119,7 +119,7 @@
 // resetWatchesAfterSuspension restarts the timeout of every watch if this process was
 // itself suspended, since it cannot tell which neighbours were unresponsive meanwhile.
 func (t *Table) resetWatchesAfterSuspension(now time.Time) {
-	suspended := !t.lastTick.IsZero() && now.Sub(t.lastTick) > t.cfg.Heartbeat
+	suspended := !t.lastTick.IsZero() && now.Sub(t.lastTick) > t.cfg.HeartbeatInterval
 	t.lastTick = now
 	if !suspended {
 		return
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -96,11 +96,11 @@
 			CallerAddr:  addr,
 			DataCentre:  "a",
 		},
-		Seeds:            seeds,
-		Heartbeat:        100 * time.Millisecond,
-		HeartbeatTimeout: time.Second,
-		UnreachableAfter: 2 * time.Second,
-		ProbeInterval:    500 * time.Millisecond,
+		Seeds:             seeds,
+		HeartbeatInterval: 100 * time.Millisecond,
+		HeartbeatTimeout:  time.Second,
+		UnreachableAfter:  2 * time.Second,
+		ProbeInterval:     500 * time.Millisecond,
 	})
 	n.node = New(Config{
 		Listener:    lis,
