--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -185,7 +185,7 @@
 	}, nil
 }
 
-// Call implements Caller. The first upstream of each stream that begins here falls silent, and each event
+// Call implements UpstreamClient. The first upstream of each stream that begins here falls silent, and each event
 // names the origin that made it.
 func (p *originPlay) Call(ctx context.Context, call Call) (*Response, error) {
 	var index int
--- a/internal/forward/silence_model_test.go
+++ b/internal/forward/silence_model_test.go
@@ -311,7 +311,7 @@
 	return text.String()
 }
 
-// Call implements Caller.
+// Call implements UpstreamClient.
 func (p *streamLoad) Call(ctx context.Context, call Call) (*Response, error) {
 	c := p.newCall(call)
 	fail := func(execution pipeline.ExecutionStatus, err error) (*Response, error) {
--- a/internal/forward/silence_retry_test.go
+++ b/internal/forward/silence_retry_test.go
@@ -68,13 +68,13 @@
 	}
 }
 
-// clientFunc is a Caller.
+// clientFunc is an UpstreamClient.
 type clientFunc func(ctx context.Context, call Call) (*Response, error)
 
-// Call implements Caller.
+// Call implements UpstreamClient.
 func (f clientFunc) Call(ctx context.Context, call Call) (*Response, error) { return f(ctx, call) }
 
-// sequence returns a Caller whose nth call is handled by the nth function, further ones by the last.
+// sequence returns an UpstreamClient whose nth call is handled by the nth function, further ones by the last.
 func sequence(calls ...clientFunc) clientFunc {
 	var n atomic.Int64
 	return func(ctx context.Context, call Call) (*Response, error) {
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -131,7 +131,7 @@
 		p.outcomes["answered"], p.cut, p.outcomes["failed"], p.outcomes["not_run"], p.notWhole, p.calls-p.streams)
 }
 
-// Call implements Caller.
+// Call implements UpstreamClient.
 func (p *silence) Call(ctx context.Context, call Call) (*Response, error) {
 	p.mu.Lock()
 	p.calls++
