--- a/cmd/slopes/cluster.go
+++ b/cmd/slopes/cluster.go
@@ -155,7 +155,7 @@
 func (c *cluster) links() int {
 	n := 0
 	for _, d := range c.daemons {
-		n += len(d.table.Neighbours())
+		n += len(d.table.LinkedMembers())
 	}
 	return n
 }
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -419,7 +419,7 @@
 	if t := d.table.Load(); t != nil {
 		own = t.Version()
 	}
-	ahead := slices.ContainsFunc(d.members.Neighbours(), func(m membership.Member) bool { return m.Revision > own })
+	ahead := slices.ContainsFunc(d.members.LinkedMembers(), func(m membership.Member) bool { return m.Revision > own })
 	if !ahead {
 		return
 	}
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -18,7 +18,7 @@
 	DefaultDeadTTL            = 30 * time.Second
 	DefaultLeavingTTL         = 5 * time.Minute
 	DefaultResolveTTL         = 10 * time.Second
-	DefaultNeighbours         = 5
+	DefaultNeighbourCount     = 5
 	DefaultResolveMax         = 8
 	DefaultUpstreamRumorRate  = 20
 	DefaultUpstreamRumorBurst = 200
@@ -67,9 +67,9 @@
 	LeavingTTL time.Duration
 	// ResolveTTL is how long callers may cache the addresses from Resolve.
 	ResolveTTL time.Duration
-	// Neighbours is how many neighbours a daemon chooses. With at most that many
+	// NeighbourCount is how many neighbours a daemon chooses. With at most that many
 	// other members, the daemons form a full mesh.
-	Neighbours int
+	NeighbourCount int
 	// ResolveMax is the maximum number of addresses that Resolve returns.
 	ResolveMax int
 	// UpstreamRumorRate (per second) and UpstreamRumorBurst limit the rumors about
@@ -91,7 +91,7 @@
 	c.DeadTTL = cmp.Or(c.DeadTTL, DefaultDeadTTL)
 	c.LeavingTTL = cmp.Or(c.LeavingTTL, DefaultLeavingTTL)
 	c.ResolveTTL = cmp.Or(c.ResolveTTL, DefaultResolveTTL)
-	c.Neighbours = cmp.Or(c.Neighbours, DefaultNeighbours)
+	c.NeighbourCount = cmp.Or(c.NeighbourCount, DefaultNeighbourCount)
 	c.ResolveMax = cmp.Or(c.ResolveMax, DefaultResolveMax)
 	c.UpstreamRumorRate = cmp.Or(c.UpstreamRumorRate, DefaultUpstreamRumorRate)
 	c.UpstreamRumorBurst = cmp.Or(c.UpstreamRumorBurst, DefaultUpstreamRumorBurst)
--- a/internal/membership/neighbours.go
+++ b/internal/membership/neighbours.go
@@ -41,11 +41,11 @@
 	t.chosen = map[string]bool{}
 	others := t.ranked()
 	for i, e := range others {
-		if i < t.cfg.Neighbours {
+		if i < t.cfg.NeighbourCount {
 			t.chosen[e.Incarnation] = true
 		}
 	}
-	if len(others) > t.cfg.Neighbours {
+	if len(others) > t.cfg.NeighbourCount {
 		t.chooseRemote(others)
 	}
 	now := time.Now()
@@ -71,8 +71,8 @@
 		if remote < 0 {
 			continue
 		}
-		if remote >= t.cfg.Neighbours {
-			delete(t.chosen, others[t.cfg.Neighbours-1].Incarnation)
+		if remote >= t.cfg.NeighbourCount {
+			delete(t.chosen, others[t.cfg.NeighbourCount-1].Incarnation)
 			t.chosen[others[remote].Incarnation] = true
 		}
 		return
--- a/internal/membership/queries.go
+++ b/internal/membership/queries.go
@@ -40,9 +40,9 @@
 	return e.Member, true
 }
 
-// Neighbours returns the living members that this process has a link to, sorted by
+// LinkedMembers returns the living members that this process has a link to, sorted by
 // incarnation.
-func (t *Table) Neighbours() []Member {
+func (t *Table) LinkedMembers() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var members []Member
--- a/internal/membership/upstreams.go
+++ b/internal/membership/upstreams.go
@@ -185,7 +185,7 @@
 // leaving upstream is reported without delay.
 func (t *Table) reportDelay(st UpstreamState) time.Duration {
 	others := len(t.livingMembers()) - 1
-	if st == UpstreamLeaving || others <= t.cfg.Neighbours {
+	if st == UpstreamLeaving || others <= t.cfg.NeighbourCount {
 		return 0
 	}
 	spread := min(time.Duration(others)*reportSpreadPerDaemon, maxReportSpread)
--- a/internal/peer/catchup.go
+++ b/internal/peer/catchup.go
@@ -17,7 +17,7 @@
 // CatchUp requests the log records from an offset on. It asks neighbours in turn, those
 // with the highest next offset first.
 func (n *Node) CatchUp(ctx context.Context, from uint64) (*peerpb.CatchUpResponse, error) {
-	neighbours := n.cfg.Table.Neighbours()
+	neighbours := n.cfg.Table.LinkedMembers()
 	sort.SliceStable(neighbours, func(i, j int) bool {
 		return neighbours[i].NextOffset > neighbours[j].NextOffset
 	})
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -145,7 +145,7 @@
 	t.Helper()
 	require.Eventually(t, func() bool {
 		for _, n := range nodes {
-			if len(n.table.Neighbours()) != links {
+			if len(n.table.LinkedMembers()) != links {
 				return false
 			}
 		}
