--- a/internal/daemon/edits.go
+++ b/internal/daemon/edits.go
@@ -22,7 +22,7 @@
 	}
 	s := editStatus(res)
 	s.Name = name
-	s.Pool = pool
+	s.IsPool = pool
 	return s, nil
 }
 
@@ -31,7 +31,7 @@
 	s := editStatus(e.daemon.editor.Lookup(id))
 	if o, ok := e.daemon.machine.Edit(id); ok {
 		s.Name = o.RowName
-		s.Pool = o.IsPool
+		s.IsPool = o.IsPool
 	}
 	return s, nil
 }
@@ -41,7 +41,7 @@
 	s := editStatus(e.daemon.editor.LookupEdit(edit))
 	if o, ok := e.daemon.machine.Edit(edit.ID); ok {
 		s.Name = o.RowName
-		s.Pool = o.IsPool
+		s.IsPool = o.IsPool
 	}
 	return s, nil
 }
--- a/internal/operatorhttp/command.go
+++ b/internal/operatorhttp/command.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	status.Name, status.Pool = req.edit.Target()
+	status.Name, status.IsPool = req.edit.Target()
 	if status.State == Accepted {
 		h.waitApplied(ctx, status.Revision)
 	}
@@ -151,7 +151,7 @@
 		return nil, false
 	}
 	name, pool := req.edit.Target()
-	if status.Name != "" && (status.Name != name || status.Pool != pool) {
+	if status.Name != "" && (status.Name != name || status.IsPool != pool) {
 		status = EditStatus{
 			State: Refused,
 			Problems: []table.Problem{
@@ -170,8 +170,8 @@
 func (h *Handler) precheck(tables *table.Tables, req editRequest) *operatorapi.EditResult {
 	name, pool := req.edit.Target()
 	status := EditStatus{
-		Name: name,
-		Pool: pool,
+		Name:   name,
+		IsPool: pool,
 	}
 	// A daemon that has not applied the base revision yet can't tell whether the edit
 	// conflicts. That is decided when the edit's log record is applied.
--- a/internal/operatorhttp/error.go
+++ b/internal/operatorhttp/error.go
@@ -24,14 +24,14 @@
 
 // NotFoundError reports that a table has no row with the name.
 type NotFoundError struct {
-	// Kind is the row type, "route" or "pool".
-	Kind string
-	Name string
+	// RowType is the row type, "route" or "pool".
+	RowType string
+	Name    string
 }
 
 // Error names the missing row and the command that lists the existing ones.
 func (e *NotFoundError) Error() string {
-	return fmt.Sprintf("there is no %s %q: see %s list", e.Kind, e.Name, e.Kind)
+	return fmt.Sprintf("there is no %s %q: see %s list", e.RowType, e.Name, e.RowType)
 }
 
 // NotReadyError reports that the daemon has not read any revision of the tables yet.
--- a/internal/operatorhttp/handler.go
+++ b/internal/operatorhttp/handler.go
@@ -27,10 +27,10 @@
 // current row of a conflict, which the handler reads from Tables.
 type EditStatus struct {
 	State EditState
-	// Name is the row's name, and Pool reports whether the row is a pool rather than a
+	// Name is the row's name, and IsPool reports whether the row is a pool rather than a
 	// route. Both are zero if the row is not known.
-	Name string
-	Pool bool
+	Name   string
+	IsPool bool
 	// Revision is the row's revision after an accepted edit.
 	Revision uint64
 	// Reason describes why the edit was refused or its outcome is unknown.
--- a/internal/operatorhttp/operatorhttptest/daemon.go
+++ b/internal/operatorhttp/operatorhttptest/daemon.go
@@ -116,7 +116,7 @@
 	s := operatorhttp.EditStatus{
 		State:    operatorhttp.Accepted,
 		Name:     name,
-		Pool:     pool,
+		IsPool:   pool,
 		Revision: d.offset,
 	}
 	if tables.RevisionOf(e) != e.BaseRevision {
--- a/internal/operatorhttp/query.go
+++ b/internal/operatorhttp/query.go
@@ -50,8 +50,8 @@
 	row, ok := tables.Route(params.Name)
 	if !ok {
 		return nil, &NotFoundError{
-			Kind: "route",
-			Name: params.Name,
+			RowType: "route",
+			Name:    params.Name,
 		}
 	}
 	wireRow := routeRow(row)
@@ -67,8 +67,8 @@
 	row, ok := tables.Pool(params.Name)
 	if !ok {
 		return nil, &NotFoundError{
-			Kind: "pool",
-			Name: params.Name,
+			RowType: "pool",
+			Name:    params.Name,
 		}
 	}
 	wireRow := poolRow(row)
--- a/internal/operatorhttp/result.go
+++ b/internal/operatorhttp/result.go
@@ -48,7 +48,7 @@
 // conflictMessage describes a conflict and sets the current row of result.
 func (h *Handler) conflictMessage(result *operatorapi.EditResult, s EditStatus) string {
 	tables := h.config.Tables.Tables()
-	if s.Pool {
+	if s.IsPool {
 		if row, ok := tables.Pool(s.Name); ok {
 			result.PoolNow = operatorapi.NewOptPoolRow(poolRow(row))
 			return fmt.Sprintf("pool %s is now at revision %d", s.Name, row.Revision)
