--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,9 +85,11 @@
 
 // Drain configures how long the phases of a graceful stop take.
 type Drain struct {
-	// ResolveTTL is how long callers cache resolved addresses.
+	// ResolveTTL is how long callers cache resolved addresses. A draining daemon keeps serving for as
+	// long, with PlatformKindKeyedLog for three times as long.
 	ResolveTTL time.Duration
-	// Grace bounds the wait for requests in flight after that.
+	// Grace bounds the wait for requests in flight after that, with PlatformKindKeyedLog from the start
+	// of draining until the process ends.
 	Grace time.Duration
 }
 
