--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -78,8 +78,8 @@
 	Logger   *zap.Logger
 	// Memory is shared by the buffers of responses. Nil means a quota with the default size.
 	Memory *bytequota.Quota
-	// Caller sends requests to upstreams, and Invoker runs stage work on them.
-	Caller  forward.Caller
+	// Client sends requests to upstreams, and Invoker runs stage work on them.
+	Client  forward.UpstreamClient
 	Invoker stagework.Invoker
 	// DecodeTable decodes a table that was received from a peer.
 	DecodeTable func(raw []byte) (*routing.Table, error)
@@ -143,15 +143,15 @@
 			OperatorAddr: cfg.Settings.Daemon.OperatorAddr,
 			DataCentre:   cfg.Settings.Daemon.DataCentre,
 		},
-		Seeds:            cfg.Settings.Peers.Seeds,
-		RandSeed:         ident.Hash(incarnation),
-		Heartbeat:        heartbeatInterval,
-		HeartbeatTimeout: heartbeatTimeout,
-		UnreachableAfter: unreachableAfter,
-		ProbeInterval:    probeInterval,
-		ResolveTTL:       cfg.Settings.Drain.ResolveTTL,
-		ResolveMax:       maxAddresses,
-		OnNotice:         d.observePeerNotice,
+		Seeds:             cfg.Settings.Peers.Seeds,
+		RandSeed:          ident.Hash(incarnation),
+		HeartbeatInterval: heartbeatInterval,
+		HeartbeatTimeout:  heartbeatTimeout,
+		UnreachableAfter:  unreachableAfter,
+		ProbeInterval:     probeInterval,
+		ResolveTTL:        cfg.Settings.Drain.ResolveTTL,
+		ResolveMax:        maxAddresses,
+		OnNotice:          d.observePeerNotice,
 	})
 	d.upstreams = upstream.New(upstream.Config{
 		DataCentre: cfg.Settings.Daemon.DataCentre,
@@ -194,7 +194,7 @@
 	d.submitter.addAddresses(cfg.Settings.Peers.Seeds)
 	d.readers = d.newReaders()
 	d.forwarder = forward.New(forward.Config{
-		Caller:      cfg.Caller,
+		Client:      cfg.Client,
 		Stages:      d.submitter,
 		Upstreams:   d.upstreams,
 		Origins:     d.origins,
@@ -430,7 +430,7 @@
 	if t := d.table.Load(); t != nil {
 		own = t.Version()
 	}
-	ahead := slices.ContainsFunc(d.members.Neighbours(), func(m membership.Member) bool { return m.Revision > own })
+	ahead := slices.ContainsFunc(d.members.LinkedMembers(), func(m membership.Member) bool { return m.Revision > own })
 	if !ahead {
 		return
 	}
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -70,7 +70,7 @@
 	p.reached = make(map[string]int)
 	p.outcomes = make(map[string]int)
 	f := New(Config{
-		Caller:     p,
+		Client:     p,
 		Stages:     &p.stages,
 		Upstreams:  p.upstreams(),
 		Origins:    p,
@@ -185,7 +185,7 @@
 	}, nil
 }
 
-// Call implements Caller. The first upstream of each stream that begins here falls silent, and each event
+// Call implements UpstreamClient. The first upstream of each stream that begins here falls silent, and each event
 // names the origin that made it.
 func (p *originPlay) Call(ctx context.Context, call Call) (*Response, error) {
 	var index int
--- a/internal/forward/silence_model_test.go
+++ b/internal/forward/silence_model_test.go
@@ -153,7 +153,7 @@
 	p.began = time.Now()
 	p.set = threeUpstreams(0)
 	f := New(Config{
-		Caller:    p,
+		Client:    p,
 		Stages:    p,
 		Upstreams: p.set,
 		Table: tableOf(t, map[string]string{
@@ -311,7 +311,7 @@
 	return text.String()
 }
 
-// Call implements Caller.
+// Call implements UpstreamClient.
 func (p *streamLoad) Call(ctx context.Context, call Call) (*Response, error) {
 	c := p.newCall(call)
 	fail := func(execution pipeline.ExecutionStatus, err error) (*Response, error) {
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -77,7 +77,7 @@
 func (p *silence) play(t *testing.T) {
 	p.began = time.Now()
 	f := New(Config{
-		Caller: p,
+		Client: p,
 		Stages: rerunScheduler{
 			rejectReruns: p.rejectReruns,
 			submitted:    &sync.Map{},
@@ -131,7 +131,7 @@
 		p.outcomes["answered"], p.cut, p.outcomes["failed"], p.outcomes["not_run"], p.notWhole, p.calls-p.streams)
 }
 
-// Call implements Caller.
+// Call implements UpstreamClient.
 func (p *silence) Call(ctx context.Context, call Call) (*Response, error) {
 	p.mu.Lock()
 	p.calls++
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -7,7 +7,7 @@
 
 // Defaults of Config.
 const (
-	DefaultHeartbeat          = time.Second
+	DefaultHeartbeatInterval  = time.Second
 	DefaultHeartbeatTimeout   = 3 * time.Second
 	DefaultUnreachableAfter   = 5 * time.Second
 	DefaultForgetAfter        = 10 * time.Minute
@@ -18,7 +18,7 @@
 	DefaultDeadTTL            = 30 * time.Second
 	DefaultLeavingTTL         = 5 * time.Minute
 	DefaultResolveTTL         = 10 * time.Second
-	DefaultNeighbours         = 5
+	DefaultNeighbourCount     = 5
 	DefaultResolveMax         = 8
 	DefaultUpstreamRumorRate  = 20
 	DefaultUpstreamRumorBurst = 200
@@ -40,8 +40,8 @@
 	// daemons.
 	OnNotice func(n UpstreamNotice)
 
-	// Heartbeat is the interval between two heartbeats on a link.
-	Heartbeat time.Duration
+	// HeartbeatInterval is the interval between two heartbeats on a link.
+	HeartbeatInterval time.Duration
 	// HeartbeatTimeout is the time without a message after which a linked neighbour
 	// is declared dead.
 	HeartbeatTimeout time.Duration
@@ -67,9 +67,9 @@
 	LeavingTTL time.Duration
 	// ResolveTTL is how long callers may cache the addresses from Resolve.
 	ResolveTTL time.Duration
-	// Neighbours is how many neighbours a daemon chooses. With at most that many
+	// NeighbourCount is how many neighbours a daemon chooses. With at most that many
 	// other members, the daemons form a full mesh.
-	Neighbours int
+	NeighbourCount int
 	// ResolveMax is the maximum number of addresses that Resolve returns.
 	ResolveMax int
 	// UpstreamRumorRate (per second) and UpstreamRumorBurst limit the rumors about
@@ -80,7 +80,7 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Heartbeat = cmp.Or(c.Heartbeat, DefaultHeartbeat)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
 	c.HeartbeatTimeout = cmp.Or(c.HeartbeatTimeout, DefaultHeartbeatTimeout)
 	c.UnreachableAfter = cmp.Or(c.UnreachableAfter, DefaultUnreachableAfter)
 	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
@@ -91,7 +91,7 @@
 	c.DeadTTL = cmp.Or(c.DeadTTL, DefaultDeadTTL)
 	c.LeavingTTL = cmp.Or(c.LeavingTTL, DefaultLeavingTTL)
 	c.ResolveTTL = cmp.Or(c.ResolveTTL, DefaultResolveTTL)
-	c.Neighbours = cmp.Or(c.Neighbours, DefaultNeighbours)
+	c.NeighbourCount = cmp.Or(c.NeighbourCount, DefaultNeighbourCount)
 	c.ResolveMax = cmp.Or(c.ResolveMax, DefaultResolveMax)
 	c.UpstreamRumorRate = cmp.Or(c.UpstreamRumorRate, DefaultUpstreamRumorRate)
 	c.UpstreamRumorBurst = cmp.Or(c.UpstreamRumorBurst, DefaultUpstreamRumorBurst)
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -96,11 +96,11 @@
 			CallerAddr:  addr,
 			DataCentre:  "a",
 		},
-		Seeds:            seeds,
-		Heartbeat:        100 * time.Millisecond,
-		HeartbeatTimeout: time.Second,
-		UnreachableAfter: 2 * time.Second,
-		ProbeInterval:    500 * time.Millisecond,
+		Seeds:             seeds,
+		HeartbeatInterval: 100 * time.Millisecond,
+		HeartbeatTimeout:  time.Second,
+		UnreachableAfter:  2 * time.Second,
+		ProbeInterval:     500 * time.Millisecond,
 	})
 	n.node = New(Config{
 		Listener:    lis,
@@ -145,7 +145,7 @@
 	t.Helper()
 	require.Eventually(t, func() bool {
 		for _, n := range nodes {
-			if len(n.table.Neighbours()) != links {
+			if len(n.table.LinkedMembers()) != links {
 				return false
 			}
 		}
