Let resumed streams wait for the whole list of upstreams

Change: they wait for the whole list again, with the same bounds.

TestResumedStreamWaitsForWholeList: not waited at all before (36 µs, fails), until the list after.

--- a/internal/entryhost/configuration_test.go
+++ b/internal/entryhost/configuration_test.go
@@ -79,3 +79,31 @@
 	d.SetFirstUpstreams(all[:1])
 	require.Len(t, d.upstreams.Upstreams(), len(all))
 }
+
+// The first part of the list doesn't tell all software versions of a service, so that a request that takes up a stream
+// would be refused while only that is known. It must wait for the whole list, as long as other requests wait for the
+// first part.
+func TestResumedStreamWaitsForWholeList(t *testing.T) {
+	d := startWithout(t, &invoker{})
+	d.SetTable(tableOf(1), []byte("1"), "test")
+	all := append(upstreams(), upstream.Host{
+		Addr:        "192.0.2.98:80",
+		Incarnation: "i-2",
+		Service:     "s",
+	})
+	d.SetFirstUpstreams(all)
+	const wait = 100 * time.Millisecond
+	time.AfterFunc(wait, func() { d.SetUpstreams(all) })
+	began := time.Now()
+	d.Serve(t.Context(), forward.Request{
+		ID:           "r",
+		Host:         "h.example",
+		Path:         "/",
+		Received:     began,
+		TimeLimit:    4 * time.Second,
+		HasLastEvent: true,
+	}, discard{})
+	require.GreaterOrEqual(t, time.Since(began), wait)
+	_, took := d.serve(t, 4*time.Second)
+	require.Less(t, took, wait, "others don't wait any more")
+}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -101,9 +101,12 @@
 	origins     origins
 	daemonCount atomic.Int64
 	draining    atomic.Bool
-	// configured is closed once routes and upstreams are known.
-	configured     chan struct{}
-	configuredOnce sync.Once
+	// configured is closed once routes and upstreams are known, if only a part of the list, and
+	// fullyConfigured once the whole list is known.
+	configured          chan struct{}
+	configuredOnce      sync.Once
+	fullyConfigured     chan struct{}
+	fullyConfiguredOnce sync.Once
 
 	mu    sync.Mutex // guards raw, hosts, listComplete, evacuated and leaving, and serializes changes of table
 	table atomic.Pointer[routing.Table]
@@ -126,13 +129,14 @@
 	}
 	incarnation := ident.NewIncarnation(listener.Addr().String())
 	d := &Daemon{
-		cfg:        cfg,
-		logger:     cfg.Logger.With(zap.String("incarnation", incarnation)),
-		listener:   listener,
-		started:    time.Now(),
-		configured: make(chan struct{}),
-		evacuated:  make(map[string]time.Time),
-		leaving:    make(map[string]time.Time),
+		cfg:             cfg,
+		logger:          cfg.Logger.With(zap.String("incarnation", incarnation)),
+		listener:        listener,
+		started:         time.Now(),
+		configured:      make(chan struct{}),
+		fullyConfigured: make(chan struct{}),
+		evacuated:       make(map[string]time.Time),
+		leaving:         make(map[string]time.Time),
 	}
 	d.daemonCount.Store(1)
 	d.members = membership.New(membership.Config{
@@ -221,10 +225,15 @@
 
 // awaitConfiguration waits until routes and upstreams are known, but no longer than
 // configurationFraction of the request's time limit and until configurationTimeout after the
-// start of the daemon.
+// start of the daemon. A request that takes up a stream needs the whole list, which tells the
+// software versions at which the stream may have begun.
 func (d *Daemon) awaitConfiguration(ctx context.Context, req forward.Request) {
+	configured := d.configured
+	if req.Resumes != "" || req.HasLastEvent {
+		configured = d.fullyConfigured
+	}
 	select {
-	case <-d.configured:
+	case <-configured:
 		return
 	default:
 	}
@@ -238,7 +247,7 @@
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	select {
-	case <-d.configured:
+	case <-configured:
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
@@ -333,6 +342,9 @@
 		close(d.configured)
 		d.logProgress()
 	})
+	if d.listComplete {
+		d.fullyConfiguredOnce.Do(func() { close(d.fullyConfigured) })
+	}
 	d.members.SetProgress(t.Version(), t.Version())
 }
 
