Repeat calls elsewhere at once when their upstream is ejected

Change: the pipeline watches the upstream of a call that may be hedged. When it is ejected, by this daemon's calls or on a peer's word, the call is cancelled there and repeated at another upstream, within the pool's budget; if a hedge runs already, the first call only ends. Calls that may not be repeated and streams stay. In the replay's driver, cancellations and replies of one instant get their arrivals' offsets too, since one ejection now ends several calls.

--- a/internal/pipeline/hedge.go
+++ b/internal/pipeline/hedge.go
@@ -9,7 +9,9 @@
 )
 
 // hedge is a second call, concurrent with a slow first one. A timer starts it, so that
-// a fast first call costs no goroutine.
+// a fast first call costs no goroutine. If the upstream of the first call is ejected, the
+// second call replaces the first: waiting on for an upstream that is many times slower
+// than the others would only occupy it.
 type hedge struct {
 	run   *stageRun
 	timer *time.Timer
@@ -41,6 +43,10 @@
 	if !ok {
 		return
 	}
+	h.callSecond(ctx, second)
+}
+
+func (h *hedge) callSecond(ctx context.Context, second target) {
 	defer close(h.done)
 	observeHedge(h.run.pool.Name)
 	h.result = h.run.call(ctx, second)
@@ -49,15 +55,38 @@
 	}
 }
 
+// replaceFirst cancels the first call, whose upstream was ejected, and starts the second
+// one unless it runs already. The first call continues if there can't be a second one.
+func (h *hedge) replaceFirst(parent context.Context) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopped {
+		return
+	}
+	if !h.started {
+		second, ctx, ok := h.pickLocked(parent)
+		if !ok {
+			return
+		}
+		go h.callSecond(ctx, second)
+	}
+	h.cancelFirst()
+}
+
 // pick chooses the second upstream. It returns false if the first call has ended,
 // requests wait for the pool, no upstream is available or the budget is exhausted.
 func (h *hedge) pick(parent context.Context) (target, context.Context, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	// A hedge must not use a slot that another request waits for.
-	if h.stopped || h.run.executor.cfg.Admission.Waiting(h.run.pool.Name) > 0 {
+	if h.stopped || h.started || h.run.executor.cfg.Admission.Waiting(h.run.pool.Name) > 0 {
 		return target{}, nil, false
 	}
+	return h.pickLocked(parent)
+}
+
+// pickLocked is pick without regard to requests that wait. h.mu must be held.
+func (h *hedge) pickLocked(parent context.Context) (target, context.Context, bool) {
 	second, err := h.run.pick()
 	if err != nil {
 		return target{}, nil, false
--- a/internal/pipeline/stagerun.go
+++ b/internal/pipeline/stagerun.go
@@ -133,6 +133,8 @@
 	firstCtx, cancelFirst := context.WithCancel(ctx)
 	defer cancelFirst()
 	h := r.startHedge(ctx, delay, cancelFirst)
+	stopWatch := first.choice.OnEjected(func() { h.replaceFirst(ctx) })
+	defer stopWatch()
 	res := r.call(firstCtx, first)
 	if second, ran := h.stop(res.err == nil); ran && res.err != nil {
 		res = second
--- a/internal/replay/fleet.go
+++ b/internal/replay/fleet.go
@@ -69,11 +69,13 @@
 // Invoke implements pipeline.Invoker. It adds the network delay in each direction.
 func (f *fleet) Invoke(ctx context.Context, c pipeline.Call) (pipeline.Reply, error) {
 	s := f.servers[c.Addr]
-	// Calls that daemons send at one instant reach the upstream in the order of their arrivals.
-	if err := wait(ctx, f.oneWay+arrivalOf(c.RequestID).offset()); err != nil {
+	// Calls that daemons send or cancel at one instant reach the upstream, and their results
+	// the daemon, in the order of their arrivals.
+	offset := arrivalOf(c.RequestID).offset()
+	if err := wait(ctx, f.oneWay+offset); err != nil {
 		return pipeline.Reply{}, interruptedError(ctx, c)
 	}
-	defer time.Sleep(f.oneWay)
+	defer time.Sleep(f.oneWay + offset)
 	switch s.condition() {
 	case conditionDead:
 		return pipeline.Reply{}, callError(c, pipeline.NotSent, "connection refused")
@@ -99,6 +101,7 @@
 		s.releaseSlot()
 	}
 	if err := wait(ctx, serviceTime); err != nil {
+		time.Sleep(arrivalOf(c.RequestID).offset())
 		if c.Kind == table.KindEngine {
 			end()
 		} else {
--- a/internal/upstream/done.go
+++ b/internal/upstream/done.go
@@ -9,6 +9,7 @@
 		return
 	}
 	st, changed := c.group.done(c.member, c.start, r, time.Now())
+	c.group.notifyEjected()
 	if changed && c.group.cfg.OnStateChange != nil {
 		c.group.cfg.OnStateChange(c.Addr, st)
 	}
--- a/internal/upstream/eject.go
+++ b/internal/upstream/eject.go
@@ -120,6 +120,8 @@
 	m.slow = 0
 	m.probation = true
 	m.latency = initialLatencyFactor * g.latency
+	g.ejected = append(g.ejected, m.watches...)
+	m.watches = nil
 }
 
 // reinstate ends ejections, the longest first, while more than the allowed fraction
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -40,7 +40,10 @@
 	// nanoseconds, corrected for queueing.
 	latency  float64
 	capacity cachedCapacity
-	mean     cachedMean
+	// ejected holds the watches of attempts on upstreams that were ejected, until
+	// notifyEjected calls them.
+	ejected []*ejectionWatch
+	mean    cachedMean
 }
 
 func newGroup(cfg *Config, service string, daemons int) *group {
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -62,6 +62,9 @@
 	ejectedUntil time.Time // zero: never ejected
 	ejectReason  string
 	ejections    int
+	// watches holds the watches of attempts on this upstream, in the order of their
+	// registration.
+	watches []*ejectionWatch
 	// probation allows one attempt at a time after an ejection until one succeeds
 	// without being slow.
 	probation bool
--- a/internal/upstream/set.go
+++ b/internal/upstream/set.go
@@ -64,15 +64,26 @@
 		reason: reason,
 		until:  now.Add(s.cfg.ttl(st)),
 	}
+	for _, g := range s.overrideAddr(addr, ov, now) {
+		g.notifyEjected()
+	}
+}
+
+// overrideAddr applies ov to the members at addr and returns their groups. If there are
+// none, it keeps the override of an upstream that takes no work.
+func (s *Set) overrideAddr(addr string, ov stateOverride, now time.Time) []*group {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := false
+	var found []*group
 	for _, g := range s.groups {
-		found = g.overrideAddr(addr, ov, now) || found
+		if g.overrideAddr(addr, ov, now) {
+			found = append(found, g)
+		}
 	}
-	if !found && (st == Leaving || st == Dead) {
+	if len(found) == 0 && (ov.state == Leaving || ov.state == Dead) {
 		s.pending[addr] = ov
 	}
+	return found
 }
 
 // LiveByDataCentre returns the number of live upstreams of a service in each data centre.
