Serve a queue that is too long for its deadlines with a margin

Cause: in a flood, earliest deadline first gives slots to requests with barely the mean hold time left, and many are cut at their deadline.

Change: while half of the estimated wait of a workspace's last waiter doesn't fit before the latest start of any of its waiters, a free slot goes to the earliest deadline that leaves 0.75 of the mean hold time more than needed, if there is one. All other queues are served as before.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -205,7 +205,7 @@
 // dispatch grants free slots to waiters.
 func (p *poolState) dispatch(now time.Time) {
 	for p.waiting > 0 && p.inUse < p.slots {
-		w := p.next()
+		w := p.next(now)
 		if !w.latestStart.IsZero() && now.After(w.latestStart) {
 			p.resolve(w, p.rejectionLocked(w.account, CodeDeadline, "no slot before the deadline"))
 			continue
@@ -216,14 +216,17 @@
 }
 
 // next returns the waiter that gets the next free slot.
-func (p *poolState) next() *waiter {
+func (p *poolState) next(now time.Time) *waiter {
 	best := p.active[0]
 	for _, a := range p.active[1:] {
 		if p.before(a, best) {
 			best = a
 		}
 	}
-	return best.waiters[0]
+	if _, ok := p.cfg.Discipline.(FIFO); ok {
+		return best.waiters[0]
+	}
+	return p.nextOf(best, now)
 }
 
 // before reports whether a is served before b.
