--- a/internal/replay/central.go
+++ b/internal/replay/central.go
@@ -10,10 +10,8 @@
 // SimulateCentralQueue returns how many requests one central queue for the bottleneck
 // pool would answer in time: earliest deadline first, with every slot available to
 // every request, no other stage and no network delay. Requests that don't use the
-// pool count as answered. A clairvoyant queue knows the service time of each call
-// and starts none that would end late; any other starts none that has less than the
-// mean service time left.
-func SimulateCentralQueue(d Deployment, s Scenario, trace []Arrival, seed uint64, clairvoyant bool) int {
+// pool count as answered.
+func SimulateCentralQueue(d Deployment, s Scenario, trace []Arrival, seed uint64, rule StartRule) int {
 	p := d.bottleneck(trace)
 	c := capacity{
 		pool:   p,
@@ -22,7 +20,7 @@
 	q := centralQueue{
 		free:            make([]time.Duration, int(c.slots(0))),
 		meanServiceTime: c.meanServiceTime(),
-		clairvoyant:     clairvoyant,
+		rule:            rule,
 	}
 	bottleneckRoutes := d.bottleneckRoutes(trace)
 	others := 0
@@ -42,6 +40,24 @@
 	return others + q.run()
 }
 
+// StartRule tells which calls a central queue still starts.
+type StartRule struct {
+	// Clairvoyant means that the queue knows the service time of each call, and starts
+	// none that would end late.
+	Clairvoyant bool
+	// Reserve is the time that any other queue leaves a call before its deadline, as a
+	// fraction of the mean service time.
+	Reserve float64
+}
+
+// need returns the time that j must have left to be started.
+func (r StartRule) need(j queuedJob, meanServiceTime time.Duration) time.Duration {
+	if r.Clairvoyant {
+		return j.serviceTime
+	}
+	return time.Duration(r.Reserve * float64(meanServiceTime))
+}
+
 // stageOn returns the name of the first stage of the route that runs on the pool.
 func (d Deployment) stageOn(route, pool string) string {
 	i := slices.IndexFunc(d.Routes, func(r Route) bool { return r.Name == route })
@@ -59,7 +75,7 @@
 	waiting         []queuedJob
 	free            []time.Duration // when each slot becomes free
 	meanServiceTime time.Duration
-	clairvoyant     bool
+	rule            StartRule
 }
 
 // run simulates the queue until it is empty and returns the number of jobs that
@@ -95,11 +111,7 @@
 		q.jobs = q.jobs[1:]
 	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(j queuedJob) bool {
-		need := q.meanServiceTime
-		if q.clairvoyant {
-			need = j.serviceTime
-		}
-		return now+need > j.deadline
+		return now+q.rule.need(j, q.meanServiceTime) > j.deadline
 	})
 	slices.SortStableFunc(q.waiting, func(a, b queuedJob) int { return cmp.Compare(a.deadline, b.deadline) })
 }
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -57,8 +58,8 @@
 	var b strings.Builder
 	require.NoError(t, WriteComparison(&b, reports))
 	require.NoError(t, WriteDetails(&b, reports[0].Runs[0]))
-	t.Logf("%s: %d arrivals, bound %d, fraction of the bound of a clairvoyant central queue %v, of any other %v\n%s", s.Name, len(trace),
-		reports[0].Bound, centralQueueFraction(c, reports[0].Bound, true), centralQueueFraction(c, reports[0].Bound, false), b.String())
+	t.Logf("%s: %d arrivals, bound %d, fraction of the bound of a central queue %s\n%s", s.Name, len(trace),
+		reports[0].Bound, centralQueueFractions(c, reports[0].Bound), b.String())
 	t.Run("guarantees", func(t *testing.T) {
 		for _, r := range reports {
 			require.Zero(t, r.Violations(), "policy %s violated a guarantee", r.Policy)
@@ -69,12 +70,27 @@
 	})
 }
 
+// centralQueueFractions describes the fractions of the bound that central queues with
+// several start rules answer in time.
+func centralQueueFractions(c Comparison, bound int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "that is clairvoyant %v", centralQueueFraction(c, bound, StartRule{
+		Clairvoyant: true,
+	}))
+	for _, reserve := range []float64{1, 1.25, 1.5, 1.75, 2, 2.5} {
+		fmt.Fprintf(&b, ", with %v times the mean in reserve %v", reserve, centralQueueFraction(c, bound, StartRule{
+			Reserve: reserve,
+		}))
+	}
+	return b.String()
+}
+
 // centralQueueFraction returns the number of requests that one central queue answers
 // in time, as a fraction of the bound.
-func centralQueueFraction(c Comparison, bound int, clairvoyant bool) Summary {
+func centralQueueFraction(c Comparison, bound int, rule StartRule) Summary {
 	var fractions []float64
 	for _, seed := range c.Seeds {
-		fractions = append(fractions, float64(SimulateCentralQueue(c.Deployment, c.Scenario, c.Trace, seed, clairvoyant))/float64(bound))
+		fractions = append(fractions, float64(SimulateCentralQueue(c.Deployment, c.Scenario, c.Trace, seed, rule))/float64(bound))
 	}
 	return Summarize(fractions)
 }
