--- a/internal/admission/margin_test.go
+++ b/internal/admission/margin_test.go
@@ -38,10 +38,10 @@
 				Pool: &table.Pool{
 					Name: "p",
 				},
-				Slots:          l.slots,
-				Workspace:      "w",
-				Deadline:       deadline,
-				MinServiceTime: l.meanHold,
+				Slots:       l.slots,
+				Workspace:   "w",
+				Deadline:    deadline,
+				ServiceTime: l.meanHold,
 			})
 			if err != nil {
 				return
