Count the seconds that stage upstreams work in vain beside pauses and limits

The fake upstreams record each piece on which they work; what belongs to jobs that are not done, was made before or found no memory is thrown away.

--- a/internal/stagework/burst_test.go
+++ b/internal/stagework/burst_test.go
@@ -36,6 +36,8 @@
 	mostInPause int
 	// waited is the time for which the callers waited that were rejected.
 	waited time.Duration
+	// thrownAway is the time for which upstreams worked in vain.
+	thrownAway time.Duration
 }
 
 func (b burst) script() []string {
@@ -69,8 +71,10 @@
 func (b burst) play(t *testing.T) burstResult {
 	var trace string
 	var r burstResult
+	var fakes *fakeUpstreams
 	synctest.Test(t, func(t *testing.T) {
 		p := newScriptRun(t)
+		fakes = p.fakes
 		if b.unannounced {
 			p.fakes.onPause = func(string, time.Time) {}
 		}
@@ -80,6 +84,7 @@
 		trace = p.finish(true)
 		r.mostOver, r.mostInPause = p.fakes.mostOver(), p.fakes.mostInPause()
 	})
+	done := make(map[string]bool)
 	for line := range strings.Lines(trace) {
 		m := jobLine.FindStringSubmatch(strings.TrimRight(line, "\n"))
 		if m == nil {
@@ -87,6 +92,7 @@
 		}
 		at, _ := strconv.Atoi(m[1])
 		i, _ := strconv.Atoi(m[2])
+		done["j"+m[2]] = m[3] == "done"
 		wait := time.Duration(at)*time.Millisecond - time.Duration(i)*time.Second/time.Duration(b.perSecond)
 		switch {
 		case m[3] == "done" && strings.Contains(m[4], "late"):
@@ -101,6 +107,7 @@
 			r.waited += wait
 		}
 	}
+	r.thrownAway = fakes.thrownAway(done)
 	return r
 }
 
@@ -141,6 +148,7 @@
 	got := b.play(t)
 	t.Logf("%+v of %d", got, b.perSecond*b.seconds)
 	require.LessOrEqual(t, got.mostOver, 0, "requests over the bound of a limit")
+	require.Zero(t, got.thrownAway, "time for which upstreams worked in vain")
 	require.GreaterOrEqual(t, got.inTime, b.perSecond*b.seconds*99/100, "in time: the other upstreams carry the load")
 }
 
@@ -164,6 +172,7 @@
 	// Twelve results fit into the memory of an upstream, and expire after 4 s; a job has two.
 	carried := b.limited * 12 / 4 * b.seconds / 2
 	require.LessOrEqual(t, got.mostOver, 0, "requests over the bound of a limit")
+	require.Zero(t, got.thrownAway, "time for which upstreams worked in vain")
 	require.GreaterOrEqual(t, got.inTime+got.late, carried*8/10, "answered, of %d that limits and memory carry", carried)
 	require.LessOrEqual(t, got.rejectedLate, twin.rejectedLate, "rejected late")
 	require.LessOrEqual(t, got.waited, twin.waited, "time for which callers waited in vain")
@@ -183,6 +192,7 @@
 	got := b.play(t)
 	t.Logf("%+v of %d", got, b.perSecond*b.seconds)
 	require.LessOrEqual(t, got.mostInPause, 2, "requests in a pause")
+	require.Zero(t, got.thrownAway, "time for which upstreams worked in vain")
 	require.GreaterOrEqual(t, got.inTime, b.perSecond*b.seconds*99/100, "in time")
 }
 
@@ -201,6 +211,7 @@
 	got := b.play(t)
 	t.Logf("%+v of %d", got, b.perSecond*b.seconds)
 	require.LessOrEqual(t, got.mostInPause, 2, "requests in a pause")
+	require.Zero(t, got.thrownAway, "time for which upstreams worked in vain")
 	// The upstreams take work for 15 of the 25 s.
 	require.GreaterOrEqual(t, got.inTime+got.late, b.perSecond*15*95/100, "answered")
 	pauses, patience := pausesUntil-pausesFrom, 4*b.objective
--- a/internal/stagework/fake_test.go
+++ b/internal/stagework/fake_test.go
@@ -20,6 +20,7 @@
 	trace []string
 	// worked is the total time of the calls, including those whose results were not used.
 	worked        time.Duration
+	pieces        []workedPiece
 	calls         int
 	noMemory      int
 	memoryQueries int // calls of FreeMemory
@@ -29,6 +30,54 @@
 	onPause func(incarnation string, until time.Time)
 }
 
+// workedPiece is a piece on which an upstream has worked.
+type workedPiece struct {
+	pieceID
+	// work is its share of the time of the call.
+	work      time.Duration
+	hasResult bool
+}
+
+// pieceID identifies a piece of a job.
+type pieceID struct {
+	requestID    string
+	stage, piece int
+}
+
+// thrownAway returns the time for which upstreams worked on pieces of jobs that are not done, on pieces that had a
+// result already, and on those that found no memory.
+func (f *fakeUpstreams) thrownAway(done map[string]bool) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	used := make(map[pieceID]bool)
+	sum := time.Duration(0)
+	for _, w := range f.pieces {
+		if w.hasResult && done[w.requestID] && !used[w.pieceID] {
+			used[w.pieceID] = true
+			continue
+		}
+		sum += w.work
+	}
+	return sum
+}
+
+// recordWork records the work of a call. f.mu must be held.
+func (f *fakeUpstreams) recordWork(items []Item, results []ItemResult, work time.Duration) {
+	f.calls++
+	f.worked += work
+	for i, it := range items {
+		f.pieces = append(f.pieces, workedPiece{
+			pieceID: pieceID{
+				requestID: it.RequestID,
+				stage:     it.Stage,
+				piece:     it.Piece,
+			},
+			work:      work / time.Duration(len(items)),
+			hasResult: results[i].Handle != "",
+		})
+	}
+}
+
 type fakeUpstream struct {
 	turn         chan struct{} // holds a token during a call
 	callTime     time.Duration
@@ -169,8 +218,7 @@
 	time.Sleep(work)
 	<-s.turn
 	f.mu.Lock()
-	f.calls++
-	f.worked += work
+	f.recordWork(items, results, work)
 	f.mu.Unlock()
 	time.AfterFunc(s.lifetime, func() { f.expire(s, results) })
 	if ctx.Err() != nil {
