Give each request of a flood test a deadline at an instant of its own

Each deadline, 4 s after an arrival, was the instant of another arrival (every 25 ms), and what a cut request frees and what an arriving one finds depended on the scheduler's order there.

Ruled out: the bound, 95% of what the slots can carry, which stays.

--- a/internal/admission/margin_test.go
+++ b/internal/admission/margin_test.go
@@ -30,10 +30,11 @@
 	c := New(Config{})
 	rng := rand.New(rand.NewPCG(1, 1))
 	var answered atomic.Int64
-	for range l.requests {
+	for i := range l.requests {
 		hold := time.Duration(float64(l.meanHold) * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2))
 		go func() {
-			deadline := time.Now().Add(l.deadline)
+			// No deadline is at the instant of another request's arrival.
+			deadline := time.Now().Add(l.deadline + time.Duration(i+1)*time.Nanosecond)
 			slot, err := c.Acquire(context.Background(), Request{
 				Pool: &table.Pool{
 					Name: "p",
