Say why a daemon that a test suspends is not seen to stop

Whether the daemon had ended wasn't told. Now the failure says so, with the states of its threads and its last lines; the check and its time are as before.

--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -142,7 +143,22 @@
 func (p *process) suspend(t *testing.T) {
 	t.Helper()
 	require.NoError(t, p.cmd.Process.Signal(syscall.SIGSTOP))
-	require.Eventually(t, p.stopped, startTimeout, time.Millisecond)
+	if !assert.Eventually(t, p.stopped, startTimeout, time.Millisecond) {
+		require.FailNow(t, "the process is not suspended", "ended: %t, threads: %s, last lines:\n%s", p.ended(), p.threadStates(), strings.Join(p.lastLines(), "\n"))
+	}
+}
+
+// threadStates returns the states of the process's threads, a letter each.
+func (p *process) threadStates() string {
+	states := ""
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		if _, state, ok := bytes.Cut(stat, []byte(") ")); err == nil && ok && len(state) > 0 {
+			states += string(state[:1])
+		}
+	}
+	return states
 }
 
 // stopped reports whether every thread of the process is stopped.
