Let the tests of outages share how an entry expires in one

Cause: three tests of the host set listed a host and let its entry expire in an outage with the same five lines, added with the length of outages.

No check and no time changes. The package passes with the race detector.

--- a/internal/hostset/hostset_test.go
+++ b/internal/hostset/hostset_test.go
@@ -44,6 +44,15 @@
 	return list
 }
 
+// expireInOutage lists a live host whose entry expires in an outage of the store that ends now.
+func expireInOutage(s *Set, name string) {
+	s.Put(name, live(name, upstream.Live), at(1))
+	s.MarkStoreUnavailable(time.Now())
+	time.Sleep(minExpiryOutage)
+	s.Remove(name, at(2))
+	s.MarkStoreAvailable(time.Now())
+}
+
 func TestRemoveWhileStoreAvailable(t *testing.T) {
 	s := New(Config{})
 	s.Put("a", live("a", upstream.Live), at(1))
@@ -95,11 +104,7 @@
 func TestNextOutageDoesNotKeepEntryLonger(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Config{})
-		s.Put("gone", live("gone", upstream.Live), at(1))
-		s.MarkStoreUnavailable(time.Now())
-		time.Sleep(minExpiryOutage)
-		s.Remove("gone", at(2))
-		s.MarkStoreAvailable(time.Now())
+		expireInOutage(s, "gone")
 		time.Sleep(reregistrationTime)
 		s.MarkStoreUnavailable(time.Now())
 		require.Empty(t, names(s))
@@ -110,11 +115,7 @@
 func TestReturnDoesNotKeepEntryLonger(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Config{})
-		s.Put("gone", live("gone", upstream.Live), at(1))
-		s.MarkStoreUnavailable(time.Now())
-		time.Sleep(minExpiryOutage)
-		s.Remove("gone", at(2))
-		s.MarkStoreAvailable(time.Now())
+		expireInOutage(s, "gone")
 		time.Sleep(reregistrationTime)
 		s.Rewind(nil, era.Position{
 			Era: 1,
@@ -148,11 +149,7 @@
 func TestNextOutageKeepsEntryWhoseTimeIsNotOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Config{})
-		s.Put("a", live("a", upstream.Live), at(1))
-		s.MarkStoreUnavailable(time.Now())
-		time.Sleep(minExpiryOutage)
-		s.Remove("a", at(2))
-		s.MarkStoreAvailable(time.Now())
+		expireInOutage(s, "a")
 		time.Sleep(reregistrationTime / 2)
 		s.MarkStoreUnavailable(time.Now())
 		time.Sleep(time.Minute)
