Log what an attempt carried when it failed

'attempt failed' now has prompt_parts (all but the last) and begun. No change of logic; go test ./internal/forward passes.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -70,6 +70,18 @@
 	Resumes string
 }
 
+// sharedParts returns the IDs of the parts of the prompt that other requests may have: all but the last.
+func (r *Request) sharedParts() []string {
+	if len(r.Prompt) < 2 {
+		return nil
+	}
+	ids := make([]string, 0, len(r.Prompt)-1)
+	for _, p := range r.Prompt[:len(r.Prompt)-1] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 // Call is one attempt at a request.
 type Call struct {
 	Addr        string
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -417,5 +417,6 @@
 	choice.Done(res)
 	x.forwarder.cfg.Logger.Info("attempt failed",
 		zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("addr", choice.Addr), zap.String("version", choice.Version),
-		zap.Int("reach", int(failure.Execution)), zap.Duration("took_ms", res.Latency), zap.Error(failure.Err))
+		zap.Int("reach", int(failure.Execution)), zap.Duration("took_ms", res.Latency), zap.Error(failure.Err),
+		zap.Bool("begun", responseStarted), zap.Strings("prompt_parts", x.req.sharedParts()))
 }
