Keep prompts with a part that ends upstreams from all upstreams

Cause: nothing connected the end of an upstream with the requests that it was running. Each request with the part was new to the daemon that got it. Class: a daemon decides by what it knows of upstreams only, never by what a request did to the ones before.

Ruled out: affinity, since all ends have the part.

Change: package quarantine decides, without a network, from ends of upstreams and the keys of the attempts there; forward asks it before the stages and before each attempt; entryhost finds out by a probe whether an upstream has ended; membership gossips ends, successes and holds, whole to a daemon that joins. Three ends one after the other without a success hold a key; one trial for the installation after 15 s, then later.

--- /dev/null
+++ b/internal/entryhost/containment.go
@@ -0,0 +1,160 @@
+package entryhost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"sequoiafork/internal/forward"
+	"sequoiafork/internal/quarantine"
+	"sequoiafork/internal/tcp"
+)
+
+const (
+	// probeTimeout bounds one probe of an upstream whose connection broke.
+	probeTimeout = 200 * time.Millisecond
+	// evidenceWait is how long a failed attempt waits for the probe, so that its retry knows whether the upstream
+	// ended.
+	evidenceWait = 10 * time.Millisecond
+)
+
+// probeDelays are the times before the probes of an upstream whose connection broke. A process that ends may
+// accept connections for a moment after others broke.
+var probeDelays = []time.Duration{
+	0,
+	20 * time.Millisecond,
+	100 * time.Millisecond,
+}
+
+// upstreamEndsTotal counts the ends of upstreams that this daemon has observed.
+var upstreamEndsTotal = metrics.GetOrCreateCounter("sequoiafork_upstream_ends_total")
+
+// containment finds out whether an upstream has ended when a connection to it breaks, and tells the peers which
+// attempts it had. It implements forward.Containment.
+type containment struct {
+	*quarantine.Registry
+	daemon *Daemon
+
+	mu sync.Mutex
+	// probed are the upstreams that are probed, by incarnation.
+	probed map[string]*probedUpstream
+}
+
+// probedUpstream is an upstream to which connections broke and that is probed.
+type probedUpstream struct {
+	addr     string
+	at       time.Time
+	attempts []quarantine.Attempt
+	// done is closed after the last probe.
+	done chan struct{}
+}
+
+func newContainment(d *Daemon) *containment {
+	c := &containment{
+		daemon: d,
+		probed: make(map[string]*probedUpstream),
+	}
+	c.Registry = quarantine.New(quarantine.Config{
+		MayTry: c.mayTry,
+		Logger: d.logger,
+	})
+	return c
+}
+
+// Succeeded implements forward.Containment.
+func (c *containment) Succeeded(req quarantine.Request) {
+	c.daemon.members.ReportEvidence(c.Registry.Succeeded(req))
+}
+
+// Broke implements forward.Containment. It returns when it is known whether the upstream has ended, or after
+// evidenceWait.
+func (c *containment) Broke(b forward.BrokenAttempt) {
+	done := c.probe(b)
+	timeout := time.NewTimer(evidenceWait)
+	defer timeout.Stop()
+	select {
+	case <-done:
+	case <-timeout.C:
+	}
+}
+
+// probe adds an attempt to the upstream that is probed, and begins to probe it if it is the first.
+func (c *containment) probe(b forward.BrokenAttempt) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.probed[b.Incarnation]
+	if !ok {
+		p = &probedUpstream{
+			addr: b.Addr,
+			at:   time.Now(),
+			done: make(chan struct{}),
+		}
+		c.probed[b.Incarnation] = p
+		go c.findOut(b.Incarnation, p)
+	}
+	for _, k := range b.Request.Keys {
+		p.attempts = append(p.attempts, quarantine.Attempt{
+			Key:   k,
+			Began: b.Began,
+		})
+	}
+	return p.done
+}
+
+// findOut probes an upstream, and records and announces its end if it has ended.
+func (c *containment) findOut(incarnation string, p *probedUpstream) {
+	defer close(p.done)
+	ended := hasEnded(p.addr)
+	c.mu.Lock()
+	delete(c.probed, incarnation)
+	attempts := p.attempts
+	c.mu.Unlock()
+	c.daemon.logger.Info("connections to an upstream broke", zap.String("upstream", incarnation), zap.Bool("ended", ended), zap.Int("keys", len(attempts)))
+	if !ended {
+		return
+	}
+	upstreamEndsTotal.Inc()
+	c.daemon.members.ReportEvidence(c.Ended(quarantine.End{
+		Incarnation: incarnation,
+		At:          p.at,
+		Attempts:    attempts,
+	}))
+}
+
+// hasEnded reports whether no process listens at an address any more. A host that does not respond is no sign of it.
+func hasEnded(addr string) bool {
+	for _, delay := range probeDelays {
+		time.Sleep(delay)
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		refused := tcp.Refused(ctx, addr)
+		cancel()
+		if refused {
+			return true
+		}
+	}
+	return false
+}
+
+// mayTry reports whether this daemon sends the trial request of a key in a turn: it ranks highest among the living
+// (rendezvous hashing).
+func (c *containment) mayTry(key uint64, turn int) bool {
+	self := c.daemon.members.Self().Incarnation
+	own := trialRank(self, key, turn)
+	for _, name := range c.daemon.daemonNames() {
+		if name != self && trialRank(name, key, turn) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func trialRank(daemon string, key uint64, turn int) uint64 {
+	const multiplier = 0x9e3779b97f4a7c15 // 2^64 divided by the golden ratio
+	h := (xxhash.Sum64String(daemon) ^ key) + uint64(turn)*multiplier
+	h ^= h >> 32
+	return h * multiplier
+}
--- a/internal/entryhost/dump.go
+++ b/internal/entryhost/dump.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"time"
 
+	"sequoiafork/internal/quarantine"
 	"sequoiafork/internal/stagework"
 	"sequoiafork/internal/topic"
 )
@@ -28,6 +29,7 @@
 	StageServices []stagework.ServiceStatus `json:"stage_services"`
 	Membership    any                       `json:"membership"`
 	Upstreams     any                       `json:"upstreams"`
+	Held          []quarantine.Held         `json:"held"`
 	Goroutines    int                       `json:"goroutines"`
 	HeapBytes     uint64                    `json:"heap_bytes"`
 }
@@ -51,6 +53,7 @@
 		StageServices: d.scheduler.Status(),
 		Membership:    d.members.Members(),
 		Upstreams:     d.upstreams.Upstreams(),
+		Held:          d.containment.Holds(),
 		Goroutines:    runtime.NumGoroutine(),
 		HeapBytes:     memory.HeapAlloc,
 	}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -99,6 +99,7 @@
 	submitter   *submitter
 	readers     *topic.Readers
 	origins     origins
+	containment *containment
 	daemonCount atomic.Int64
 	draining    atomic.Bool
 	// configured is closed once routes and upstreams are known, if only a part of the list, and
@@ -139,6 +140,7 @@
 		leaving:         make(map[string]time.Time),
 	}
 	d.daemonCount.Store(1)
+	d.containment = newContainment(d)
 	d.members = membership.New(membership.Config{
 		Self: membership.Member{
 			Incarnation:  incarnation,
@@ -156,6 +158,7 @@
 		ResolveTTL:        cfg.Settings.Drain.ResolveTTL,
 		ResolveMax:        maxAddresses,
 		OnNotice:          d.observePeerNotice,
+		Evidence:          d.containment,
 	})
 	d.upstreams = upstream.New(upstream.Config{
 		DataCentre: cfg.Settings.Daemon.DataCentre,
@@ -202,6 +205,7 @@
 		Stages:      d.submitter,
 		Upstreams:   d.upstreams,
 		Origins:     d.origins,
+		Containment: d.containment,
 		Table:       d.table.Load,
 		RetryRatio:  ratioFraction * cfg.Settings.Retry.Ratio,
 		RetryBurst:  burstFraction * float64(cfg.Settings.Retry.Burst),
--- /dev/null
+++ b/internal/forward/containment.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/quarantine"
+	"sequoiafork/internal/upstream"
+)
+
+// admit returns a *quarantine.HeldError if the request must not be sent, again or for the first time.
+func (x *execution) admit() error {
+	if c := x.forwarder.cfg.Containment; c != nil && c.Active() {
+		return c.Admit(x.quarantined())
+	}
+	return nil
+}
+
+// beginAttempt is admit for an attempt that begins now.
+func (x *execution) beginAttempt() error {
+	if c := x.forwarder.cfg.Containment; c != nil && c.Active() {
+		return c.BeginAttempt(x.quarantined())
+	}
+	return nil
+}
+
+// quarantined returns the request with its keys.
+func (x *execution) quarantined() quarantine.Request {
+	x.keysOnce.Do(func() { x.keys = quarantine.PartKeys(x.service.Name, x.req.sharedParts()) })
+	return quarantine.Request{
+		ID:   x.req.ID,
+		Keys: x.keys,
+	}
+}
+
+// recordSuccess records that an attempt has not ended its upstream.
+func (x *execution) recordSuccess() {
+	if c := x.forwarder.cfg.Containment; c != nil && c.Active() {
+		c.Succeeded(x.quarantined())
+	}
+}
+
+// recordBroken records an attempt that failed since its connection broke, unless its response had settled. first is
+// the time from its start to the first event, zero before.
+func (x *execution) recordBroken(choice upstream.Choice, began time.Time, first time.Duration, failure *pipeline.CallError) {
+	c := x.forwarder.cfg.Containment
+	if c == nil || failure.Execution < pipeline.MayHaveRun || !connectionBroke(failure.Err) || hasSettled(began, first) {
+		return
+	}
+	c.Broke(BrokenAttempt{
+		Addr:        choice.Addr,
+		Incarnation: choice.Incarnation,
+		Request:     x.quarantined(),
+		Began:       began,
+	})
+}
+
+// connectionBroke reports whether an attempt failed since its connection ended.
+func connectionBroke(err error) bool {
+	for _, end := range []error{
+		io.EOF,
+		io.ErrUnexpectedEOF,
+		syscall.ECONNRESET,
+		syscall.EPIPE,
+		errNoEvents,
+	} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSettled reports whether a response has gone on for so long after its first event that its request does not end
+// the upstream.
+func hasSettled(began time.Time, first time.Duration) bool {
+	return first > 0 && time.Since(began.Add(first)) >= quarantine.SettleTime
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 	"sequoiafork/internal/budget"
 	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/quarantine"
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/stagetime"
 	"sequoiafork/internal/stagework"
@@ -152,6 +153,27 @@
 	Find(ctx context.Context, requestID, service string) (streamorigin.Origin, error)
 }
 
+// BrokenAttempt is an attempt whose connection broke before the response was complete or settled.
+type BrokenAttempt struct {
+	Addr        string
+	Incarnation string
+	Request     quarantine.Request
+	Began       time.Time
+}
+
+// Containment keeps requests from upstreams that such requests have ended. Admit and BeginAttempt behave like those
+// of quarantine.Registry.
+type Containment interface {
+	// Active reports whether any keys are suspected. While it is false, requests need no keys.
+	Active() bool
+	Admit(req quarantine.Request) error
+	BeginAttempt(req quarantine.Request) error
+	// Broke records a broken attempt. It may block for a moment to find out whether the upstream has ended.
+	Broke(b BrokenAttempt)
+	// Succeeded records that the response to a request is complete or has settled.
+	Succeeded(req quarantine.Request)
+}
+
 // ResponseWriter writes the response to the caller: either one call of WriteResponse, or one
 // call of BeginStream followed by calls of WriteEvent, never both.
 type ResponseWriter interface {
@@ -167,6 +189,8 @@
 	Upstreams *upstream.Set
 	// Origins may be nil; a stream that a caller takes up then goes on at any version.
 	Origins StreamOrigins
+	// Containment may be nil; every request is then sent.
+	Containment Containment
 	// Table returns the routes in effect, or nil before any are known.
 	Table func() *routing.Table
 	// RetryRatio is the fraction of a service's requests that may be retried. RetryBurst
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -56,6 +56,8 @@
 		"upstreams_leave": "0s",
 		"pause":           "0s",
 		"stops":           "0s",
+		"held":            "",
+		"last_event":      "",
 	}
 	for _, arg := range d.CmdArgs {
 		opts[arg.Key] = arg.Vals[0]
@@ -76,6 +78,7 @@
 			}
 		})
 	}
+	held := newFakeContainment(t, opts["held"])
 	f := New(Config{
 		Client:     script,
 		Stages:     stages,
@@ -83,6 +86,8 @@
 		Table:      tableOf(t, opts),
 		RetryRatio: 0.2,
 		RetryBurst: 10,
+		// Without the option, the interface holds no containment.
+		Containment: held.orNil(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -103,6 +108,9 @@
 		APIKey:   opts["key"],
 		Received: began,
 	}
+	if opts["last_event"] != "" {
+		req.LastEventID, req.HasLastEvent = int64(numberOf(t, opts["last_event"])), true
+	}
 	if opts["stages"] != "0" {
 		req.PieceCounts = []int{numberOf(t, opts["stages"])}
 	}
@@ -116,6 +124,10 @@
 		_, retryAfter := outcomeDetail(o)
 		out += fmt.Sprintf("told to come back: %v\n", retryAfter > 0)
 	}
+	if held != nil {
+		_, retryAfter := outcomeDetail(o)
+		out += fmt.Sprintf("broke: %d, succeeded: %d, retry after %v\n", held.broke, held.succeeded, retryAfter)
+	}
 	return out
 }
 
@@ -323,7 +335,7 @@
 
 // eventsOf returns a stream of the events from one ID to another. The third word is how it
 // ends: whole (complete), cut (aborted between events), torn (aborted within an event) or
-// hang.
+// hang. The fourth, if any, is the time before each event.
 func eventsOf(ctx context.Context, words []string) io.ReadCloser {
 	from, _ := strconv.Atoi(words[0])
 	to, _ := strconv.Atoi(words[1])
@@ -344,7 +356,35 @@
 			ctx: ctx,
 		}
 	}
-	return io.NopCloser(io.MultiReader(strings.NewReader(text.String()), end))
+	var events io.Reader = strings.NewReader(text.String())
+	if len(words) > 3 {
+		pace, _ := time.ParseDuration(words[3])
+		events = &pacedReader{
+			ctx:    ctx,
+			events: strings.SplitAfter(text.String(), "\n\n"),
+			pace:   pace,
+		}
+	}
+	return io.NopCloser(io.MultiReader(events, end))
+}
+
+// pacedReader returns one event after another, each after a time.
+type pacedReader struct {
+	ctx    context.Context
+	events []string
+	pace   time.Duration
+}
+
+func (r *pacedReader) Read(buf []byte) (int, error) {
+	if len(r.events) == 0 {
+		return 0, io.EOF
+	}
+	if err := sleepFor(r.ctx, r.pace); err != nil {
+		return 0, err
+	}
+	n := copy(buf, r.events[0])
+	r.events = r.events[1:]
+	return n, nil
 }
 
 type failingReader struct {
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -8,6 +8,7 @@
 
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/quarantine"
 	"sequoiafork/internal/stagework"
 	"sequoiafork/internal/upstream"
 )
@@ -68,6 +69,7 @@
 // failureOutcome converts the error of the last attempt into an outcome.
 func (x *execution) failureOutcome(ctx context.Context, err error) outcome.Outcome {
 	var none *upstream.NoUpstreamError
+	var held *quarantine.HeldError
 	var failure *pipeline.CallError
 	switch {
 	case errors.Is(context.Cause(ctx), errStopping):
@@ -76,6 +78,8 @@
 		return x.withoutResponse(outcome.CodeCallerGone, "the caller went away", 0)
 	case ctx.Err() != nil:
 		return x.withoutResponse(outcome.CodeDeadlineExceeded, "the deadline passed", noUpstreamRetryAfter)
+	case errors.As(err, &held):
+		return x.withoutResponse(outcome.CodeQuarantined, held.Error(), held.RetryAfter)
 	case errors.As(err, &none):
 		retry := none.RetryAfter
 		if retry == 0 {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +13,7 @@
 	"sequoiafork/internal/logging"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/pipeline"
+	"sequoiafork/internal/quarantine"
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/stagework"
 	"sequoiafork/internal/streamorigin"
@@ -75,6 +77,9 @@
 	lastEventAt     time.Time // zero: no event has been forwarded
 	// origin is where the stream began, nil if it may begin anywhere.
 	origin *streamorigin.Origin
+	// keys identify what the request shares with others. They are computed when they are needed first.
+	keys     []quarantine.Key
+	keysOnce sync.Once
 	// lastFailure is the error of the last failed attempt; it goes into the outcome.
 	lastFailure *pipeline.CallError
 }
@@ -139,6 +144,9 @@
 	if unknown := x.findOrigin(ctx); unknown != nil {
 		return *unknown
 	}
+	if err := x.admit(); err != nil {
+		return x.failureOutcome(ctx, err)
+	}
 	if failed := x.runStages(ctx); failed != nil {
 		return failed
 	}
@@ -299,6 +307,9 @@
 // pickUpstream picks an upstream that has not been tried for this request. The attempt may have to
 // wait for up to maxDelay.
 func (x *execution) pickUpstream(maxDelay time.Duration) (upstream.Choice, error) {
+	if err := x.beginAttempt(); err != nil {
+		return upstream.Choice{}, err
+	}
 	r := x.upstreamRequest()
 	r.MaxDelay = maxDelay
 	choice, err := x.forwarder.cfg.Upstreams.Pick(r)
@@ -384,6 +395,9 @@
 	case !x.route.Kind.Retryable() || x.attempts+pending >= max(x.route.MaxAttempts, 1):
 		return false
 	}
+	if x.admit() != nil {
+		return false
+	}
 	return x.retryBudget().Withdraw()
 }
 
@@ -397,6 +411,7 @@
 	}
 	if failure == nil {
 		choice.Done(res)
+		x.recordSuccess()
 		return
 	}
 	res.Latency = time.Since(began)
@@ -419,4 +434,5 @@
 		zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("addr", choice.Addr), zap.String("version", choice.Version),
 		zap.Int("reach", int(failure.Execution)), zap.Duration("took_ms", res.Latency), zap.Error(failure.Err),
 		zap.Bool("begun", responseStarted), zap.Strings("prompt_parts", x.req.sharedParts()))
+	x.recordBroken(choice, began, first, failure)
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -173,6 +173,10 @@
 		a.choice.ResponseStarted()
 		s.forwarder.times.Observe(s.route.Name, a.firstEvent)
 	}
+	if !a.settled && hasSettled(a.began, a.firstEvent) {
+		a.settled = true
+		s.recordSuccess()
+	}
 	if e.HasID && s.hasLastID && e.ID <= s.lastID {
 		return nil
 	}
--- a/internal/forward/streamattempt.go
+++ b/internal/forward/streamattempt.go
@@ -23,6 +23,8 @@
 	response *Response
 	// firstEvent is the time to the first event, zero before it.
 	firstEvent time.Duration
+	// settled reports that the response has gone on for quarantine.SettleTime.
+	settled bool
 	// lastReceived is the time of the last event, or of the start.
 	lastReceived time.Time
 }
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -39,6 +39,8 @@
 	// OnNotice is called, one call at a time, with what upstreams said of themselves to other
 	// daemons.
 	OnNotice func(n UpstreamNotice)
+	// Evidence keeps what the daemons have observed of requests that end upstreams. Nil keeps and forwards none.
+	Evidence EvidenceKeeper
 
 	// HeartbeatInterval is the interval between two heartbeats on a link.
 	HeartbeatInterval time.Duration
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -53,7 +53,7 @@
 	t.links[l] = struct{}{}
 	l.send(&peerpb.LinkMessage{
 		Heartbeat: t.heartbeatFor(l),
-		Rumors:    slices.Concat([]*peerpb.Rumor{memberRumor(t.selfMember())}, t.upstreamRumors(now), t.noticeRumors(now)),
+		Rumors:    slices.Concat([]*peerpb.Rumor{memberRumor(t.selfMember())}, t.upstreamRumors(now), t.noticeRumors(now), t.evidence(now)),
 	})
 	return l
 }
@@ -121,6 +121,9 @@
 		if l := r.GetNotice(); l != nil && t.mergeNotice(l, now) {
 			forward = append(forward, r)
 		}
+		if e := r.GetEvidence(); e != nil && t.mergeEvidence(e, now) {
+			forward = append(forward, r)
+		}
 	}
 	return forward
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -86,6 +86,8 @@
 	CodeClaimUnsettled   Code = "claim_unsettled"
 	CodeResultExpired    Code = "result_expired"
 	CodeAPIKeyUnknown    Code = "api_key_unknown"
+	// CodeQuarantined means that requests like this one have ended upstreams.
+	CodeQuarantined Code = "quarantined"
 )
 
 // Name returns the name of o in the interfaces, logs and metrics.
--- /dev/null
+++ b/internal/quarantine/decide.go
@@ -0,0 +1,148 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// candidate is a suspect that may be held.
+type candidate struct {
+	suspect *suspect
+	// sequence is the number of ends, one after the other, since the last success, and ends that of all since then.
+	sequence int
+	ends     int
+}
+
+// decide holds the keys that explain the ends after new evidence: those with the most ends first, since an end that
+// one key explains is no evidence against others. While several explain the same ends, more evidence is awaited, up
+// to tiedEnds. The caller holds mu.
+func (r *Registry) decide(e *End) {
+	r.recordHeldEnds(e)
+	for {
+		best := r.bestCandidates(e)
+		if len(best) == 0 || len(best) > 1 && best[0].ends < tiedEnds {
+			return
+		}
+		for _, c := range highestRank(best) {
+			r.hold(c)
+		}
+	}
+}
+
+// recordHeldEnds records an end with held keys. After the end of a hold it is a trial that has failed. The caller
+// holds mu.
+func (r *Registry) recordHeldEnds(e *End) {
+	for _, a := range e.Attempts {
+		h, ok := r.holds[a.Key.Hash]
+		if !ok || !e.At.After(h.lastEnd) {
+			continue
+		}
+		h.lastEnd = e.At
+		h.Ends++
+		if a.Began.After(h.until()) {
+			h.Hold = h.WithFailure(e.At)
+			h.trial = trial{}
+			r.logHeld(h.Hold, "a trial failed")
+		}
+	}
+}
+
+// bestCandidates returns the candidates among the keys of an end that explain the most ends. Other keys have no new
+// evidence. The caller holds mu.
+func (r *Registry) bestCandidates(e *End) []candidate {
+	var best []candidate
+	for _, a := range e.Attempts {
+		if _, held := r.holds[a.Key.Hash]; held {
+			continue
+		}
+		c := r.candidate(r.suspects[a.Key.Hash])
+		if c.sequence < minEnds {
+			continue
+		}
+		if len(best) > 0 {
+			order := c.compare(best[0])
+			if order < 0 {
+				continue
+			}
+			if order > 0 {
+				best = best[:0]
+			}
+		}
+		best = append(best, c)
+	}
+	return best
+}
+
+// compare orders candidates by the ends that they explain.
+func (c candidate) compare(o candidate) int {
+	return cmp.Or(cmp.Compare(c.sequence, o.sequence), cmp.Compare(c.ends, o.ends))
+}
+
+// highestRank returns the candidates with the highest rank, which the fewest sound requests share.
+func highestRank(list []candidate) []candidate {
+	highest := slices.MaxFunc(list, func(a, b candidate) int { return cmp.Compare(a.suspect.key.Rank, b.suspect.key.Rank) })
+	return slices.DeleteFunc(list, func(c candidate) bool { return c.suspect.key.Rank < highest.suspect.key.Rank })
+}
+
+// candidate returns what speaks against a suspect. The caller holds mu.
+func (r *Registry) candidate(s *suspect) candidate {
+	c := candidate{
+		suspect: s,
+	}
+	var last time.Time
+	for _, e := range s.ends {
+		if !e.at.After(s.success) || r.explained(e.incarnation) {
+			continue
+		}
+		c.ends++
+		if c.sequence == 0 || e.began.After(last) || e.at.Sub(last) >= separation {
+			c.sequence++
+			last = e.at
+		}
+	}
+	return c
+}
+
+// explained reports whether a held key explains the end of an upstream. The caller holds mu.
+func (r *Registry) explained(incarnation string) bool {
+	return slices.ContainsFunc(r.ends[incarnation].Attempts, func(a Attempt) bool {
+		_, held := r.holds[a.Key.Hash]
+		return held
+	})
+}
+
+// hold begins to hold a candidate's key. Keys that are held for ends that this one explains, and that has ended
+// more, are released. The caller holds mu.
+func (r *Registry) hold(c candidate) {
+	s := c.suspect
+	h := &hold{
+		Hold: Hold{
+			Key:   s.key.Hash,
+			Rank:  s.key.Rank,
+			Since: time.Now(),
+			Ends:  len(s.ends),
+		},
+		lastEnd: s.ends[len(s.ends)-1].at,
+	}
+	r.addHold(h)
+	r.logHeld(h.Hold, "upstreams ended")
+	for key, other := range r.holds {
+		if key != s.key.Hash && other.Failures == 0 && r.explains(s, key) {
+			delete(r.holds, key)
+			r.logHoldEnded(other.Hold, "another key explains the ends")
+		}
+	}
+}
+
+// explains reports whether a suspect was there at all ends that are held against another key, and at others. The
+// caller holds mu.
+func (r *Registry) explains(s *suspect, key uint64) bool {
+	other, ok := r.suspects[key]
+	if !ok || len(other.ends) >= len(s.ends) {
+		return false
+	}
+	return !slices.ContainsFunc(other.ends, func(e suspectEnd) bool {
+		return !slices.ContainsFunc(s.ends, func(own suspectEnd) bool { return own.incarnation == e.incarnation })
+	})
+}
--- /dev/null
+++ b/internal/quarantine/key.go
@@ -0,0 +1,44 @@
+package quarantine
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key identifies something that requests of a service share.
+type Key struct {
+	Hash uint64
+	// Rank orders the keys of a request: of two, fewer requests have the one with the higher rank.
+	Rank int
+}
+
+// MaxParts bounds the parts of a prompt that have keys. Further ones are ignored.
+const MaxParts = 64
+
+// PartKeys returns the keys of a prompt's parts that other requests may have, in the order of the prompt.
+func PartKeys(service string, parts []string) []Key {
+	parts = parts[:min(len(parts), MaxParts)]
+	keys := make([]Key, len(parts))
+	for i, part := range parts {
+		keys[i] = Key{
+			Hash: hashOf("part", service, part),
+			Rank: i,
+		}
+	}
+	return keys
+}
+
+// hashOf returns a hash of a list of texts.
+func hashOf(texts ...string) uint64 {
+	d := xxhash.New()
+	for _, text := range texts {
+		_, _ = d.WriteString(text) // It never fails.
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// Request is a request with its keys.
+type Request struct {
+	ID   string
+	Keys []Key
+}
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -1,9 +1,12 @@
-// Package tcp sets socket options that the net package leaves at the system's defaults, for
-// connections that must detect an unresponsive peer.
+// Package tcp detects unresponsive peers of connections, by socket options that the net package leaves at the
+// system's defaults, and addresses at which no process listens.
 package tcp
 
 import (
 	"cmp"
+	"context"
+	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -22,3 +25,14 @@
 		return cmp.Or(err, failed)
 	}
 }
+
+// Refused reports whether the host of an address refuses a connection, since no process listens there. It is false if
+// the host does not respond until ctx ends.
+func Refused(ctx context.Context, addr string) bool {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err == nil {
+		_ = conn.Close() // Nothing was sent.
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
