Log which failed attempts have the same content

The logs of second1 don't say whether two requests, each with an ID of its own, are the same: whether daemons don't know that a request has come before, or each knows it and the others don't, could not be told apart. 'attempt failed' now has content, a hash of service, workspace, method, host, path, query and body. No change of logic; tests of forward and quarantine pass.

--- a/internal/forward/containment.go
+++ b/internal/forward/containment.go
@@ -36,6 +36,18 @@
 	}
 }
 
+// contentKey returns the key of the request's content.
+func (x *execution) contentKey() quarantine.Key {
+	return quarantine.ContentKey(quarantine.Content{
+		Service:   x.service.Name,
+		Workspace: x.workspace.Name,
+		Method:    x.req.Method,
+		Host:      x.req.Host,
+		Target:    x.req.Target,
+		Body:      x.req.Body,
+	})
+}
+
 // recordSuccess records that an attempt has not ended its upstream.
 func (x *execution) recordSuccess() {
 	if c := x.forwarder.cfg.Containment; c != nil && c.Active() {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -433,6 +433,6 @@
 	x.forwarder.cfg.Logger.Info("attempt failed",
 		zap.String("request_id", x.req.ID), zap.String("upstream", choice.Incarnation), zap.String("addr", choice.Addr), zap.String("version", choice.Version),
 		zap.Int("reach", int(failure.Execution)), zap.Duration("took_ms", res.Latency), zap.Error(failure.Err),
-		zap.Bool("begun", responseStarted), zap.Strings("prompt_parts", x.req.sharedParts()))
+		zap.Bool("begun", responseStarted), zap.Strings("prompt_parts", x.req.sharedParts()), zap.Stringer("content", x.contentKey()))
 	x.recordBroken(choice, began, first, failure)
 }
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"fmt"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -11,6 +13,9 @@
 	Rank int
 }
 
+// String returns the hash in hexadecimal.
+func (k Key) String() string { return fmt.Sprintf("%016x", k.Hash) }
+
 // MaxParts bounds the parts of a prompt that have keys. Further ones are ignored.
 const MaxParts = 64
 
@@ -27,6 +32,28 @@
 	return keys
 }
 
+// Content is what makes a request the same as another one, whatever its ID.
+type Content struct {
+	Service   string
+	Workspace string
+	Method    string
+	Host      string
+	// Target is the path and query.
+	Target string
+	Body   []byte
+}
+
+// contentRank exceeds the rank of each part.
+const contentRank = MaxParts
+
+// ContentKey returns the key of a request's content.
+func ContentKey(c Content) Key {
+	return Key{
+		Hash: hashOf("content", c.Service, c.Workspace, c.Method, c.Host, c.Target, string(c.Body)),
+		Rank: contentRank,
+	}
+}
+
 // hashOf returns a hash of a list of texts.
 func hashOf(texts ...string) uint64 {
 	d := xxhash.New()
