Take upstreams' ends to follow each other whatever key is asked about

Cause: whether two ends follow each other was decided by when the attempt with the key began, so a part of sound requests that began later could have a longer sequence at fewer ends than the part that was responsible for all of them. Now it is a property of the two ends (any attempt that began between them, 20 ms apart at least, or 250 ms), so that a key at more ends never has a shorter sequence.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -17,7 +17,7 @@
 // decide holds the keys that explain the ends after new evidence: those with the most ends first, since an end that
 // one key explains is no evidence against others. While several explain the same ends, more evidence is awaited, up
 // to tiedEnds. The caller holds mu.
-func (r *Registry) decide(e *End) {
+func (r *Registry) decide(e *ending) {
 	r.recordHeldEnds(e)
 	for {
 		best := r.bestCandidates(e)
@@ -32,7 +32,7 @@
 
 // recordHeldEnds records an end with held keys. After the end of a hold it is a trial that has failed. The caller
 // holds mu.
-func (r *Registry) recordHeldEnds(e *End) {
+func (r *Registry) recordHeldEnds(e *ending) {
 	for _, a := range e.Attempts {
 		h, ok := r.holds[a.Key.Hash]
 		if !ok || !e.At.After(h.lastEnd) {
@@ -50,7 +50,7 @@
 
 // bestCandidates returns the candidates among the keys of an end that explain the most ends. Other keys have no new
 // evidence. The caller holds mu.
-func (r *Registry) bestCandidates(e *End) []candidate {
+func (r *Registry) bestCandidates(e *ending) []candidate {
 	var best []candidate
 	for _, a := range e.Attempts {
 		if _, held := r.holds[a.Key.Hash]; held {
@@ -90,23 +90,23 @@
 	c := candidate{
 		suspect: s,
 	}
-	var last time.Time
+	var last *ending
 	for _, e := range s.ends {
-		if !e.at.After(s.success) || r.explained(e.incarnation) {
+		if !e.At.After(s.success) || r.explained(e) {
 			continue
 		}
 		c.ends++
-		if c.sequence == 0 || e.began.After(last) || e.at.Sub(last) >= separation {
+		if last == nil || e.follows(last) {
 			c.sequence++
-			last = e.at
+			last = e
 		}
 	}
 	return c
 }
 
 // explained reports whether a held key explains the end of an upstream. The caller holds mu.
-func (r *Registry) explained(incarnation string) bool {
-	return slices.ContainsFunc(r.ends[incarnation].Attempts, func(a Attempt) bool {
+func (r *Registry) explained(e *ending) bool {
+	return slices.ContainsFunc(e.Attempts, func(a Attempt) bool {
 		_, held := r.holds[a.Key.Hash]
 		return held
 	})
@@ -123,7 +123,7 @@
 			Since: time.Now(),
 			Ends:  len(s.ends),
 		},
-		lastEnd: s.ends[len(s.ends)-1].at,
+		lastEnd: s.ends[len(s.ends)-1].At,
 	}
 	r.addHold(h)
 	r.logHeld(h.Hold, "upstreams ended")
@@ -142,7 +142,5 @@
 	if !ok || len(other.ends) >= len(s.ends) {
 		return false
 	}
-	return !slices.ContainsFunc(other.ends, func(e suspectEnd) bool {
-		return !slices.ContainsFunc(s.ends, func(own suspectEnd) bool { return own.incarnation == e.incarnation })
-	})
+	return !slices.ContainsFunc(other.ends, func(e *ending) bool { return !slices.Contains(s.ends, e) })
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -7,17 +7,25 @@
 
 // suspect is a key that was there when upstreams ended.
 type suspect struct {
-	key  Key
-	ends []suspectEnd
+	key Key
+	// ends are those with an attempt that had the key, in the order of their times.
+	ends []*ending
 	// success is the time of the last success, zero if none is known.
 	success time.Time
 }
 
-// suspectEnd is the end of an upstream with an attempt that had the key.
-type suspectEnd struct {
-	incarnation string
-	at          time.Time
-	began       time.Time
+// ending is an end of an upstream as far as it is known here.
+type ending struct {
+	End
+	// lastBegan is when the last of its attempts began.
+	lastBegan time.Time
+}
+
+// follows reports whether the upstream ended after another one, rather than together with it: an attempt began there
+// after the other end, or a longer time lies between.
+func (e *ending) follows(o *ending) bool {
+	gap := e.At.Sub(o.At)
+	return gap >= separation || gap >= minSeparation && e.lastBegan.After(o.At)
 }
 
 // Ended records that an upstream ended with attempts of this daemon, and returns what the other daemons must be told.
@@ -74,9 +82,11 @@
 	}
 	known, ok := r.ends[e.Incarnation]
 	if !ok {
-		known = &End{
-			Incarnation: e.Incarnation,
-			At:          e.At,
+		known = &ending{
+			End: End{
+				Incarnation: e.Incarnation,
+				At:          e.At,
+			},
 		}
 	}
 	added := r.addAttempts(known, e.Attempts)
@@ -94,7 +104,7 @@
 }
 
 // addAttempts adds attempts with new keys to an end and reports whether there were any. The caller holds mu.
-func (r *Registry) addAttempts(e *End, attempts []Attempt) bool {
+func (r *Registry) addAttempts(e *ending, attempts []Attempt) bool {
 	added := false
 	for _, a := range attempts {
 		if len(e.Attempts) >= r.cfg.MaxAttempts || slices.ContainsFunc(e.Attempts, func(b Attempt) bool { return b.Key.Hash == a.Key.Hash }) {
@@ -109,12 +119,11 @@
 			}
 			r.suspects[a.Key.Hash] = s
 		}
-		s.ends = append(s.ends, suspectEnd{
-			incarnation: e.Incarnation,
-			at:          e.At,
-			began:       a.Began,
-		})
-		slices.SortStableFunc(s.ends, func(a, b suspectEnd) int { return a.at.Compare(b.at) })
+		s.ends = append(s.ends, e)
+		slices.SortStableFunc(s.ends, func(a, b *ending) int { return a.At.Compare(b.At) })
+		if a.Began.After(e.lastBegan) {
+			e.lastBegan = a.Began
+		}
 	}
 	return added
 }
@@ -129,15 +138,15 @@
 		r.oldest = r.oldest[1:]
 		delete(r.ends, e.Incarnation)
 		for _, a := range e.Attempts {
-			r.dropSuspectEnd(a.Key.Hash, e.Incarnation)
+			r.dropSuspectEnd(a.Key.Hash, e)
 		}
 	}
 }
 
 // dropSuspectEnd drops an end of a suspect, and the suspect with its last one. The caller holds mu.
-func (r *Registry) dropSuspectEnd(key uint64, incarnation string) {
+func (r *Registry) dropSuspectEnd(key uint64, e *ending) {
 	s := r.suspects[key]
-	s.ends = slices.DeleteFunc(s.ends, func(e suspectEnd) bool { return e.incarnation == incarnation })
+	s.ends = slices.DeleteFunc(s.ends, func(own *ending) bool { return own == e })
 	if len(s.ends) == 0 {
 		delete(r.suspects, key)
 	}
@@ -155,7 +164,7 @@
 	if !ok {
 		return held
 	}
-	last := s.ends[len(s.ends)-1].at
+	last := s.ends[len(s.ends)-1].At
 	if !o.At.After(last) || s.success.After(last) {
 		return false
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -34,9 +34,11 @@
 	minEnds = 3
 	// tiedEnds is the number of ends from which on a key is held even if others explain the same ends.
 	tiedEnds = 5
-	// separation is the time between two ends from which on they count as two, even if the attempt at the second
-	// upstream began before the first one ended. Upstreams that are lost together end within less.
-	separation = 250 * time.Millisecond
+	// separation is the time between two ends from which on they count as two. If an attempt at the second upstream
+	// began after the first one ended, that is minSeparation. Daemons see the ends of upstreams that are lost together
+	// within less.
+	separation    = 250 * time.Millisecond
+	minSeparation = 20 * time.Millisecond
 	// SettleTime is how long a response goes on after its start until its request counts as a success.
 	SettleTime = time.Second
 	// firstHold is the length of the first hold of a key. Each further one is holdGrowth times as long, up to maxHold.
@@ -83,7 +85,7 @@
 
 	mu sync.Mutex
 	// ends are the ends by incarnation, and oldest their order.
-	ends     map[string]*End
+	ends     map[string]*ending
 	oldest   []string
 	suspects map[uint64]*suspect
 	holds    map[uint64]*hold
@@ -103,7 +105,7 @@
 	}
 	return &Registry{
 		cfg:      cfg,
-		ends:     make(map[string]*End),
+		ends:     make(map[string]*ending),
 		suspects: make(map[uint64]*suspect),
 		holds:    make(map[uint64]*hold),
 	}
--- a/internal/quarantine/query.go
+++ b/internal/quarantine/query.go
@@ -15,7 +15,7 @@
 	defer r.mu.Unlock()
 	var list []Observation
 	for _, incarnation := range r.oldest {
-		e := *r.ends[incarnation]
+		e := r.ends[incarnation].End
 		e.Attempts = slices.Clone(e.Attempts)
 		list = append(list, e)
 	}
--- a/internal/quarantine/script_test.go
+++ b/internal/quarantine/script_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,7 +15,8 @@
 )
 
 // TestScripts runs the scripts of testdata/scripts on one registry. Times are milliseconds. "end" is the end of an
-// upstream; each line of its input lists the keys of an attempt, of which later ones have a higher rank. "success" and
+// upstream; each line of its input lists the keys of an attempt, of which later ones have a higher rank, and when it began
+// if not at the time of the command. "success" and
 // "admit" take the keys of a request.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
@@ -81,12 +83,18 @@
 		Incarnation: argument(d, "upstream"),
 		At:          time.Now(),
 	}
-	began := e.At.Add(-milliseconds(t, d, "began"))
 	for line := range strings.Lines(d.Input) {
-		for _, k := range request("", strings.TrimSpace(line)).Keys {
+		keys, own, ok := strings.Cut(strings.TrimSpace(line), " began=")
+		ran := milliseconds(t, d, "began")
+		if ok {
+			ms, err := strconv.Atoi(own)
+			require.NoError(t, err)
+			ran = time.Duration(ms) * time.Millisecond
+		}
+		for _, k := range request("", keys).Keys {
 			e.Attempts = append(e.Attempts, Attempt{
 				Key:   k,
-				Began: began,
+				Began: e.At.Add(-ran),
 			})
 		}
 	}
