Count the end of an upstream once all daemons have told of their attempts there

Class: a decision on the part of the evidence that happens to be there first.

Change: an end counts 250 ms after the last news of it, and a suspect that explains all ends of a held key, and more, replaces it at once instead of after three more.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -14,18 +14,27 @@
 	ends     int
 }
 
-// decide holds the keys that explain the ends after new evidence: those with the most ends first, since an end that
-// one key explains is no evidence against others. While several explain the same ends, more evidence is awaited, up
-// to tiedEnds. The caller holds mu.
+// decideDue decides about the ends whose evidence counts by now. The caller holds mu.
+func (r *Registry) decideDue() {
+	now := time.Now()
+	for len(r.undecided) > 0 && !now.Before(r.undecided[0].decideAt) {
+		e := r.undecided[0]
+		r.undecided = r.undecided[1:]
+		r.decide(e)
+	}
+}
+
+// decide holds the keys that explain the ends, after new evidence of one: those with the most ends first, since an end
+// that one key explains is no evidence against others. While several explain the same ends, more evidence is awaited,
+// up to tiedEnds. The caller holds mu.
 func (r *Registry) decide(e *ending) {
-	r.recordHeldEnds(e)
 	for {
 		best := r.bestCandidates(e)
 		if len(best) == 0 || len(best) > 1 && best[0].ends < tiedEnds {
 			return
 		}
 		for _, c := range highestRank(best) {
-			r.hold(c)
+			r.hold(c, e.decideAt)
 		}
 	}
 }
@@ -92,7 +101,7 @@
 	}
 	var last *ending
 	for _, e := range s.ends {
-		if !e.At.After(s.success) || r.explained(e) {
+		if !e.At.After(s.success) || r.explained(e, s) {
 			continue
 		}
 		c.ends++
@@ -104,23 +113,24 @@
 	return c
 }
 
-// explained reports whether a held key explains the end of an upstream. The caller holds mu.
-func (r *Registry) explained(e *ending) bool {
+// explained reports whether a held key explains an end, so that it is no evidence against a suspect. A key whose ends
+// the suspect explains, and more, does not. The caller holds mu.
+func (r *Registry) explained(e *ending, s *suspect) bool {
 	return slices.ContainsFunc(e.Attempts, func(a Attempt) bool {
 		_, held := r.holds[a.Key.Hash]
-		return held
+		return held && !r.explains(s, a.Key.Hash)
 	})
 }
 
-// hold begins to hold a candidate's key. Keys that are held for ends that this one explains, and that has ended
+// hold holds a candidate's key since a time. Keys that are held for ends that this one explains, and that has ended
 // more, are released. The caller holds mu.
-func (r *Registry) hold(c candidate) {
+func (r *Registry) hold(c candidate, since time.Time) {
 	s := c.suspect
 	h := &hold{
 		Hold: Hold{
 			Key:   s.key.Hash,
 			Rank:  s.key.Rank,
-			Since: time.Now(),
+			Since: since,
 			Ends:  len(s.ends),
 		},
 		lastEnd: s.ends[len(s.ends)-1].At,
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -19,6 +19,8 @@
 	End
 	// lastBegan is when the last of its attempts began.
 	lastBegan time.Time
+	// decideAt is when its evidence counts.
+	decideAt time.Time
 }
 
 // follows reports whether the upstream ended after another one, rather than together with it: an attempt began there
@@ -32,6 +34,7 @@
 func (r *Registry) Ended(e End) []Observation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.decideDue()
 	if len(e.Attempts) == 0 || !r.mergeEnd(e) {
 		return nil
 	}
@@ -47,6 +50,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.decideDue()
 	var list []Observation
 	for _, k := range req.Keys {
 		s := Success{
@@ -64,6 +68,7 @@
 func (r *Registry) Merge(o Observation) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.decideDue()
 	switch o := o.(type) {
 	case End:
 		return r.mergeEnd(o)
@@ -99,7 +104,9 @@
 		r.dropOldEnds()
 	}
 	r.active.Store(true)
-	r.decide(known)
+	r.recordHeldEnds(known)
+	known.decideAt = time.Now().Add(decisionDelay)
+	r.undecided = append(slices.DeleteFunc(r.undecided, func(u *ending) bool { return u == known }), known)
 	return true
 }
 
@@ -137,6 +144,7 @@
 		}
 		r.oldest = r.oldest[1:]
 		delete(r.ends, e.Incarnation)
+		r.undecided = slices.DeleteFunc(r.undecided, func(u *ending) bool { return u == e })
 		for _, a := range e.Attempts {
 			r.dropSuspectEnd(a.Key.Hash, e)
 		}
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -91,6 +91,7 @@
 func (r *Registry) dueTurns(req Request, now time.Time) map[uint64]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.decideDue()
 	var due map[uint64]int
 	for _, k := range req.Keys {
 		h, ok := r.holds[k.Hash]
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -39,6 +39,9 @@
 	// within less.
 	separation    = 250 * time.Millisecond
 	minSeparation = 20 * time.Millisecond
+	// decisionDelay is the time after evidence of an end until it counts. The other daemons that had attempts there
+	// tell of them meanwhile.
+	decisionDelay = 250 * time.Millisecond
 	// SettleTime is how long a response goes on after its start until its request counts as a success.
 	SettleTime = time.Second
 	// firstHold is the length of the first hold of a key. Each further one is holdGrowth times as long, up to maxHold.
@@ -89,6 +92,8 @@
 	oldest   []string
 	suspects map[uint64]*suspect
 	holds    map[uint64]*hold
+	// undecided are the ends with evidence that does not count yet, in the order of their times.
+	undecided []*ending
 }
 
 // New returns a Registry.
--- a/internal/quarantine/query.go
+++ b/internal/quarantine/query.go
@@ -48,6 +48,7 @@
 func (r *Registry) Holds() []Held {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.decideDue()
 	var list []Held
 	for _, h := range r.holds {
 		list = append(list, Held{
--- a/internal/quarantine/script_test.go
+++ b/internal/quarantine/script_test.go
@@ -17,7 +17,7 @@
 // TestScripts runs the scripts of testdata/scripts on one registry. Times are milliseconds. "end" is the end of an
 // upstream; each line of its input lists the keys of an attempt, of which later ones have a higher rank, and when it began
 // if not at the time of the command. "success" and
-// "admit" take the keys of a request.
+// "admit" take the keys of a request. "held" shows the holds after decisionDelay.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
@@ -49,7 +49,10 @@
 	case "end":
 		return s.told(s.registry.Ended(s.end(t, d)))
 	case "peer_end":
-		return fmt.Sprintf("new: %t\n%s", s.registry.Merge(s.end(t, d)), s.heldKeys())
+		return fmt.Sprintf("new: %t\n", s.registry.Merge(s.end(t, d)))
+	case "held":
+		time.Sleep(decisionDelay)
+		return s.heldKeys()
 	case "success":
 		return s.told(s.registry.Succeeded(request("", argument(d, "keys"))))
 	case "admit":
@@ -103,7 +106,7 @@
 
 func (s *script) told(list []Observation) string {
 	s.observed = append(s.observed, list...)
-	return fmt.Sprintf("told: %d\n%s", len(list), s.heldKeys())
+	return fmt.Sprintf("told: %d\n", len(list))
 }
 
 func (s *script) heldKeys() string {
