Keep a request that ends upstreams from all of them when it comes again

Cause: a request was known by its ID only, and nothing of it was kept.

Change: the content of a request is one of its keys. It is held after three ends even if parts of its prompt are at the same ends, since no other request has it, and those parts are not held for them.

--- a/internal/forward/containment.go
+++ b/internal/forward/containment.go
@@ -29,7 +29,7 @@
 
 // quarantined returns the request with its keys.
 func (x *execution) quarantined() quarantine.Request {
-	x.keysOnce.Do(func() { x.keys = quarantine.PartKeys(x.service.Name, x.req.sharedParts()) })
+	x.keysOnce.Do(func() { x.keys = append(quarantine.PartKeys(x.service.Name, x.req.sharedParts()), x.contentKey()) })
 	return quarantine.Request{
 		ID:   x.req.ID,
 		Keys: x.keys,
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -12,6 +12,8 @@
 	// sequence is the number of ends, one after the other, since the last success, and ends that of all since then.
 	sequence int
 	ends     int
+	// tied reports that another candidate explains the same ends.
+	tied bool
 }
 
 // decideDue decides about the ends whose evidence counts by now. The caller holds mu.
@@ -26,14 +28,18 @@
 
 // decide holds the keys that explain the ends, after new evidence of one: those with the most ends first, since an end
 // that one key explains is no evidence against others. While several explain the same ends, more evidence is awaited,
-// up to tiedEnds. The caller holds mu.
+// up to tiedEnds; the content of a request is held at once, since no other request has it. The caller holds mu.
 func (r *Registry) decide(e *ending) {
 	for {
-		best := r.bestCandidates(e)
-		if len(best) == 0 || len(best) > 1 && best[0].ends < tiedEnds {
+		best := highestRank(r.bestCandidates(e))
+		undecided := slices.DeleteFunc(best, func(c candidate) bool {
+			_, held := r.holds[c.suspect.key.Hash]
+			return held || c.tied && c.ends < tiedEnds && !c.suspect.key.isContent()
+		})
+		if len(undecided) == 0 {
 			return
 		}
-		for _, c := range highestRank(best) {
+		for _, c := range undecided {
 			r.hold(c, e.decideAt)
 		}
 	}
@@ -58,11 +64,12 @@
 }
 
 // bestCandidates returns the candidates among the keys of an end that explain the most ends. Other keys have no new
-// evidence. The caller holds mu.
+// evidence. The content of a request is one even if it is held, so that a part of its prompt is not held for the
+// same ends. The caller holds mu.
 func (r *Registry) bestCandidates(e *ending) []candidate {
 	var best []candidate
 	for _, a := range e.Attempts {
-		if _, held := r.holds[a.Key.Hash]; held {
+		if _, held := r.holds[a.Key.Hash]; held && !a.Key.isContent() {
 			continue
 		}
 		c := r.candidate(r.suspects[a.Key.Hash])
@@ -80,6 +87,9 @@
 		}
 		best = append(best, c)
 	}
+	for i := range best {
+		best[i].tied = len(best) > 1
+	}
 	return best
 }
 
@@ -90,6 +100,9 @@
 
 // highestRank returns the candidates with the highest rank, which the fewest sound requests share.
 func highestRank(list []candidate) []candidate {
+	if len(list) == 0 {
+		return nil
+	}
 	highest := slices.MaxFunc(list, func(a, b candidate) int { return cmp.Compare(a.suspect.key.Rank, b.suspect.key.Rank) })
 	return slices.DeleteFunc(list, func(c candidate) bool { return c.suspect.key.Rank < highest.suspect.key.Rank })
 }
@@ -113,12 +126,16 @@
 	return c
 }
 
-// explained reports whether a held key explains an end, so that it is no evidence against a suspect. A key whose ends
-// the suspect explains, and more, does not. The caller holds mu.
+// explained reports whether another key that is held explains an end, so that it is no evidence against a suspect. A
+// key whose ends the suspect explains, and more, does not; nor does the content of a request explain anything to
+// a part of prompts, which may be the reason. The caller holds mu.
 func (r *Registry) explained(e *ending, s *suspect) bool {
 	return slices.ContainsFunc(e.Attempts, func(a Attempt) bool {
 		_, held := r.holds[a.Key.Hash]
-		return held && !r.explains(s, a.Key.Hash)
+		if !held || a.Key.Hash == s.key.Hash || a.Key.isContent() && !s.key.isContent() {
+			return false
+		}
+		return !r.explains(s, a.Key.Hash)
 	})
 }
 
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -48,20 +48,28 @@
 
 // ContentKey returns the key of a request's content.
 func ContentKey(c Content) Key {
+	d := digestOf("content", c.Service, c.Workspace, c.Method, c.Host, c.Target)
+	_, _ = d.Write(c.Body) // It never fails.
 	return Key{
-		Hash: hashOf("content", c.Service, c.Workspace, c.Method, c.Host, c.Target, string(c.Body)),
+		Hash: d.Sum64(),
 		Rank: contentRank,
 	}
 }
 
+// isContent reports whether the key is that of a whole request.
+func (k Key) isContent() bool { return k.Rank >= contentRank }
+
 // hashOf returns a hash of a list of texts.
-func hashOf(texts ...string) uint64 {
+func hashOf(texts ...string) uint64 { return digestOf(texts...).Sum64() }
+
+// digestOf returns a digest of a list of texts, to which more can be written.
+func digestOf(texts ...string) *xxhash.Digest {
 	d := xxhash.New()
 	for _, text := range texts {
 		_, _ = d.WriteString(text) // It never fails.
 		_, _ = d.Write([]byte{0})
 	}
-	return d.Sum64()
+	return d
 }
 
 // Request is a request with its keys.
--- a/internal/quarantine/script_test.go
+++ b/internal/quarantine/script_test.go
@@ -140,16 +140,21 @@
 	return s.heldKeys()
 }
 
-// request returns a request with keys that are named by letters. Each one has a higher rank than the one before.
+// request returns a request with keys that are named by letters, a capital one for its content. Each one has a higher
+// rank than the one before.
 func request(id, names string) Request {
 	req := Request{
 		ID: id,
 	}
 	for i, name := range strings.Split(names, ",") {
-		req.Keys = append(req.Keys, Key{
+		k := Key{
 			Hash: uint64(name[0]),
 			Rank: i,
-		})
+		}
+		if strings.ToUpper(name) == name {
+			k.Rank = contentRank
+		}
+		req.Keys = append(req.Keys, k)
 	}
 	return req
 }
