Send no request on while it is about to be decided whether it is held

Change: a request with a key at three ends one after the other waits for the decision, and that comes 100 ms after the first news of an end instead of 250 ms after the last, since the probes take 10 ms and the links a few; what comes later is decided anew.

--- a/internal/entryhost/containment.go
+++ b/internal/entryhost/containment.go
@@ -65,6 +65,12 @@
 	return c
 }
 
+// Admit implements forward.Containment. It waits for a decision that is due.
+func (c *containment) Admit(req quarantine.Request) error {
+	time.Sleep(c.DecisionIn(req))
+	return c.Registry.Admit(req)
+}
+
 // Succeeded implements forward.Containment.
 func (c *containment) Succeeded(req quarantine.Request) {
 	c.daemon.members.ReportEvidence(c.Registry.Succeeded(req))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -166,6 +166,7 @@
 type Containment interface {
 	// Active reports whether any keys are suspected. While it is false, requests need no keys.
 	Active() bool
+	// Admit may block for a moment while it is decided whether the request is held.
 	Admit(req quarantine.Request) error
 	BeginAttempt(req quarantine.Request) error
 	// Broke records a broken attempt. It may block for a moment to find out whether the upstream has ended.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -105,8 +105,10 @@
 	}
 	r.active.Store(true)
 	r.recordHeldEnds(known)
-	known.decideAt = time.Now().Add(decisionDelay)
-	r.undecided = append(slices.DeleteFunc(r.undecided, func(u *ending) bool { return u == known }), known)
+	if !slices.Contains(r.undecided, known) {
+		known.decideAt = time.Now().Add(decisionDelay)
+		r.undecided = append(r.undecided, known)
+	}
 	return true
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -41,9 +41,9 @@
 	// within less.
 	separation    = 250 * time.Millisecond
 	minSeparation = 20 * time.Millisecond
-	// decisionDelay is the time after evidence of an end until it counts. The other daemons that had attempts there
+	// decisionDelay is the time after new evidence of an end until it counts. The other daemons that had attempts there
 	// tell of them meanwhile.
-	decisionDelay = 250 * time.Millisecond
+	decisionDelay = 100 * time.Millisecond
 	// SettleTime is how long a response goes on after its start until its request counts as a success.
 	SettleTime = time.Second
 	// firstHold is the length of the first hold of a key. Each further one is holdGrowth times as long, up to maxHold.
--- a/internal/quarantine/query.go
+++ b/internal/quarantine/query.go
@@ -9,6 +9,28 @@
 // Active reports whether there are suspects or holds. While it is false, no request needs its keys.
 func (r *Registry) Active() bool { return r.active.Load() }
 
+// DecisionIn returns the time until it is decided whether a request is held, zero unless three upstreams have ended one
+// after the other with one of its keys.
+func (r *Registry) DecisionIn(req Request) time.Duration {
+	if !r.Active() {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wait := time.Duration(0)
+	for _, k := range req.Keys {
+		s, ok := r.suspects[k.Hash]
+		if !ok {
+			continue
+		}
+		last := s.ends[len(s.ends)-1]
+		if left := time.Until(last.decideAt); left > wait && r.candidate(s).sequence >= minEnds {
+			wait = left
+		}
+	}
+	return wait
+}
+
 // Observations returns all that a daemon that joins must be told.
 func (r *Registry) Observations() []Observation {
 	r.mu.Lock()
--- a/internal/quarantine/script_test.go
+++ b/internal/quarantine/script_test.go
@@ -17,7 +17,8 @@
 // TestScripts runs the scripts of testdata/scripts on one registry. Times are milliseconds. "end" is the end of an
 // upstream; each line of its input lists the keys of an attempt, of which later ones have a higher rank, and when it began
 // if not at the time of the command. "success" and
-// "admit" take the keys of a request. "held" shows the holds after decisionDelay.
+// "admit" take the keys of a request. "held" shows the holds after decisionDelay, "decision" for how
+// long a request should wait until it is decided whether it is held.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
@@ -59,6 +60,8 @@
 		return s.admit(d, s.registry.Admit)
 	case "send":
 		return s.admit(d, s.registry.BeginAttempt)
+	case "decision":
+		return fmt.Sprintf("in %v\n", s.registry.DecisionIn(request("", argument(d, "keys"))))
 	case "join":
 		return s.join()
 	}
