Hold the key with which no request has succeeded if several explain the same ends

Among keys at the same ends those without a success come first, and one alone is held at three ends instead of five.

--- a/internal/forward/containment.go
+++ b/internal/forward/containment.go
@@ -29,13 +29,29 @@
 
 // quarantined returns the request with its keys.
 func (x *execution) quarantined() quarantine.Request {
-	x.keysOnce.Do(func() { x.keys = append(quarantine.PartKeys(x.service.Name, x.req.sharedParts()), x.contentKey()) })
+	x.keysOnce.Do(func() {
+		for i := range x.sharedPartCount() {
+			x.keys = append(x.keys, x.partKey(i))
+		}
+		x.keys = append(x.keys, x.contentKey())
+	})
 	return quarantine.Request{
 		ID:   x.req.ID,
 		Keys: x.keys,
 	}
 }
 
+// sharedPartCount returns the number of parts of the prompt that have keys: all but the last, which no other request
+// has.
+func (x *execution) sharedPartCount() int {
+	return min(max(len(x.req.Prompt)-1, 0), quarantine.MaxParts)
+}
+
+// partKey returns the key of a part of the prompt.
+func (x *execution) partKey(i int) quarantine.Key {
+	return quarantine.PartKey(x.service.Name, x.req.Prompt[i].ID, i)
+}
+
 // contentKey returns the key of the request's content.
 func (x *execution) contentKey() quarantine.Key {
 	return quarantine.ContentKey(quarantine.Content{
@@ -48,10 +64,18 @@
 	})
 }
 
-// recordSuccess records that an attempt has not ended its upstream.
+// recordSuccess records that an attempt has not ended its upstream. Without suspects it is noted for the parts of the
+// prompt only, since the key of the content costs a hash of the body.
 func (x *execution) recordSuccess() {
-	if c := x.forwarder.cfg.Containment; c != nil && c.Active() {
+	c := x.forwarder.cfg.Containment
+	switch {
+	case c == nil:
+	case c.Active():
 		c.Succeeded(x.quarantined())
+	default:
+		for i := range x.sharedPartCount() {
+			c.NoteSuccess(x.partKey(i))
+		}
 	}
 }
 
--- a/internal/forward/containment_test.go
+++ b/internal/forward/containment_test.go
@@ -71,6 +71,9 @@
 	c.broke++
 }
 
+// NoteSuccess implements Containment.
+func (c *fakeContainment) NoteSuccess(quarantine.Key) {}
+
 // Succeeded implements Containment.
 func (c *fakeContainment) Succeeded(quarantine.Request) {
 	c.mu.Lock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -164,15 +164,17 @@
 // Containment keeps requests from upstreams that such requests have ended. Admit and BeginAttempt behave like those
 // of quarantine.Registry.
 type Containment interface {
-	// Active reports whether any keys are suspected. While it is false, requests need no keys.
+	// Active reports whether any keys are suspected. While it is false, requests need not be admitted.
 	Active() bool
 	// Admit may block for a moment while it is decided whether the request is held.
 	Admit(req quarantine.Request) error
 	BeginAttempt(req quarantine.Request) error
 	// Broke records a broken attempt. It may block for a moment to find out whether the upstream has ended.
 	Broke(b BrokenAttempt)
-	// Succeeded records that the response to a request is complete or has settled.
+	// Succeeded records that the response to a request is complete or has settled. NoteSuccess is enough for each
+	// part of its prompt while no keys are suspected.
 	Succeeded(req quarantine.Request)
+	NoteSuccess(k quarantine.Key)
 }
 
 // ResponseWriter writes the response to the caller: either one call of WriteResponse, or one
--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -104,9 +104,10 @@
 	}
 	for _, a := range e.Attempts {
 		r.Attempts = append(r.Attempts, &peerpb.EndedAttempt{
-			Key:   a.Key.Hash,
-			Rank:  int32(a.Key.Rank),
-			RanMs: e.At.Sub(a.Began).Milliseconds(),
+			Key:       a.Key.Hash,
+			Rank:      int32(a.Key.Rank),
+			RanMs:     e.At.Sub(a.Began).Milliseconds(),
+			Succeeded: a.Succeeded,
 		})
 	}
 	return r
@@ -123,7 +124,8 @@
 				Hash: a.GetKey(),
 				Rank: int(a.GetRank()),
 			},
-			Began: before(e.At, a.GetRanMs()),
+			Began:     before(e.At, a.GetRanMs()),
+			Succeeded: a.GetSucceeded(),
 		})
 	}
 	return e
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -12,7 +12,7 @@
 	// sequence is the number of ends, one after the other, since the last success, and ends that of all since then.
 	sequence int
 	ends     int
-	// tied reports that another candidate explains the same ends.
+	// tied reports that another candidate is as likely.
 	tied bool
 }
 
@@ -27,11 +27,11 @@
 }
 
 // decide holds the keys that explain the ends, after new evidence of one: those with the most ends first, since an end
-// that one key explains is no evidence against others. While several explain the same ends, more evidence is awaited,
-// up to tiedEnds; the content of a request is held at once, since no other request has it. The caller holds mu.
+// that one key explains is no evidence against others. While several are as likely, more evidence is awaited, up to
+// tiedEnds; the content of a request is held at once, since no other request has it. The caller holds mu.
 func (r *Registry) decide(e *ending) {
 	for {
-		best := highestRank(r.bestCandidates(e))
+		best := mostLikely(r.bestCandidates(e))
 		undecided := slices.DeleteFunc(best, func(c candidate) bool {
 			_, held := r.holds[c.suspect.key.Hash]
 			return held || c.tied && c.ends < tiedEnds && !c.suspect.key.isContent()
@@ -87,9 +87,6 @@
 		}
 		best = append(best, c)
 	}
-	for i := range best {
-		best[i].tied = len(best) > 1
-	}
 	return best
 }
 
@@ -98,13 +95,20 @@
 	return cmp.Or(cmp.Compare(c.sequence, o.sequence), cmp.Compare(c.ends, o.ends))
 }
 
-// highestRank returns the candidates with the highest rank, which the fewest sound requests share.
-func highestRank(list []candidate) []candidate {
-	if len(list) == 0 {
-		return nil
+// mostLikely returns, of candidates that explain the same ends, those whose key has not succeeded before, and of these
+// the ones with the highest rank, which the fewest sound requests share.
+func mostLikely(list []candidate) []candidate {
+	if slices.ContainsFunc(list, func(c candidate) bool { return !c.suspect.succeeded }) {
+		list = slices.DeleteFunc(list, func(c candidate) bool { return c.suspect.succeeded })
+	}
+	for i := range list {
+		list[i].tied = len(list) > 1
+	}
+	highest := 0
+	for _, c := range list {
+		highest = max(highest, c.suspect.key.Rank)
 	}
-	highest := slices.MaxFunc(list, func(a, b candidate) int { return cmp.Compare(a.suspect.key.Rank, b.suspect.key.Rank) })
-	return slices.DeleteFunc(list, func(c candidate) bool { return c.suspect.key.Rank < highest.suspect.key.Rank })
+	return slices.DeleteFunc(list, func(c candidate) bool { return c.suspect.key.Rank < highest })
 }
 
 // candidate returns what speaks against a suspect. The caller holds mu.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -10,8 +10,10 @@
 	key Key
 	// ends are those with an attempt that had the key, in the order of their times.
 	ends []*ending
-	// success is the time of the last success, zero if none is known.
+	// success is the time of the last success since the first of the ends, zero if none is known.
 	success time.Time
+	// succeeded reports that requests with the key have succeeded at some time before.
+	succeeded bool
 }
 
 // ending is an end of an upstream as far as it is known here.
@@ -35,6 +37,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.decideDue()
+	for i, a := range e.Attempts {
+		e.Attempts[i].Succeeded = r.succeeded.has(a.Key.Hash)
+	}
 	if len(e.Attempts) == 0 || !r.mergeEnd(e) {
 		return nil
 	}
@@ -45,6 +50,9 @@
 
 // Succeeded records the success of a request of this daemon, and returns what the other daemons must be told.
 func (r *Registry) Succeeded(req Request) []Observation {
+	for _, k := range req.Keys {
+		r.NoteSuccess(k)
+	}
 	if !r.Active() {
 		return nil
 	}
@@ -64,6 +72,9 @@
 	return list
 }
 
+// NoteSuccess notes that a request with a key has succeeded. It tells nobody.
+func (r *Registry) NoteSuccess(k Key) { r.succeeded.add(k.Hash) }
+
 // Merge records an observation of another daemon and reports whether it was new.
 func (r *Registry) Merge(o Observation) bool {
 	r.mu.Lock()
@@ -128,6 +139,7 @@
 			}
 			r.suspects[a.Key.Hash] = s
 		}
+		s.succeeded = s.succeeded || a.Succeeded
 		s.ends = append(s.ends, e)
 		slices.SortStableFunc(s.ends, func(a, b *ending) int { return a.At.Compare(b.At) })
 		if a.Began.After(e.lastBegan) {
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -16,20 +16,16 @@
 // String returns the hash in hexadecimal.
 func (k Key) String() string { return fmt.Sprintf("%016x", k.Hash) }
 
-// MaxParts bounds the parts of a prompt that have keys. Further ones are ignored.
+// MaxParts is the number of parts of a prompt that have keys. Further ones are ignored.
 const MaxParts = 64
 
-// PartKeys returns the keys of a prompt's parts that other requests may have, in the order of the prompt.
-func PartKeys(service string, parts []string) []Key {
-	parts = parts[:min(len(parts), MaxParts)]
-	keys := make([]Key, len(parts))
-	for i, part := range parts {
-		keys[i] = Key{
-			Hash: hashOf("part", service, part),
-			Rank: i,
-		}
+// PartKey returns the key of a part of a prompt, of which it is the one with an index.
+func PartKey(service, part string, index int) Key {
+	const multiplier = 0x9e3779b97f4a7c15 // 2^64 divided by the golden ratio
+	return Key{
+		Hash: xxhash.Sum64String(part) ^ xxhash.Sum64String(service)*multiplier,
+		Rank: index,
 	}
-	return keys
 }
 
 // Content is what makes a request the same as another one, whatever its ID.
@@ -59,9 +55,6 @@
 // isContent reports whether the key is that of a whole request.
 func (k Key) isContent() bool { return k.Rank >= contentRank }
 
-// hashOf returns a hash of a list of texts.
-func hashOf(texts ...string) uint64 { return digestOf(texts...).Sum64() }
-
 // digestOf returns a digest of a list of texts, to which more can be written.
 func digestOf(texts ...string) *xxhash.Digest {
 	d := xxhash.New()
--- a/internal/quarantine/observation.go
+++ b/internal/quarantine/observation.go
@@ -17,6 +17,8 @@
 type Attempt struct {
 	Key   Key
 	Began time.Time
+	// Succeeded reports that requests with the key have succeeded at the daemon of the attempt, at some time before.
+	Succeeded bool
 }
 
 // Success is the success of a request with a key: its response is complete or has settled.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -4,7 +4,7 @@
 // shares with the same request that comes again. When an upstream ends, the
 // keys of the attempts that may have ended it are evidence. A key is held, so that no request with it reaches
 // an upstream, after three ends, one after the other, without a success in between; after five if other keys explain
-// the same ends, unless it is the content of a request. The load that this answers is requests that share a part on
+// the same ends, unless it is the content of a request, or requests with the others have succeeded before. The load that this answers is requests that share a part on
 // which every upstream of a service ends, and a request on which every one ends that is sent again and again, at any
 // daemon, beside sound requests that share the rest.
 //
@@ -86,7 +86,8 @@
 type Registry struct {
 	cfg Config
 	// active reports that there are suspects or holds.
-	active atomic.Bool
+	active    atomic.Bool
+	succeeded succeededKeys
 
 	mu sync.Mutex
 	// ends are the ends by incarnation, and oldest their order.
--- a/internal/quarantine/script_test.go
+++ b/internal/quarantine/script_test.go
@@ -17,7 +17,8 @@
 // TestScripts runs the scripts of testdata/scripts on one registry. Times are milliseconds. "end" is the end of an
 // upstream; each line of its input lists the keys of an attempt, of which later ones have a higher rank, and when it began
 // if not at the time of the command. "success" and
-// "admit" take the keys of a request. "held" shows the holds after decisionDelay, "decision" for how
+// "admit" take the keys of a request. "held" shows the holds after decisionDelay, "note" notes a success of a key
+// before any end, "decision" shows for how
 // long a request should wait until it is decided whether it is held.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
@@ -54,6 +55,9 @@
 	case "held":
 		time.Sleep(decisionDelay)
 		return s.heldKeys()
+	case "note":
+		s.registry.NoteSuccess(request("", argument(d, "keys")).Keys[0])
+		return ""
 	case "success":
 		return s.told(s.registry.Succeeded(request("", argument(d, "keys"))))
 	case "admit":
