Hold nothing that has succeeded before for ends of upstreams for other reasons

Cause: ends 20 ms apart counted as following each other if any attempt began between them, which is always so on a busy service; and contents and parts that many requests share were held after three ends like ones that had never succeeded.

A daemon whose trial fails tells the others of the next hold.

--- a/internal/entryhost/containment.go
+++ b/internal/entryhost/containment.go
@@ -102,12 +102,7 @@
 		c.probed[b.Incarnation] = p
 		go c.findOut(b.Incarnation, p)
 	}
-	for _, k := range b.Request.Keys {
-		p.attempts = append(p.attempts, quarantine.Attempt{
-			Key:   k,
-			Began: b.Began,
-		})
-	}
+	p.attempts = append(p.attempts, quarantine.AttemptsOf(b.Request, b.Began)...)
 	return p.done
 }
 
--- a/internal/forward/containment.go
+++ b/internal/forward/containment.go
@@ -64,8 +64,7 @@
 	})
 }
 
-// recordSuccess records that an attempt has not ended its upstream. Without suspects it is noted for the parts of the
-// prompt only, since the key of the content costs a hash of the body.
+// recordSuccess records that an attempt has not ended its upstream.
 func (x *execution) recordSuccess() {
 	c := x.forwarder.cfg.Containment
 	switch {
@@ -73,9 +72,21 @@
 	case c.Active():
 		c.Succeeded(x.quarantined())
 	default:
-		for i := range x.sharedPartCount() {
-			c.NoteSuccess(x.partKey(i))
-		}
+		x.noteSuccess(c)
+	}
+}
+
+// maxNotedBody is the size in bytes of a body up to which the success of its content is noted without suspects.
+const maxNotedBody = 2 << 10
+
+// noteSuccess notes the success for each key of the request. That of a content with a long body is left out, since its
+// hash takes time, and it hardly comes again.
+func (x *execution) noteSuccess(c Containment) {
+	for i := range x.sharedPartCount() {
+		c.NoteSuccess(x.partKey(i))
+	}
+	if len(x.req.Body) <= maxNotedBody {
+		c.NoteSuccess(x.contentKey())
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -172,7 +172,7 @@
 	// Broke records a broken attempt. It may block for a moment to find out whether the upstream has ended.
 	Broke(b BrokenAttempt)
 	// Succeeded records that the response to a request is complete or has settled. NoteSuccess is enough for each
-	// part of its prompt while no keys are suspected.
+	// of its keys while none are suspected.
 	Succeeded(req quarantine.Request)
 	NoteSuccess(k quarantine.Key)
 }
--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -108,6 +108,7 @@
 			Rank:      int32(a.Key.Rank),
 			RanMs:     e.At.Sub(a.Began).Milliseconds(),
 			Succeeded: a.Succeeded,
+			Request:   a.Request,
 		})
 	}
 	return r
@@ -126,6 +127,7 @@
 			},
 			Began:     before(e.At, a.GetRanMs()),
 			Succeeded: a.GetSucceeded(),
+			Request:   a.GetRequest(),
 		})
 	}
 	return e
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -6,7 +6,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// calmRequest does what a request costs on a day without ends: it is admitted, and the success of each part is noted.
+// calmRequest does what a request costs on a day without ends: it is admitted, and the success of each key is noted.
 func calmRequest(r *Registry, parts []string) {
 	if r.Active() {
 		return
@@ -14,6 +14,14 @@
 	for i, part := range parts {
 		r.NoteSuccess(PartKey("sequoia-pool", part, i))
 	}
+	r.NoteSuccess(ContentKey(calmContent))
+}
+
+var calmContent = Content{
+	Service: "sequoia-pool",
+	Method:  "POST",
+	Target:  "/wuwu942/le61/",
+	Body:    make([]byte, 2<<10),
 }
 
 var calmParts = []string{"5c1e07a2", "91bd3f06", "e4402b7d"}
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -12,8 +12,15 @@
 	// sequence is the number of ends, one after the other, since the last success, and ends that of all since then.
 	sequence int
 	ends     int
-	// tied reports that another candidate is as likely.
-	tied bool
+}
+
+// minSequence returns the sequence of ends from which on the key is held. That requests with it have succeeded before
+// speaks for it.
+func (c candidate) minSequence() int {
+	if c.suspect.succeeded {
+		return certainEnds
+	}
+	return minEnds
 }
 
 // decideDue decides about the ends whose evidence counts by now. The caller holds mu.
@@ -27,14 +34,15 @@
 }
 
 // decide holds the keys that explain the ends, after new evidence of one: those with the most ends first, since an end
-// that one key explains is no evidence against others. While several are as likely, more evidence is awaited, up to
-// tiedEnds; the content of a request is held at once, since no other request has it. The caller holds mu.
+// that one key explains is no evidence against others. While several explain the same ends, more evidence is awaited, up
+// to certainEnds; the content of a request is held at once, since no other request has it. The caller holds mu.
 func (r *Registry) decide(e *ending) {
 	for {
-		best := mostLikely(r.bestCandidates(e))
-		undecided := slices.DeleteFunc(best, func(c candidate) bool {
+		best := r.bestCandidates(e)
+		tied := len(best) > 1
+		undecided := slices.DeleteFunc(highestRank(best), func(c candidate) bool {
 			_, held := r.holds[c.suspect.key.Hash]
-			return held || c.tied && c.ends < tiedEnds && !c.suspect.key.isContent()
+			return held || tied && c.ends < certainEnds && !c.suspect.key.isContent()
 		})
 		if len(undecided) == 0 {
 			return
@@ -73,7 +81,7 @@
 			continue
 		}
 		c := r.candidate(r.suspects[a.Key.Hash])
-		if c.sequence < minEnds {
+		if c.sequence < c.minSequence() {
 			continue
 		}
 		if len(best) > 0 {
@@ -90,20 +98,23 @@
 	return best
 }
 
-// compare orders candidates by the ends that they explain.
+// compare orders candidates by the ends that they explain. One without an earlier success comes before all others.
 func (c candidate) compare(o candidate) int {
-	return cmp.Or(cmp.Compare(c.sequence, o.sequence), cmp.Compare(c.ends, o.ends))
+	if c.suspect.succeeded != o.suspect.succeeded {
+		return cmp.Compare(c.earlierSuccesses(), o.earlierSuccesses())
+	}
+	return cmp.Or(cmp.Compare(c.ends, o.ends), cmp.Compare(c.sequence, o.sequence))
 }
 
-// mostLikely returns, of candidates that explain the same ends, those whose key has not succeeded before, and of these
-// the ones with the highest rank, which the fewest sound requests share.
-func mostLikely(list []candidate) []candidate {
-	if slices.ContainsFunc(list, func(c candidate) bool { return !c.suspect.succeeded }) {
-		list = slices.DeleteFunc(list, func(c candidate) bool { return c.suspect.succeeded })
-	}
-	for i := range list {
-		list[i].tied = len(list) > 1
+func (c candidate) earlierSuccesses() int {
+	if c.suspect.succeeded {
+		return -1
 	}
+	return 0
+}
+
+// highestRank returns the candidates with the highest rank, which the fewest sound requests share.
+func highestRank(list []candidate) []candidate {
 	highest := 0
 	for _, c := range list {
 		highest = max(highest, c.suspect.key.Rank)
@@ -122,7 +133,7 @@
 			continue
 		}
 		c.ends++
-		if last == nil || e.follows(last) {
+		if last == nil || e.follows(last, s.key.Hash) {
 			c.sequence++
 			last = e
 		}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -19,17 +19,20 @@
 // ending is an end of an upstream as far as it is known here.
 type ending struct {
 	End
-	// lastBegan is when the last of its attempts began.
-	lastBegan time.Time
 	// decideAt is when its evidence counts.
 	decideAt time.Time
 }
 
-// follows reports whether the upstream ended after another one, rather than together with it: an attempt began there
-// after the other end, or a longer time lies between.
-func (e *ending) follows(o *ending) bool {
-	gap := e.At.Sub(o.At)
-	return gap >= separation || gap >= minSeparation && e.lastBegan.After(o.At)
+// follows reports whether the upstream ended after another one, rather than together with it: a time lies between, or
+// one request with the key was sent again after the other end.
+func (e *ending) follows(o *ending, key uint64) bool {
+	if e.At.Sub(o.At) >= separation {
+		return true
+	}
+	return slices.ContainsFunc(e.Attempts, func(a Attempt) bool {
+		return a.Key.Hash == key && a.Began.After(o.At) &&
+			slices.ContainsFunc(o.Attempts, func(b Attempt) bool { return b.Key.Hash == key && b.Request == a.Request })
+	})
 }
 
 // Ended records that an upstream ended with attempts of this daemon, and returns what the other daemons must be told.
@@ -43,9 +46,15 @@
 	if len(e.Attempts) == 0 || !r.mergeEnd(e) {
 		return nil
 	}
-	return []Observation{
+	list := []Observation{
 		e,
 	}
+	for _, a := range e.Attempts {
+		if h, ok := r.holds[a.Key.Hash]; ok && h.Failures > 0 && h.Since.Equal(e.At) {
+			list = append(list, h.Hold) // The others may take the trial for one that began before the end of the hold.
+		}
+	}
+	return list
 }
 
 // Succeeded records the success of a request of this daemon, and returns what the other daemons must be told.
@@ -123,15 +132,19 @@
 	return true
 }
 
-// addAttempts adds attempts with new keys to an end and reports whether there were any. The caller holds mu.
+// addAttempts adds new attempts to an end and reports whether there were any. The caller holds mu.
 func (r *Registry) addAttempts(e *ending, attempts []Attempt) bool {
 	added := false
 	for _, a := range attempts {
-		if len(e.Attempts) >= r.cfg.MaxAttempts || slices.ContainsFunc(e.Attempts, func(b Attempt) bool { return b.Key.Hash == a.Key.Hash }) {
+		if len(e.Attempts) >= r.cfg.MaxAttempts || slices.ContainsFunc(e.Attempts, a.isSame) {
 			continue
 		}
 		added = true
+		known := slices.ContainsFunc(e.Attempts, func(b Attempt) bool { return b.Key.Hash == a.Key.Hash })
 		e.Attempts = append(e.Attempts, a)
+		if known {
+			continue
+		}
 		s, ok := r.suspects[a.Key.Hash]
 		if !ok {
 			s = &suspect{
@@ -142,9 +155,6 @@
 		s.succeeded = s.succeeded || a.Succeeded
 		s.ends = append(s.ends, e)
 		slices.SortStableFunc(s.ends, func(a, b *ending) int { return a.At.Compare(b.At) })
-		if a.Began.After(e.lastBegan) {
-			e.lastBegan = a.Began
-		}
 	}
 	return added
 }
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -39,13 +40,27 @@
 	Body   []byte
 }
 
+// separator stands after each text in the digest of a content.
+var separator = [1]byte{0}
+
 // contentRank exceeds the rank of each part.
 const contentRank = MaxParts
 
 // ContentKey returns the key of a request's content.
 func ContentKey(c Content) Key {
-	d := digestOf("content", c.Service, c.Workspace, c.Method, c.Host, c.Target)
-	_, _ = d.Write(c.Body) // It never fails.
+	var d xxhash.Digest
+	d.Reset()
+	for _, text := range [...]string{
+		c.Service,
+		c.Workspace,
+		c.Method,
+		c.Host,
+		c.Target,
+	} {
+		_, _ = d.WriteString(text) // It never fails.
+		_, _ = d.Write(separator[:])
+	}
+	_, _ = d.Write(c.Body)
 	return Key{
 		Hash: d.Sum64(),
 		Rank: contentRank,
@@ -55,18 +70,21 @@
 // isContent reports whether the key is that of a whole request.
 func (k Key) isContent() bool { return k.Rank >= contentRank }
 
-// digestOf returns a digest of a list of texts, to which more can be written.
-func digestOf(texts ...string) *xxhash.Digest {
-	d := xxhash.New()
-	for _, text := range texts {
-		_, _ = d.WriteString(text) // It never fails.
-		_, _ = d.Write([]byte{0})
-	}
-	return d
-}
-
 // Request is a request with its keys.
 type Request struct {
 	ID   string
 	Keys []Key
 }
+
+// AttemptsOf returns an attempt for each key of a request.
+func AttemptsOf(req Request, began time.Time) []Attempt {
+	list := make([]Attempt, 0, len(req.Keys))
+	for _, k := range req.Keys {
+		list = append(list, Attempt{
+			Key:     k,
+			Request: xxhash.Sum64String(req.ID),
+			Began:   began,
+		})
+	}
+	return list
+}
--- a/internal/quarantine/observation.go
+++ b/internal/quarantine/observation.go
@@ -15,12 +15,17 @@
 
 // Attempt is an attempt with a key at an upstream that ended before the response was complete or settled.
 type Attempt struct {
-	Key   Key
-	Began time.Time
+	Key Key
+	// Request is a hash of the ID of the request.
+	Request uint64
+	Began   time.Time
 	// Succeeded reports that requests with the key have succeeded at the daemon of the attempt, at some time before.
 	Succeeded bool
 }
 
+// isSame reports whether two attempts at one upstream are the same.
+func (a Attempt) isSame(b Attempt) bool { return a.Key.Hash == b.Key.Hash && a.Request == b.Request }
+
 // Success is the success of a request with a key: its response is complete or has settled.
 type Success struct {
 	Key uint64
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -34,13 +34,12 @@
 const (
 	// minEnds is the number of ends, one after the other, after which a key is held.
 	minEnds = 3
-	// tiedEnds is the number of ends from which on a key is held even if others explain the same ends.
-	tiedEnds = 5
-	// separation is the time between two ends from which on they count as two. If an attempt at the second upstream
-	// began after the first one ended, that is minSeparation. Daemons see the ends of upstreams that are lost together
-	// within less.
-	separation    = 250 * time.Millisecond
-	minSeparation = 20 * time.Millisecond
+	// certainEnds is the number of ends from which on a key is held even if requests with it have succeeded before, or if
+	// others explain the same ends.
+	certainEnds = 5
+	// separation is the time between two ends from which on they count as two, unless the same request was at both.
+	// Upstreams that are lost together end within less.
+	separation = 100 * time.Millisecond
 	// decisionDelay is the time after new evidence of an end until it counts. The other daemons that had attempts there
 	// tell of them meanwhile.
 	decisionDelay = 100 * time.Millisecond
--- a/internal/quarantine/script_test.go
+++ b/internal/quarantine/script_test.go
@@ -16,7 +16,7 @@
 
 // TestScripts runs the scripts of testdata/scripts on one registry. Times are milliseconds. "end" is the end of an
 // upstream; each line of its input lists the keys of an attempt, of which later ones have a higher rank, and when it began
-// if not at the time of the command. "success" and
+// if not at the time of the command. Each attempt is of another request unless the command has an "id". "success" and
 // "admit" take the keys of a request. "held" shows the holds after decisionDelay, "note" notes a success of a key
 // before any end, "decision" shows for how
 // long a request should wait until it is decided whether it is held.
@@ -34,6 +34,8 @@
 	registry *Registry
 	// noTurn keeps this daemon from sending trial requests.
 	noTurn bool
+	// attempts counts the attempts at upstreams that ended.
+	attempts int
 	// observed is what another daemon must be told.
 	observed []Observation
 }
@@ -101,12 +103,12 @@
 			require.NoError(t, err)
 			ran = time.Duration(ms) * time.Millisecond
 		}
-		for _, k := range request("", keys).Keys {
-			e.Attempts = append(e.Attempts, Attempt{
-				Key:   k,
-				Began: e.At.Add(-ran),
-			})
+		s.attempts++
+		id := fmt.Sprint("r", s.attempts)
+		if d.HasArg("id") {
+			id = argument(d, "id")
 		}
+		e.Attempts = append(e.Attempts, AttemptsOf(request(id, keys), e.At.Add(-ran))...)
 	}
 	return e
 }
