Keep inputs of stages that end stage upstreams from all of them

Change: the owner asks the containment for each piece of a call and reports calls whose connections break, by the input of the request's stages; requests are refused for it before their stages.

--- /dev/null
+++ b/internal/entryhost/containedinvoker.go
@@ -0,0 +1,111 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+
+	"sequoiafork/internal/forward"
+	"sequoiafork/internal/quarantine"
+	"sequoiafork/internal/stagework"
+	"sequoiafork/internal/tcp"
+)
+
+// containedInvoker keeps pieces of stages from upstreams that pieces with the same input have ended.
+type containedInvoker struct {
+	stagework.Invoker
+	containment *containment
+}
+
+// Run implements stagework.Invoker. Pieces that are held fail, and the others are run.
+func (v containedInvoker) Run(ctx context.Context, u stagework.Upstream, items []stagework.Item) ([]stagework.ItemResult, error) {
+	admitted := v.admitted(u, items)
+	if len(admitted) == 0 {
+		return failedItems(len(items)), nil
+	}
+	calls := make([]stagework.Item, len(admitted))
+	for i, index := range admitted {
+		calls[i] = items[index]
+	}
+	began := time.Now()
+	results, err := v.Invoker.Run(ctx, u, calls)
+	if err != nil {
+		if tcp.Broke(err) {
+			v.recordBroken(u, calls, began)
+		}
+		return nil, err
+	}
+	if len(results) != len(calls) {
+		return results, nil // The scheduler takes it for a failed call.
+	}
+	v.recordSuccesses(u, calls, results)
+	merged := failedItems(len(items))
+	for i, index := range admitted {
+		merged[index] = results[i]
+	}
+	return merged, nil
+}
+
+// admitted returns the indexes of the items that may be sent. It waits for decisions that are due.
+func (v containedInvoker) admitted(u stagework.Upstream, items []stagework.Item) []int {
+	var list []int
+	for i, it := range items {
+		time.Sleep(v.containment.DecisionIn(stageRequest(u, it)))
+		if v.containment.BeginAttempt(stageRequest(u, it)) == nil {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// failedItems returns results of items that were not run, or failed.
+func failedItems(n int) []stagework.ItemResult {
+	results := make([]stagework.ItemResult, n)
+	for i := range results {
+		results[i].Status = stagework.ItemFailed
+	}
+	return results
+}
+
+// recordBroken records a call whose connection broke.
+func (v containedInvoker) recordBroken(u stagework.Upstream, items []stagework.Item, began time.Time) {
+	var attempts []forward.BrokenAttempt
+	for _, it := range items {
+		attempts = append(attempts, forward.BrokenAttempt{
+			Addr:        u.Addr,
+			Incarnation: u.Incarnation,
+			Request:     stageRequest(u, it),
+			Began:       began,
+		})
+	}
+	v.containment.Broke(attempts...)
+}
+
+// recordSuccesses records the pieces that have not ended the upstream.
+func (v containedInvoker) recordSuccesses(u stagework.Upstream, items []stagework.Item, results []stagework.ItemResult) {
+	for i, r := range results {
+		if r.Status != stagework.Done {
+			continue
+		}
+		req := stageRequest(u, items[i])
+		if v.containment.Active() {
+			v.containment.Succeeded(req)
+			continue
+		}
+		for _, k := range req.Keys {
+			v.containment.NoteSuccess(k)
+		}
+	}
+}
+
+// stageRequest returns the request of an item with the key of its input, if it has one.
+func stageRequest(u stagework.Upstream, it stagework.Item) quarantine.Request {
+	req := quarantine.Request{
+		ID: it.RequestID,
+	}
+	if it.JobInput != "" {
+		req.Keys = []quarantine.Key{
+			quarantine.StageInputKey(u.Service, it.JobInput),
+		}
+	}
+	return req
+}
--- a/internal/entryhost/containment.go
+++ b/internal/entryhost/containment.go
@@ -76,10 +76,13 @@
 	c.daemon.members.ReportEvidence(c.Registry.Succeeded(req))
 }
 
-// Broke implements forward.Containment. It returns when it is known whether the upstream has ended, or after
+// Broke implements forward.Containment, for attempts at one upstream. It returns when it is known whether the upstream has ended, or after
 // evidenceWait.
-func (c *containment) Broke(b forward.BrokenAttempt) {
-	done := c.probe(b)
+func (c *containment) Broke(list ...forward.BrokenAttempt) {
+	var done <-chan struct{}
+	for _, b := range list {
+		done = c.probe(b)
+	}
 	timeout := time.NewTimer(evidenceWait)
 	defer timeout.Stop()
 	select {
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -174,9 +174,12 @@
 		Logger:        d.logger,
 	})
 	d.scheduler = stagework.New(stagework.Config{
-		Invoker: cfg.Invoker,
-		Self:    incarnation,
-		Logger:  d.logger,
+		Invoker: containedInvoker{
+			Invoker:     cfg.Invoker,
+			containment: d.containment,
+		},
+		Self:   incarnation,
+		Logger: d.logger,
 	})
 	d.origins = origins{
 		Table:  streamorigin.New(streamorigin.Config{}),
--- a/internal/forward/containment.go
+++ b/internal/forward/containment.go
@@ -2,23 +2,38 @@
 
 import (
 	"errors"
-	"io"
-	"syscall"
+	"slices"
 	"time"
 
 	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/quarantine"
+	"sequoiafork/internal/tcp"
 	"sequoiafork/internal/upstream"
 )
 
 // admit returns a *quarantine.HeldError if the request must not be sent, again or for the first time.
 func (x *execution) admit() error {
 	if c := x.forwarder.cfg.Containment; c != nil && c.Active() {
-		return c.Admit(x.quarantined())
+		return c.Admit(x.withStageInputs(x.quarantined()))
 	}
 	return nil
 }
 
+// withStageInputs adds the keys of the inputs of the request's stages, which end the upstreams of stages and no
+// others.
+func (x *execution) withStageInputs(req quarantine.Request) quarantine.Request {
+	if x.req.InputKey == "" {
+		return req
+	}
+	req.Keys = slices.Clip(req.Keys)
+	for _, st := range x.requestStages() {
+		if st.Pieces > 0 {
+			req.Keys = append(req.Keys, quarantine.StageInputKey(st.Service, x.req.InputKey))
+		}
+	}
+	return req
+}
+
 // beginAttempt is admit for an attempt that begins now.
 func (x *execution) beginAttempt() error {
 	if c := x.forwarder.cfg.Containment; c != nil && c.Active() {
@@ -106,20 +121,7 @@
 }
 
 // connectionBroke reports whether an attempt failed since its connection ended.
-func connectionBroke(err error) bool {
-	for _, end := range []error{
-		io.EOF,
-		io.ErrUnexpectedEOF,
-		syscall.ECONNRESET,
-		syscall.EPIPE,
-		errNoEvents,
-	} {
-		if errors.Is(err, end) {
-			return true
-		}
-	}
-	return false
-}
+func connectionBroke(err error) bool { return tcp.Broke(err) || errors.Is(err, errNoEvents) }
 
 // hasSettled reports whether a response has gone on for so long after its first event that its request does not end
 // the upstream.
--- a/internal/forward/containment_test.go
+++ b/internal/forward/containment_test.go
@@ -16,6 +16,8 @@
 	mu        sync.Mutex
 	broke     int
 	succeeded int
+	// admittedKeys is the number of keys with which the request was to be admitted first.
+	admittedKeys int
 }
 
 // newFakeContainment returns what the option "held" says: "start", "break", "never" or the time until requests are
@@ -48,9 +50,12 @@
 func (c *fakeContainment) Active() bool { return true }
 
 // Admit implements Containment.
-func (c *fakeContainment) Admit(quarantine.Request) error {
+func (c *fakeContainment) Admit(req quarantine.Request) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.admittedKeys == 0 {
+		c.admittedKeys = len(req.Keys)
+	}
 	held := !c.from.IsZero() && !time.Now().Before(c.from)
 	if !held && (!c.onBreak || c.broke == 0) {
 		return nil
@@ -65,7 +70,7 @@
 func (c *fakeContainment) BeginAttempt(req quarantine.Request) error { return c.Admit(req) }
 
 // Broke implements Containment.
-func (c *fakeContainment) Broke(BrokenAttempt) {
+func (c *fakeContainment) Broke(...BrokenAttempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broke++
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -169,8 +169,9 @@
 	// Admit may block for a moment while it is decided whether the request is held.
 	Admit(req quarantine.Request) error
 	BeginAttempt(req quarantine.Request) error
-	// Broke records a broken attempt. It may block for a moment to find out whether the upstream has ended.
-	Broke(b BrokenAttempt)
+	// Broke records broken attempts at one upstream. It may block for a moment to find out whether the upstream has
+	// ended.
+	Broke(list ...BrokenAttempt)
 	// Succeeded records that the response to a request is complete or has settled. NoteSuccess is enough for each
 	// of its keys while none are suspected.
 	Succeeded(req quarantine.Request)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -58,6 +58,7 @@
 		"stops":           "0s",
 		"held":            "",
 		"last_event":      "",
+		"input":           "",
 	}
 	for _, arg := range d.CmdArgs {
 		opts[arg.Key] = arg.Vals[0]
@@ -111,6 +112,7 @@
 	if opts["last_event"] != "" {
 		req.LastEventID, req.HasLastEvent = int64(numberOf(t, opts["last_event"])), true
 	}
+	req.InputKey = opts["input"]
 	if opts["stages"] != "0" {
 		req.PieceCounts = []int{numberOf(t, opts["stages"])}
 	}
@@ -126,7 +128,7 @@
 	}
 	if held != nil {
 		_, retryAfter := outcomeDetail(o)
-		out += fmt.Sprintf("broke: %d, succeeded: %d, retry after %v\n", held.broke, held.succeeded, retryAfter)
+		out += fmt.Sprintf("broke: %d, succeeded: %d, retry after %v, keys: %d\n", held.broke, held.succeeded, retryAfter, held.admittedKeys)
 	}
 	return out
 }
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -67,7 +67,14 @@
 	}
 }
 
-// isContent reports whether the key is that of a whole request.
+// StageInputKey returns the key of the input of a request's stages at the upstreams of a stage service.
+func StageInputKey(service, input string) Key {
+	k := PartKey(service, input, contentRank)
+	k.Hash++ // Differs from that of a part with the same name.
+	return k
+}
+
+// isContent reports whether the key is that of a whole request, or of all of its stages.
 func (k Key) isContent() bool { return k.Rank >= contentRank }
 
 // Request is a request with its keys.
--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -321,6 +321,7 @@
 			Piece:     p.index,
 			TimeLeft:  p.job.timeLeft(now),
 			Inputs:    p.job.inputs(p.stage),
+			JobInput:  p.job.InputKey,
 		}
 		if len(p.stage.DependsOn) == 0 {
 			item.InputKey = p.job.InputKey
--- a/internal/stagework/stagework.go
+++ b/internal/stagework/stagework.go
@@ -47,6 +47,8 @@
 	InputKey string
 	// Inputs are the handles of the results that the piece takes as input.
 	Inputs []string
+	// JobInput is the InputKey of the job, also for a stage that depends on others.
+	JobInput string
 }
 
 // ItemStatus is the outcome of an item: Done, or the reason why it has no result.
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -1,11 +1,12 @@
 // Package tcp detects unresponsive peers of connections, by socket options that the net package leaves at the
-// system's defaults, and addresses at which no process listens.
+// system's defaults, connections that ended, and addresses at which no process listens.
 package tcp
 
 import (
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -26,6 +27,21 @@
 	}
 }
 
+// Broke reports whether an error is that of a connection that its other end, or the network, has ended.
+func Broke(err error) bool {
+	for _, end := range []error{
+		io.EOF,
+		io.ErrUnexpectedEOF,
+		syscall.ECONNRESET,
+		syscall.EPIPE,
+	} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // Refused reports whether the host of an address refuses a connection, since no process listens there. It is false if
 // the host does not respond until ctx ends.
 func Refused(ctx context.Context, addr string) bool {
