--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -177,11 +177,12 @@
 	}
 }
 
-// explains reports whether a suspect was there at all ends that are held against another key, and at others. The
-// caller holds mu.
+// explains reports whether a suspect was there at all ends that are held against another key, and at others. One with
+// which requests have succeeded before, such as a part that all prompts share, is no better explanation than one
+// without. The caller holds mu.
 func (r *Registry) explains(s *suspect, key uint64) bool {
 	other, ok := r.suspects[key]
-	if !ok || len(other.ends) >= len(s.ends) {
+	if !ok || len(other.ends) >= len(s.ends) || s.succeeded && !other.succeeded {
 		return false
 	}
 	return !slices.ContainsFunc(other.ends, func(e *ending) bool { return !slices.Contains(s.ends, e) })
