Call the quarantine by one name

One thing had three names: package quarantine, forward's and entryhost's containment, and the outcome quarantined. Now forward.Quarantine, entryhost's sharedQuarantine and quarantineInvoker; the end of an upstream as a daemon knows it is knownEnd, since End is what daemons tell. Renames only; tests of forward, quarantine and entryhost pass.

--- a/internal/entryhost/dump.go
+++ b/internal/entryhost/dump.go
@@ -53,7 +53,7 @@
 		StageServices: d.scheduler.Status(),
 		Membership:    d.members.Members(),
 		Upstreams:     d.upstreams.Upstreams(),
-		Held:          d.containment.Holds(),
+		Held:          d.quarantine.Holds(),
 		Goroutines:    runtime.NumGoroutine(),
 		HeapBytes:     memory.HeapAlloc,
 	}
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -99,7 +99,7 @@
 	submitter   *submitter
 	readers     *topic.Readers
 	origins     origins
-	containment *containment
+	quarantine  *sharedQuarantine
 	daemonCount atomic.Int64
 	draining    atomic.Bool
 	// configured is closed once routes and upstreams are known, if only a part of the list, and
@@ -140,7 +140,7 @@
 		leaving:         make(map[string]time.Time),
 	}
 	d.daemonCount.Store(1)
-	d.containment = newContainment(d)
+	d.quarantine = newSharedQuarantine(d)
 	d.members = membership.New(membership.Config{
 		Self: membership.Member{
 			Incarnation:  incarnation,
@@ -158,7 +158,7 @@
 		ResolveTTL:        cfg.Settings.Drain.ResolveTTL,
 		ResolveMax:        maxAddresses,
 		OnNotice:          d.observePeerNotice,
-		Evidence:          d.containment,
+		Evidence:          d.quarantine,
 	})
 	d.upstreams = upstream.New(upstream.Config{
 		DataCentre: cfg.Settings.Daemon.DataCentre,
@@ -174,9 +174,9 @@
 		Logger:        d.logger,
 	})
 	d.scheduler = stagework.New(stagework.Config{
-		Invoker: containedInvoker{
-			Invoker:     cfg.Invoker,
-			containment: d.containment,
+		Invoker: quarantineInvoker{
+			Invoker:    cfg.Invoker,
+			quarantine: d.quarantine,
 		},
 		Self:   incarnation,
 		Logger: d.logger,
@@ -208,7 +208,7 @@
 		Stages:      d.submitter,
 		Upstreams:   d.upstreams,
 		Origins:     d.origins,
-		Containment: d.containment,
+		Quarantine:  d.quarantine,
 		Table:       d.table.Load,
 		RetryRatio:  ratioFraction * cfg.Settings.Retry.Ratio,
 		RetryBurst:  burstFraction * float64(cfg.Settings.Retry.Burst),
--- a/internal/entryhost/containment.go
+++ b/internal/entryhost/quarantine.go
@@ -33,9 +33,9 @@
 // upstreamEndsTotal counts the ends of upstreams that this daemon has observed.
 var upstreamEndsTotal = metrics.GetOrCreateCounter("sequoiafork_upstream_ends_total")
 
-// containment finds out whether an upstream has ended when a connection to it breaks, and tells the peers which
-// attempts it had. It implements forward.Containment.
-type containment struct {
+// sharedQuarantine finds out whether an upstream has ended when a connection to it breaks, and tells the peers which
+// attempts it had. It implements forward.Quarantine.
+type sharedQuarantine struct {
 	*quarantine.Registry
 	daemon *Daemon
 
@@ -53,35 +53,35 @@
 	done chan struct{}
 }
 
-func newContainment(d *Daemon) *containment {
-	c := &containment{
+func newSharedQuarantine(d *Daemon) *sharedQuarantine {
+	q := &sharedQuarantine{
 		daemon: d,
 		probed: make(map[string]*probedUpstream),
 	}
-	c.Registry = quarantine.New(quarantine.Config{
-		MayTry: c.mayTry,
+	q.Registry = quarantine.New(quarantine.Config{
+		MayTry: q.mayTry,
 		Logger: d.logger,
 	})
-	return c
+	return q
 }
 
-// Admit implements forward.Containment. It waits for a decision that is due.
-func (c *containment) Admit(req quarantine.Request) error {
-	time.Sleep(c.DecisionIn(req))
-	return c.Registry.Admit(req)
+// Admit implements forward.Quarantine. It waits for a decision that is due.
+func (q *sharedQuarantine) Admit(req quarantine.Request) error {
+	time.Sleep(q.DecisionIn(req))
+	return q.Registry.Admit(req)
 }
 
-// Succeeded implements forward.Containment.
-func (c *containment) Succeeded(req quarantine.Request) {
-	c.daemon.members.ReportEvidence(c.Registry.Succeeded(req))
+// Succeeded implements forward.Quarantine.
+func (q *sharedQuarantine) Succeeded(req quarantine.Request) {
+	q.daemon.members.ReportEvidence(q.Registry.Succeeded(req))
 }
 
-// Broke implements forward.Containment, for attempts at one upstream. It returns when it is known whether the upstream has ended, or after
-// evidenceWait.
-func (c *containment) Broke(list ...forward.BrokenAttempt) {
+// Broke implements forward.Quarantine, for attempts at one upstream. It returns when it is known whether the upstream
+// has ended, or after evidenceWait.
+func (q *sharedQuarantine) Broke(list ...forward.BrokenAttempt) {
 	var done <-chan struct{}
 	for _, b := range list {
-		done = c.probe(b)
+		done = q.probe(b)
 	}
 	timeout := time.NewTimer(evidenceWait)
 	defer timeout.Stop()
@@ -92,37 +92,37 @@
 }
 
 // probe adds an attempt to the upstream that is probed, and begins to probe it if it is the first.
-func (c *containment) probe(b forward.BrokenAttempt) <-chan struct{} {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p, ok := c.probed[b.Incarnation]
+func (q *sharedQuarantine) probe(b forward.BrokenAttempt) <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p, ok := q.probed[b.Incarnation]
 	if !ok {
 		p = &probedUpstream{
 			addr: b.Addr,
 			at:   time.Now(),
 			done: make(chan struct{}),
 		}
-		c.probed[b.Incarnation] = p
-		go c.findOut(b.Incarnation, p)
+		q.probed[b.Incarnation] = p
+		go q.findOut(b.Incarnation, p)
 	}
 	p.attempts = append(p.attempts, quarantine.AttemptsOf(b.Request, b.Began)...)
 	return p.done
 }
 
 // findOut probes an upstream, and records and announces its end if it has ended.
-func (c *containment) findOut(incarnation string, p *probedUpstream) {
+func (q *sharedQuarantine) findOut(incarnation string, p *probedUpstream) {
 	defer close(p.done)
 	ended := hasEnded(p.addr)
-	c.mu.Lock()
-	delete(c.probed, incarnation)
+	q.mu.Lock()
+	delete(q.probed, incarnation)
 	attempts := p.attempts
-	c.mu.Unlock()
-	c.daemon.logger.Info("connections to an upstream broke", zap.String("upstream", incarnation), zap.Bool("ended", ended), zap.Int("keys", len(attempts)))
+	q.mu.Unlock()
+	q.daemon.logger.Info("connections to an upstream broke", zap.String("upstream", incarnation), zap.Bool("ended", ended), zap.Int("keys", len(attempts)))
 	if !ended {
 		return
 	}
 	upstreamEndsTotal.Inc()
-	c.daemon.members.ReportEvidence(c.Ended(quarantine.End{
+	q.daemon.members.ReportEvidence(q.Ended(quarantine.End{
 		Incarnation: incarnation,
 		At:          p.at,
 		Attempts:    attempts,
@@ -145,10 +145,10 @@
 
 // mayTry reports whether this daemon sends the trial request of a key in a turn: it ranks highest among the living
 // (rendezvous hashing).
-func (c *containment) mayTry(key uint64, turn int) bool {
-	self := c.daemon.members.Self().Incarnation
+func (q *sharedQuarantine) mayTry(key uint64, turn int) bool {
+	self := q.daemon.members.Self().Incarnation
 	own := trialRank(self, key, turn)
-	for _, name := range c.daemon.daemonNames() {
+	for _, name := range q.daemon.daemonNames() {
 		if name != self && trialRank(name, key, turn) > own {
 			return false
 		}
--- a/internal/entryhost/containedinvoker.go
+++ b/internal/entryhost/quarantineinvoker.go
@@ -10,14 +10,14 @@
 	"sequoiafork/internal/tcp"
 )
 
-// containedInvoker keeps pieces of stages from upstreams that pieces with the same input have ended.
-type containedInvoker struct {
+// quarantineInvoker keeps pieces of stages from upstreams that pieces with the same input have ended.
+type quarantineInvoker struct {
 	stagework.Invoker
-	containment *containment
+	quarantine *sharedQuarantine
 }
 
 // Run implements stagework.Invoker. Pieces that are held fail, and the others are run.
-func (v containedInvoker) Run(ctx context.Context, u stagework.Upstream, items []stagework.Item) ([]stagework.ItemResult, error) {
+func (v quarantineInvoker) Run(ctx context.Context, u stagework.Upstream, items []stagework.Item) ([]stagework.ItemResult, error) {
 	admitted := v.admitted(u, items)
 	if len(admitted) == 0 {
 		return failedItems(len(items)), nil
@@ -46,11 +46,11 @@
 }
 
 // admitted returns the indexes of the items that may be sent. It waits for decisions that are due.
-func (v containedInvoker) admitted(u stagework.Upstream, items []stagework.Item) []int {
+func (v quarantineInvoker) admitted(u stagework.Upstream, items []stagework.Item) []int {
 	var list []int
 	for i, it := range items {
-		time.Sleep(v.containment.DecisionIn(stageRequest(u, it)))
-		if v.containment.BeginAttempt(stageRequest(u, it)) == nil {
+		time.Sleep(v.quarantine.DecisionIn(stageRequest(u, it)))
+		if v.quarantine.BeginAttempt(stageRequest(u, it)) == nil {
 			list = append(list, i)
 		}
 	}
@@ -67,7 +67,7 @@
 }
 
 // recordBroken records a call whose connection broke.
-func (v containedInvoker) recordBroken(u stagework.Upstream, items []stagework.Item, began time.Time) {
+func (v quarantineInvoker) recordBroken(u stagework.Upstream, items []stagework.Item, began time.Time) {
 	var attempts []forward.BrokenAttempt
 	for _, it := range items {
 		attempts = append(attempts, forward.BrokenAttempt{
@@ -77,22 +77,22 @@
 			Began:       began,
 		})
 	}
-	v.containment.Broke(attempts...)
+	v.quarantine.Broke(attempts...)
 }
 
 // recordSuccesses records the pieces that have not ended the upstream.
-func (v containedInvoker) recordSuccesses(u stagework.Upstream, items []stagework.Item, results []stagework.ItemResult) {
+func (v quarantineInvoker) recordSuccesses(u stagework.Upstream, items []stagework.Item, results []stagework.ItemResult) {
 	for i, r := range results {
 		if r.Status != stagework.Done {
 			continue
 		}
 		req := stageRequest(u, items[i])
-		if v.containment.Active() {
-			v.containment.Succeeded(req)
+		if v.quarantine.Active() {
+			v.quarantine.Succeeded(req)
 			continue
 		}
 		for _, k := range req.Keys {
-			v.containment.NoteSuccess(k)
+			v.quarantine.NoteSuccess(k)
 		}
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -161,9 +161,9 @@
 	Began       time.Time
 }
 
-// Containment keeps requests from upstreams that such requests have ended. Admit and BeginAttempt behave like those
+// Quarantine keeps requests from upstreams that such requests have ended. Admit and BeginAttempt behave like those
 // of quarantine.Registry.
-type Containment interface {
+type Quarantine interface {
 	// Active reports whether any keys are suspected. While it is false, requests need not be admitted.
 	Active() bool
 	// Admit may block for a moment while it is decided whether the request is held.
@@ -193,8 +193,8 @@
 	Upstreams *upstream.Set
 	// Origins may be nil; a stream that a caller takes up then goes on at any version.
 	Origins StreamOrigins
-	// Containment may be nil; every request is then sent.
-	Containment Containment
+	// Quarantine may be nil; every request is then sent.
+	Quarantine Quarantine
 	// Table returns the routes in effect, or nil before any are known.
 	Table func() *routing.Table
 	// RetryRatio is the fraction of a service's requests that may be retried. RetryBurst
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -79,7 +79,7 @@
 			}
 		})
 	}
-	held := newFakeContainment(t, opts["held"])
+	held := newFakeQuarantine(t, opts["held"])
 	f := New(Config{
 		Client:     script,
 		Stages:     stages,
@@ -87,8 +87,8 @@
 		Table:      tableOf(t, opts),
 		RetryRatio: 0.2,
 		RetryBurst: 10,
-		// Without the option, the interface holds no containment.
-		Containment: held.orNil(),
+		// Without the option, the interface is nil.
+		Quarantine: held.orNil(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
--- a/internal/forward/containment.go
+++ b/internal/forward/quarantine.go
@@ -13,8 +13,8 @@
 
 // admit returns a *quarantine.HeldError if the request must not be sent, again or for the first time.
 func (x *execution) admit() error {
-	if c := x.forwarder.cfg.Containment; c != nil && c.Active() {
-		return c.Admit(x.withStageInputs(x.quarantined()))
+	if c := x.forwarder.cfg.Quarantine; c != nil && c.Active() {
+		return c.Admit(x.withStageInputs(x.quarantineRequest()))
 	}
 	return nil
 }
@@ -36,14 +36,14 @@
 
 // beginAttempt is admit for an attempt that begins now.
 func (x *execution) beginAttempt() error {
-	if c := x.forwarder.cfg.Containment; c != nil && c.Active() {
-		return c.BeginAttempt(x.quarantined())
+	if c := x.forwarder.cfg.Quarantine; c != nil && c.Active() {
+		return c.BeginAttempt(x.quarantineRequest())
 	}
 	return nil
 }
 
-// quarantined returns the request with its keys.
-func (x *execution) quarantined() quarantine.Request {
+// quarantineRequest returns the request with its keys.
+func (x *execution) quarantineRequest() quarantine.Request {
 	x.keysOnce.Do(func() {
 		for i := range x.sharedPartCount() {
 			x.keys = append(x.keys, x.partKey(i))
@@ -81,11 +81,11 @@
 
 // recordSuccess records that an attempt has not ended its upstream.
 func (x *execution) recordSuccess() {
-	c := x.forwarder.cfg.Containment
+	c := x.forwarder.cfg.Quarantine
 	switch {
 	case c == nil:
 	case c.Active():
-		c.Succeeded(x.quarantined())
+		c.Succeeded(x.quarantineRequest())
 	default:
 		x.noteSuccess(c)
 	}
@@ -96,7 +96,7 @@
 
 // noteSuccess notes the success for each key of the request. That of a content with a long body is left out, since its
 // hash takes time, and it hardly comes again.
-func (x *execution) noteSuccess(c Containment) {
+func (x *execution) noteSuccess(c Quarantine) {
 	for i := range x.sharedPartCount() {
 		c.NoteSuccess(x.partKey(i))
 	}
@@ -108,14 +108,14 @@
 // recordBroken records an attempt that failed since its connection broke, unless its response had settled. first is
 // the time from its start to the first event, zero before.
 func (x *execution) recordBroken(choice upstream.Choice, began time.Time, first time.Duration, failure *pipeline.CallError) {
-	c := x.forwarder.cfg.Containment
+	c := x.forwarder.cfg.Quarantine
 	if c == nil || failure.Execution < pipeline.MayHaveRun || !connectionBroke(failure.Err) || hasSettled(began, first) {
 		return
 	}
 	c.Broke(BrokenAttempt{
 		Addr:        choice.Addr,
 		Incarnation: choice.Incarnation,
-		Request:     x.quarantined(),
+		Request:     x.quarantineRequest(),
 		Began:       began,
 	})
 }
--- a/internal/forward/containment_test.go
+++ b/internal/forward/quarantine_test.go
@@ -8,8 +8,8 @@
 	"sequoiafork/internal/quarantine"
 )
 
-// fakeContainment holds all requests from the start, from a time on, or once an attempt has broken.
-type fakeContainment struct {
+// fakeQuarantine holds all requests from the start, from a time on, or once an attempt has broken.
+type fakeQuarantine struct {
 	from    time.Time
 	onBreak bool
 
@@ -20,10 +20,10 @@
 	admittedKeys int
 }
 
-// newFakeContainment returns what the option "held" says: "start", "break", "never" or the time until requests are
+// newFakeQuarantine returns what the option "held" says: "start", "break", "never" or the time until requests are
 // held. It is nil without the option.
-func newFakeContainment(t *testing.T, held string) *fakeContainment {
-	c := &fakeContainment{}
+func newFakeQuarantine(t *testing.T, held string) *fakeQuarantine {
+	c := &fakeQuarantine{}
 	switch held {
 	case "":
 		return nil
@@ -39,18 +39,18 @@
 }
 
 // orNil returns c as an interface, which is nil if c is.
-func (c *fakeContainment) orNil() Containment {
+func (c *fakeQuarantine) orNil() Quarantine {
 	if c == nil {
 		return nil
 	}
 	return c
 }
 
-// Active implements Containment.
-func (c *fakeContainment) Active() bool { return true }
+// Active implements Quarantine.
+func (c *fakeQuarantine) Active() bool { return true }
 
-// Admit implements Containment.
-func (c *fakeContainment) Admit(req quarantine.Request) error {
+// Admit implements Quarantine.
+func (c *fakeQuarantine) Admit(req quarantine.Request) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.admittedKeys == 0 {
@@ -66,21 +66,21 @@
 	}
 }
 
-// BeginAttempt implements Containment.
-func (c *fakeContainment) BeginAttempt(req quarantine.Request) error { return c.Admit(req) }
+// BeginAttempt implements Quarantine.
+func (c *fakeQuarantine) BeginAttempt(req quarantine.Request) error { return c.Admit(req) }
 
-// Broke implements Containment.
-func (c *fakeContainment) Broke(...BrokenAttempt) {
+// Broke implements Quarantine.
+func (c *fakeQuarantine) Broke(...BrokenAttempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broke++
 }
 
-// NoteSuccess implements Containment.
-func (c *fakeContainment) NoteSuccess(quarantine.Key) {}
+// NoteSuccess implements Quarantine.
+func (c *fakeQuarantine) NoteSuccess(quarantine.Key) {}
 
-// Succeeded implements Containment.
-func (c *fakeContainment) Succeeded(quarantine.Request) {
+// Succeeded implements Quarantine.
+func (c *fakeQuarantine) Succeeded(quarantine.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.succeeded++
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -36,7 +36,7 @@
 // decide holds the keys that explain the ends, after new evidence of one: those with the most ends first, since an end
 // that one key explains is no evidence against others. While several explain the same ends, more evidence is awaited, up
 // to certainEnds; the content of a request is held at once, since no other request has it. The caller holds mu.
-func (r *Registry) decide(e *ending) {
+func (r *Registry) decide(e *knownEnd) {
 	for {
 		best := r.bestCandidates(e)
 		tied := len(best) > 1
@@ -55,7 +55,7 @@
 
 // recordHeldEnds records an end with held keys. After the end of a hold it is a trial that has failed. The caller
 // holds mu.
-func (r *Registry) recordHeldEnds(e *ending) {
+func (r *Registry) recordHeldEnds(e *knownEnd) {
 	for _, a := range e.Attempts {
 		h, ok := r.holds[a.Key.Hash]
 		if !ok || !e.At.After(h.lastEnd) {
@@ -74,7 +74,7 @@
 // bestCandidates returns the candidates among the keys of an end that explain the most ends. Other keys have no new
 // evidence. The content of a request is one even if it is held, so that a part of its prompt is not held for the
 // same ends. The caller holds mu.
-func (r *Registry) bestCandidates(e *ending) []candidate {
+func (r *Registry) bestCandidates(e *knownEnd) []candidate {
 	var best []candidate
 	for _, a := range e.Attempts {
 		if _, held := r.holds[a.Key.Hash]; held && !a.Key.isContent() {
@@ -127,7 +127,7 @@
 	c := candidate{
 		suspect: s,
 	}
-	var last *ending
+	var last *knownEnd
 	for _, e := range s.ends {
 		if !e.At.After(s.success) || r.explained(e, s) {
 			continue
@@ -144,7 +144,7 @@
 // explained reports whether another key that is held explains an end, so that it is no evidence against a suspect. A
 // key whose ends the suspect explains, and more, does not; nor does the content of a request explain anything to
 // a part of prompts, which may be the reason. The caller holds mu.
-func (r *Registry) explained(e *ending, s *suspect) bool {
+func (r *Registry) explained(e *knownEnd, s *suspect) bool {
 	return slices.ContainsFunc(e.Attempts, func(a Attempt) bool {
 		_, held := r.holds[a.Key.Hash]
 		if !held || a.Key.Hash == s.key.Hash || a.Key.isContent() && !s.key.isContent() {
@@ -185,5 +185,5 @@
 	if !ok || len(other.ends) >= len(s.ends) || s.succeeded && !other.succeeded {
 		return false
 	}
-	return !slices.ContainsFunc(other.ends, func(e *ending) bool { return !slices.Contains(s.ends, e) })
+	return !slices.ContainsFunc(other.ends, func(e *knownEnd) bool { return !slices.Contains(s.ends, e) })
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -9,15 +9,15 @@
 type suspect struct {
 	key Key
 	// ends are those with an attempt that had the key, in the order of their times.
-	ends []*ending
+	ends []*knownEnd
 	// success is the time of the last success since the first of the ends, zero if none is known.
 	success time.Time
 	// succeeded reports that requests with the key have succeeded at some time before.
 	succeeded bool
 }
 
-// ending is an end of an upstream as far as it is known here.
-type ending struct {
+// knownEnd is an end of an upstream as far as it is known here.
+type knownEnd struct {
 	End
 	// decideAt is when its evidence counts.
 	decideAt time.Time
@@ -25,7 +25,7 @@
 
 // follows reports whether the upstream ended after another one, rather than together with it: a time lies between, or
 // one request with the key was sent again after the other end.
-func (e *ending) follows(o *ending, key uint64) bool {
+func (e *knownEnd) follows(o *knownEnd, key uint64) bool {
 	if e.At.Sub(o.At) >= separation {
 		return true
 	}
@@ -107,7 +107,7 @@
 	}
 	known, ok := r.ends[e.Incarnation]
 	if !ok {
-		known = &ending{
+		known = &knownEnd{
 			End: End{
 				Incarnation: e.Incarnation,
 				At:          e.At,
@@ -133,7 +133,7 @@
 }
 
 // addAttempts adds new attempts to an end and reports whether there were any. The caller holds mu.
-func (r *Registry) addAttempts(e *ending, attempts []Attempt) bool {
+func (r *Registry) addAttempts(e *knownEnd, attempts []Attempt) bool {
 	added := false
 	for _, a := range attempts {
 		if len(e.Attempts) >= r.cfg.MaxAttempts || slices.ContainsFunc(e.Attempts, a.isSame) {
@@ -154,7 +154,7 @@
 		}
 		s.succeeded = s.succeeded || a.Succeeded
 		s.ends = append(s.ends, e)
-		slices.SortStableFunc(s.ends, func(a, b *ending) int { return a.At.Compare(b.At) })
+		slices.SortStableFunc(s.ends, func(a, b *knownEnd) int { return a.At.Compare(b.At) })
 	}
 	return added
 }
@@ -168,7 +168,7 @@
 		}
 		r.oldest = r.oldest[1:]
 		delete(r.ends, e.Incarnation)
-		r.undecided = slices.DeleteFunc(r.undecided, func(u *ending) bool { return u == e })
+		r.undecided = slices.DeleteFunc(r.undecided, func(u *knownEnd) bool { return u == e })
 		for _, a := range e.Attempts {
 			r.dropSuspectEnd(a.Key.Hash, e)
 		}
@@ -176,9 +176,9 @@
 }
 
 // dropSuspectEnd drops an end of a suspect, and the suspect with its last one. The caller holds mu.
-func (r *Registry) dropSuspectEnd(key uint64, e *ending) {
+func (r *Registry) dropSuspectEnd(key uint64, e *knownEnd) {
 	s := r.suspects[key]
-	s.ends = slices.DeleteFunc(s.ends, func(own *ending) bool { return own == e })
+	s.ends = slices.DeleteFunc(s.ends, func(own *knownEnd) bool { return own == e })
 	if len(s.ends) == 0 {
 		delete(r.suspects, key)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -90,12 +90,12 @@
 
 	mu sync.Mutex
 	// ends are the ends by incarnation, and oldest their order.
-	ends     map[string]*ending
+	ends     map[string]*knownEnd
 	oldest   []string
 	suspects map[uint64]*suspect
 	holds    map[uint64]*hold
 	// undecided are the ends with evidence that does not count yet, in the order of their times.
-	undecided []*ending
+	undecided []*knownEnd
 }
 
 // New returns a Registry.
@@ -112,7 +112,7 @@
 	}
 	return &Registry{
 		cfg:      cfg,
-		ends:     make(map[string]*ending),
+		ends:     make(map[string]*knownEnd),
 		suspects: make(map[uint64]*suspect),
 		holds:    make(map[uint64]*hold),
 	}
