Hold a new request that ends many upstreams at the same time

Cause: ends within 100 ms counted as one, as of upstreams that are lost together, so that a request that came often enough to end all servers at once had to do so three times.

Change: for a key with which no request has succeeded before, 10 ms between two ends are enough; what many requests share has succeeded, and keeps 100 ms.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		c.ends++
-		if last == nil || e.follows(last, s.key.Hash) {
+		if last == nil || s.follow(e, last) {
 			c.sequence++
 			last = e
 		}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -23,15 +23,23 @@
 	decideAt time.Time
 }
 
-// follows reports whether the upstream ended after another one, rather than together with it: a time lies between, or
-// one request with the key was sent again after the other end.
-func (e *knownEnd) follows(o *knownEnd, key uint64) bool {
-	if e.At.Sub(o.At) >= separation {
+// separation returns the time between two ends with the key from which on they count as two.
+func (s *suspect) separation() time.Duration {
+	if s.succeeded {
+		return longSeparation
+	}
+	return minSeparation
+}
+
+// follow reports whether one upstream ended after another one, rather than together with it: the separation lies
+// between, or one request with the key was sent again after the other end.
+func (s *suspect) follow(e, o *knownEnd) bool {
+	if e.At.Sub(o.At) >= s.separation() {
 		return true
 	}
 	return slices.ContainsFunc(e.Attempts, func(a Attempt) bool {
-		return a.Key.Hash == key && a.Began.After(o.At) &&
-			slices.ContainsFunc(o.Attempts, func(b Attempt) bool { return b.Key.Hash == key && b.Request == a.Request })
+		return a.Key.Hash == s.key.Hash && a.Began.After(o.At) &&
+			slices.ContainsFunc(o.Attempts, func(b Attempt) bool { return b.Key.Hash == s.key.Hash && b.Request == a.Request })
 	})
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -37,9 +37,11 @@
 	// certainEnds is the number of ends from which on a key is held even if requests with it have succeeded before, or if
 	// others explain the same ends.
 	certainEnds = 5
-	// separation is the time between two ends from which on they count as two, unless the same request was at both.
-	// Upstreams that are lost together end within less.
-	separation = 100 * time.Millisecond
+	// minSeparation is the time between two ends from which on they count as two, unless the same request was at both.
+	// Upstreams that are lost at one moment end within less. For a key with which requests have succeeded before it
+	// is longSeparation, since some are lost in turn.
+	minSeparation  = 10 * time.Millisecond
+	longSeparation = 100 * time.Millisecond
 	// decisionDelay is the time after new evidence of an end until it counts. The other daemons that had attempts there
 	// tell of them meanwhile.
 	decisionDelay = 100 * time.Millisecond
