Let a request without an ID, and pieces at the owner, follow the hold of a key

A request without an ID was taken for the trial in progress while there was none, and sent during the hold (admitted in the script before, refused now). And the owner of the stage work refused the pieces of a trial that another daemon had admitted, so that the hold of an input of stages would have ended only where both are one daemon: pieces are refused for the time of the hold only, and the daemon of the request decides on the trial. The package's comment is put in order.

--- a/internal/entryhost/quarantineinvoker.go
+++ b/internal/entryhost/quarantineinvoker.go
@@ -45,12 +45,13 @@
 	return merged, nil
 }
 
-// admitted returns the indexes of the items that may be sent. It waits for decisions that are due.
+// admitted returns the indexes of the items that may be sent. It waits for decisions that are due. The daemon of a
+// request decides whether it is a trial.
 func (v quarantineInvoker) admitted(u stagework.Upstream, items []stagework.Item) []int {
 	var list []int
 	for i, it := range items {
 		time.Sleep(v.quarantine.DecisionIn(stageRequest(u, it)))
-		if v.quarantine.BeginAttempt(stageRequest(u, it)) == nil {
+		if !v.quarantine.Blocked(stageRequest(u, it)) {
 			list = append(list, i)
 		}
 	}
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -108,7 +108,7 @@
 
 // mayTry reports whether a request may be the trial.
 func (h *hold) mayTry(requestID string, myTurn bool, now time.Time) bool {
-	if h.trial.requestID == requestID {
+	if !h.trial.admitted.IsZero() && h.trial.requestID == requestID {
 		return !h.trial.sent
 	}
 	return myTurn && now.Sub(h.trial.admitted) >= trialTimeout
@@ -116,7 +116,7 @@
 
 // beginTrial makes a request the trial of a hold. The caller holds mu.
 func (r *Registry) beginTrial(h *hold, requestID string, now time.Time, send bool) {
-	if h.trial.requestID != requestID {
+	if h.trial.admitted.IsZero() || h.trial.requestID != requestID {
 		h.trial = trial{
 			requestID: requestID,
 			admitted:  now,
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,12 +1,13 @@
 // Package quarantine decides which requests are kept from upstreams because they end the upstreams that run them.
 //
 // A request has keys, which identify what it shares with others: the parts of its prompt, and its content, which it
-// shares with the same request that comes again. When an upstream ends, the
-// keys of the attempts that may have ended it are evidence. A key is held, so that no request with it reaches
-// an upstream, after three ends, one after the other, without a success in between; after five if other keys explain
-// the same ends, unless it is the content of a request, or requests with the others have succeeded before. The load that this answers is requests that share a part on
-// which every upstream of a service ends, and a request on which every one ends that is sent again and again, at any
-// daemon, beside sound requests that share the rest.
+// shares with the same request that comes again. When an upstream ends, the keys of the attempts that may have ended
+// it are evidence. A key is held, so that no request with it reaches an upstream, after three ends, one after the
+// other, without a success in between. It takes five if requests with the key have succeeded before, or if other
+// keys explain the same ends; the content of a request doesn't wait for that, since no other request has it.
+//
+// The load that this answers is requests that share a part on which every upstream of a service ends, and a request on
+// which every one ends that is sent again and again, at any daemon, beside sound requests that share the rest.
 //
 // What else ends upstreams doesn't hold a key: upstreams that end together, as by the loss of a data centre, count as
 // one, and whatever other requests share succeeds in between. An end that one key explains is no evidence against the
--- a/internal/quarantine/query.go
+++ b/internal/quarantine/query.go
@@ -9,6 +9,21 @@
 // Active reports whether there are suspects or holds. While it is false, no request needs its keys.
 func (r *Registry) Active() bool { return r.active.Load() }
 
+// Blocked reports whether a request must not be sent whoever sends it: one of its keys is held, and no trial is due.
+func (r *Registry) Blocked(req Request) bool {
+	if !r.Active() {
+		return false
+	}
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.decideDue()
+	return slices.ContainsFunc(req.Keys, func(k Key) bool {
+		h, ok := r.holds[k.Hash]
+		return ok && now.Before(h.until())
+	})
+}
+
 // DecisionIn returns the time until it is decided whether a request is held, zero unless three upstreams have ended one
 // after the other with one of its keys.
 func (r *Registry) DecisionIn(req Request) time.Duration {
--- a/internal/quarantine/script_test.go
+++ b/internal/quarantine/script_test.go
@@ -68,6 +68,8 @@
 		return s.admit(d, s.registry.BeginAttempt)
 	case "decision":
 		return fmt.Sprintf("in %v\n", s.registry.DecisionIn(request("", argument(d, "keys"))))
+	case "blocked":
+		return fmt.Sprintf("%t\n", s.registry.Blocked(request("", argument(d, "keys"))))
 	case "join":
 		return s.join()
 	}
