--- a/internal/entryhost/configuration_test.go
+++ b/internal/entryhost/configuration_test.go
@@ -95,8 +95,8 @@
 	})
 	d.SetFirstUpstreams(all)
 	const wait = 100 * time.Millisecond
-	time.AfterFunc(wait, func() { d.SetUpstreams(all) })
 	began := time.Now()
+	time.AfterFunc(wait, func() { d.SetUpstreams(all) })
 	d.Serve(t.Context(), forward.Request{
 		ID:           "r",
 		Host:         "h.example",
