--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -12,15 +12,15 @@
 		return
 	}
 	for i, part := range parts {
-		r.NoteSuccess(PartKey("sequoia-pool", part, i))
+		r.NoteSuccess(PartKey("engines", part, i))
 	}
 	r.NoteSuccess(ContentKey(calmContent))
 }
 
 var calmContent = Content{
-	Service: "sequoia-pool",
+	Service: "engines",
 	Method:  "POST",
-	Target:  "/wuwu942/le61/",
+	Target:  "/answers/1",
 	Body:    make([]byte, 2<<10),
 }
 
--- a/internal/quarantine/trouble_test.go
+++ b/internal/quarantine/trouble_test.go
@@ -18,8 +18,6 @@
 	troubleSeeds  = 100
 	troubleLength = 40 * time.Second
 	troubleTick   = 10 * time.Millisecond
-	// calmStart is the time until the first fault. Before any success, nothing speaks for a key.
-	calmStart = 2 * time.Second
 	// downTime is how long an upstream is down that has ended.
 	downTime = 3 * time.Second
 	// maxRunTime bounds the time for which a request runs.
@@ -102,7 +100,7 @@
 		p.upstreams = append(p.upstreams, &troubledUpstream{})
 	}
 	p.mean = []float64{0.05, 0.3, 1}[p.rand.IntN(3)]
-	at := p.began.Add(calmStart)
+	at := p.began
 	for at.Before(p.began.Add(troubleLength)) {
 		at = at.Add(time.Duration(p.rand.Int64N(int64(8 * time.Second))))
 		counts := []int{1, len(p.upstreams)*15/100 + 1, len(p.upstreams) / 2, len(p.upstreams)}
