--- a/internal/upstream/host.go
+++ b/internal/upstream/host.go
@@ -112,6 +112,9 @@
 	InFlight int
 	Queued   int
 	Capacity int
+	// Pace is how long work takes at the upstream now, as a multiple of the usual time there. Zero
+	// means that it is not known.
+	Pace float64
 	// Age is the time since the load was sampled.
 	Age time.Duration
 	// Leaving reports that the upstream takes no new work.
