Send to cold upstreams only as many requests as they take, from all daemons together

Cause: nothing tracked whether an upstream is cold. At the end of an evacuation every daemon sends to all of a data centre at once, and a cold upstream ends well above its cold rate.

Change: package coldstart decides who may send and when, without messages: for each upstream the first few daemons by rendezvous hash send at fixed intervals, together at most 0.8 of half of what it may get in any second. A view with less than half of the known daemons has a smaller part, so any parts of a cut stay within the limit together. A daemon that has just started or was suspended has no rights for 3 s. internal/upstream asks for a turn in every choice, and again when an attempt has waited; internal/stagework lets only the owner of the stage work call cold upstreams. The entry of an upstream, the routes and the settings carry what is needed. An upstream that is listed as leaving is no longer probed with a request when it refused a connection: that sent work into an evacuated data centre. Upstreams get no work before the evacuations have been read.

Ruled out: slices for all daemons (300 saved requests exceed any limit), and grants from the owner of the stage work (a message for each request, and none while there is no owner).

Tests: plays of 33, 74 and 300 daemons count arrivals in every sliding second: none of 30 is over the limit; the three in which each daemon takes the whole rate are. The expected text of Host changes by its new field, and that of the settings by the new section's name.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sequoiafork/internal/bytequota"
+	"sequoiafork/internal/coldstart"
 	"sequoiafork/internal/forward"
 	"sequoiafork/internal/ident"
 	"sequoiafork/internal/membership"
@@ -72,7 +73,7 @@
 	syncInterval = 100 * time.Millisecond
 )
 
-// Config configures a Daemon. All fields but Memory are required.
+// Config configures a Daemon. All fields but Memory and AwaitEvacuations are required.
 type Config struct {
 	Settings settings.Settings
 	Logger   *zap.Logger
@@ -83,6 +84,8 @@
 	Invoker stagework.Invoker
 	// DecodeTable decodes a table that was received from a peer.
 	DecodeTable func(raw []byte) (*routing.Table, error)
+	// AwaitEvacuations keeps all work from the upstreams until SetEvacuationsKnown is called.
+	AwaitEvacuations bool
 }
 
 // Daemon is the daemon of an entry host. It is safe for concurrent use.
@@ -100,6 +103,7 @@
 	readers     *topic.Readers
 	origins     origins
 	quarantine  *sharedQuarantine
+	rights      *coldstart.Rights
 	daemonCount atomic.Int64
 	draining    atomic.Bool
 	// configured is closed once routes and upstreams are known, if only a part of the list, and
@@ -109,7 +113,7 @@
 	fullyConfigured     chan struct{}
 	fullyConfiguredOnce sync.Once
 
-	mu    sync.Mutex // guards raw, hosts, listComplete, evacuated and leaving, and serializes changes of table
+	mu    sync.Mutex // guards the fields below, and serializes changes of table
 	table atomic.Pointer[routing.Table]
 	raw   []byte // encoded form of table, for peers
 	hosts []upstream.Host
@@ -120,6 +124,10 @@
 	// time when that was last of use.
 	evacuated map[string]time.Time
 	leaving   map[string]time.Time
+	// evacuationsKnown reports that evacuated is complete, or need not be awaited.
+	evacuationsKnown bool
+	// cold knows which upstreams are cold.
+	cold *coldstart.Ledger
 }
 
 // New returns a Daemon that listens on its peer address.
@@ -138,6 +146,10 @@
 		fullyConfigured: make(chan struct{}),
 		evacuated:       make(map[string]time.Time),
 		leaving:         make(map[string]time.Time),
+		cold:            coldstart.NewLedger(),
+		rights:          coldstart.NewRights(time.Now()),
+
+		evacuationsKnown: !cfg.AwaitEvacuations,
 	}
 	d.daemonCount.Store(1)
 	d.quarantine = newSharedQuarantine(d)
@@ -169,6 +181,7 @@
 		// longer queue on the engine that has it cached.
 		AffinityBound: affinityBound,
 		Daemons:       d.daemonNames,
+		Cold:          d.rights,
 		OnLimit:       d.reportLimit,
 		OnLeaving:     d.observeLeaving,
 		Logger:        d.logger,
@@ -179,6 +192,7 @@
 			quarantine: d.quarantine,
 		},
 		Self:   incarnation,
+		Cold:   d.rights,
 		Logger: d.logger,
 	})
 	d.origins = origins{
@@ -337,6 +351,7 @@
 	}
 	d.logUpstreams(list)
 	d.hosts = list
+	d.observeListed()
 	d.forgetLeaving()
 	d.applyUpstreams()
 	d.listComplete = true
@@ -347,7 +362,7 @@
 // upstreams are known too, so that this daemon can serve requests. The caller holds mu.
 func (d *Daemon) reportProgress() {
 	t := d.table.Load()
-	if t == nil || !d.knowsUpstreams(t) {
+	if t == nil || !d.evacuationsKnown || !d.knowsUpstreams(t) {
 		return
 	}
 	d.configuredOnce.Do(func() {
@@ -372,7 +387,8 @@
 			continue
 		}
 		d.logger.Info("upstream listed", zap.String("upstream", u.Incarnation), zap.String("addr", u.Addr),
-			zap.String("service", u.Service), zap.String("data_centre", u.DataCentre), zap.String("version", u.Version), zap.String("state", u.State.String()))
+			zap.String("service", u.Service), zap.String("data_centre", u.DataCentre), zap.String("version", u.Version), zap.String("state", u.State.String()),
+			zap.Stringer("cold", u.Cold))
 	}
 	for u := range removed {
 		d.logger.Info("upstream removed or changed", zap.String("upstream", u.Incarnation), zap.String("state", u.State.String()))
@@ -386,10 +402,11 @@
 	for i, u := range hosts {
 		_, leaving := d.leaving[u.Incarnation]
 		_, evacuated := d.evacuated[u.DataCentre]
-		if leaving || evacuated {
+		if leaving || evacuated || !d.evacuationsKnown {
 			hosts[i].State = upstream.Leaving
 		}
 	}
+	d.markCold(hosts)
 	d.upstreams.Replace(hosts)
 	var workers []stagework.Upstream
 	for _, u := range hosts {
@@ -401,6 +418,7 @@
 			Addr:        u.Addr,
 			DataCentre:  u.DataCentre,
 			Service:     u.Service,
+			Cold:        u.Cold,
 		})
 	}
 	d.scheduler.SetUpstreams(workers)
@@ -411,6 +429,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return d.node.Serve(ctx) })
 	g.Go(func() error { return d.syncLoop(ctx) })
+	g.Go(func() error { return d.coldLoop(ctx) })
 	g.Go(func() error { return d.origins.announceLoop(ctx) })
 	err := g.Wait()
 	if errors.Is(err, context.Canceled) {
--- a/internal/entryhost/evacuation.go
+++ b/internal/entryhost/evacuation.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"sequoiafork/internal/upstream"
 )
 
 // doubtTime is how long the operator may take to write an evacuation again that the store has lost.
@@ -26,7 +28,26 @@
 		return
 	}
 	d.logger.Info("evacuation of a data centre changed", zap.String("data_centre", dataCentre), zap.Bool("evacuated", evacuated))
+	if d.listComplete && !slices.ContainsFunc(d.hosts, func(h upstream.Host) bool { return h.DataCentre == dataCentre }) {
+		d.logger.Warn("evacuation names a data centre without upstreams", zap.String("data_centre", dataCentre))
+	}
+	if !evacuated {
+		d.cold.EndEvacuation(dataCentre, time.Now())
+	}
+	d.applyUpstreams()
+}
+
+// SetEvacuationsKnown records that all evacuations that there are now have been set. Only then the upstreams get work, if
+// Config.AwaitEvacuations is set: a daemon that starts may read the upstreams first.
+func (d *Daemon) SetEvacuationsKnown() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.evacuationsKnown {
+		return
+	}
+	d.evacuationsKnown = true
 	d.applyUpstreams()
+	d.reportProgress()
 }
 
 // DoubtEvacuation ends the evacuation of a data centre after doubtTime unless it is set again: the store has
--- a/internal/entryhost/firstupstreams.go
+++ b/internal/entryhost/firstupstreams.go
@@ -18,6 +18,7 @@
 	}
 	d.logUpstreams(list)
 	d.hosts = list
+	d.observeListed()
 	d.applyUpstreams()
 	d.reportProgress()
 }
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -339,7 +339,7 @@
 	case <-turn.C:
 	case <-ctx.Done():
 	}
-	if ctx.Err() == nil && choice.TakesWork() {
+	if ctx.Err() == nil && choice.BeginTurn() {
 		return nil
 	}
 	return &pipeline.CallError{
--- a/internal/hostset/hostset.go
+++ b/internal/hostset/hostset.go
@@ -45,6 +45,9 @@
 	Host upstream.Host
 	// Started orders the runs of a host: the later one has the higher number. Zero means unknown.
 	Started int64
+	// ColdKnown reports that the entry says for how long the host is cold from now on: for ColdLeft.
+	ColdKnown bool
+	ColdLeft  time.Duration
 	// Usable reports that the entry describes a valid host. One that does not is kept, so that an
 	// older one does not reappear, but not listed by Hosts.
 	Usable bool
@@ -112,7 +115,7 @@
 func (s *Set) put(name string, e Entry, at era.Position) {
 	delete(s.removed, name)
 	s.entries[name] = entry{
-		Entry: e,
+		Entry: e.withCold(s.entries[name].Entry, time.Now()),
 		at:    at,
 	}
 }
@@ -215,7 +218,7 @@
 	if gone, ok := s.removed[l.Name]; ok && (gone.sameRun(l.Entry) || gone.Started > l.Started) {
 		// It was removed after the copy was made. A record that is written now shows it again.
 		s.entries[l.Name] = entry{
-			Entry:       l.Entry,
+			Entry:       l.withCold(gone.Entry, time.Now()),
 			at:          l.At,
 			hiddenUntil: time.Now().Add(hiddenTTL),
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"sequoiafork/internal/coldstart"
 )
 
 // Kind is the kind of a request: whether it may be retried and whether its response is a
@@ -140,6 +142,8 @@
 	HealthPath string
 	Engine     *EngineSpec
 	Batch      *BatchSpec
+	// Cold is how the upstreams behave while they are cold.
+	Cold coldstart.Spec
 }
 
 // Workspace is a customer with the API keys of its callers.
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -18,6 +18,7 @@
 		drainFields(),
 		keysFields(),
 		retryFields(),
+		upstreamsFields(),
 		logFields(),
 	} {
 		all = append(all, fields...)
@@ -161,6 +162,17 @@
 	return g.fields
 }
 
+func upstreamsFields() []field {
+	g := &sectionBuilder{
+		section: "upstreams",
+	}
+	g.number("cold_over", "A cold upstream gets this many times its cold rate in any second, from all daemons together. Unused without a cold rate.", "factor", 1, 0.01, 1000,
+		func(s *Settings) *float64 { return &s.Upstreams.ColdOver })
+	g.number("cold_slack", "Requests that a cold upstream may get in any second beyond that.", "requests", 0, 0, 1_000_000,
+		func(s *Settings) *float64 { return &s.Upstreams.ColdSlack })
+	return g.fields
+}
+
 func logFields() []field {
 	g := &sectionBuilder{
 		section: "log",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,14 +26,15 @@
 
 // Settings holds all settings of a daemon.
 type Settings struct {
-	Daemon   Daemon
-	Peers    Peers
-	Platform Platform
-	Limits   Limits
-	Drain    Drain
-	Keys     IdempotencyKeys
-	Retry    Retry
-	Log      Log
+	Daemon    Daemon
+	Peers     Peers
+	Platform  Platform
+	Limits    Limits
+	Drain     Drain
+	Keys      IdempotencyKeys
+	Retry     Retry
+	Upstreams Upstreams
+	Log       Log
 }
 
 // Daemon configures where the daemon runs and listens.
@@ -107,6 +108,14 @@
 	Burst int64
 }
 
+// Upstreams configures how much cold upstreams get. It is used only for services with a cold rate.
+type Upstreams struct {
+	// ColdOver and ColdSlack bound the requests that a cold upstream gets in any second from all daemons
+	// together: ColdOver times its cold rate, and ColdSlack more.
+	ColdOver  float64
+	ColdSlack float64
+}
+
 // Log configures what is logged and in which format.
 type Log struct {
 	Level  string
--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -177,7 +177,7 @@
 	var list []*upstream
 	best := svc.minSlowdown()
 	for _, u := range svc.upstreams {
-		if u.draining || !u.memoryKnown && !u.limited() || u.paused(now) || !u.pacer.Ready(now) ||
+		if u.draining || !u.memoryKnown && !u.limited() || u.paused(now) || !u.hasTurn(now) ||
 			u.calls >= svc.spec.Concurrency || now.Before(u.backoffUntil) || (u.slowdown >= slowThreshold*best) != slow {
 			continue
 		}
@@ -328,7 +328,7 @@
 		}
 		c.items = append(c.items, item)
 	}
-	u.pacer.Take(now)
+	u.takeTurn(now)
 	u.calls++
 	u.callEnd = now.Add(time.Duration(u.slowdown * float64(c.expected)))
 	go s.run(c)
--- a/internal/stagework/limits.go
+++ b/internal/stagework/limits.go
@@ -59,27 +59,43 @@
 		s.startFreeing(u) // What waited for the end of a limit or of a pause.
 		return
 	}
-	if u.paused(now) || u.freeing || u.bytesToFree <= u.freeMemory(svc.spec.ResultMemoryBytes) || !u.pacer.Ready(now) {
+	if u.paused(now) || u.freeing || u.bytesToFree <= u.freeMemory(svc.spec.ResultMemoryBytes) || !u.hasTurn(now) {
 		return
 	}
-	u.pacer.Take(now)
+	u.takeTurn(now)
 	s.startFreeing(u)
 }
 
 // limitedResultTime returns how long a result takes up memory of an upstream that limits its rate: some
 // calls fill the memory, and one frees it, unless the results expire before.
 func (svc *service) limitedResultTime(u *upstream) time.Duration {
-	cycle := time.Duration(callsPerMemoryCycle / u.pacer.Limit().PerSecond * float64(time.Second))
+	perSecond := u.perSecond()
+	if perSecond == 0 {
+		return max(svc.spec.ResultLifetime, svc.resultTime())
+	}
+	cycle := time.Duration(callsPerMemoryCycle / perSecond * float64(time.Second))
 	return max(min(cycle, svc.spec.ResultLifetime), svc.resultTime())
 }
 
-// limited reports whether the upstream limits the rate of calls.
-func (u *upstream) limited() bool { return u.pacer.Limit().Limited }
+// limited reports whether the upstream limits the rate of calls, or gets few because it is cold.
+func (u *upstream) limited() bool { return u.pacer.Limit().Limited || u.cold(time.Now()) }
+
+// perSecond returns the rate of calls that an upstream with a limited rate takes from this daemon.
+func (u *upstream) perSecond() float64 {
+	perSecond := math.Inf(1)
+	if l := u.pacer.Limit(); l.Limited {
+		perSecond = l.PerSecond
+	}
+	if u.cold(time.Now()) {
+		perSecond = min(perSecond, u.turns.PerSecond())
+	}
+	return perSecond
+}
 
 // callsPerCallTime returns how many calls the upstream takes in the duration of one call.
 func (u *upstream) callsPerCallTime(d time.Duration) float64 {
 	if !u.limited() {
 		return math.Inf(1)
 	}
-	return u.pacer.Limit().PerSecond * d.Seconds()
+	return u.perSecond() * d.Seconds()
 }
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -99,6 +99,7 @@
 func (s *Scheduler) SetUpstreams(list []Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	first := !s.upstreamsKnown && len(list) > 0
 	s.upstreamsKnown = s.upstreamsKnown || first
 	named := make(map[string]bool, len(list))
@@ -110,9 +111,11 @@
 		named[u.Incarnation] = true
 		if known, ok := svc.upstreams[u.Incarnation]; ok {
 			known.draining = false
+			s.updateCold(known, u.Cold, now)
 			continue
 		}
 		x := newUpstream(u)
+		s.updateCold(x, u.Cold, now)
 		x.queryOrder = s.queryOrder(u)
 		svc.upstreams[u.Incarnation] = x
 	}
--- a/internal/stagework/stagework.go
+++ b/internal/stagework/stagework.go
@@ -24,6 +24,7 @@
 
 	"go.uber.org/zap"
 
+	"sequoiafork/internal/coldstart"
 	"sequoiafork/internal/routing"
 )
 
@@ -34,6 +35,8 @@
 	Addr        string
 	DataCentre  string
 	Service     string
+	// Cold is what is known of the upstream being cold. Without a limit it never is.
+	Cold coldstart.Mark
 }
 
 // Item is one piece of a stage in a call.
@@ -168,6 +171,8 @@
 	Invoker Invoker
 	// Self is the incarnation of the daemon of the scheduler. It may be empty if there is only one.
 	Self string
+	// Cold are the rights of this daemon at cold upstreams. Nil means that no upstream is cold.
+	Cold *coldstart.Rights
 	// Logger may be nil.
 	Logger *zap.Logger
 }
--- a/internal/stagework/upstream.go
+++ b/internal/stagework/upstream.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"sequoiafork/internal/coldstart"
 	"sequoiafork/internal/ratelimit"
 )
 
@@ -91,6 +92,8 @@
 	// pacer paces the calls if the upstream limits the rate of requests. One scheduler at a time
 	// uses all of the limit.
 	pacer ratelimit.Pacer
+	// turns are those at the upstream while it is cold, nil if it never is.
+	turns *coldstart.Turns
 	// pausedUntil is when the pause ends that the upstream asked for.
 	pausedUntil time.Time
 	// callEnd is when the call in progress is expected to end.
--- a/internal/upstream/config.go
+++ b/internal/upstream/config.go
@@ -17,6 +17,7 @@
 
 	"go.uber.org/zap"
 
+	"sequoiafork/internal/coldstart"
 	"sequoiafork/internal/ratelimit"
 )
 
@@ -103,6 +104,8 @@
 	OnStateChange func(addr string, st State)
 	// Daemons returns the names of the daemons that share the upstreams. Nil means this one alone.
 	Daemons func() []string
+	// Cold are the rights of this daemon at cold upstreams. Nil means that no upstream is cold.
+	Cold *coldstart.Rights
 	// OnLimit is called when an attempt of this daemon shows that an upstream has named a limit of
 	// its rate, or named none any more, and that the other daemons are to know. It must not block.
 	OnLimit func(h Host, l ratelimit.Limit)
--- a/internal/upstream/done.go
+++ b/internal/upstream/done.go
@@ -27,6 +27,17 @@
 	return listed && c.member.state(now) == Live && !now.Before(c.member.pausedUntil)
 }
 
+// BeginTurn reports whether an attempt that has waited for its turn may be sent now. It may not if the upstream takes
+// no work any more, or is cold and the turn has lapsed.
+func (c Choice) BeginTurn() bool {
+	if !c.TakesWork() {
+		return false
+	}
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	return c.member.beginColdTurn(c.turn, time.Now())
+}
+
 // ResponseStarted reports that the response to the attempt has started, so that a long stream
 // does not count as a slow response. Result.ResponseStarted must then be set when the attempt ends.
 func (c Choice) ResponseStarted() {
--- a/internal/upstream/eligible.go
+++ b/internal/upstream/eligible.go
@@ -7,7 +7,7 @@
 )
 
 func (g *group) eligible(m *member, r *Request, now time.Time) bool {
-	return m.usable(now) && m.pacer.Ready(now) && r.allows(m)
+	return m.usable(now) && m.hasTurn(now) && r.allows(m)
 }
 
 // allows reports whether m has the version that r asks for and is not excluded.
@@ -28,7 +28,7 @@
 	}
 	var best *member
 	for _, m := range g.order {
-		if m.state(now) == Leaving || now.Before(m.pausedUntil) || !m.pacer.Ready(now) || !r.allows(m) {
+		if m.state(now) == Leaving || now.Before(m.pausedUntil) || !m.hasTurn(now) || !r.allows(m) {
 			continue
 		}
 		if best == nil || m.betterLastResort(best, now) {
@@ -48,13 +48,13 @@
 }
 
 // chooseLater returns the member that is the first to take a request when all that could are waiting
-// for the rate to which they limit requests, and how long that takes. It returns nil if it takes
+// for the rate to which they limit requests or are cold, and how long that takes. It returns nil if it takes
 // longer than the request may wait.
 func (g *group) chooseLater(r *Request, now time.Time) (*member, time.Duration) {
 	var best *member
 	var least time.Duration
 	for _, m := range g.subset {
-		wait, ok := m.pacer.Wait(now)
+		wait, ok := m.wait(now)
 		if ok && m.usable(now) && wait <= r.MaxDelay && r.allows(m) && (best == nil || wait < least) {
 			best, least = m, wait
 		}
@@ -70,7 +70,10 @@
 		Reason: "no upstream of service " + g.service + " takes work",
 	}
 	limited := func(m *member) bool { return r.wantsVersion(m) && m.usable(now) && m.pacer.Limit().Limited }
+	cold := func(m *member) bool { return r.wantsVersion(m) && m.usable(now) && m.cold(now) }
 	switch {
+	case slices.ContainsFunc(g.subset, cold):
+		e.Reason = "the upstreams of service " + g.service + " that take work are cold"
 	case slices.ContainsFunc(g.subset, limited):
 		e.Reason = "the upstreams of service " + g.service + " that take work limit their rate"
 	case r.PinVersion:
@@ -88,7 +91,7 @@
 			at = m.probeAt
 		}
 		if m.usable(now) {
-			at = now.Add(m.pacer.RetryAfter(g.rng, now))
+			at = now.Add(m.retryAfter(g.rng, now))
 		}
 		if wait := at.Sub(now); wait > 0 && (e.RetryAfter == 0 || wait < e.RetryAfter) {
 			e.RetryAfter = wait
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -76,6 +76,7 @@
 			m.override = stateOverride{}
 		}
 		m.host = h
+		g.updateCold(m, now)
 		members[h.key()] = m
 	}
 	g.members = members
@@ -132,6 +133,7 @@
 	}
 	g.reinstate(now)
 	g.refreshLimits(now)
+	g.refreshCold(now)
 }
 
 // size returns the number of live members of a full subset. It is such that each
--- a/internal/upstream/host.go
+++ b/internal/upstream/host.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"sequoiafork/internal/coldstart"
 	"sequoiafork/internal/table"
 )
 
@@ -50,6 +51,8 @@
 	// Version is the version of the software that the upstream runs. Empty means unknown.
 	Version string
 	State   State
+	// Cold is what is known of the upstream being cold. Without a limit it never is.
+	Cold coldstart.Mark
 }
 
 // key identifies a host across host lists.
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sequoiafork/internal/coldstart"
 	"sequoiafork/internal/ratelimit"
 )
 
@@ -74,6 +75,12 @@
 	// when the limit was last reported to the other daemons, by any of them.
 	sentUnderLimit  int
 	limitReportedAt time.Time
+	// turns are those at the upstream while it is cold, nil if it never is.
+	turns *coldstart.Turns
+	// sentCold is the number of attempts on the upstream since it became cold, and loggedCold
+	// that it was logged as cold.
+	sentCold   int
+	loggedCold bool
 	// pausedUntil is when the pause ends that the upstream asked for.
 	pausedUntil time.Time
 
@@ -92,7 +99,8 @@
 }
 
 func (m *member) state(now time.Time) State {
-	if now.Before(m.override.until) {
+	// One that is listed as leaving gets no work, not even the probe of a dead one.
+	if now.Before(m.override.until) && m.host.State != Leaving {
 		return m.override.state
 	}
 	return m.host.State
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "time"
+import (
+	"time"
+
+	"sequoiafork/internal/coldstart"
+)
 
 // maxDraws is the number of random draws before the subset is searched in
 // order.
@@ -17,11 +21,13 @@
 	// including this one.
 	InFlight int
 	// Delay is how long the attempt has to wait for its turn, because the upstream limits the rate
-	// of requests. It is zero or at most Request.MaxDelay.
+	// of requests or is cold. An attempt that has waited asks BeginTurn. It is zero or at most Request.MaxDelay.
 	Delay  time.Duration
 	group  *group
 	member *member
 	start  attemptStart
+	// turn is the turn at an upstream that is cold.
+	turn coldstart.Turn
 }
 
 // attemptStart is the state recorded when an attempt starts.
@@ -91,6 +97,7 @@
 		m.sentUnderLimit++
 		limitedRequestsTotal.Inc()
 	}
+	turn := m.takeColdTurn(st.at, now)
 	m.inFlight++
 	m.waiting++
 	m.startSum += st.at.Sub(g.epoch)
@@ -104,6 +111,7 @@
 		group:       g,
 		member:      m,
 		start:       st,
+		turn:        turn,
 	}, nil
 }
 
--- a/internal/wire/keyedlogapi/oas_json_gen.go
+++ b/internal/wire/keyedlogapi/oas_json_gen.go
@@ -1076,6 +1076,18 @@
 			s.MaxMinusConns.Encode(e)
 		}
 	}
+	{
+		if s.ColdMinusStartMinusS.Set {
+			e.FieldStart("cold-start-s")
+			s.ColdMinusStartMinusS.Encode(e)
+		}
+	}
+	{
+		if s.ColdMinusPerMinusS.Set {
+			e.FieldStart("cold-per-s")
+			s.ColdMinusPerMinusS.Encode(e)
+		}
+	}
 	{
 		if s.Engine.Set {
 			e.FieldStart("engine")
@@ -1090,12 +1102,14 @@
 	}
 }
 
-var jsonFieldsNameOfManifestService = [5]string{
+var jsonFieldsNameOfManifestService = [7]string{
 	0: "name",
 	1: "health-path",
 	2: "max-conns",
-	3: "engine",
-	4: "pieces",
+	3: "cold-start-s",
+	4: "cold-per-s",
+	5: "engine",
+	6: "pieces",
 }
 
 // Decode decodes ManifestService from json.
@@ -1139,6 +1153,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"max-conns\"")
 			}
+		case "cold-start-s":
+			if err := func() error {
+				s.ColdMinusStartMinusS.Reset()
+				if err := s.ColdMinusStartMinusS.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cold-start-s\"")
+			}
+		case "cold-per-s":
+			if err := func() error {
+				s.ColdMinusPerMinusS.Reset()
+				if err := s.ColdMinusPerMinusS.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cold-per-s\"")
+			}
 		case "engine":
 			if err := func() error {
 				s.Engine.Reset()
@@ -2388,9 +2422,15 @@
 			s.Born.Encode(e)
 		}
 	}
+	{
+		if s.ColdMinusLeftMinusMs.Set {
+			e.FieldStart("cold-left-ms")
+			s.ColdMinusLeftMinusMs.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfServerEntry = [7]string{
+var jsonFieldsNameOfServerEntry = [8]string{
 	0: "service",
 	1: "address",
 	2: "zone",
@@ -2398,6 +2438,7 @@
 	4: "version",
 	5: "slots",
 	6: "born",
+	7: "cold-left-ms",
 }
 
 // Decode decodes ServerEntry from json.
@@ -2487,6 +2528,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"born\"")
 			}
+		case "cold-left-ms":
+			if err := func() error {
+				s.ColdMinusLeftMinusMs.Reset()
+				if err := s.ColdMinusLeftMinusMs.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cold-left-ms\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/internal/wire/keyedlogapi/oas_response_decoders_gen.go
+++ b/internal/wire/keyedlogapi/oas_response_decoders_gen.go
@@ -287,6 +287,15 @@
 				}
 				return res, err
 			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
 			return &response, nil
 		default:
 			return res, validate.InvalidContentType(ct)
--- a/internal/wire/keyedlogapi/oas_response_encoders_gen.go
+++ b/internal/wire/keyedlogapi/oas_response_encoders_gen.go
@@ -107,6 +107,14 @@
 }
 
 func encodeServerEntryResponse(response *ServerEntry, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
 
--- a/internal/wire/keyedlogapi/oas_schemas_gen.go
+++ b/internal/wire/keyedlogapi/oas_schemas_gen.go
@@ -402,11 +402,13 @@
 
 // Ref: #/components/schemas/ManifestService
 type ManifestService struct {
-	Name            string            `json:"name"`
-	HealthMinusPath OptString         `json:"health-path"`
-	MaxMinusConns   OptInt            `json:"max-conns"`
-	Engine          OptManifestEngine `json:"engine"`
-	Pieces          OptManifestPieces `json:"pieces"`
+	Name                 string            `json:"name"`
+	HealthMinusPath      OptString         `json:"health-path"`
+	MaxMinusConns        OptInt            `json:"max-conns"`
+	ColdMinusStartMinusS OptFloat64        `json:"cold-start-s"`
+	ColdMinusPerMinusS   OptFloat64        `json:"cold-per-s"`
+	Engine               OptManifestEngine `json:"engine"`
+	Pieces               OptManifestPieces `json:"pieces"`
 }
 
 // GetName returns the value of Name.
@@ -424,6 +426,16 @@
 	return s.MaxMinusConns
 }
 
+// GetColdMinusStartMinusS returns the value of ColdMinusStartMinusS.
+func (s *ManifestService) GetColdMinusStartMinusS() OptFloat64 {
+	return s.ColdMinusStartMinusS
+}
+
+// GetColdMinusPerMinusS returns the value of ColdMinusPerMinusS.
+func (s *ManifestService) GetColdMinusPerMinusS() OptFloat64 {
+	return s.ColdMinusPerMinusS
+}
+
 // GetEngine returns the value of Engine.
 func (s *ManifestService) GetEngine() OptManifestEngine {
 	return s.Engine
@@ -449,6 +461,16 @@
 	s.MaxMinusConns = val
 }
 
+// SetColdMinusStartMinusS sets the value of ColdMinusStartMinusS.
+func (s *ManifestService) SetColdMinusStartMinusS(val OptFloat64) {
+	s.ColdMinusStartMinusS = val
+}
+
+// SetColdMinusPerMinusS sets the value of ColdMinusPerMinusS.
+func (s *ManifestService) SetColdMinusPerMinusS(val OptFloat64) {
+	s.ColdMinusPerMinusS = val
+}
+
 // SetEngine sets the value of Engine.
 func (s *ManifestService) SetEngine(val OptManifestEngine) {
 	s.Engine = val
@@ -1044,13 +1066,14 @@
 
 // Ref: #/components/schemas/ServerEntry
 type ServerEntry struct {
-	Service string    `json:"service"`
-	Address string    `json:"address"`
-	Zone    string    `json:"zone"`
-	State   string    `json:"state"`
-	Version OptString `json:"version"`
-	Slots   OptInt    `json:"slots"`
-	Born    OptInt64  `json:"born"`
+	Service              string     `json:"service"`
+	Address              string     `json:"address"`
+	Zone                 string     `json:"zone"`
+	State                string     `json:"state"`
+	Version              OptString  `json:"version"`
+	Slots                OptInt     `json:"slots"`
+	Born                 OptInt64   `json:"born"`
+	ColdMinusLeftMinusMs OptFloat64 `json:"cold-left-ms"`
 }
 
 // GetService returns the value of Service.
@@ -1088,6 +1111,11 @@
 	return s.Born
 }
 
+// GetColdMinusLeftMinusMs returns the value of ColdMinusLeftMinusMs.
+func (s *ServerEntry) GetColdMinusLeftMinusMs() OptFloat64 {
+	return s.ColdMinusLeftMinusMs
+}
+
 // SetService sets the value of Service.
 func (s *ServerEntry) SetService(val string) {
 	s.Service = val
@@ -1123,6 +1151,11 @@
 	s.Born = val
 }
 
+// SetColdMinusLeftMinusMs sets the value of ColdMinusLeftMinusMs.
+func (s *ServerEntry) SetColdMinusLeftMinusMs(val OptFloat64) {
+	s.ColdMinusLeftMinusMs = val
+}
+
 // StageFreeOK is response for StageFree operation.
 type StageFreeOK struct{}
 
--- a/internal/wire/keyedlogapi/oas_validators_gen.go
+++ b/internal/wire/keyedlogapi/oas_validators_gen.go
@@ -321,6 +321,42 @@
 	}
 
 	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.ColdMinusStartMinusS.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "cold-start-s",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.ColdMinusPerMinusS.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "cold-per-s",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if value, ok := s.Pieces.Get(); ok {
 			if err := func() error {
@@ -485,6 +521,36 @@
 	return nil
 }
 
+func (s *ServerEntry) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.ColdMinusLeftMinusMs.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "cold-left-ms",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *StageFreeRequest) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
