Let only the owner of the stage work call cold stage upstreams, and say when others may

Change: the turn is asked for after each call. A scheduler without turns at a cold upstream counts it from when it is warm, so that jobs are rejected with that time instead of the longest Retry-After.

--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -252,12 +252,17 @@
 	return false
 }
 
-// takesCallsAt returns when the upstream takes calls again after a pause or failed calls.
+// takesCallsAt returns when the upstream takes calls again after a pause or failed calls or, if it is cold and this
+// daemon has no part of what it gets, when it is warm.
 func (u *upstream) takesCallsAt() time.Time {
-	if u.failures > 0 && u.backoffUntil.After(u.pausedUntil) {
-		return u.backoffUntil
+	at := u.pausedUntil
+	if u.failures > 0 && u.backoffUntil.After(at) {
+		at = u.backoffUntil
 	}
-	return u.pausedUntil
+	if warm := u.coldWithoutTurnsUntil(time.Now()); warm.After(at) {
+		at = warm
+	}
+	return at
 }
 
 // capacities are the capacities of services during one dispatch pass, each computed when it is first
--- a/internal/stagework/cold.go
+++ b/internal/stagework/cold.go
@@ -40,6 +40,14 @@
 // cold reports whether the upstream counts as cold.
 func (u *upstream) cold(now time.Time) bool { return u.turns != nil && u.turns.Cold(now) }
 
+// coldWithoutTurnsUntil returns when the upstream is warm if this daemon has no turns until then, otherwise zero.
+func (u *upstream) coldWithoutTurnsUntil(now time.Time) time.Time {
+	if !u.cold(now) || u.turns.Units() > 0 {
+		return time.Time{}
+	}
+	return now.Add(u.turns.Wait(now))
+}
+
 // hasTurn reports whether neither a limit of the rate nor being cold keeps a call from the upstream now.
 func (u *upstream) hasTurn(now time.Time) bool {
 	return u.pacer.Ready(now) && (u.turns == nil || u.turns.Ready(now))
--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -105,7 +105,7 @@
 		if len(pieces) > 0 {
 			s.start(svc, u, pieces, now)
 		}
-		if len(pieces) == 0 || u.calls >= svc.spec.Concurrency {
+		if len(pieces) == 0 || u.calls >= svc.spec.Concurrency || !u.hasTurn(now) {
 			available = slices.DeleteFunc(available, func(o *upstream) bool { return o == u })
 		}
 	}
--- a/internal/stagework/limits.go
+++ b/internal/stagework/limits.go
@@ -69,24 +69,20 @@
 // limitedResultTime returns how long a result takes up memory of an upstream that limits its rate: some
 // calls fill the memory, and one frees it, unless the results expire before.
 func (svc *service) limitedResultTime(u *upstream) time.Duration {
-	perSecond := u.perSecond()
-	if perSecond == 0 {
-		return max(svc.spec.ResultLifetime, svc.resultTime())
-	}
-	cycle := time.Duration(callsPerMemoryCycle / perSecond * float64(time.Second))
+	cycle := time.Duration(callsPerMemoryCycle / u.perSecond() * float64(time.Second))
 	return max(min(cycle, svc.spec.ResultLifetime), svc.resultTime())
 }
 
 // limited reports whether the upstream limits the rate of calls, or gets few because it is cold.
 func (u *upstream) limited() bool { return u.pacer.Limit().Limited || u.cold(time.Now()) }
 
-// perSecond returns the rate of calls that an upstream with a limited rate takes from this daemon.
+// perSecond returns the rate of calls that an upstream with a limited rate takes from this daemon, if it takes any.
 func (u *upstream) perSecond() float64 {
 	perSecond := math.Inf(1)
 	if l := u.pacer.Limit(); l.Limited {
 		perSecond = l.PerSecond
 	}
-	if u.cold(time.Now()) {
+	if u.cold(time.Now()) && u.turns.Units() > 0 {
 		perSecond = min(perSecond, u.turns.PerSecond())
 	}
 	return perSecond
