--- a/internal/hostset/cold.go
+++ b/internal/hostset/cold.go
@@ -19,9 +19,10 @@
 	}
 	until := now.Add(e.ColdLeft)
 	before := known.Host.Cold
+	longer := e.ColdLeft > 0 && until.After(before.Until)
 	switch {
 	case !e.ColdKnown:
-	case known.sameRun(e) && before.Known && !before.Until.IsZero() && !until.After(before.Until) && before.Until.Sub(until) <= coldTolerance:
+	case known.sameRun(e) && before.Known && !before.Until.IsZero() && !longer && before.Until.Sub(until) <= coldTolerance:
 		e.Host.Cold = before
 	case e.ColdLeft > 0:
 		e.Host.Cold = e.Host.Cold.WithUntil(until)
