Check turns at cold upstreams against the daemons that are known when they are used

Cause: the parts of the limit were adapted once a second. 300 daemons that had started at once and knew only themselves for 2 s took turns by that view; an attempt that waited was sent by it after the view had changed. 88 requests reached an upstream in one second, and it may get 27 (a play with 9 s of cold time found it).

Change: a turn is taken and begun by the current view; the part is computed again only when the view changes, which is also cheaper. Without any view there are no rights.

--- a/internal/coldstart/rights.go
+++ b/internal/coldstart/rights.go
@@ -1,6 +1,7 @@
 package coldstart
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,10 @@
 	Known int
 }
 
+func (v View) equal(o View) bool {
+	return v.Self == o.Self && v.Owner == o.Owner && v.Known == o.Known && slices.Equal(v.Living, o.Living)
+}
+
 // share returns the place of the daemon for the upstream with a key.
 func (v View) share(key uint64) Share {
 	rank, living := ratelimit.Rank(v.Self, v.Living, key)
@@ -58,6 +63,8 @@
 type Rights struct {
 	mu   sync.Mutex
 	view View
+	// version counts the changes of view. At zero none is known, and there are no rights.
+	version int
 	// beatAt is when Beat was last called.
 	beatAt time.Time
 	// from is when the daemon has rights, doubtUntil until when its list may be out of date.
@@ -88,7 +95,11 @@
 func (r *Rights) SetView(v View) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.version > 0 && r.view.equal(v) {
+		return
+	}
 	r.view = v
+	r.version++
 }
 
 // Suspensions returns how often the daemon has found that it was suspended.
@@ -122,6 +133,7 @@
 	from       time.Time
 	doubtUntil time.Time
 	epoch      int
+	version    int
 }
 
 func (r *Rights) standing(now time.Time) standing {
@@ -132,6 +144,7 @@
 		from:       r.from,
 		doubtUntil: r.doubtUntil,
 		epoch:      r.epoch,
+		version:    r.version,
 	}
 }
 
--- a/internal/coldstart/turns.go
+++ b/internal/coldstart/turns.go
@@ -7,8 +7,6 @@
 const (
 	// intervalMargin is by how much the interval between two planned requests exceeds the least one.
 	intervalMargin = 0.05
-	// refreshInterval is how often this daemon's part is adapted to the daemons that there are.
-	refreshInterval = 500 * time.Millisecond
 	// maxLateness is how late a request may be sent after its turn.
 	maxLateness = 100 * time.Millisecond
 )
@@ -30,8 +28,8 @@
 	sole   bool
 	mark   Mark
 	units  int
-	// refreshedAt is when units was last computed.
-	refreshedAt time.Time
+	// version is that of the view for which units was computed.
+	version int
 	// next is the earliest time of the next turn, sentAt when a request was last sent to the cold upstream.
 	next   time.Time
 	sentAt time.Time
@@ -56,16 +54,21 @@
 // Update sets what is known of the upstream.
 func (t *Turns) Update(m Mark, now time.Time) {
 	t.mark = m
-	t.refreshedAt = time.Time{}
-	t.Refresh(now)
+	t.version = 0
+	t.standing(now)
 }
 
-// Refresh adapts this daemon's part to the daemons that there are now. Call it every second or more often.
-func (t *Turns) Refresh(now time.Time) {
-	if !now.Before(t.mark.Until) || now.Sub(t.refreshedAt) < refreshInterval {
-		return
+// standing returns the state of the rights, and adapts this daemon's part to the daemons that it knows now.
+func (t *Turns) standing(now time.Time) standing {
+	s := t.rights.standing(now)
+	if s.version != t.version && now.Before(t.mark.Until) {
+		t.version = s.version
+		t.computeUnits()
 	}
-	t.refreshedAt = now
+	return s
+}
+
+func (t *Turns) computeUnits() {
 	v := t.rights.currentView()
 	share := v.ownerShare()
 	if !t.sole {
@@ -102,7 +105,7 @@
 // Wait returns how long a request has to wait for a turn. If this daemon has none while the upstream is cold, that is the
 // time until it is not.
 func (t *Turns) Wait(now time.Time) time.Duration {
-	s := t.rights.standing(now)
+	s := t.standing(now)
 	warm := t.warmAt(s)
 	if !now.Before(warm) {
 		return 0
@@ -132,7 +135,7 @@
 
 // Take reserves the turn that Wait has found, at a time at or after now.
 func (t *Turns) Take(at, now time.Time) Turn {
-	s := t.rights.standing(now)
+	s := t.standing(now)
 	if !at.Before(t.warmAt(s)) {
 		return Turn{}
 	}
@@ -150,7 +153,7 @@
 // Begin reports whether a request that has waited for its turn may be sent now. It may not if the rights have lapsed
 // since, if it is late, or if another one was sent less than a turn ago.
 func (t *Turns) Begin(turn Turn, now time.Time) bool {
-	s := t.rights.standing(now)
+	s := t.standing(now)
 	if !now.Before(t.warmAt(s)) {
 		return true
 	}
--- a/internal/stagework/cold.go
+++ b/internal/stagework/cold.go
@@ -30,13 +30,6 @@
 	}
 }
 
-// refreshCold adapts the part of this daemon to who owns the stage work now.
-func (s *Scheduler) refreshCold(u *upstream, now time.Time) {
-	if u.turns != nil {
-		u.turns.Refresh(now)
-	}
-}
-
 // cold reports whether the upstream counts as cold.
 func (u *upstream) cold(now time.Time) bool { return u.turns != nil && u.turns.Cold(now) }
 
--- a/internal/stagework/memoryquery.go
+++ b/internal/stagework/memoryquery.go
@@ -28,7 +28,6 @@
 	for _, u := range svc.upstreams {
 		u.expireEstimates(now)
 		u.pacer.Expire(0, now)
-		s.refreshCold(u, now)
 		switch {
 		case u.draining || u.restrained(now):
 		case !u.memoryKnown:
--- a/internal/upstream/cold.go
+++ b/internal/upstream/cold.go
@@ -32,13 +32,9 @@
 	}
 }
 
-// refreshCold adapts the parts of this daemon to the daemons that there are now.
-func (g *group) refreshCold(now time.Time) {
+// logWarmed logs the members that are not cold any more.
+func (g *group) logWarmed(now time.Time) {
 	for _, m := range g.order {
-		if m.turns == nil {
-			continue
-		}
-		m.turns.Refresh(now)
 		if m.loggedCold && !now.Before(m.host.Cold.Until) {
 			g.logWarm(m)
 		}
--- a/internal/upstream/cold_test.go
+++ b/internal/upstream/cold_test.go
@@ -24,7 +24,7 @@
 	coldLimit     = 27.5
 	mostCold      = 27
 	// coldTime is how long the upstreams of a play are cold, from coldFrom on.
-	coldTime = 14 * time.Second
+	coldTime = 9 * time.Second
 	coldFrom = 4 * time.Second
 	// coldMaxDelay is how long a request of a play may wait.
 	coldMaxDelay = 1500 * time.Millisecond
@@ -101,7 +101,7 @@
 		time.Sleep(time.Duration(p.random.ExpFloat64() / float64(p.rate) * float64(time.Second)))
 		go p.request(p.daemon(p.random.IntN(p.count)), time.Duration(p.random.Int64N(int64(coldJitter))))
 	}
-	time.Sleep(time.Minute)
+	time.Sleep(2 * coldMaxDelay)
 	p.stop()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -133,7 +133,7 @@
 	}
 	g.reinstate(now)
 	g.refreshLimits(now)
-	g.refreshCold(now)
+	g.logWarmed(now)
 }
 
 // size returns the number of live members of a full subset. It is such that each
