--- a/internal/entryhost/evacuation_test.go
+++ b/internal/entryhost/evacuation_test.go
@@ -1,12 +1,7 @@
 package entryhost
 
 import (
-	"context"
-	"errors"
 	"fmt"
-	"io"
-	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,12 +11,9 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"sequoiafork/internal/coldstart"
-	"sequoiafork/internal/forward"
 	"sequoiafork/internal/outcome"
-	"sequoiafork/internal/ratelimit"
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/settings"
-	"sequoiafork/internal/stagework"
 	"sequoiafork/internal/upstream"
 )
 
@@ -32,92 +24,10 @@
 	phaseTime = 1500 * time.Millisecond
 	// hangTime is how long upstreams leave some requests without an answer, which are then hedged.
 	hangTime = 400 * time.Millisecond
+	// limitPerSecond is the rate to which upstreams limit requests, which then wait for their turn.
+	limitPerSecond = 5
 )
 
-// recorder is the upstreams of all services. It records when requests and calls reach the data centre "a". The first
-// attempt at a request fails, hangs or is cut, by what its identifier says.
-type recorder struct {
-	mu       sync.Mutex
-	reached  map[string][]time.Time
-	attempts map[string]int
-	failure  string
-}
-
-func newRecorder(failure string) *recorder {
-	return &recorder{
-		reached:  make(map[string][]time.Time),
-		attempts: make(map[string]int),
-		failure:  failure,
-	}
-}
-
-// arrive records a request that reaches an upstream, and returns how many did before with its identifier.
-func (v *recorder) arrive(addr, id string) int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	dataCentre := "b"
-	if strings.HasPrefix(addr, "192.0.2.1") {
-		dataCentre = "a"
-	}
-	v.reached[dataCentre] = append(v.reached[dataCentre], time.Now())
-	v.attempts[id]++
-	return v.attempts[id] - 1
-}
-
-// since returns how many requests reached a data centre from a time on.
-func (v *recorder) since(dataCentre string, from time.Time) int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	n := 0
-	for _, at := range v.reached[dataCentre] {
-		if at.After(from) {
-			n++
-		}
-	}
-	return n
-}
-
-// Call implements forward.UpstreamClient.
-func (v *recorder) Call(ctx context.Context, call forward.Call) (*forward.Response, error) {
-	first := v.arrive(call.Addr, call.Request.ID) == 0
-	body := io.Reader(strings.NewReader("id: 1\ndata: x\n\nid: 2\ndata: y\n\n"))
-	switch {
-	case !first:
-	case v.failure == "retry":
-		return nil, errors.New("connection reset")
-	case v.failure == "cut":
-		body = io.MultiReader(strings.NewReader("id: 1\ndata: x\n\n"), brokenReader{})
-	case v.failure == "hang":
-		select {
-		case <-time.After(hangTime):
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-	return &forward.Response{
-		Status:   http.StatusOK,
-		Verified: true,
-		Body:     io.NopCloser(body),
-	}, nil
-}
-
-// Run implements stagework.Invoker.
-func (v *recorder) Run(_ context.Context, u stagework.Upstream, items []stagework.Item) ([]stagework.ItemResult, error) {
-	v.arrive(u.Addr, "stage")
-	time.Sleep(10 * time.Millisecond)
-	results := make([]stagework.ItemResult, len(items))
-	for i, it := range items {
-		results[i].Handle = fmt.Sprint(it.RequestID, it.Stage, it.Piece)
-	}
-	return results, nil
-}
-
-// Free implements stagework.Invoker.
-func (*recorder) Free(context.Context, stagework.Upstream, []string) error { return nil }
-
-// FreeMemory implements stagework.Invoker.
-func (*recorder) FreeMemory(context.Context, stagework.Upstream) (int64, error) { return 1 << 30, nil }
-
 // evacuationTable has an idempotent route, one of streams, and one of streams with a stage.
 func evacuationTable() *routing.Table {
 	cfg := routing.Config{
@@ -145,6 +55,7 @@
 	}
 	for path, kind := range map[string]routing.Kind{
 		"/i/": routing.Idempotent,
+		"/l/": routing.Idempotent,
 		"/s/": routing.ResumableStream,
 		"/w/": routing.ResumableStream,
 	} {
@@ -163,6 +74,9 @@
 				},
 			},
 		}
+		if path == "/l/" { // Its requests wait long for their turn.
+			route.LatencyObjective = 1500 * time.Millisecond
+		}
 		if path == "/w/" {
 			route.Stages = []routing.Stage{
 				{
@@ -256,7 +170,6 @@
 func TestNothingReachesAnEvacuatedDataCentre(t *testing.T) {
 	for _, tt := range []struct {
 		name, path, failure string
-		limited             bool
 	}{
 		{
 			name: "first attempts",
@@ -279,8 +192,8 @@
 		},
 		{
 			name:    "waiting attempts",
-			path:    "/i/",
-			limited: true,
+			path:    "/l/",
+			failure: "limit",
 		},
 		{
 			name: "stage calls",
@@ -291,13 +204,6 @@
 			t.Parallel()
 			v := newRecorder(tt.failure)
 			r := evacuationDaemon(t, v, zap.NewNop(), false)
-			for _, h := range evacuationHosts() {
-				r.upstreams.ObserveLimit(h.Service, h.Incarnation, ratelimit.Limit{
-					Limited:   tt.limited,
-					PerSecond: 5,
-					At:        time.Now(),
-				})
-			}
 			started := time.Now()
 			wg := sendFor(t, r, tt.path, phaseTime)
 			require.Positive(t, v.since("a", started))
