--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -133,7 +133,7 @@
 	return out
 }
 
-func tableOf(t *testing.T, opts map[string]string) func() *routing.Table {
+func tableOf(t testing.TB, opts map[string]string) func() *routing.Table {
 	if opts["tables"] == "no" {
 		return func() *routing.Table { return nil }
 	}
@@ -225,7 +225,7 @@
 	}
 }
 
-func durationOf(t *testing.T, text string) time.Duration {
+func durationOf(t testing.TB, text string) time.Duration {
 	t.Helper()
 	d, err := time.ParseDuration(text)
 	if err != nil {
@@ -234,7 +234,7 @@
 	return d
 }
 
-func numberOf(t *testing.T, text string) int {
+func numberOf(t testing.TB, text string) int {
 	t.Helper()
 	n, err := strconv.Atoi(text)
 	if err != nil {
