--- /dev/null
+++ b/internal/hedge/main_test.go
@@ -0,0 +1,9 @@
+package hedge
+
+import (
+	"testing"
+
+	"sequoiafork/internal/bubble"
+)
+
+func TestMain(m *testing.M) { bubble.Main(m) }
