Tell the spare capacity of a pool, and choose upstreams for attempts that are not necessary

Cause: a hedge must not add to an overload, so it needs to know whether slots are free and whether upstreams queue, and it goes to another host that takes work as usual. Pick also gives upstreams on probation, dead ones that are due for another attempt, and a last resort.

Request.Spare restricts Pick to live upstreams with a free slot and no queue on other hosts than those tried. A cold upstream is to be left out in hasSpare once it is known which ones are cold. Nothing uses this yet; Pick checks one more field.

--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -44,6 +44,8 @@
 	startSum time.Duration
 	// reportedOtherWork is the work of other daemons on the upstream, sampled at reportedAt.
 	reportedOtherWork float64
+	reportedQueue     int
+	reportedPace      float64
 	capacity          int
 	reportedAt        time.Time
 
@@ -184,6 +186,8 @@
 
 func (m *member) observeLoad(l *Load, now time.Time) {
 	m.reportedOtherWork = float64(max(l.InFlight+l.Queued-m.inFlight, 0))
+	m.reportedQueue = l.Queued
+	m.reportedPace = l.Pace
 	m.capacity = l.Capacity
 	m.reportedAt = now.Add(-l.Age)
 }
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -83,11 +83,11 @@
 		g.rebuildSubset(now)
 	}
 	m := g.choose(r, now)
-	if m == nil {
+	if m == nil && !r.Spare {
 		m = g.chooseOfVersion(r, now)
 	}
 	delay := time.Duration(0)
-	if m == nil {
+	if m == nil && !r.Spare {
 		m, delay = g.chooseLater(r, now)
 	}
 	if m == nil {
@@ -273,7 +273,7 @@
 }
 
 func (g *group) eligible(m *member, r *Request, now time.Time) bool {
-	return m.usable(now) && m.pacer.Ready(now) && r.allows(m)
+	return m.usable(now) && m.pacer.Ready(now) && r.allows(m) && (!r.Spare || g.hasSpare(m, r, now))
 }
 
 // allows reports whether m has the version that r asks for and is not excluded.
