Hedge slow requests within a budget of work

Cause: hedges of plain requests start at half of the objective and second attempts of streams after seconds of silence, whatever the request is, and no limit of their work can be set.

Ruled out: counting the second attempts that follow silence against the limit, since they replace an upstream that may have failed, and a limit that is used up would leave such requests without an answer; hedging streams whose stages would have to run again, since that work is not in the budget.

Change: with [hedge] extra_work above 0, idempotent requests and resumable streams before their first event get a second attempt when internal/hedge decides so, on another host with a free slot, if the attempts of the route and the retry budget allow it. The loser is cancelled before the response is written, and its time counts as extra work. Plain requests are then no longer hedged at half of the objective. With 0, the default, everything is as before.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -27,6 +27,7 @@
 
 	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/forward"
+	"sequoiafork/internal/hedge"
 	"sequoiafork/internal/ident"
 	"sequoiafork/internal/membership"
 	"sequoiafork/internal/outcome"
@@ -204,14 +205,17 @@
 	d.submitter.addAddresses(cfg.Settings.Peers.Seeds)
 	d.readers = d.newReaders()
 	d.forwarder = forward.New(forward.Config{
-		Client:      cfg.Client,
-		Stages:      d.submitter,
-		Upstreams:   d.upstreams,
-		Origins:     d.origins,
-		Quarantine:  d.quarantine,
-		Table:       d.table.Load,
-		RetryRatio:  ratioFraction * cfg.Settings.Retry.Ratio,
-		RetryBurst:  burstFraction * float64(cfg.Settings.Retry.Burst),
+		Client:     cfg.Client,
+		Stages:     d.submitter,
+		Upstreams:  d.upstreams,
+		Origins:    d.origins,
+		Quarantine: d.quarantine,
+		Table:      d.table.Load,
+		RetryRatio: ratioFraction * cfg.Settings.Retry.Ratio,
+		RetryBurst: burstFraction * float64(cfg.Settings.Retry.Burst),
+		Hedge: hedge.New(hedge.Config{
+			ExtraWork: cfg.Settings.Hedge.ExtraWork,
+		}),
 		DaemonCount: func() int { return int(d.daemonCount.Load()) },
 		Memory:      cfg.Memory,
 		Logger:      d.logger,
--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -13,12 +13,6 @@
 	"sequoiafork/internal/upstream"
 )
 
-const (
-	// hedgeFraction is the fraction of the latency objective after which an idempotent
-	// request is hedged.
-	hedgeFraction = 0.5
-)
-
 // errUnverified reports a response that is not Verified.
 var errUnverified = errors.New("the response does not belong to this request")
 
@@ -36,47 +30,49 @@
 	// upstreamError reports that response is an error response of the upstream, which may
 	// be forwarded.
 	upstreamError bool
-	err           error
+	// second reports that the attempt was a hedge within the budget of work.
+	second bool
+	err    error
 }
 
 // serveBuffered serves a request whose response is not a stream.
 func (x *execution) serveBuffered(ctx context.Context) outcome.Outcome {
-	// The buffer keeps an attempt that ends after this function has returned from blocking.
-	results := make(chan attemptResult, x.route.MaxAttempts+2*maxRejections+1)
-	pending := 0
-	start := func(maxDelay time.Duration) error {
-		choice, err := x.pickUpstream(maxDelay)
-		if err != nil {
-			return err
-		}
-		pending++
-		go func() { results <- x.attempt(ctx, choice) }()
-		return nil
-	}
-	if err := start(x.maxDelay()); err != nil {
+	r := bufferedRun{
+		execution: x,
+		// The buffer keeps an attempt that ends after this function has returned from blocking.
+		results:  make(chan attemptResult, x.route.MaxAttempts+2*maxRejections+1),
+		budgeted: x.newHedging(),
+	}
+	defer r.budgeted.close()
+	if err := r.start(ctx); err != nil {
 		return x.failureOutcome(ctx, err)
 	}
 	hedge := time.NewTimer(x.hedgeDelay())
 	defer hedge.Stop()
+	if r.budgeted != nil {
+		hedge.Stop()
+	}
 	var last attemptResult
-	for pending > 0 {
+	for r.pending > 0 {
 		select {
 		case <-hedge.C:
-			if x.mayHedge(pending) {
-				_ = start(0) // Without a second upstream the first continues alone.
-			}
+			r.hedgeByObjective(ctx)
 			continue
-		case r := <-results:
-			pending--
-			if r.failure == nil && !r.upstreamError {
-				x.writer.WriteResponse(r.response.status, r.response.header, r.response.body)
+		case <-r.budgeted.due():
+			r.hedgeWithinBudget(ctx)
+			continue
+		case result := <-r.results:
+			r.pending--
+			r.settle(result)
+			if result.failure == nil && !result.upstreamError {
+				x.writer.WriteResponse(result.response.status, result.response.header, result.response.body)
 				return x.answered()
 			}
-			last = x.moreInformative(last, r)
-			if !x.mayRetry(ctx, r.failure, pending) {
+			last = x.moreInformative(last, result)
+			if !r.mayStartNext(ctx, result.failure) {
 				continue
 			}
-			if err := start(x.maxDelay()); err != nil && pending == 0 && !last.upstreamError {
+			if err := r.start(ctx); err != nil && r.pending == 0 && !last.upstreamError {
 				return x.failureOutcome(ctx, err)
 			}
 		}
@@ -103,26 +99,14 @@
 	}
 }
 
-func (x *execution) hedgeDelay() time.Duration {
-	return time.Duration(hedgeFraction * float64(x.route.LatencyObjective))
-}
-
-// mayHedge reports whether the request may be sent to a second upstream while the first
-// attempt is pending.
-func (x *execution) mayHedge(pending int) bool {
-	if !x.route.Kind.Retryable() || pending != 1 || x.attempts+pending >= x.route.MaxAttempts {
-		return false
-	}
-	return x.retryBudget().Withdraw()
-}
-
-// attempt makes one call and reads its response to the end.
-func (x *execution) attempt(ctx context.Context, choice upstream.Choice) attemptResult {
-	if failure := awaitTurn(ctx, choice); failure != nil {
+// attempt makes one call and reads its response to the end. The call ends with callCtx, and the memory of the response
+// is kept until ctx ends.
+func (x *execution) attempt(ctx, callCtx context.Context, choice upstream.Choice) attemptResult {
+	if failure := awaitTurn(callCtx, choice); failure != nil {
 		return x.attemptFailed(choice, time.Now(), failure)
 	}
 	began := time.Now()
-	resp, err := x.forwarder.cfg.Client.Call(ctx, x.call(choice))
+	resp, err := x.forwarder.cfg.Client.Call(callCtx, x.call(choice))
 	if err != nil {
 		return x.attemptFailed(choice, began, callError(choice, err))
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -23,6 +23,7 @@
 
 	"sequoiafork/internal/budget"
 	"sequoiafork/internal/bytequota"
+	"sequoiafork/internal/hedge"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/quarantine"
 	"sequoiafork/internal/routing"
@@ -201,6 +202,9 @@
 	// is the number of retries beyond that for all daemons together.
 	RetryRatio float64
 	RetryBurst float64
+	// Hedge decides about hedges within a budget of work. If it is nil or not enabled, idempotent requests are hedged
+	// after a part of the latency objective instead.
+	Hedge *hedge.Decider
 	// DaemonCount returns how many daemons share the budget. Nil means one.
 	DaemonCount func() int
 	// MaxResponseBytes bounds a buffered response. Zero means 32 MiB.
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -25,17 +25,22 @@
 	return xxhash.Sum64String(x.req.Prompt[len(x.req.Prompt)-2].ID)
 }
 
-func (x *execution) upstreamRequest() upstream.Request {
+// pool returns the upstreams of the request's service.
+func (x *execution) pool() *table.Pool {
 	slots := 0
 	if x.service.Engine != nil {
 		slots = x.service.Engine.Slots
 	}
+	return &table.Pool{
+		Name:        x.service.Name,
+		Service:     x.service.Name,
+		Concurrency: slots,
+	}
+}
+
+func (x *execution) upstreamRequest() upstream.Request {
 	r := upstream.Request{
-		Pool: &table.Pool{
-			Name:        x.service.Name,
-			Service:     x.service.Name,
-			Concurrency: slots,
-		},
+		Pool:              x.pool(),
 		Affinity:          x.affinity(),
 		DataCentreWeights: x.dataCentreWeights(),
 		Exclude:           x.tried,
@@ -81,11 +86,23 @@
 // pickUpstream picks an upstream that has not been tried for this request. The attempt may have to
 // wait for up to maxDelay.
 func (x *execution) pickUpstream(maxDelay time.Duration) (upstream.Choice, error) {
+	r := x.upstreamRequest()
+	r.MaxDelay = maxDelay
+	return x.pick(r)
+}
+
+// pickSpare picks an upstream with a free slot, on a host that has not been tried, for an attempt that is not necessary.
+func (x *execution) pickSpare() (upstream.Choice, error) {
+	r := x.upstreamRequest()
+	r.Spare = true
+	return x.pick(r)
+}
+
+// pick picks an upstream if the request may be sent to one.
+func (x *execution) pick(r upstream.Request) (upstream.Choice, error) {
 	if err := x.beginAttempt(); err != nil {
 		return upstream.Choice{}, err
 	}
-	r := x.upstreamRequest()
-	r.MaxDelay = maxDelay
 	choice, err := x.forwarder.cfg.Upstreams.Pick(r)
 	if err != nil {
 		return choice, err
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -306,7 +306,7 @@
 	}
 	res.Latency = time.Since(began)
 	switch {
-	case errors.Is(failure.Err, context.Canceled) || errors.Is(failure.Err, errNoTurn) || errors.Is(failure.Err, errHedgeNotNeeded):
+	case errors.Is(failure.Err, context.Canceled) || errors.Is(failure.Err, errNoTurn) || errors.Is(failure.Err, errHedgeNotNeeded) || errors.Is(failure.Err, errSecondFaster):
 		res.Outcome = upstream.Cancelled
 	case failure.TimedOut:
 		res.Outcome = upstream.TimedOut
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,6 +21,9 @@
 // errHedgeNotNeeded ends an attempt that was started since another upstream was silent.
 var errHedgeNotNeeded = errors.New("the silent upstream has gone on")
 
+// errSecondFaster ends an attempt whose hedge has responded first.
+var errSecondFaster = errors.New("the second attempt has responded first")
+
 // silenceError reports an attempt that was replaced because its upstream was silent.
 type silenceError struct {
 	// silent is the time since the attempt's last event, or since its start.
@@ -63,6 +66,8 @@
 	// rerun is the run of the stages that a second attempt waits for, or nil. Its retry has been
 	// withdrawn from the budget already. Without a current attempt, the next one waits for it.
 	rerun *stageRerun
+	// budgeted decides about a hedge within the budget of work, which takes the place of hedge too.
+	budgeted *hedging
 	// silence fires when nothing has been received for too long.
 	silence *time.Timer
 }
@@ -73,6 +78,7 @@
 	defer cancel()
 	s := &streamRun{
 		execution: x,
+		budgeted:  x.newHedging(),
 		silence:   time.NewTimer(0),
 	}
 	defer s.stop()
@@ -103,6 +109,8 @@
 		return s.onRerun(ctx, r)
 	case <-s.silence.C:
 		s.onSilence(ctx)
+	case <-s.budgeted.due():
+		s.onHedgeDue(ctx)
 	}
 	return nil
 }
@@ -114,6 +122,7 @@
 		return s.failureOutcome(ctx, err)
 	}
 	s.current = s.attemptStream(ctx, choice)
+	s.budgeted.begin(choice)
 	s.silence.Reset(choice.Delay + s.firstEventTimeout())
 	return nil
 }
@@ -129,6 +138,7 @@
 	if s.current != nil {
 		s.current.cancel(nil)
 	}
+	s.budgeted.close()
 }
 
 // firstEventTimeout returns how long an attempt may take for its first event before another upstream is tried.
@@ -171,6 +181,7 @@
 	if a.firstEvent == 0 {
 		a.firstEvent = max(time.Since(a.began), 1)
 		a.choice.ResponseStarted()
+		s.budgeted.firstWon(a.firstEvent)
 		s.forwarder.times.Observe(s.route.Name, a.firstEvent)
 	}
 	if !a.settled && hasSettled(a.began, a.firstEvent) {
@@ -236,6 +247,7 @@
 	if complete && s.responseStarted && !empty {
 		s.keep(a)
 		s.report(a, nil)
+		s.budgeted.answered(time.Since(a.began))
 		return s.answered()
 	}
 	if complete {
@@ -261,8 +273,12 @@
 func (s *streamRun) onFailure(ctx context.Context, a *streamAttempt, failure *pipeline.CallError, load *upstream.Load) outcome.Outcome {
 	a.cancel(nil)
 	s.reportResult(a.choice, a.began, a.firstEvent, a.firstEvent > 0, failure, load)
+	if a == s.current {
+		s.budgeted.firstFailed()
+	}
 	switch {
 	case a == s.hedge:
+		s.budgeted.secondEnded()
 		s.countFailure(failure)
 		s.hedge = nil
 		s.silence.Reset(s.gapTimeout())
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -74,6 +74,9 @@
 	}
 }
 
+// Enabled reports whether anything may be hedged. A nil Decider hedges nothing.
+func (d *Decider) Enabled() bool { return d != nil && d.cfg.ExtraWork > 0 }
+
 // Request is what a Decider needs to know of a request.
 type Request struct {
 	// Pool names the upstreams that share a limit of extra work.
@@ -119,7 +122,7 @@
 
 // Begin returns the state of the first attempt at a request, which starts now.
 func (d *Decider) Begin(r Request, l Load) Attempt {
-	if d.cfg.ExtraWork <= 0 {
+	if !d.Enabled() {
 		return Attempt{}
 	}
 	k := d.kind(r)
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -18,6 +18,7 @@
 		drainFields(),
 		keysFields(),
 		retryFields(),
+		hedgeFields(),
 		logFields(),
 	} {
 		all = append(all, fields...)
@@ -161,6 +162,15 @@
 	return g.fields
 }
 
+func hedgeFields() []field {
+	g := &sectionBuilder{
+		section: "hedge",
+	}
+	g.number("extra_work", "Limit of the time that upstreams may spend on second attempts at slow requests, as a share of the time that they spend on the requests of a pool. 0 turns these second attempts off.", "share", 0, 0, 1,
+		func(s *Settings) *float64 { return &s.Hedge.ExtraWork })
+	return g.fields
+}
+
 func logFields() []field {
 	g := &sectionBuilder{
 		section: "log",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,7 @@
 	Drain    Drain
 	Keys     IdempotencyKeys
 	Retry    Retry
+	Hedge    Hedge
 	Log      Log
 }
 
@@ -107,6 +108,12 @@
 	Burst int64
 }
 
+// Hedge configures second attempts at requests that are slow for their kind.
+type Hedge struct {
+	// ExtraWork is the limit of their work as a share of the work of a pool. At zero there are none.
+	ExtraWork float64
+}
+
 // Log configures what is logged and in which format.
 type Log struct {
 	Level  string
--- a/internal/upstream/host.go
+++ b/internal/upstream/host.go
@@ -74,12 +74,12 @@
 	// Exclude lists addresses that must not be chosen, such as those that
 	// were tried already.
 	Exclude []string
-	// Spare asks for an upstream with a free slot that takes work as usual, on another host than those in Exclude, since
-	// the attempt is not necessary. There may be none although upstreams take work.
-	Spare bool
 	// Version is the software version that the upstream must have. It is valid if PinVersion is set.
 	Version    string
 	PinVersion bool
+	// Spare asks for an upstream with a free slot that takes work as usual, on another host than those in Exclude, since
+	// the attempt is not necessary. There may be none although upstreams take work.
+	Spare bool
 	// MaxDelay is how long the request may wait for an upstream that limits its rate, if no other
 	// upstream can take it.
 	MaxDelay time.Duration
