Don't count the cut-off body of a losing attempt as a failure of its upstream

Cause: when an attempt loses while its body is read, the reader gets the error of the connection, such as a deadline that has passed. It was reported as a failure, which ejects the upstream after a few hedges.

Ruled out: the cause of the context for every attempt, since requests that end by deadline or by their caller are to be reported as before.

Change: an attempt that has lost reports that cause, which counts as cancelled. The test fails without the change for either attempt.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -122,7 +122,7 @@
 	body, err := readBody(memory, choice.Addr, resp, x.forwarder.cfg.MaxResponseBytes)
 	if err != nil {
 		memory.Release()
-		return x.attemptFailed(choice, began, mayHaveRun(choice, err))
+		return x.attemptFailed(choice, began, mayHaveRun(choice, lostOr(callCtx, err)))
 	}
 	memory.ReleaseAfter(ctx)
 	response := bufferedResponse{
--- a/internal/forward/bufferedrun.go
+++ b/internal/forward/bufferedrun.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"sequoiafork/internal/pipeline"
@@ -50,6 +51,16 @@
 	}()
 }
 
+// lostOr returns why an attempt lost to another one, or err if it did not. The end of its context is the error of a
+// connection to whoever reads its response, and no failure of the upstream.
+func lostOr(callCtx context.Context, err error) error {
+	cause := context.Cause(callCtx)
+	if errors.Is(cause, errSecondFaster) || errors.Is(cause, errHedgeNotNeeded) {
+		return cause
+	}
+	return err
+}
+
 // settle records which attempt has ended, and cancels the other one if this one has got the response.
 func (r *bufferedRun) settle(result attemptResult) {
 	h := r.budgeted
--- a/internal/forward/hedging_test.go
+++ b/internal/forward/hedging_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"sequoiafork/internal/hedge"
 	"sequoiafork/internal/outcome"
@@ -53,7 +56,10 @@
 type timedClient struct {
 	times []time.Duration
 	fails []bool
-	begun bool
+	// begun makes responses begin at once, with the time before their bodies. cutOff is the error of a body whose call
+	// was cancelled.
+	begun  bool
+	cutOff error
 
 	mu    sync.Mutex
 	calls []Call
@@ -73,10 +79,14 @@
 		return &Response{
 			Status:   http.StatusOK,
 			Verified: true,
-			Body: io.NopCloser(&pacedReader{
-				ctx:    ctx,
-				events: []string{text},
-				pace:   took,
+			Body: io.NopCloser(cutBody{
+				Reader: &pacedReader{
+					ctx:    ctx,
+					events: []string{text},
+					pace:   took,
+				},
+				ctx: ctx,
+				err: c.cutOff,
 			}),
 		}, nil
 	}
@@ -425,6 +435,60 @@
 	}
 }
 
+// TestLoserIsNoFailure guards against upstreams that count as failing since the body of a losing attempt was cut off.
+func TestLoserIsNoFailure(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second time.Duration
+		cause         error
+	}{
+		"first": {
+			first:  slowTime,
+			second: usualTime,
+			cause:  errSecondFaster,
+		},
+		"second": {
+			first:  3 * usualTime,
+			second: slowTime,
+			cause:  errHedgeNotNeeded,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				core, logs := observer.New(zap.InfoLevel)
+				r := hedgedRequest{
+					client: &timedClient{
+						times:  []time.Duration{c.first, c.second},
+						begun:  true,
+						cutOff: os.ErrDeadlineExceeded,
+					},
+					change: func(cfg *Config) { cfg.Logger = zap.New(core) },
+				}
+				r.serve(t)
+				require.IsType(t, outcome.Answered{}, r.outcome)
+				failed := logs.FilterMessage("attempt failed").All()
+				require.Len(t, failed, 1)
+				require.Equal(t, c.cause.Error(), failed[0].ContextMap()["error"])
+			})
+		})
+	}
+}
+
+// cutBody is a body that fails with an error once its context has ended.
+type cutBody struct {
+	io.Reader
+	ctx context.Context
+	err error
+}
+
+// Read implements io.Reader.
+func (b cutBody) Read(buf []byte) (int, error) {
+	n, err := b.Reader.Read(buf)
+	if b.ctx.Err() != nil {
+		return n, b.err
+	}
+	return n, err
+}
+
 // TestHedgeCountsItsLoser guards against hedges whose extra work is not counted.
 func TestHedgeCountsItsLoser(t *testing.T) {
 	extra := metrics.GetOrCreateFloatCounter(`sequoiafork_hedge_extra_work_seconds_total{service="s"}`)
