Check the limit of extra work at every moment of a burst

Cause: the test of 74 deciders compared the sums at the end, by which time a burst beyond the limit may have been earned.

Change: it also checks the sums after every request.

--- a/internal/hedge/load_test.go
+++ b/internal/hedge/load_test.go
@@ -33,6 +33,8 @@
 	work  time.Duration
 	extra time.Duration
 	made  int
+	// excess is the most by which extra work has exceeded the limit of the work so far.
+	excess time.Duration
 }
 
 // answer returns the time of an answer at an upstream.
@@ -136,6 +138,7 @@
 	if extra > 0 {
 		l.made++
 	}
+	l.excess = max(l.excess, l.extra-time.Duration(l.limit*float64(l.work)))
 }
 
 func (l *load) quantile(q float64) time.Duration {
--- a/internal/hedge/quantiles_test.go
+++ b/internal/hedge/quantiles_test.go
@@ -104,6 +104,7 @@
 		}
 		l.play(t)
 		require.LessOrEqual(t, l.extraShare(), limit)
+		require.Zero(t, l.excess, "also at every moment before the end")
 		require.Equal(t, limit > 0, l.made > 0)
 	}
 }
