Let hedges go to another upstream on a loopback address

Cause: a hedge goes to another host, and upstreams that listen on one loopback address all count as one.

Ruled out: telling upstreams apart by port everywhere, since several upstreams of one host are slow together.

Change: a loopback address keeps its port in the comparison.

--- a/internal/upstream/spare.go
+++ b/internal/upstream/spare.go
@@ -71,8 +71,12 @@
 	return true
 }
 
-// hostOf returns an address without its port.
+// hostOf returns an address without its port. A loopback address keeps its port: where upstreams listen on one, all run
+// on the same host, and none of them could take an attempt.
 func hostOf(addr string) string {
+	if strings.HasPrefix(addr, "127.") || strings.HasPrefix(addr, "[::1]") {
+		return addr
+	}
 	if i := strings.LastIndexByte(addr, ':'); i >= 0 {
 		return addr[:i]
 	}
--- a/internal/upstream/spare_test.go
+++ b/internal/upstream/spare_test.go
@@ -116,6 +116,15 @@
 	}
 }
 
+// TestHostOf guards against a deployment on one host in which no attempt counts as being on another host.
+func TestHostOf(t *testing.T) {
+	require.Equal(t, hostOf("10.0.0.1:80"), hostOf("10.0.0.1:81"))
+	require.NotEqual(t, hostOf("10.0.0.1:80"), hostOf("10.0.0.2:80"))
+	require.Equal(t, hostOf("[2001:db8::1]:80"), hostOf("[2001:db8::1]:81"))
+	require.NotEqual(t, hostOf("127.0.0.1:80"), hostOf("127.0.0.1:81"))
+	require.NotEqual(t, hostOf("[::1]:80"), hostOf("[::1]:81"))
+}
+
 // TestSpareCapacity guards against a pool that counts as free while it is full or requests wait, and against reports
 // that count for ever.
 func TestSpareCapacity(t *testing.T) {
