Admit stage jobs by the overrun that most stay within

Cause: in a burst half of the accepted jobs missed their objective by a little. Admission added the mean overrun of its estimates, and assumed that a call has only the job's own pieces, although calls are full under load.

Change: the estimate takes calls as full as the work ahead makes them; the overrun is the mean and two mean deviations of jobs that were forecast to be in time (type overrun). Jobs that run after all others no longer count in it.

--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"iter"
+	"math"
 	"slices"
 	"time"
 
@@ -15,10 +16,6 @@
 	// minRetryAfter and maxRetryAfter bound the Retry-After delay.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
-	// delayWeight is the weight of the newest job in the moving average of the delay,
-	// which maxDelay bounds.
-	delayWeight = 0.1
-	maxDelay    = time.Second
 	// A result is small if it takes less than 1/smallResultDivisor of an upstream's result
 	// memory.
 	smallResultDivisor = 100
@@ -51,14 +48,14 @@
 		}, nil
 	}
 	end, bottleneck := s.estimateEnd(j, now, false)
-	responseStart := end.Add(j.TimeAfterStages + s.delay[j.Priority])
+	responseStart := end.Add(j.TimeAfterStages + s.overrun[j.Priority].bound())
 	if !responseStart.After(j.SoftDeadline) || len(j.Results) > 0 {
 		return forecast{
 			end: end,
 		}, nil
 	}
 	lateEnd := s.estimateLateEnd(j, now)
-	if !lateEnd.Add(j.TimeAfterStages + s.delay[j.Priority]).After(s.latestResponse(j, now)) {
+	if !lateEnd.Add(j.TimeAfterStages + s.overrun[j.Priority].bound()).After(s.latestResponse(j, now)) {
 		return forecast{
 			end:                lateEnd,
 			missesSoftDeadline: true,
@@ -94,16 +91,14 @@
 	return j.Patience
 }
 
-// updateDelay updates the delay of a priority with the time by which a finished job
-// exceeded its estimate.
-func (s *Scheduler) updateDelay(j *job, err error) {
+// observeOverrun records by how much the stages of a finished job ended later than forecast. A job that runs after
+// all others says nothing about those that can meet their soft deadline.
+func (s *Scheduler) observeOverrun(j *job, err error) {
 	var ownerChanged *OwnerChangedError
-	if errors.Is(err, context.Canceled) || errors.As(err, &ownerChanged) {
+	if j.missesSoftDeadline || errors.Is(err, context.Canceled) || errors.As(err, &ownerChanged) {
 		return
 	}
-	late := min(max(time.Since(j.expectedEnd), 0), maxDelay)
-	old := s.delay[j.Priority]
-	s.delay[j.Priority] = old + time.Duration(delayWeight*float64(late-old))
+	s.overrun[j.Priority] = s.overrun[j.Priority].observe(time.Since(j.expectedEnd))
 }
 
 // estimateEnd estimates when the stages of a job end, and returns the service at which it
@@ -130,11 +125,12 @@
 		if !svc.isLarge(st.ResultBytes) {
 			workAhead.bytes = 0 // Small results fit even while larger ones wait for memory.
 		}
-		wait := max(svc.capacity().timeToComplete(workAhead)-start.Sub(now), 0)
+		capacity := svc.capacity()
+		wait := max(capacity.timeToComplete(workAhead)-start.Sub(now), 0)
 		if wait >= longest {
 			longest, bottleneck = wait, st.Service
 		}
-		finish[i] = start.Add(wait + callTime(svc.spec, min(st.Pieces, svc.spec.MaxSize)))
+		finish[i] = start.Add(wait + callTime(svc.spec, capacity.itemsPerCall(workAhead.pieces+st.Pieces)))
 		if finish[i].After(end) {
 			end = finish[i]
 		}
@@ -288,6 +284,13 @@
 	return wait
 }
 
+// itemsPerCall returns how many items the calls have that do a number of pieces. Under load the calls are full,
+// and a piece is done only when the others of its call are.
+func (c capacity) itemsPerCall(pieces int) int {
+	each := math.Ceil(float64(pieces) / max(c.effectiveUpstreams, 1))
+	return min(int(each), c.spec.MaxSize)
+}
+
 // isLarge reports whether results of a size fill the memory of an upstream before its calls are
 // full.
 func (svc *service) isLarge(bytes int64) bool {
--- a/internal/stagework/burst_test.go
+++ b/internal/stagework/burst_test.go
@@ -70,7 +70,7 @@
 
 func (b burst) play(t *testing.T) burstResult {
 	var trace string
-	var r burstResult
+	var mostOver, mostInPause int
 	var fakes *fakeUpstreams
 	synctest.Test(t, func(t *testing.T) {
 		p := newScriptRun(t)
@@ -82,8 +82,17 @@
 			p.command(strings.Fields(command))
 		}
 		trace = p.finish(true)
-		r.mostOver, r.mostInPause = p.fakes.mostOver(), p.fakes.mostInPause()
+		mostOver, mostInPause = p.fakes.mostOver(), p.fakes.mostInPause()
 	})
+	r, done := parseTrace(trace, b.perSecond)
+	r.mostOver, r.mostInPause = mostOver, mostInPause
+	r.thrownAway = fakes.thrownAway(done)
+	return r
+}
+
+// parseTrace returns what the callers of jobs got that arrived at a constant rate, and which jobs are done.
+func parseTrace(trace string, perSecond int) (burstResult, map[string]bool) {
+	var r burstResult
 	done := make(map[string]bool)
 	for line := range strings.Lines(trace) {
 		m := jobLine.FindStringSubmatch(strings.TrimRight(line, "\n"))
@@ -93,7 +102,7 @@
 		at, _ := strconv.Atoi(m[1])
 		i, _ := strconv.Atoi(m[2])
 		done["j"+m[2]] = m[3] == "done"
-		wait := time.Duration(at)*time.Millisecond - time.Duration(i)*time.Second/time.Duration(b.perSecond)
+		wait := time.Duration(at)*time.Millisecond - time.Duration(i)*time.Second/time.Duration(perSecond)
 		switch {
 		case m[3] == "done" && strings.Contains(m[4], "late"):
 			r.late++
@@ -107,8 +116,7 @@
 			r.waited += wait
 		}
 	}
-	r.thrownAway = fakes.thrownAway(done)
-	return r
+	return r, done
 }
 
 // TestBurst plays a burst of season digests of 2.4 times the mean rate on a fleet of 21 upstreams,
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -37,9 +37,8 @@
 	// activeSince is when a job was last submitted after the scheduler had had none for
 	// idleMemoryTTL.
 	activeSince time.Time
-	// delay is the moving average, by priority, of how much later than estimated jobs
-	// finish.
-	delay map[int]time.Duration
+	// overrun is, by priority, how much later than forecast the stages of jobs end.
+	overrun map[int]overrun
 	// deadlinesCheckedAt is when the scheduler last checked for jobs that can no longer
 	// meet their deadline.
 	deadlinesCheckedAt time.Time
@@ -66,7 +65,7 @@
 		services:  make(map[string]*service),
 		jobs:      make(map[*job]struct{}),
 		byRequest: make(map[string]*job),
-		delay:     make(map[int]time.Duration),
+		overrun:   make(map[int]overrun),
 	}
 }
 
@@ -208,7 +207,7 @@
 		return
 	}
 	s.cfg.Logger.Info(message, zap.String("request_id", j.RequestID), zap.Int("priority", j.Priority),
-		zap.Duration("forecast_ms", f.end.Sub(now)), zap.Bool("late", f.missesSoftDeadline), zap.Duration("delay_ms", s.delay[j.Priority]),
+		zap.Duration("forecast_ms", f.end.Sub(now)), zap.Bool("late", f.missesSoftDeadline), zap.Duration("delay_ms", s.overrun[j.Priority].bound()),
 		zap.Duration("remaining_ms", j.TimeAfterStages), zap.Duration("objective_ms", j.SoftDeadline.Sub(now)),
 		zap.Int("jobs", len(s.jobs)), zap.Int("queued_pieces", s.queuedPieces()), zap.Int("results", len(j.Results)), zap.Error(err))
 }
@@ -276,7 +275,7 @@
 	}
 	j.finished = true
 	j.err = err
-	s.updateDelay(j, err)
+	s.observeOverrun(j, err)
 	if err == nil {
 		for i, st := range j.stages {
 			if !j.final[i] {
