Tell the capacity of hosts in the addresses that the platform lists

Cause: after a start of all daemons together, each takes the first of the listed addresses by a hash as owner of the stage work until one acquires ownership 2 s later.

Change: the record of a daemon's address tells its capacity (api/keyedlog.yaml, DaemonEntry); the largest class is taken first. A record without it, as older versions write, counts as before.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -27,6 +27,7 @@
 
 	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/forward"
+	"sequoiafork/internal/hostcapacity"
 	"sequoiafork/internal/ident"
 	"sequoiafork/internal/membership"
 	"sequoiafork/internal/outcome"
@@ -202,7 +203,7 @@
 	d.submitter = &submitter{
 		daemon: d,
 	}
-	d.submitter.addAddresses(cfg.Settings.Peers.Seeds)
+	d.submitter.addAddresses(peerAddresses(cfg.Settings.Peers.Seeds))
 	d.readers = d.newReaders()
 	d.forwarder = forward.New(forward.Config{
 		Client:      cfg.Client,
@@ -301,10 +302,22 @@
 
 // AddPeers adds addresses of peers, read from the platform.
 func (d *Daemon) AddPeers(addrs []string) {
+	d.AddListedPeers(peerAddresses(addrs))
+}
+
+// AddListedPeers adds peers that the platform lists.
+func (d *Daemon) AddListedPeers(list []PeerAddress) {
+	addrs := make([]string, len(list))
+	for i, p := range list {
+		addrs[i] = p.Addr
+	}
 	d.members.AddSeeds(addrs)
-	d.submitter.addPlatformAddresses(addrs)
+	d.submitter.addPlatformAddresses(list)
 }
 
+// Capacity returns the capacity of this daemon's host, as the settings state it.
+func (d *Daemon) Capacity() hostcapacity.Capacity { return capacityOf(d.cfg.Settings.Daemon) }
+
 // PeerAddr returns the address on which this daemon listens for peers.
 func (d *Daemon) PeerAddr() string { return d.listener.Addr().String() }
 
--- a/internal/entryhost/owner.go
+++ b/internal/entryhost/owner.go
@@ -63,16 +63,23 @@
 	return owner
 }
 
-// firstByAddress returns the member with the lowest hash of its address, among this daemon
+// firstByAddress returns the member on a host of the largest class whose address has the lowest hash, among this daemon
 // and the known addresses that are not avoided.
 func (s *submitter) firstByAddress(self membership.Member) membership.Member {
+	addresses := s.addresses()
+	largest := self.Capacity
+	for _, p := range addresses {
+		largest = largest.Max(p.Capacity)
+	}
 	best := self
-	for _, addr := range s.addresses() {
-		if !s.avoided.Contains(addr) && ident.Hash(addr) < ident.Hash(best.PeerAddr) {
-			best = membership.Member{
-				Incarnation: addr,
-				PeerAddr:    addr,
-			}
+	for _, p := range addresses {
+		candidate := membership.Member{
+			Incarnation: p.Addr,
+			PeerAddr:    p.Addr,
+			Capacity:    p.Capacity,
+		}
+		if !s.avoided.Contains(p.Addr) && takesPrecedence(candidate, best.WithTerm(0).WithVersion(0), largest) {
+			best = candidate
 		}
 	}
 	return best
--- a/internal/entryhost/ownerhost_test.go
+++ b/internal/entryhost/ownerhost_test.go
@@ -1,9 +1,13 @@
 package entryhost
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"sequoiafork/internal/hostcapacity"
 )
 
 // TestLargestHostOwnsStageWork guards against an owner on a host that is too small for the stage work of a deployment
@@ -45,3 +49,25 @@
 	r.SetTable(tableOf(1), []byte("1"), "test")
 	r.SetUpstreams(upstreams())
 }
+
+// TestFirstOwnerAfterTotalRestart guards against a small host that gets all stage work in the seconds after all daemons
+// have started again, when each knows only the addresses and capacities that the platform lists.
+func TestFirstOwnerAfterTotalRestart(t *testing.T) {
+	h := idleOn(t, 0.144, noCaller{}, &invoker{})
+	var list []PeerAddress
+	for i, milliCores := range []uint32{144, 144, 800, 144, 0} {
+		list = append(list, PeerAddress{
+			Addr: fmt.Sprintf("192.0.2.%d:1", i),
+			Capacity: hostcapacity.Capacity{
+				MilliCores: milliCores,
+			},
+		})
+	}
+	h.AddListedPeers(list[:2])
+	h.AddListedPeers(list[2:4])
+	require.Equal(t, list[2].Addr, h.submitter.owner().PeerAddr)
+	h.AddPeers([]string{list[2].Addr}) // From the settings, without a capacity.
+	require.Equal(t, list[2].Addr, h.submitter.owner().PeerAddr, "a known capacity is forgotten")
+	h.submitter.avoided.Add(list[2].Addr, time.Minute)
+	require.NotEqual(t, list[2].Addr, h.submitter.owner().PeerAddr)
+}
--- a/internal/entryhost/submitter.go
+++ b/internal/entryhost/submitter.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"sequoiafork/internal/forward"
+	"sequoiafork/internal/hostcapacity"
 	"sequoiafork/internal/membership"
 	"sequoiafork/internal/stagework"
 )
@@ -38,27 +37,29 @@
 	avoided membership.AvoidList
 
 	mu sync.Mutex
-	// knownAddresses are the addresses of daemons, alive or not.
-	knownAddresses map[string]bool
+	// knownAddresses are the addresses of daemons, alive or not, with the capacities of their hosts.
+	knownAddresses map[string]hostcapacity.Capacity
 	// platformAddressesRead reports that addresses have been read from the platform.
 	platformAddressesRead bool
 }
 
-// addAddresses adds addresses of daemons.
-func (s *submitter) addAddresses(addrs []string) {
+// addAddresses adds addresses of daemons. A capacity that is known stays known.
+func (s *submitter) addAddresses(list []PeerAddress) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.knownAddresses == nil {
-		s.knownAddresses = make(map[string]bool)
+		s.knownAddresses = make(map[string]hostcapacity.Capacity)
 	}
-	for _, addr := range addrs {
-		s.knownAddresses[addr] = true
+	for _, p := range list {
+		if _, known := s.knownAddresses[p.Addr]; !known || p.Capacity.Known() {
+			s.knownAddresses[p.Addr] = p.Capacity
+		}
 	}
 }
 
 // addPlatformAddresses adds addresses that were read from the platform.
-func (s *submitter) addPlatformAddresses(addrs []string) {
-	s.addAddresses(addrs)
+func (s *submitter) addPlatformAddresses(list []PeerAddress) {
+	s.addAddresses(list)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.platformAddressesRead = true
@@ -88,10 +89,17 @@
 	}
 }
 
-func (s *submitter) addresses() []string {
+func (s *submitter) addresses() []PeerAddress {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Collect(maps.Keys(s.knownAddresses))
+	list := make([]PeerAddress, 0, len(s.knownAddresses))
+	for addr, capacity := range s.knownAddresses {
+		list = append(list, PeerAddress{
+			Addr:     addr,
+			Capacity: capacity,
+		})
+	}
+	return list
 }
 
 // Submit implements forward.StageScheduler.
--- a/internal/wire/keyedlogapi/oas_client_gen.go
+++ b/internal/wire/keyedlogapi/oas_client_gen.go
@@ -84,6 +84,10 @@
 	//
 	// POST /log-append
 	Append(ctx context.Context, options ...RequestOption) (*Appended, error)
+	// DaemonEntry invokes daemonEntry operation.
+	//
+	// GET /daemons/entry
+	DaemonEntry(ctx context.Context, options ...RequestOption) (*DaemonEntry, error)
 	// Manifest invokes manifest operation.
 	//
 	// GET /op/config
@@ -197,6 +201,65 @@
 	return result, nil
 }
 
+// DaemonEntry invokes daemonEntry operation.
+//
+// GET /daemons/entry
+func (c *Client) DaemonEntry(ctx context.Context, options ...RequestOption) (*DaemonEntry, error) {
+	res, err := c.sendDaemonEntry(ctx, options...)
+	return res, err
+}
+
+func (c *Client) sendDaemonEntry(ctx context.Context, requestOptions ...RequestOption) (res *DaemonEntry, err error) {
+
+	var reqCfg requestConfig
+	reqCfg.setDefaults(c.baseClient)
+	for _, o := range requestOptions {
+		o(&reqCfg)
+	}
+
+	u := c.serverURL
+	if override := reqCfg.ServerURL; override != nil {
+		u = override
+	}
+	u = uri.Clone(u)
+	var pathParts [1]string
+	pathParts[0] = "/daemons/entry"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	if err := reqCfg.onRequest(r); err != nil {
+		return res, errors.Wrap(err, "edit request")
+	}
+
+	resp, err := reqCfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	if err := reqCfg.onResponse(resp); err != nil {
+		return res, errors.Wrap(err, "edit response")
+	}
+
+	result, err := decodeDaemonEntryResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // Manifest invokes manifest operation.
 //
 // GET /op/config
--- a/internal/wire/keyedlogapi/oas_handlers_gen.go
+++ b/internal/wire/keyedlogapi/oas_handlers_gen.go
@@ -91,6 +91,69 @@
 	}
 }
 
+// handleDaemonEntryRequest handles daemonEntry operation.
+//
+// GET /daemons/entry
+func (s *Server) handleDaemonEntryRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *DaemonEntry
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    DaemonEntryOperation,
+			OperationSummary: "",
+			OperationID:      "daemonEntry",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *DaemonEntry
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.DaemonEntry(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.DaemonEntry(ctx)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	if err := encodeDaemonEntryResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleManifestRequest handles manifest operation.
 //
 // GET /op/config
--- a/internal/wire/keyedlogapi/oas_json_gen.go
+++ b/internal/wire/keyedlogapi/oas_json_gen.go
@@ -124,6 +124,69 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *DaemonEntry) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *DaemonEntry) encodeFields(e *jx.Encoder) {
+	{
+		if s.MilliMinusCores.Set {
+			e.FieldStart("milli-cores")
+			s.MilliMinusCores.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfDaemonEntry = [1]string{
+	0: "milli-cores",
+}
+
+// Decode decodes DaemonEntry from json.
+func (s *DaemonEntry) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode DaemonEntry to nil")
+	}
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "milli-cores":
+			if err := func() error {
+				s.MilliMinusCores.Reset()
+				if err := s.MilliMinusCores.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"milli-cores\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode DaemonEntry")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *DaemonEntry) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *DaemonEntry) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Manifest) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/internal/wire/keyedlogapi/oas_operations_gen.go
+++ b/internal/wire/keyedlogapi/oas_operations_gen.go
@@ -7,6 +7,7 @@
 
 const (
 	AppendOperation      OperationName = "Append"
+	DaemonEntryOperation OperationName = "DaemonEntry"
 	ManifestOperation    OperationName = "Manifest"
 	NewestOperation      OperationName = "Newest"
 	ReportOperation      OperationName = "Report"
--- a/internal/wire/keyedlogapi/oas_response_decoders_gen.go
+++ b/internal/wire/keyedlogapi/oas_response_decoders_gen.go
@@ -54,6 +54,56 @@
 	return res, validate.UnexpectedStatusCodeWithResponse(resp)
 }
 
+func decodeDaemonEntryResponse(resp *http.Response) (res *DaemonEntry, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response DaemonEntry
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	return res, validate.UnexpectedStatusCodeWithResponse(resp)
+}
+
 func decodeManifestResponse(resp *http.Response) (res *Manifest, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/wire/keyedlogapi/oas_response_encoders_gen.go
+++ b/internal/wire/keyedlogapi/oas_response_encoders_gen.go
@@ -22,6 +22,27 @@
 	return nil
 }
 
+func encodeDaemonEntryResponse(response *DaemonEntry, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeManifestResponse(response *Manifest, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
--- a/internal/wire/keyedlogapi/oas_router_gen.go
+++ b/internal/wire/keyedlogapi/oas_router_gen.go
@@ -11,10 +11,10 @@
 )
 
 var (
-	rn11AllowedHeaders = map[string]string{
+	rn12AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn13AllowedHeaders = map[string]string{
+	rn14AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 )
@@ -69,6 +69,31 @@
 				break
 			}
 			switch elem[0] {
+			case 'd': // Prefix: "daemons/entry"
+
+				if l := len("daemons/entry"); len(elem) >= l && elem[0:l] == "daemons/entry" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleDaemonEntryRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 'l': // Prefix: "log-"
 
 				if l := len("log-"); len(elem) >= l && elem[0:l] == "log-" {
@@ -287,7 +312,7 @@
 							default:
 								s.notAllowed(w, r, notAllowedParams{
 									allowedMethods: "POST",
-									allowedHeaders: rn11AllowedHeaders,
+									allowedHeaders: rn12AllowedHeaders,
 									acceptPost:     "application/json",
 									acceptPatch:    "",
 								})
@@ -312,7 +337,7 @@
 							default:
 								s.notAllowed(w, r, notAllowedParams{
 									allowedMethods: "POST",
-									allowedHeaders: rn13AllowedHeaders,
+									allowedHeaders: rn14AllowedHeaders,
 									acceptPost:     "application/json",
 									acceptPatch:    "",
 								})
@@ -425,6 +450,31 @@
 				break
 			}
 			switch elem[0] {
+			case 'd': // Prefix: "daemons/entry"
+
+				if l := len("daemons/entry"); len(elem) >= l && elem[0:l] == "daemons/entry" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = DaemonEntryOperation
+						r.summary = ""
+						r.operationID = "daemonEntry"
+						r.operationGroup = ""
+						r.pathPattern = "/daemons/entry"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 'l': // Prefix: "log-"
 
 				if l := len("log-"); len(elem) >= l && elem[0:l] == "log-" {
--- a/internal/wire/keyedlogapi/oas_schemas_gen.go
+++ b/internal/wire/keyedlogapi/oas_schemas_gen.go
@@ -28,6 +28,21 @@
 	s.End = val
 }
 
+// Ref: #/components/schemas/DaemonEntry
+type DaemonEntry struct {
+	MilliMinusCores OptInt64 `json:"milli-cores"`
+}
+
+// GetMilliMinusCores returns the value of MilliMinusCores.
+func (s *DaemonEntry) GetMilliMinusCores() OptInt64 {
+	return s.MilliMinusCores
+}
+
+// SetMilliMinusCores sets the value of MilliMinusCores.
+func (s *DaemonEntry) SetMilliMinusCores(val OptInt64) {
+	s.MilliMinusCores = val
+}
+
 // Ref: #/components/schemas/Manifest
 type Manifest struct {
 	Version  int64             `json:"version"`
--- a/internal/wire/keyedlogapi/oas_server_gen.go
+++ b/internal/wire/keyedlogapi/oas_server_gen.go
@@ -12,6 +12,10 @@
 	//
 	// POST /log-append
 	Append(ctx context.Context) (*Appended, error)
+	// DaemonEntry implements daemonEntry operation.
+	//
+	// GET /daemons/entry
+	DaemonEntry(ctx context.Context) (*DaemonEntry, error)
 	// Manifest implements manifest operation.
 	//
 	// GET /op/config
--- a/internal/wire/keyedlogapi/oas_validators_gen.go
+++ b/internal/wire/keyedlogapi/oas_validators_gen.go
@@ -9,6 +9,46 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s *DaemonEntry) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.MilliMinusCores.Get(); ok {
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           0,
+					MaxSet:        true,
+					Max:           4294967295,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(value)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "milli-cores",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Manifest) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
