Reuse no connection for a request that a copy of its last response would match

Cause: a response without a request ID matches every request, and a caller that sends a request again uses the same ID. If the upstream sends a second copy of such a response while the connection is in use again, the copy is taken for the response to the next request. A copied rejection says "not run" of a request that ran.

Ruled out: rejecting responses without an ID on reused connections. Rejections of a request for another incarnation have none, so such a request would count as possibly run. Copies of responses with another ID are dropped already, and bytes that arrive before the reuse close the connection already.

Change: a connection keeps the header of its last response and is not reused for a request that this header matches.

--- a/internal/upstreamhttp/bench_test.go
+++ b/internal/upstreamhttp/bench_test.go
@@ -23,7 +23,7 @@
 		}
 	})
 	p := New(Config{})
-	req := newPost("1")
+	req := newUnmatchedPost()
 	b.ReportAllocs()
 	for b.Loop() {
 		res, err := p.Do(b.Context(), u.endpoint(), req)
--- a/internal/upstreamhttp/conn.go
+++ b/internal/upstreamhttp/conn.go
@@ -18,6 +18,8 @@
 	reader    *bufio.Reader // reads from limited
 	idleSince time.Time
 	idleLimit time.Duration
+	// last is the header of the last response, of which a copy may still arrive.
+	last http.Header
 }
 
 func newConn(nc net.Conn, endpoint Endpoint, idle time.Duration) *conn {
@@ -50,6 +52,12 @@
 	return c.idleWithin(now, fraction) && c.reader.Buffered() == 0 && c.idleAndOpen()
 }
 
+// mayRepeat reports whether a copy of the last response would be taken for the response to
+// req: it has the same ID, or the response had none.
+func (c *conn) mayRepeat(req Request) bool {
+	return c.last != nil && req.MatchResponse != nil && req.MatchResponse(c.last)
+}
+
 // idleAndOpen reports, without blocking, whether the upstream has neither sent bytes nor
 // closed the connection.
 func (c *conn) idleAndOpen() bool {
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -30,7 +30,8 @@
 	Header http.Header
 	Body   []byte
 	// MatchResponse reports whether a response is to this request. Responses before it that
-	// don't match are dropped. Nil matches any.
+	// don't match are dropped. Nil matches any. A connection is not reused for a request that
+	// the last response on it matches too, since a second copy of that may follow.
 	MatchResponse func(header http.Header) bool
 	// Retryable means that the request is idempotent, so that it may be sent on a
 	// connection that was idle for longer.
@@ -73,7 +74,7 @@
 // read as it arrives. The exchange is aborted when ctx ends, also while the body is read.
 // An error is an *Error.
 func (p *Pool) Do(ctx context.Context, endpoint Endpoint, req Request) (*Response, error) {
-	c, err := p.acquire(ctx, endpoint, req.Retryable)
+	c, err := p.acquire(ctx, endpoint, req)
 	if err != nil {
 		return nil, &Error{
 			Endpoint: endpoint,
@@ -152,6 +153,7 @@
 		}
 		if req.MatchResponse == nil || req.MatchResponse(res.Header) {
 			x.res = res
+			x.conn.last = res.Header
 			return res, nil
 		}
 		mismatched++
--- a/internal/upstreamhttp/pool.go
+++ b/internal/upstreamhttp/pool.go
@@ -85,14 +85,14 @@
 	}
 }
 
-// acquire returns an idle connection that is still usable, or else a new one.
-func (p *Pool) acquire(ctx context.Context, endpoint Endpoint, idempotent bool) (*conn, error) {
+// acquire returns an idle connection that is still usable for req, or else a new one.
+func (p *Pool) acquire(ctx context.Context, endpoint Endpoint, req Request) (*conn, error) {
 	for {
 		c := p.popIdle(endpoint)
 		if c == nil {
 			return p.dial(ctx, endpoint)
 		}
-		if c.usable(time.Now(), idempotent) {
+		if c.usable(time.Now(), req.Retryable) && !c.mayRepeat(req) {
 			return c, nil
 		}
 		c.close()
