Count blank lines and comments of a stream as silence

Cause: eventstream returns a blank line and a comment as an event of its own, and forward restarted the timer of the silence with each. An upstream that has stalled and sends one now and then got no second attempt beside it, and the request lasted until the limit of its route. Before the first event, they began the response. Bytes that complete no event were counted as silence already.

Ruled out: dropping them. Callers may use them to keep connections open.

Change: Event.HasFields tells them apart. They are forwarded while the stream goes on, but don't begin the response, end no second attempt and don't restart the timer.

In the new scripts, a resumable stream that stalls with blank lines or comments ended after 20 s without its events before; now another upstream completes it after 2 s, or 1.2 s if it had not begun.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -24,6 +24,9 @@
 	// ID is the value of the event's id field. It is valid only if HasID is set.
 	ID    int64
 	HasID bool
+	// HasFields is false for blank lines and comments, which are no event for their reader: they
+	// may keep a connection open while nothing is generated.
+	HasFields bool
 }
 
 // Config configures a Reader. Both fields are required.
@@ -77,6 +80,7 @@
 		if len(text) == 0 {
 			return e, nil
 		}
+		e.HasFields = e.HasFields || text[0] != ':'
 		e.parseID(text)
 		lineStart = len(e.Raw)
 	}
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -82,6 +82,16 @@
 	}
 }
 
+// Blank lines and comments must be told apart from events, since a stalled upstream may send them.
+func TestBlankLinesAndCommentsHaveNoFields(t *testing.T) {
+	r := newTestReader(strings.NewReader("\n\r\n: a\n: b\n\n: a\ndata\n\nid: 1\n\n"))
+	for _, want := range []bool{false, false, false, true, true} {
+		e, err := r.Next()
+		require.NoError(t, err)
+		require.Equal(t, want, e.HasFields, "%q", e.Raw)
+	}
+}
+
 // endlessLine is a line that does not end within limit bytes.
 type endlessLine struct {
 	read  int
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -336,8 +336,9 @@
 }
 
 // eventsOf returns a stream of the events from one ID to another. The third word is how it
-// ends: whole (complete), cut (aborted between events), torn (aborted within an event) or
-// hang. The fourth, if any, is the time before each event.
+// ends: whole (complete), cut (aborted between events), torn (aborted within an event), hang,
+// or without an end with the parts of an event, blank lines or comments of trickles. The fourth,
+// if any, is the time before each event.
 func eventsOf(ctx context.Context, words []string) io.ReadCloser {
 	from, _ := strconv.Atoi(words[0])
 	to, _ := strconv.Atoi(words[1])
@@ -357,6 +358,11 @@
 		end = hangingReader{
 			ctx: ctx,
 		}
+	case "parts", "blanks", "comments":
+		end = trickleReader{
+			ctx:  ctx,
+			text: trickles[words[2]],
+		}
 	}
 	var events io.Reader = strings.NewReader(text.String())
 	if len(words) > 3 {
@@ -370,6 +376,26 @@
 	return io.NopCloser(io.MultiReader(events, end))
 }
 
+// trickles are what a stalled upstream may send now and then.
+var trickles = map[string]string{
+	"parts":    "a",
+	"blanks":   "\n",
+	"comments": ": c\n\n",
+}
+
+// trickleReader returns the same text every 450 ms until ctx ends.
+type trickleReader struct {
+	ctx  context.Context
+	text string
+}
+
+func (r trickleReader) Read(buf []byte) (int, error) {
+	if err := sleepFor(r.ctx, 450*time.Millisecond); err != nil {
+		return 0, err
+	}
+	return copy(buf, r.text), nil
+}
+
 // pacedReader returns one event after another, each after a time.
 type pacedReader struct {
 	ctx    context.Context
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"sequoiafork/internal/budget"
 	"sequoiafork/internal/eventstream"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/pipeline"
@@ -153,6 +152,9 @@
 		a.choice.Observe(r.response.Notice)
 		s.releaseJob()
 	case streamEvent:
+		if !r.event.HasFields {
+			return s.onComment(a, r.event)
+		}
 		return s.onEvent(a, r.event)
 	case otherResponse:
 		a.choice.Observe(r.response.Notice)
@@ -185,11 +187,8 @@
 		s.setOrigin(a.choice)
 		s.writer.BeginStream(a.response.Status, a.response.Header)
 	}
-	if err := s.writer.WriteEvent(e.Raw); err != nil {
-		failure := mayHaveRun(a.choice, context.Canceled)
-		s.countFailure(failure)
-		s.report(a, failure)
-		return s.withoutResponse(outcome.CodeCallerGone, "the caller no longer receives events", 0)
+	if gone := s.write(a, e); gone != nil {
+		return gone
 	}
 	s.lastEventAt = a.lastReceived
 	if e.HasID {
@@ -198,6 +197,26 @@
 	return nil
 }
 
+// onComment forwards what is no event for the caller. It does not begin the response, and an upstream that
+// sends nothing else is silent.
+func (s *streamRun) onComment(a *streamAttempt, e eventstream.Event) outcome.Outcome {
+	if a != s.current || !s.responseStarted {
+		return nil
+	}
+	return s.write(a, e)
+}
+
+// write writes to the caller. It returns the outcome if the caller is gone, otherwise nil.
+func (s *streamRun) write(a *streamAttempt, e eventstream.Event) outcome.Outcome {
+	if err := s.writer.WriteEvent(e.Raw); err == nil {
+		return nil
+	}
+	failure := mayHaveRun(a.choice, context.Canceled)
+	s.countFailure(failure)
+	s.report(a, failure)
+	return s.withoutResponse(outcome.CodeCallerGone, "the caller no longer receives events", 0)
+}
+
 // keep makes an attempt that has received an event the only one.
 func (s *streamRun) keep(a *streamAttempt) {
 	s.abandonRerun()
@@ -340,76 +359,3 @@
 	}
 	return x.runStages(ctx)
 }
-
-// onSilence starts a second attempt, after the stages if they have to run again. The retry is withdrawn from
-// the budget first, so that stages run only for attempts that will be made.
-func (s *streamRun) onSilence(ctx context.Context) {
-	if !s.route.Kind.Retryable() {
-		return
-	}
-	s.silence.Reset(s.gapTimeout())
-	if s.hedge != nil || s.rerun != nil || s.attempts+1 >= s.route.MaxAttempts || s.rejections > maxRejections {
-		return
-	}
-	if !s.retryBudget().Withdraw() {
-		return
-	}
-	if s.inputs != nil && s.job == nil {
-		s.rerun = s.startRerun(ctx)
-		return
-	}
-	s.startHedge(ctx)
-}
-
-// retryBudget returns the budget of the request's service.
-func (x *execution) retryBudget() *budget.Budget { return x.forwarder.budget(x.service.Name) }
-
-// startHedge starts the second attempt if there is an upstream for it. Otherwise the first continues alone.
-func (s *streamRun) startHedge(ctx context.Context) {
-	choice, err := s.pickUpstream(0)
-	if err != nil {
-		s.retryBudget().Return()
-		return
-	}
-	s.forwarder.cfg.Logger.Info("upstream is silent, trying another one as well",
-		zap.String("request_id", s.req.ID), zap.String("upstream", s.current.choice.Incarnation), zap.String("second", choice.Incarnation),
-		zap.Duration("silent_ms", time.Since(s.current.lastReceived)), zap.Bool("begun", s.responseStarted))
-	s.hedge = s.attemptStream(ctx, choice)
-	s.silence.Reset(s.firstEventTimeout())
-}
-
-// onRerun starts the attempt that has waited for the stages.
-func (s *streamRun) onRerun(ctx context.Context, r rerunResult) outcome.Outcome {
-	s.rerun = nil
-	if r.err != nil {
-		s.retryBudget().Return()
-		return s.onRerunFailure(ctx, r.err)
-	}
-	s.job, s.inputs = r.job, r.inputs
-	if s.current == nil {
-		s.logContinued()
-		return s.start(ctx)
-	}
-	s.startHedge(ctx)
-	return nil
-}
-
-// onRerunFailure ends the request if there is no attempt that goes on.
-func (s *streamRun) onRerunFailure(ctx context.Context, err error) outcome.Outcome {
-	if s.current == nil {
-		return s.stageFailure(ctx, err)
-	}
-	s.forwarder.cfg.Logger.Info("no second attempt while the upstream is silent, since the stages can't run again",
-		zap.String("request_id", s.req.ID), zap.Error(err))
-	return nil
-}
-
-// abandonRerun ends the run of the stages that nothing waits for any more.
-func (s *streamRun) abandonRerun() {
-	if s.rerun == nil {
-		return
-	}
-	s.rerun.abandon()
-	s.rerun = nil
-	s.retryBudget().Return()
-}
