Let issued keys expire by the clock by which their outcomes are kept

Cause: the age of an issued key was taken from the wall clock, and the time for which the outcome of its request is kept from the monotonic clock. When the wall clock is set back by more than that time less the life of a key (59.5 minutes with the defaults), a key whose outcome was dropped is valid again, and its request runs twice.

Ruled out: keeping outcomes by the wall clock, which drops them early when the clock is set forward.

Change: the registry issues and checks keys by the wall clock at its creation plus the monotonic time since then.

TestIssuedKeyExpiresAlthoughTheClockIsSetBack fails without the change.

--- a/internal/idempotency/do.go
+++ b/internal/idempotency/do.go
@@ -44,7 +44,7 @@
 // run, or "" if it is not.
 func (r *Registry) expiry(key string) string {
 	if issued, err := ident.ParseIssuedKey(key); err == nil {
-		if age := time.Since(issued.Issued); age > r.cfg.IssuedKeyTTL {
+		if age := r.now().Sub(issued.Issued); age > r.cfg.IssuedKeyTTL {
 			return "the key was issued " + age.Round(time.Second).String() + " ago and is valid for " + r.cfg.IssuedKeyTTL.String()
 		}
 		return ""
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -113,6 +113,9 @@
 type Registry struct {
 	cfg    Config
 	shards [shardCount]shard
+	// created is when the registry was created, with the reading of the monotonic clock, and epoch
+	// the reading of the wall clock then.
+	created, epoch time.Time
 }
 
 type shard struct {
@@ -154,8 +157,10 @@
 	cfg.ResultWindow = max(cfg.ResultWindow, 2*cfg.IssuedKeyTTL)
 	cfg.MaxResultBytes = cmp.Or(cfg.MaxResultBytes, DefaultMaxResultBytes)
 	r := &Registry{
-		cfg: cfg,
+		cfg:     cfg,
+		created: time.Now(),
 	}
+	r.epoch = r.created.Round(0)
 	for i := range r.shards {
 		r.shards[i].entries = make(map[KeyHash]*entry)
 		r.shards[i].completed = list.New()
@@ -165,9 +170,13 @@
 
 // Issue returns a new key that this process owns, and how long it is valid.
 func (r *Registry) Issue() (key string, valid time.Duration) {
-	return ident.NewIssuedKey(r.cfg.Self, time.Now()).String(), r.cfg.IssuedKeyTTL
+	return ident.NewIssuedKey(r.cfg.Self, r.now()).String(), r.cfg.IssuedKeyTTL
 }
 
+// now returns the time by which keys are issued and expire. It passes like that by which outcomes are
+// stored, also when the wall clock is set back: a key must not outlive its outcome.
+func (r *Registry) now() time.Time { return r.epoch.Add(time.Since(r.created)) }
+
 func (r *Registry) shard(key KeyHash) *shard {
 	return &r.shards[key[0]%shardCount]
 }
--- a/internal/idempotency/registry_test.go
+++ b/internal/idempotency/registry_test.go
@@ -222,6 +222,33 @@
 	require.Empty(t, failed)
 }
 
+// TestIssuedKeyExpiresAlthoughTheClockIsSetBack guards against a key that is valid again after its outcome was dropped,
+// because the wall clock was set back, and whose request runs twice.
+func TestIssuedKeyExpiresAlthoughTheClockIsSetBack(t *testing.T) {
+	failed := bubble.Run(t, func(t *bubble.T) {
+		const (
+			setBack = 24 * time.Hour
+			// others is so many keys that each part of the registry gets some.
+			others = 1000
+		)
+		c := newCluster(clusterSize)
+		r := c.daemons[0].registry
+		r.SetClockBack(setBack)
+		key, _ := r.Issue()
+		c.daemons[0].call(key, "in", runAnswered)
+		time.Sleep(r.ResultWindow() + time.Second)
+		for range others { // Drops what is older than the window.
+			other, _ := r.Issue()
+			c.daemons[0].call(other, "in", runAnswered)
+		}
+		c.daemons[0].call(key, "in", runAnswered)
+		require.Equal(t, outcome.CodeKeyExpired, outcome.CodeOf(c.outcomes[key][1]))
+		require.Len(t, c.runs[key], 1)
+		c.stop()
+	})
+	require.Empty(t, failed)
+}
+
 func TestAnswerAfterDeadlineIsStoredForItsKey(t *testing.T) {
 	failed := bubble.Run(t, func(t *bubble.T) {
 		c := newCluster(clusterSize)
