Use no turn at a limited upstream that has passed

Cause: requests that wait for their turns at an upstream that limits its rate each have a timer. After a suspension of the process, the timers of all turns that have passed fire at once, and the requests exceed the limit together.

Ruled out: a new reservation for each late turn. It would leave its place in the order to whoever asks first, and the request can be tried elsewhere.

Change: upstream.Choice says when the turn is.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -45,10 +45,6 @@
 	maxRejections = 3
 )
 
-// errNoTurn reports an attempt that was not made, because the request ended, or the upstream stopped
-// taking work, before its turn.
-var errNoTurn = errors.New("the request ended or the upstream stopped taking work before the request's turn at it")
-
 // errStopping ends requests because the process stops.
 var errStopping = errors.New("the daemon is stopping")
 
@@ -327,28 +323,6 @@
 	return choice, nil
 }
 
-// awaitTurn waits until the attempt for a choice may start. It returns an error if the attempt is not to
-// be made.
-func awaitTurn(ctx context.Context, choice upstream.Choice) *pipeline.CallError {
-	if choice.Delay <= 0 {
-		return nil
-	}
-	turn := time.NewTimer(choice.Delay)
-	defer turn.Stop()
-	select {
-	case <-turn.C:
-	case <-ctx.Done():
-	}
-	if ctx.Err() == nil && choice.TakesWork() {
-		return nil
-	}
-	return &pipeline.CallError{
-		Addr:      choice.Addr,
-		Execution: pipeline.NotSent,
-		Err:       errNoTurn,
-	}
-}
-
 func (x *execution) call(choice upstream.Choice) Call {
 	return Call{
 		Addr:        choice.Addr,
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -32,7 +32,9 @@
 	InFlight int
 	// Delay is how long the attempt has to wait for its turn, because the upstream limits the rate
 	// of requests. It is zero or at most Request.MaxDelay.
-	Delay  time.Duration
+	Delay time.Duration
+	// At is when the attempt's turn is: Delay after the choice.
+	At     time.Time
 	group  *group
 	member *member
 	start  attemptStart
@@ -115,6 +117,7 @@
 		Version:     m.host.Version,
 		InFlight:    m.inFlight,
 		Delay:       delay,
+		At:          st.at,
 		group:       g,
 		member:      m,
 		start:       st,
