Give up what others have taken over during a suspension

Cause: a daemon that owned the stage work before it was suspended went on to schedule it, beside its successor, until it heard of the new term. And the time in which an operator may write a lost evacuation again passed during the suspension, so that the evacuation ended at the wake-up, before the daemon had read the store again.

Ruled out: giving up the term. A daemon that none has replaced would acquire a new one and change the owner for no reason. The monotonic clock alone, which does not count the sleep of a machine.

A doubt that ends late begins anew.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -35,6 +35,7 @@
 	"sequoiafork/internal/settings"
 	"sequoiafork/internal/stagework"
 	"sequoiafork/internal/streamorigin"
+	"sequoiafork/internal/suspension"
 	"sequoiafork/internal/topic"
 	"sequoiafork/internal/upstream"
 )
@@ -426,7 +427,9 @@
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
 	owned := false
+	var passes suspension.Detector
 	for {
+		d.submitter.yieldAfterSuspension(passes.Pass())
 		n, _ := d.members.Count()
 		if int64(n) != d.daemonCount.Swap(int64(max(n, 1))) {
 			d.upstreams.SetDaemons(n)
--- a/internal/entryhost/evacuation.go
+++ b/internal/entryhost/evacuation.go
@@ -11,6 +11,10 @@
 // doubtTime is how long the operator may take to write an evacuation again that the store has lost.
 const doubtTime = 5 * time.Second
 
+// maxDoubtDelay is how long after its end a doubt may be noticed. Later, the process was suspended, and has not read
+// yet what the operator wrote meanwhile.
+const maxDoubtDelay = 500 * time.Millisecond
+
 // SetEvacuated begins or ends the evacuation of a data centre: its upstreams get no new work and finish
 // what they have.
 func (d *Daemon) SetEvacuated(dataCentre string, evacuated bool) {
@@ -46,7 +50,10 @@
 	d.mu.Lock()
 	doubted := d.evacuated[dataCentre].Equal(until)
 	d.mu.Unlock()
-	if doubted {
+	switch {
+	case doubted && time.Since(until) > maxDoubtDelay:
+		d.DoubtEvacuation(dataCentre)
+	case doubted:
 		d.SetEvacuated(dataCentre, false)
 	}
 }
--- a/internal/entryhost/owner.go
+++ b/internal/entryhost/owner.go
@@ -97,6 +97,15 @@
 	return s.owner().Incarnation == s.daemon.members.Self().Incarnation
 }
 
+// yieldAfterSuspension makes this daemon no owner for avoidTime if it did not run for so long that the others have
+// replaced it. Until it has heard from them, it takes the one that they chose for the owner.
+func (s *submitter) yieldAfterSuspension(gap time.Duration) {
+	if self := s.daemon.members.Self(); gap > heartbeatTimeout && self.Term > 0 {
+		s.avoided.Add(self.Incarnation, avoidTime)
+		s.daemon.logger.Info("stage work is left to another daemon after a suspension", zap.Duration("suspended_ms", gap))
+	}
+}
+
 // avoidOwner excludes an owner for avoidTime, or for joinPeriod if only its address is
 // known: by then the daemons know each other.
 func (s *submitter) avoidOwner(owner membership.Member) {
