Forward what precedes the first event of a stream with that event

Cause: blank lines and comments no longer begin a response, and those before the first event were dropped, so that the caller got a body that was not the upstream's. Change: they are kept with the attempt, up to 4 KiB, and forwarded with its first event. A stream that goes on at another upstream has none.

The script 'stalled' has a case for it; without the change the comment is missing there.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -337,12 +337,15 @@
 
 // eventsOf returns a stream of the events from one ID to another. The third word is how it
 // ends: whole (complete), cut (aborted between events), torn (aborted within an event), hang,
-// or without an end with the parts of an event, blank lines or comments of trickles. The fourth,
+// after a comment (commented), or without an end with the parts of an event, blank lines or comments of trickles. The fourth,
 // if any, is the time before each event.
 func eventsOf(ctx context.Context, words []string) io.ReadCloser {
 	from, _ := strconv.Atoi(words[0])
 	to, _ := strconv.Atoi(words[1])
 	var text strings.Builder
+	if words[2] == "commented" {
+		text.WriteString(": begin\n\n")
+	}
 	for i := from; i <= to; i++ {
 		fmt.Fprintf(&text, "id: %d\ndata: t%d\n\n", i, i)
 	}
@@ -350,7 +353,7 @@
 		err: io.ErrUnexpectedEOF,
 	}
 	switch words[2] {
-	case "whole":
+	case "whole", "commented":
 		end = strings.NewReader("")
 	case "torn":
 		fmt.Fprintf(&text, "id: %d\nda", to+1)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -187,6 +187,10 @@
 		s.setOrigin(a.choice)
 		s.writer.BeginStream(a.response.Status, a.response.Header)
 	}
+	if len(a.leading) > 0 && !s.hasLastID {
+		e.Raw = append(a.leading, e.Raw...)
+	}
+	a.leading = nil
 	if gone := s.write(a, e); gone != nil {
 		return gone
 	}
@@ -197,13 +201,16 @@
 	return nil
 }
 
-// onComment forwards what is no event for the caller. It does not begin the response, and an upstream that
-// sends nothing else is silent.
+// onComment forwards what is no event for the caller. An upstream that sends nothing else is silent, and does not
+// begin the response: what precedes its first event is forwarded with that.
 func (s *streamRun) onComment(a *streamAttempt, e eventstream.Event) outcome.Outcome {
-	if a != s.current || !s.responseStarted {
-		return nil
+	switch {
+	case a.firstEvent == 0 && len(a.leading)+len(e.Raw) <= maxLeadingBytes:
+		a.leading = append(a.leading, e.Raw...)
+	case a.firstEvent > 0 && a == s.current && s.responseStarted:
+		return s.write(a, e)
 	}
-	return s.write(a, e)
+	return nil
 }
 
 // write writes to the caller. It returns the outcome if the caller is gone, otherwise nil.
--- a/internal/forward/streamattempt.go
+++ b/internal/forward/streamattempt.go
@@ -10,6 +10,10 @@
 	"sequoiafork/internal/upstream"
 )
 
+// maxLeadingBytes bounds what is kept of the blank lines and comments before the first event of a response. They are
+// part of a complete body, but no event.
+const maxLeadingBytes = 4 << 10
+
 // streamAttempt is one attempt at a request whose response is a stream. It runs in its own goroutine.
 type streamAttempt struct {
 	choice upstream.Choice
@@ -23,6 +27,8 @@
 	response *Response
 	// firstEvent is the time to the first event, zero before it.
 	firstEvent time.Duration
+	// leading is what preceded the first event: blank lines and comments.
+	leading []byte
 	// settled reports that the response has gone on for quarantine.SettleTime.
 	settled bool
 	// lastReceived is the time of the last event, or of the start.
