--- /dev/null
+++ b/internal/fairshare/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package fairshare_test
+
+const raceEnabled = true
