Tell the owner of the stage work the workspace of a job

Cause: the owner sees all stage work but not whose it is, so it can't share the capacity for it.

Change: stagework.Job and StageWorkRequest have the workspace; forward sets it from the API key. A daemon of an older version sends none, and such jobs count as those of one workspace. Nothing uses it yet.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -178,6 +178,7 @@
 	return stagework.Job{
 		RequestID:       x.req.ID,
 		InputKey:        x.req.InputKey,
+		Workspace:       x.workspace.Name,
 		Priority:        x.priority,
 		SoftDeadline:    x.req.Received.Add(x.route.LatencyObjective),
 		Deadline:        x.deadline,
--- a/internal/peer/stagework.go
+++ b/internal/peer/stagework.go
@@ -320,6 +320,7 @@
 		DataCentre:  j.DataCentre,
 		Made:        stageResults(j.Results),
 		Resubmitted: j.Resubmitted,
+		Workspace:   j.Workspace,
 	}
 	if !j.Patience.IsZero() {
 		req.PatienceMs = j.Patience.Sub(now).Milliseconds()
@@ -343,6 +344,7 @@
 	j := stagework.Job{
 		RequestID:       req.GetRequestId(),
 		InputKey:        req.GetKey(),
+		Workspace:       req.GetWorkspace(),
 		Priority:        int(req.GetPriority()),
 		SoftDeadline:    now.Add(time.Duration(req.GetObjectiveMs()) * time.Millisecond),
 		Deadline:        now.Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond),
--- a/internal/peer/stagework_test.go
+++ b/internal/peer/stagework_test.go
@@ -217,3 +217,12 @@
 		})
 	}
 }
+
+// TestJobKeepsWorkspace guards against jobs that reach the owner without their workspace and are charged to another.
+func TestJobKeepsWorkspace(t *testing.T) {
+	j := stageWorkJob()
+	j.Workspace = "ws"
+	require.Equal(t, "ws", stageJob(stageWorkRequest(j), time.Now()).Workspace)
+	j.Workspace = ""
+	require.Empty(t, stageJob(stageWorkRequest(j), time.Now()).Workspace)
+}
--- a/internal/stagework/stagework.go
+++ b/internal/stagework/stagework.go
@@ -104,6 +104,8 @@
 type Job struct {
 	RequestID string
 	InputKey  string
+	// Workspace is the workspace of the request. Jobs without one count as those of one workspace.
+	Workspace string
 	// Priority orders jobs; zero is the most urgent.
 	Priority int
 	// SoftDeadline is when the response should start, Deadline when the caller
