Add the setting [admission] workspace_shares

Cause: shares of workspaces must only be in force where a deployment asks for them.

Change: workspace_shares is off, the default, or fair. deploy/sequoiaforkd.ini doesn't set it, so it stays off there. Nothing uses the setting yet.

--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -18,6 +18,7 @@
 		drainFields(),
 		keysFields(),
 		retryFields(),
+		admissionFields(),
 		logFields(),
 	} {
 		all = append(all, fields...)
@@ -161,6 +162,17 @@
 	return g.fields
 }
 
+func admissionFields() []field {
+	g := &sectionBuilder{
+		section: "admission",
+	}
+	g.enum("workspace_shares", "How the workspaces share the capacity for stages when there is more work: not at all, or equally by work. The same for all daemons.", SharesOff, []string{
+		SharesOff,
+		SharesFair,
+	}, func(s *Settings) *string { return &s.Admission.WorkspaceShares })
+	return g.fields
+}
+
 func logFields() []field {
 	g := &sectionBuilder{
 		section: "log",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,16 +24,23 @@
 	PlatformKindKeyedLog = "keyed_log"
 )
 
+// Values of workspace_shares: whether the capacity for stages is shared between workspaces when it is exceeded.
+const (
+	SharesOff  = "off"
+	SharesFair = "fair"
+)
+
 // Settings holds all settings of a daemon.
 type Settings struct {
-	Daemon   Daemon
-	Peers    Peers
-	Platform Platform
-	Limits   Limits
-	Drain    Drain
-	Keys     IdempotencyKeys
-	Retry    Retry
-	Log      Log
+	Daemon    Daemon
+	Peers     Peers
+	Platform  Platform
+	Limits    Limits
+	Drain     Drain
+	Keys      IdempotencyKeys
+	Retry     Retry
+	Admission Admission
+	Log       Log
 }
 
 // Daemon configures where the daemon runs and listens.
@@ -107,6 +114,12 @@
 	Burst int64
 }
 
+// Admission configures which requests are served when there are more than there is capacity for.
+type Admission struct {
+	// WorkspaceShares is SharesOff or SharesFair.
+	WorkspaceShares string
+}
+
 // Log configures what is logged and in which format.
 type Log struct {
 	Level  string
