Share the stage upstreams between workspaces, if asked for

Change: with [admission] workspace_shares = fair, the owner marks the jobs of workspaces that are over their share. Among jobs of the same lateness class and priority, marked ones go last, also in the estimates of the work ahead. They pass a second test at admission with the overrun that jobs over the share have, which doesn't count in the overrun of the others. admit.go is unchanged. The log lines of rejections, a counter of bounded cardinality and the dump name the shares. With off there is no state.

--- a/internal/entryhost/dump.go
+++ b/internal/entryhost/dump.go
@@ -27,11 +27,13 @@
 	Topics        []topic.Status            `json:"topics"`
 	StageJobs     int                       `json:"stage_jobs"`
 	StageServices []stagework.ServiceStatus `json:"stage_services"`
-	Membership    any                       `json:"membership"`
-	Upstreams     any                       `json:"upstreams"`
-	Held          []quarantine.Held         `json:"held"`
-	Goroutines    int                       `json:"goroutines"`
-	HeapBytes     uint64                    `json:"heap_bytes"`
+	// Workspaces is absent if workspaces have no shares.
+	Workspaces []stagework.WorkspaceStatus `json:"workspaces,omitempty"`
+	Membership any                         `json:"membership"`
+	Upstreams  any                         `json:"upstreams"`
+	Held       []quarantine.Held           `json:"held"`
+	Goroutines int                         `json:"goroutines"`
+	HeapBytes  uint64                      `json:"heap_bytes"`
 }
 
 // WriteDump writes the state of the daemon to w as one line of JSON.
@@ -51,6 +53,7 @@
 		Topics:        d.readers.Status(),
 		StageJobs:     d.StageJobs(),
 		StageServices: d.scheduler.Status(),
+		Workspaces:    d.scheduler.LargestWorkspaces(),
 		Membership:    d.members.Members(),
 		Upstreams:     d.upstreams.Upstreams(),
 		Held:          d.quarantine.Holds(),
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -178,8 +178,9 @@
 			Invoker:    cfg.Invoker,
 			quarantine: d.quarantine,
 		},
-		Self:   incarnation,
-		Logger: d.logger,
+		Self:       incarnation,
+		FairShares: cfg.Settings.Admission.WorkspaceShares == settings.SharesFair,
+		Logger:     d.logger,
 	})
 	d.origins = origins{
 		Table:  streamorigin.New(streamorigin.Config{}),
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -9,7 +9,7 @@
 // raise the share of the workspace above that of others. While all that is offered is accepted, no workspace is over
 // its share.
 //
-// Work is the time that upstreams need for it. The window slides in steps of an eighth of its length. The package does
+// Which work counts as accepted is up to the scheduler. Work is the time that upstreams need for it. The window slides in steps of an eighth of its length. The package does
 // no I/O and starts no goroutines.
 //
 //	s := fairshare.New(fairshare.Config{})
--- a/internal/stagework/dispatch.go
+++ b/internal/stagework/dispatch.go
@@ -134,7 +134,7 @@
 }
 
 // sort orders the queue: first by whether a job can still meet its soft deadline, then by
-// priority, then by soft deadline. The pieces of one job stay together.
+// priority, then by whether its workspace was within its share, then by soft deadline. The pieces of one job stay together.
 func (svc *service) sort(now time.Time) {
 	order := func(a, b *piece) int { return compareJobs(a.job, b.job, now) }
 	if !slices.IsSortedFunc(svc.queue, order) {
@@ -152,6 +152,9 @@
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
+	if c := compareShares(a, b); c != 0 {
+		return c
+	}
 	if c := a.SoftDeadline.Compare(b.SoftDeadline); c != 0 {
 		return c
 	}
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -22,7 +22,9 @@
 
 	mu       sync.Mutex
 	services map[string]*service
-	jobs     map[*job]struct{}
+	// shares is nil if workspaces have no shares.
+	shares *workspaceShares
+	jobs   map[*job]struct{}
 	// upstreamsKnown reports that upstreams have been set.
 	upstreamsKnown bool
 	// byRequest maps request IDs to the jobs that were submitted last for them.
@@ -64,6 +66,7 @@
 	return &Scheduler{
 		cfg:       cfg,
 		services:  make(map[string]*service),
+		shares:    newWorkspaceShares(cfg.FairShares),
 		jobs:      make(map[*job]struct{}),
 		byRequest: make(map[string]*job),
 		delay:     make(map[int]time.Duration),
@@ -148,7 +151,9 @@
 	}
 	now := time.Now()
 	s.forgetFreeMemory(now)
-	f, err := s.admit(j, now)
+	j = s.shares.offer(j, s.services, now)
+	f, err := s.admitByShare(j, now)
+	s.shares.recordAdmission(j, f, err, now)
 	s.logAdmission(j, f, err, now)
 	if err != nil {
 		return nil, err
@@ -207,7 +212,7 @@
 	case !logging.Sampled(j.RequestID):
 		return
 	}
-	s.cfg.Logger.Info(message, zap.String("request_id", j.RequestID), zap.Int("priority", j.Priority),
+	s.cfg.Logger.With(j.shareFields()...).Info(message, zap.String("request_id", j.RequestID), zap.Int("priority", j.Priority),
 		zap.Duration("forecast_ms", f.end.Sub(now)), zap.Bool("late", f.missesSoftDeadline), zap.Duration("delay_ms", s.delay[j.Priority]),
 		zap.Duration("remaining_ms", j.TimeAfterStages), zap.Duration("objective_ms", j.SoftDeadline.Sub(now)),
 		zap.Int("jobs", len(s.jobs)), zap.Int("queued_pieces", s.queuedPieces()), zap.Int("results", len(j.Results)), zap.Error(err))
@@ -276,7 +281,7 @@
 	}
 	j.finished = true
 	j.err = err
-	s.updateDelay(j, err)
+	s.recordEnd(j, err)
 	if err == nil {
 		for i, st := range j.stages {
 			if !j.final[i] {
--- a/internal/stagework/stagework.go
+++ b/internal/stagework/stagework.go
@@ -125,6 +125,8 @@
 	// Resubmitted reports that the job was submitted before by a submitter that lost its
 	// connection. If the scheduler still has the job, Submit returns it.
 	Resubmitted bool
+	// share is set by the scheduler if workspaces have shares.
+	share jobShare
 }
 
 // PieceResult is the result of one piece.
@@ -170,6 +172,9 @@
 	Invoker Invoker
 	// Self is the incarnation of the daemon of the scheduler. It may be empty if there is only one.
 	Self string
+	// FairShares shares the upstreams between workspaces when there is more work than they can do: among jobs of the
+	// same lateness and priority, those of workspaces over their share go last.
+	FairShares bool
 	// Logger may be nil.
 	Logger *zap.Logger
 }
