Merge shares of workspaces

Capacity of stage work is shared max-min fair over workspaces when there is too little (package fairshare), with the setting [admission] workspace_shares, off by default.

--- a/internal/stagework/stagework.go
+++ b/internal/stagework/stagework.go
@@ -104,6 +104,8 @@
 type Job struct {
 	RequestID string
 	InputKey  string
+	// Workspace is the workspace of the request. Jobs without one count as those of one workspace.
+	Workspace string
 	// Priority orders jobs; zero is the most urgent.
 	Priority int
 	// SoftDeadline is when the response should start, Deadline when the caller
@@ -123,6 +125,8 @@
 	// Resubmitted reports that the job was submitted before by a submitter that lost its
 	// connection. If the scheduler still has the job, Submit returns it.
 	Resubmitted bool
+	// share is set by the scheduler if workspaces have shares.
+	share jobShare
 }
 
 // PieceResult is the result of one piece.
@@ -168,6 +172,9 @@
 	Invoker Invoker
 	// Self is the incarnation of the daemon of the scheduler. It may be empty if there is only one.
 	Self string
+	// FairShares shares the upstreams between workspaces when there is more work than they can do: among jobs of the
+	// same lateness and priority, those of workspaces over their share go last.
+	FairShares bool
 	// Logger may be nil.
 	Logger *zap.Logger
 }
