Space the transparent retries of calls to peers

Cause: the writer of a gRPC connection that has been reset refuses new streams while the connection still counts as ready. The client repeats a refused call without a limit and without a delay.

Ruled out: grpc.WithDisableRetry, which concerns other retries; a limit on the number of retries, since the context of the call bounds them; a custom balancer, which does not learn of the refusal.

Change: before a transparent retry a call waits 1 ms, doubled up to 50 ms, until its context is done.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -200,7 +200,15 @@
 }
 
 func (n *Node) newConn(addr string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+addr,
+	return grpc.NewClient("passthrough:///"+addr, n.dialOptions()...)
+}
+
+// dialOptions returns the options of the connections to peers.
+func (n *Node) dialOptions() []grpc.DialOption {
+	pacer := retryPacer{
+		logger: n.cfg.Logger,
+	}
+	return append(pacer.options(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(n.traffic.dial),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
