Delay the resubmission of a job that is lost repeatedly

Cause: a job whose owner accepts it and drops the call was submitted again without a delay, up to nine times, before the next owner was tried.

Ruled out: a delay of the first resubmission, which is the common case of one broken connection. The other loops over calls to peers have a wait or a fixed number of tries (docs/design/peer-calls.md).

Change: from the second resubmission on a job waits 5 ms, doubled up to 100 ms, or until its context is done.

--- a/internal/entryhost/jobhandle.go
+++ b/internal/entryhost/jobhandle.go
@@ -19,6 +19,10 @@
 	ownerCheckInterval = 100 * time.Millisecond
 	// maxResubmissions bounds how often one job is submitted again.
 	maxResubmissions = 8
+	// minResubmitDelay and maxResubmitDelay bound the delay before a job that was lost more than once is submitted
+	// again. It doubles with each time.
+	minResubmitDelay = 5 * time.Millisecond
+	maxResubmitDelay = 100 * time.Millisecond
 )
 
 // jobHandle is the handle of a job submitted to the owner or to this daemon's own scheduler. If
@@ -181,6 +185,7 @@
 	h.job.Resubmitted = true
 	job := h.job
 	h.resubmissions++
+	delay := resubmitDelay(h.resubmissions)
 	tooMany := h.resubmissions > maxResubmissions
 	h.mu.Unlock()
 	old.release()
@@ -190,6 +195,7 @@
 	h.submitter.daemon.logger.Info("resubmitting job",
 		zap.String("request_id", job.RequestID), zap.String("stage_owner", old.owner.Incarnation),
 		zap.Int("results", len(job.Results)), zap.Error(why))
+	sleep(ctx, delay)
 	place, err := h.submitter.submit(ctx, job)
 	if err != nil {
 		return err
@@ -203,6 +209,16 @@
 	return nil
 }
 
+// resubmitDelay returns the delay before a job is submitted again. The first time has number 1 and no delay, since a
+// single broken connection is the common case.
+func resubmitDelay(number int) time.Duration {
+	if number <= 1 {
+		return 0
+	}
+	const maxDoublings = 5 // maxResubmitDelay is reached earlier.
+	return min(minResubmitDelay<<min(number-2, maxDoublings), maxResubmitDelay)
+}
+
 // Release implements forward.SubmittedJob. This daemon frees the results of a job whose
 // owner is dead.
 func (h *jobHandle) Release() {
