Fail only the call or message of a peer on which a handler panics

Cause: the gRPC server does not recover from panics, and messages of links are handled in goroutines of their own.

Ruled out: recovery while a lock stays held. Link.Receive now releases the lock of the table by defer; the other handlers did already.

Change: interceptors for unary calls and streams answer Internal; a message of a link is dropped and the link goes on. A job on which the scheduler panics fails, since its submitter would give it to the next owner otherwise.

--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -82,11 +82,15 @@
 
 // Receive handles one message from the other end.
 func (l *Link) Receive(msg *peerpb.LinkMessage) {
-	t := l.t
+	l.t.merging(func(now time.Time) { l.receive(msg, now) })
+	l.t.notify()
+}
+
+// merging calls f with the lock, which it releases also if f panics.
+func (t *Table) merging(f func(now time.Time)) {
 	t.mu.Lock()
-	l.receive(msg, time.Now())
-	t.mu.Unlock()
-	t.notify()
+	defer t.mu.Unlock()
+	f(time.Now())
 }
 
 func (l *Link) receive(msg *peerpb.LinkMessage, now time.Time) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"sequoiafork/internal/membership"
+	"sequoiafork/internal/panics"
 	"sequoiafork/internal/wire/peerpb"
 )
 
@@ -109,11 +110,20 @@
 		if err != nil {
 			return
 		}
-		if len(msg.GetRecords()) > 0 && n.cfg.LogReplica != nil {
-			n.cfg.LogReplica.Deliver(msg.GetRecords())
-		}
-		l.member.Receive(msg)
+		// A message whose handling panics is dropped. The panic has been logged.
+		_ = panics.Call(n.cfg.Logger, "link", func() error {
+			n.deliver(l, msg)
+			return nil
+		})
+	}
+}
+
+// deliver passes a message of a link to the replica and to the member table.
+func (n *Node) deliver(l *link, msg *peerpb.LinkMessage) {
+	if len(msg.GetRecords()) > 0 && n.cfg.LogReplica != nil {
+		n.cfg.LogReplica.Deliver(msg.GetRecords())
 	}
+	l.member.Receive(msg)
 }
 
 func (n *Node) openLinks() []*link {
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -180,6 +180,8 @@
 		grpc.WriteBufferSize(bufferBytes),
 		grpc.SharedWriteBuffer(true),
 		grpc.MaxRecvMsgSize(n.cfg.MaxMessageBytes),
+		grpc.ChainUnaryInterceptor(n.containUnary),
+		grpc.ChainStreamInterceptor(n.containStream),
 	)
 	peerpb.RegisterPeerServer(srv, &server{
 		node: n,
--- a/internal/peer/stagework.go
+++ b/internal/peer/stagework.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	"sequoiafork/internal/membership"
+	"sequoiafork/internal/panics"
 	"sequoiafork/internal/stagework"
 	"sequoiafork/internal/wire/peerpb"
 )
@@ -180,7 +181,10 @@
 	if err != nil {
 		return err
 	}
-	job, err := s.node.cfg.StageWorker.Submit(stageJob(req, time.Now()))
+	// A job on which the scheduler panics fails. Its submitter would submit it to the next owner otherwise.
+	job, err := panics.Value(s.node.cfg.Logger, "submit", func() (*stagework.SubmittedJob, error) {
+		return s.node.cfg.StageWorker.Submit(stageJob(req, time.Now()))
+	})
 	if err != nil {
 		return st.Send(stageWorkResponse(nil, err))
 	}
