Bound the stages and pieces of a job and the attempts of a route

Cause: running out of memory can't be recovered from. A scheduler reserved 117 bytes for each piece of a job of a peer, of which there could be 2^31 (251 GB), and a request reserved memory for all attempts of its route; a negative number of attempts panicked at each request.

Ruled out: a bound in platform/ only, since jobs also come from peers and routes from other sources.

Change: a job has at most 256 stages of 0 to 4096 pieces, as callers' headers already were limited to; a table bounds attempts to 0 to 64.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -66,6 +66,9 @@
 	ResultBytes int64
 }
 
+// maxAttempts bounds Route.MaxAttempts, since each request reserves memory for its attempts.
+const maxAttempts = 64
+
 // Route defines how the requests to a host under a path prefix are handled.
 type Route struct {
 	Name       string
@@ -83,7 +86,7 @@
 	// Priority orders requests; zero runs first.
 	Priority int
 	Targets  []Target
-	// MaxAttempts bounds the attempts at one request that an upstream may have run.
+	// MaxAttempts bounds the attempts at one request that an upstream may have run. A Table bounds it to 0 to 64.
 	MaxAttempts int
 	Stages      []Stage
 	// Public routes accept requests without an API key.
@@ -187,6 +190,7 @@
 		workspaces: make(map[string]Workspace),
 	}
 	for _, r := range cfg.Routes {
+		r.MaxAttempts = min(max(r.MaxAttempts, 0), maxAttempts)
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
 	for _, routes := range t.byHost {
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -2,10 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 )
 
+const (
+	// MaxPieces bounds the pieces of one stage of one job.
+	MaxPieces = 4096
+	// maxStages bounds the stages of one job.
+	maxStages = 256
+)
+
 // job is a submitted Job and its progress. The scheduler's lock guards it.
 type job struct {
 	Job
@@ -183,9 +191,21 @@
 	}
 }
 
-// validate returns an error if a stage depends on itself or on a later stage.
+// validate returns an error if a stage depends on itself or on a later stage, or if there are too many stages or
+// pieces, which could use up the memory.
 func (j Job) validate() error {
+	if len(j.Stages) > maxStages {
+		return &FailedError{
+			Message: fmt.Sprintf("the job has %d stages, at most %d are possible", len(j.Stages), maxStages),
+		}
+	}
 	for i, st := range j.Stages {
+		if st.Pieces < 0 || st.Pieces > MaxPieces {
+			return &FailedError{
+				Service: st.Service,
+				Message: fmt.Sprintf("the stage has %d pieces, 0 to %d are possible", st.Pieces, MaxPieces),
+			}
+		}
 		for _, input := range st.DependsOn {
 			if input < 0 || input >= i {
 				return &FailedError{
