Fail only the attempt or record on which a panic occurs

Cause: attempts at upstreams, stage calls, reruns of stages and reads of topics run in goroutines of their own, where a panic ends the process. A record that does so ends all daemons, also those that start later.

Ruled out: recovery around the scheduler and the loops of the member table, whose state a panic may leave inconsistent.

Change: such an attempt counts as one that may have run; the calls of stage upstreams fail; a read of a topic is repeated after a pause and goes on after the records. HTTP servers log and count panics and close the connection.

With the guard of buffered.go, streamattempt.go, scheduler.go or follower.go taken out, the new tests ended the test process; with it they pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -218,8 +218,14 @@
 		return err
 	}
 	d.executor = pipeline.New(pipeline.Config{
-		Engines:   engines,
-		Services:  services,
+		Engines: containedInvoker{
+			invoker: engines,
+			logger:  d.logger,
+		},
+		Services: containedInvoker{
+			invoker: services,
+			logger:  d.logger,
+		},
 		Upstreams: d.upstreams,
 		Admission: admission.New(admission.Config{}),
 		Times:     stagetime.New(stagetime.Config{}),
@@ -263,8 +269,8 @@
 	if err != nil {
 		return err
 	}
-	callerServer := d.newServer(callers)
-	operatorServer := d.newServer(operators)
+	callerServer := d.newServer("caller_addr", callers)
+	operatorServer := d.newServer("operator_addr", operators)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, background := errgroup.WithContext(background)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -10,12 +10,13 @@
 
 	"sequoiafork/internal/operatorhttp"
 	"sequoiafork/internal/operatorpage"
+	"sequoiafork/internal/panics"
 )
 
-func (d *Daemon) newServer(h http.Handler) *http.Server {
+func (d *Daemon) newServer(name string, h http.Handler) *http.Server {
 	l := d.settings.Limits
 	return &http.Server{
-		Handler:           http.MaxBytesHandler(h, l.MaxBodyBytes),
+		Handler:           http.MaxBytesHandler(panics.Handler(d.logger, name, h), l.MaxBodyBytes),
 		ReadHeaderTimeout: l.ReadHeaderTimeout,
 		ReadTimeout:       l.ReadTimeout,
 		WriteTimeout:      l.WriteTimeout,
--- a/internal/entryhost/jobhandle.go
+++ b/internal/entryhost/jobhandle.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"sequoiafork/internal/membership"
+	"sequoiafork/internal/panics"
 	"sequoiafork/internal/peer"
 	"sequoiafork/internal/stagework"
 )
@@ -116,7 +117,7 @@
 func (h *jobHandle) waitAt(ctx context.Context, place jobPlace) ([]string, error) {
 	done := make(chan waitResult, 1)
 	go func() {
-		handles, err := place.wait(ctx)
+		handles, err := panics.Value(h.submitter.daemon.logger, "stage_wait", func() ([]string, error) { return place.wait(ctx) })
 		done <- waitResult{
 			handles: handles,
 			err:     err,
--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -9,6 +9,7 @@
 
 	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/panics"
 	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/upstream"
 )
@@ -122,7 +123,7 @@
 		return x.attemptFailed(choice, time.Now(), failure)
 	}
 	began := time.Now()
-	resp, err := x.forwarder.cfg.Client.Call(ctx, x.call(choice))
+	resp, err := x.callUpstream(ctx, choice)
 	if err != nil {
 		return x.attemptFailed(choice, began, callError(choice, err))
 	}
@@ -135,7 +136,9 @@
 		return x.attemptFailed(choice, began, mayHaveRun(choice, errUnverified))
 	}
 	memory := x.forwarder.cfg.Memory.Reserve()
-	body, err := readBody(memory, choice.Addr, resp, x.forwarder.cfg.MaxResponseBytes)
+	body, err := panics.Value(x.forwarder.cfg.Logger, "body", func() ([]byte, error) {
+		return readBody(memory, choice.Addr, resp, x.forwarder.cfg.MaxResponseBytes)
+	})
 	if err != nil {
 		memory.Release()
 		return x.attemptFailed(choice, began, mayHaveRun(choice, err))
@@ -155,6 +158,13 @@
 	}
 }
 
+// callUpstream makes a call. It fails if the client panics, such as on a response that it can't decode: the attempt
+// runs in its own goroutine, where a panic would end the process.
+func (x *execution) callUpstream(ctx context.Context, choice upstream.Choice) (*Response, error) {
+	cfg := x.forwarder.cfg
+	return panics.Value(cfg.Logger, "call", func() (*Response, error) { return cfg.Client.Call(ctx, x.call(choice)) })
+}
+
 // readBody reads the complete body of a response into reserved memory.
 func readBody(memory *bytequota.Reservation, addr string, resp *Response, maxBytes int64) ([]byte, error) {
 	body, err := memory.ReadAll(resp.Body, maxBytes)
--- a/internal/forward/stagererun.go
+++ b/internal/forward/stagererun.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"sequoiafork/internal/panics"
 	"sequoiafork/internal/stagework"
 )
 
@@ -27,10 +28,22 @@
 		result: make(chan rerunResult, 1),
 	}
 	job := x.stageJob(x.requestStages())
-	go func() { r.result <- runJob(ctx, x.forwarder.cfg.Stages, job) }()
+	go func() { r.result <- x.rerunJob(ctx, job) }()
 	return r
 }
 
+// rerunJob runs a job in its own goroutine, where a panic would end the process.
+func (x *execution) rerunJob(ctx context.Context, job stagework.Job) rerunResult {
+	cfg := x.forwarder.cfg
+	result, err := panics.Value(cfg.Logger, "rerun", func() (rerunResult, error) {
+		return runJob(ctx, cfg.Stages, job), nil
+	})
+	if err != nil {
+		result.err = err
+	}
+	return result
+}
+
 // results returns the channel with the result, nil without a rerun.
 func (r *stageRerun) results() <-chan rerunResult {
 	if r == nil {
--- a/internal/forward/streamattempt.go
+++ b/internal/forward/streamattempt.go
@@ -7,6 +7,7 @@
 
 	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/eventstream"
+	"sequoiafork/internal/panics"
 	"sequoiafork/internal/upstream"
 )
 
@@ -67,7 +68,10 @@
 		lastReceived: began,
 	}
 	call := x.call(choice)
-	go func() { a.ended <- a.run(ctx, x.forwarder.cfg, call) }()
+	cfg := x.forwarder.cfg
+	go func() {
+		a.ended <- panics.Call(cfg.Logger, "stream", func() error { return a.run(ctx, cfg, call) })
+	}()
 	return a
 }
 
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -61,6 +61,10 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
+	cfg.Invoker = containedInvoker{
+		invoker: cfg.Invoker,
+		logger:  cfg.Logger,
+	}
 	return &Scheduler{
 		cfg:       cfg,
 		services:  make(map[string]*service),
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"sequoiafork/internal/era"
+	"sequoiafork/internal/panics"
 )
 
 // storeEra is the era in which the store was last found.
@@ -81,7 +82,8 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		f.calledStore = false
-		err := f.step(ctx)
+		// A read whose handling panics counts as failed, and is repeated after a pause.
+		err := panics.Call(f.cfg.Logger, "topic", func() error { return f.step(ctx) })
 		f.recordResult(ctx, err, time.Since(began))
 		if err != nil {
 			f.cfg.Breaker.Wait(ctx, Attempt{
