Drop or bound numbers of rumors that overflow

Cause: the age of an observation was multiplied without a bound, so that a rumor could name a time in the future: it never expired, took precedence over all others and was passed on. A rumor about this daemon with the highest version made it go on with version 0; the highest term did the same to the next owner. An infinite rate was passed on as a limit.

Ruled out: a panic or a lock that stays held, which no input caused.

Change: ages are bounded to ten years, and those of origins of streams to one; versions and terms above 2^63-1 and rates that are no finite numbers are dropped.

--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -135,5 +135,14 @@
 
 // before returns the time that lies some milliseconds before another, or that one if the number is negative.
 func before(t time.Time, ms int64) time.Time {
-	return t.Add(-time.Duration(max(ms, 0)) * time.Millisecond)
+	return t.Add(-ageOf(ms))
+}
+
+// maxAge bounds the age of an observation in a rumor. The time of an older one could overflow, and the observation
+// would then count as one of the future, which never expires.
+const maxAge = 10 * 365 * 24 * time.Hour
+
+// ageOf converts the age in a rumor, in milliseconds.
+func ageOf(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxAge.Milliseconds())) * time.Millisecond
 }
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"net/netip"
 	"strings"
 
@@ -114,6 +115,10 @@
 	return r
 }
 
+// maxNumber is the highest version and term of a rumor that is used. Both go on from the highest one that is known,
+// and would begin at zero again after the highest possible number.
+const maxNumber = math.MaxInt64
+
 // memberFromRumor decodes a rumor. It reports false if the rumor is malformed.
 func memberFromRumor(r *peerpb.MemberRumor) (Member, bool) {
 	addr, _, ok := strings.Cut(r.GetIncarnation(), "/")
@@ -121,7 +126,7 @@
 		return Member{}, false
 	}
 	st := State(r.GetState())
-	if st < Alive || st > Dead {
+	if st < Alive || st > Dead || r.GetVersion() > maxNumber || r.GetTerm() > maxNumber {
 		return Member{}, false
 	}
 	return Member{
--- a/internal/membership/notices.go
+++ b/internal/membership/notices.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"time"
 
 	"sequoiafork/internal/wire/peerpb"
@@ -74,10 +75,13 @@
 	t.flood([]*peerpb.Rumor{o.rumor(time.Now())}, nil)
 }
 
-// mergeNotice merges a rumor and reports whether to forward it. One that is older than what is known
-// is not forwarded.
+// mergeNotice merges a rumor and reports whether to forward it. One that is older than what is known, or whose
+// rate is no number of requests, is not forwarded.
 func (t *Table) mergeNotice(r *peerpb.NoticeRumor, now time.Time) bool {
 	o := noticeFromRumor(r, now)
+	if math.IsNaN(o.PerSecond) || math.IsInf(o.PerSecond, 0) || o.PerSecond < 0 {
+		return false
+	}
 	if o.origin == t.self || now.Sub(o.ObservedAt) >= t.noticeTTL(o) {
 		return false
 	}
@@ -143,7 +147,7 @@
 }
 
 func noticeFromRumor(r *peerpb.NoticeRumor, now time.Time) noticeObservation {
-	age := time.Duration(max(r.GetAgeMs(), 0)) * time.Millisecond
+	age := ageOf(r.GetAgeMs())
 	return noticeObservation{
 		UpstreamNotice: UpstreamNotice{
 			Service:     r.GetService(),
--- a/internal/membership/upstreams.go
+++ b/internal/membership/upstreams.go
@@ -106,7 +106,7 @@
 func (t *Table) mergeUpstream(r *peerpb.UpstreamRumor, now time.Time) bool {
 	u := &t.upstreams
 	state := UpstreamState(r.GetState())
-	age := time.Duration(max(r.GetAgeMs(), 0)) * time.Millisecond
+	age := ageOf(r.GetAgeMs())
 	if state < UpstreamLive || state > UpstreamSuspect || age >= t.cfg.upstreamTTL(state) {
 		return false
 	}
--- a/internal/peer/origin.go
+++ b/internal/peer/origin.go
@@ -12,6 +12,9 @@
 	"sequoiafork/internal/wire/peerpb"
 )
 
+// maxOriginAge bounds the age of an origin, which could overflow otherwise. It is longer than origins are kept.
+const maxOriginAge = 365 * 24 * time.Hour
+
 // OriginKeeper keeps the origins of streams for peers.
 type OriginKeeper interface {
 	// Receive records origins that a peer has announced.
@@ -45,7 +48,7 @@
 		list = append(list, streamorigin.Entry{
 			RequestID: o.GetRequestId(),
 			Origin:    originFrom(o),
-			Age:       max(time.Duration(o.GetAgeMs()), 0) * time.Millisecond,
+			Age:       time.Duration(min(max(o.GetAgeMs(), 0), maxOriginAge.Milliseconds())) * time.Millisecond,
 		})
 	}
 	s.node.cfg.Origins.Receive(list)
