Bound the time in which a link to a peer is opened

Cause: the call that opens a link had no deadline, so on a connection that is reset and never closed it would wait for as long as the daemon runs, and no other attempt at that peer would be made.

Ruled out: keepalive, which is off while a connection has no calls.

Change: the call ends after the dial timeout, and the redial delay follows.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -188,7 +188,7 @@
 		return false
 	}
 	defer conn.Close()
-	s, err := peerpb.NewPeerClient(conn).Link(ctx)
+	s, err := n.openLink(ctx, cancel, conn)
 	if err != nil {
 		return false
 	}
@@ -196,6 +196,16 @@
 	return true
 }
 
+// openLink opens a link on a connection within DialTimeout. The link ends with ctx, which cancel ends.
+func (n *Node) openLink(ctx context.Context, cancel context.CancelFunc, conn *grpc.ClientConn) (stream, error) {
+	timer := time.AfterFunc(n.cfg.DialTimeout, cancel)
+	s, err := peerpb.NewPeerClient(conn).Link(ctx)
+	if !timer.Stop() && err == nil {
+		err = context.DeadlineExceeded
+	}
+	return s, err
+}
+
 // connect returns a new connection that is ready.
 func (n *Node) connect(ctx context.Context, addr string) (*grpc.ClientConn, error) {
 	conn, err := n.newConn(addr)
--- a/internal/peer/retry_test.go
+++ b/internal/peer/retry_test.go
@@ -18,7 +18,6 @@
 
 	"sequoiafork/internal/membership"
 	"sequoiafork/internal/stagework"
-	"sequoiafork/internal/wire/peerpb"
 )
 
 // resetConn is a connection that can be reset so that only its writer notices: the client then counts it as ready.
@@ -129,7 +128,10 @@
 			return err
 		},
 		"link": func(ctx context.Context, n *Node) error {
-			_, err := peerpb.NewPeerClient(n.conns[addr]).Link(ctx)
+			n.cfg.DialTimeout = duration
+			ctx, cancel := context.WithCancel(context.WithoutCancel(ctx)) // As those of links, without a deadline.
+			defer cancel()
+			_, err := n.openLink(ctx, cancel, n.conns[addr])
 			return err
 		},
 	} {
