--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -28,6 +28,7 @@
 	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/forward"
 	"sequoiafork/internal/hedge"
+	"sequoiafork/internal/hostcapacity"
 	"sequoiafork/internal/ident"
 	"sequoiafork/internal/membership"
 	"sequoiafork/internal/outcome"
@@ -36,6 +37,7 @@
 	"sequoiafork/internal/settings"
 	"sequoiafork/internal/stagework"
 	"sequoiafork/internal/streamorigin"
+	"sequoiafork/internal/suspension"
 	"sequoiafork/internal/topic"
 	"sequoiafork/internal/upstream"
 )
@@ -149,6 +151,7 @@
 			CallerAddr:   cfg.Settings.Daemon.CallerAddr,
 			OperatorAddr: cfg.Settings.Daemon.OperatorAddr,
 			DataCentre:   cfg.Settings.Daemon.DataCentre,
+			Capacity:     capacityOf(cfg.Settings.Daemon),
 		},
 		Seeds:             cfg.Settings.Peers.Seeds,
 		RandSeed:          ident.Hash(incarnation),
@@ -179,8 +182,9 @@
 			Invoker:    cfg.Invoker,
 			quarantine: d.quarantine,
 		},
-		Self:   incarnation,
-		Logger: d.logger,
+		Self:       incarnation,
+		FairShares: cfg.Settings.Admission.WorkspaceShares == settings.SharesFair,
+		Logger:     d.logger,
 	})
 	d.origins = origins{
 		Table:  streamorigin.New(streamorigin.Config{}),
@@ -202,7 +206,7 @@
 	d.submitter = &submitter{
 		daemon: d,
 	}
-	d.submitter.addAddresses(cfg.Settings.Peers.Seeds)
+	d.submitter.addAddresses(peerAddresses(cfg.Settings.Peers.Seeds))
 	d.readers = d.newReaders()
 	d.forwarder = forward.New(forward.Config{
 		Client:     cfg.Client,
@@ -304,10 +308,22 @@
 
 // AddPeers adds addresses of peers, read from the platform.
 func (d *Daemon) AddPeers(addrs []string) {
+	d.AddListedPeers(peerAddresses(addrs))
+}
+
+// AddListedPeers adds peers that the platform lists.
+func (d *Daemon) AddListedPeers(list []PeerAddress) {
+	addrs := make([]string, len(list))
+	for i, p := range list {
+		addrs[i] = p.Addr
+	}
 	d.members.AddSeeds(addrs)
-	d.submitter.addPlatformAddresses(addrs)
+	d.submitter.addPlatformAddresses(list)
 }
 
+// Capacity returns the capacity of this daemon's host, as the settings state it.
+func (d *Daemon) Capacity() hostcapacity.Capacity { return capacityOf(d.cfg.Settings.Daemon) }
+
 // PeerAddr returns the address on which this daemon listens for peers.
 func (d *Daemon) PeerAddr() string { return d.listener.Addr().String() }
 
@@ -430,7 +446,9 @@
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
 	owned := false
+	var passes suspension.Detector
 	for {
+		d.submitter.yieldAfterSuspension(passes.Pass())
 		n, _ := d.members.Count()
 		if int64(n) != d.daemonCount.Swap(int64(max(n, 1))) {
 			d.upstreams.SetDaemons(n)
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -9,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"sequoiafork/internal/logging"
-	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/stagework"
 	"sequoiafork/internal/table"
@@ -117,25 +115,3 @@
 	}
 	return choice, nil
 }
-
-// awaitTurn waits until the attempt for a choice may start. It returns an error if the attempt is not to
-// be made.
-func awaitTurn(ctx context.Context, choice upstream.Choice) *pipeline.CallError {
-	if choice.Delay <= 0 {
-		return nil
-	}
-	turn := time.NewTimer(choice.Delay)
-	defer turn.Stop()
-	select {
-	case <-turn.C:
-	case <-ctx.Done():
-	}
-	if ctx.Err() == nil && choice.TakesWork() {
-		return nil
-	}
-	return &pipeline.CallError{
-		Addr:      choice.Addr,
-		Execution: pipeline.NotSent,
-		Err:       errNoTurn,
-	}
-}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -42,10 +42,6 @@
 	maxRejections = 3
 )
 
-// errNoTurn reports an attempt that was not made, because the request ended, or the upstream stopped
-// taking work, before its turn.
-var errNoTurn = errors.New("the request ended or the upstream stopped taking work before the request's turn at it")
-
 // errStopping ends requests because the process stops.
 var errStopping = errors.New("the daemon is stopping")
 
@@ -175,6 +171,7 @@
 	return stagework.Job{
 		RequestID:       x.req.ID,
 		InputKey:        x.req.InputKey,
+		Workspace:       x.workspace.Name,
 		Priority:        x.priority,
 		SoftDeadline:    x.req.Received.Add(x.route.LatencyObjective),
 		Deadline:        x.deadline,
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"sequoiafork/internal/budget"
 	"sequoiafork/internal/eventstream"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/pipeline"
@@ -163,6 +162,9 @@
 		a.choice.Observe(r.response.Notice)
 		s.releaseJob()
 	case streamEvent:
+		if !r.event.HasFields {
+			return s.onComment(a, r.event)
+		}
 		return s.onEvent(a, r.event)
 	case otherResponse:
 		a.choice.Observe(r.response.Notice)
@@ -196,11 +198,12 @@
 		s.setOrigin(a.choice)
 		s.writer.BeginStream(a.response.Status, a.response.Header)
 	}
-	if err := s.writer.WriteEvent(e.Raw); err != nil {
-		failure := mayHaveRun(a.choice, context.Canceled)
-		s.countFailure(failure)
-		s.report(a, failure)
-		return s.withoutResponse(outcome.CodeCallerGone, "the caller no longer receives events", 0)
+	if len(a.leading) > 0 && !s.hasLastID {
+		e.Raw = append(a.leading, e.Raw...)
+	}
+	a.leading = nil
+	if gone := s.write(a, e); gone != nil {
+		return gone
 	}
 	s.lastEventAt = a.lastReceived
 	if e.HasID {
@@ -209,6 +212,29 @@
 	return nil
 }
 
+// onComment forwards what is no event for the caller. An upstream that sends nothing else is silent, and does not
+// begin the response: what precedes its first event is forwarded with that.
+func (s *streamRun) onComment(a *streamAttempt, e eventstream.Event) outcome.Outcome {
+	switch {
+	case a.firstEvent == 0 && len(a.leading)+len(e.Raw) <= maxLeadingBytes:
+		a.leading = append(a.leading, e.Raw...)
+	case a.firstEvent > 0 && a == s.current && s.responseStarted:
+		return s.write(a, e)
+	}
+	return nil
+}
+
+// write writes to the caller. It returns the outcome if the caller is gone, otherwise nil.
+func (s *streamRun) write(a *streamAttempt, e eventstream.Event) outcome.Outcome {
+	if err := s.writer.WriteEvent(e.Raw); err == nil {
+		return nil
+	}
+	failure := mayHaveRun(a.choice, context.Canceled)
+	s.countFailure(failure)
+	s.report(a, failure)
+	return s.withoutResponse(outcome.CodeCallerGone, "the caller no longer receives events", 0)
+}
+
 // logContinued logs that another upstream serves the request from now on.
 func (s *streamRun) logContinued() {
 	s.forwarder.cfg.Logger.Info("stream continues at another upstream",
@@ -310,6 +336,3 @@
 	}
 	return x.runStages(ctx)
 }
-
-// retryBudget returns the budget of the request's service.
-func (x *execution) retryBudget() *budget.Budget { return x.forwarder.budget(x.service.Name) }
--- a/internal/forward/streamattempt.go
+++ b/internal/forward/streamattempt.go
@@ -7,9 +7,14 @@
 
 	"sequoiafork/internal/bytequota"
 	"sequoiafork/internal/eventstream"
+	"sequoiafork/internal/panics"
 	"sequoiafork/internal/upstream"
 )
 
+// maxLeadingBytes bounds what is kept of the blank lines and comments before the first event of a response. They are
+// part of a complete body, but no event.
+const maxLeadingBytes = 4 << 10
+
 // streamAttempt is one attempt at a request whose response is a stream. It runs in its own goroutine.
 type streamAttempt struct {
 	choice upstream.Choice
@@ -23,6 +28,8 @@
 	response *Response
 	// firstEvent is the time to the first event, zero before it.
 	firstEvent time.Duration
+	// leading is what preceded the first event: blank lines and comments.
+	leading []byte
 	// settled reports that the response has gone on for quarantine.SettleTime.
 	settled bool
 	// lastReceived is the time of the last event, or of the start.
@@ -67,7 +74,10 @@
 		lastReceived: began,
 	}
 	call := x.call(choice)
-	go func() { a.ended <- a.run(ctx, x.forwarder.cfg, call) }()
+	cfg := x.forwarder.cfg
+	go func() {
+		a.ended <- panics.Call(cfg.Logger, "stream", func() error { return a.run(ctx, cfg, call) })
+	}()
 	return a
 }
 
@@ -96,11 +106,14 @@
 		Source: response.Body,
 		Memory: cfg.Memory,
 	})
+	var gaps eventGaps
+	defer func() { a.choice.ObserveEventTime(gaps.median()) }()
 	for {
 		e, err := events.Next()
 		if err != nil {
 			return err
 		}
+		gaps.add(time.Now())
 		if err := a.send(ctx, streamEvent{
 			event: e,
 		}); err != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"sequoiafork/internal/membership"
+	"sequoiafork/internal/panics"
 	"sequoiafork/internal/wire/peerpb"
 )
 
@@ -109,11 +110,20 @@
 		if err != nil {
 			return
 		}
-		if len(msg.GetRecords()) > 0 && n.cfg.LogReplica != nil {
-			n.cfg.LogReplica.Deliver(msg.GetRecords())
-		}
-		l.member.Receive(msg)
+		// A message whose handling panics is dropped. The panic has been logged.
+		_ = panics.Call(n.cfg.Logger, "link", func() error {
+			n.deliver(l, msg)
+			return nil
+		})
+	}
+}
+
+// deliver passes a message of a link to the replica and to the member table.
+func (n *Node) deliver(l *link, msg *peerpb.LinkMessage) {
+	if len(msg.GetRecords()) > 0 && n.cfg.LogReplica != nil {
+		n.cfg.LogReplica.Deliver(msg.GetRecords())
 	}
+	l.member.Receive(msg)
 }
 
 func (n *Node) openLinks() []*link {
@@ -178,7 +188,7 @@
 		return false
 	}
 	defer conn.Close()
-	s, err := peerpb.NewPeerClient(conn).Link(ctx)
+	s, err := n.openLink(ctx, cancel, conn)
 	if err != nil {
 		return false
 	}
@@ -186,6 +196,16 @@
 	return true
 }
 
+// openLink opens a link on a connection within DialTimeout. The link ends with ctx, which cancel ends.
+func (n *Node) openLink(ctx context.Context, cancel context.CancelFunc, conn *grpc.ClientConn) (stream, error) {
+	timer := time.AfterFunc(n.cfg.DialTimeout, cancel)
+	s, err := peerpb.NewPeerClient(conn).Link(ctx)
+	if !timer.Stop() && err == nil {
+		err = context.DeadlineExceeded
+	}
+	return s, err
+}
+
 // connect returns a new connection that is ready.
 func (n *Node) connect(ctx context.Context, addr string) (*grpc.ClientConn, error) {
 	conn, err := n.newConn(addr)
@@ -200,7 +220,15 @@
 }
 
 func (n *Node) newConn(addr string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+addr,
+	return grpc.NewClient("passthrough:///"+addr, n.dialOptions()...)
+}
+
+// dialOptions returns the options of the connections to peers.
+func (n *Node) dialOptions() []grpc.DialOption {
+	pacer := retryPacer{
+		logger: n.cfg.Logger,
+	}
+	return append(pacer.options(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(n.traffic.dial),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -19,6 +19,7 @@
 		keysFields(),
 		retryFields(),
 		hedgeFields(),
+		admissionFields(),
 		logFields(),
 	} {
 		all = append(all, fields...)
@@ -45,6 +46,8 @@
 		func(s *Settings) *string { return &s.Daemon.OperatorAddr })
 	g.listenAddr("peer_addr", "Address for the other daemons.", "192.0.2.10:7003",
 		func(s *Settings) *string { return &s.Daemon.PeerAddr })
+	g.number("cores", "Processor time that the daemon may use. Work that one daemon does for all goes to hosts with much. 0: not known.", "cores", 0, 0, 1024,
+		func(s *Settings) *float64 { return &s.Daemon.Cores })
 	return g.fields
 }
 
@@ -171,6 +174,17 @@
 	return g.fields
 }
 
+func admissionFields() []field {
+	g := &sectionBuilder{
+		section: "admission",
+	}
+	g.enum("workspace_shares", "How the workspaces share the capacity for stages when there is more work: not at all, or equally by work. The same for all daemons.", SharesOff, []string{
+		SharesOff,
+		SharesFair,
+	}, func(s *Settings) *string { return &s.Admission.WorkspaceShares })
+	return g.fields
+}
+
 func logFields() []field {
 	g := &sectionBuilder{
 		section: "log",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,17 +24,24 @@
 	PlatformKindKeyedLog = "keyed_log"
 )
 
+// Values of workspace_shares: whether the capacity for stages is shared between workspaces when it is exceeded.
+const (
+	SharesOff  = "off"
+	SharesFair = "fair"
+)
+
 // Settings holds all settings of a daemon.
 type Settings struct {
-	Daemon   Daemon
-	Peers    Peers
-	Platform Platform
-	Limits   Limits
-	Drain    Drain
-	Keys     IdempotencyKeys
-	Retry    Retry
-	Hedge    Hedge
-	Log      Log
+	Daemon    Daemon
+	Peers     Peers
+	Platform  Platform
+	Limits    Limits
+	Drain     Drain
+	Keys      IdempotencyKeys
+	Retry     Retry
+	Hedge     Hedge
+	Admission Admission
+	Log       Log
 }
 
 // Daemon configures where the daemon runs and listens.
@@ -43,6 +50,8 @@
 	CallerAddr   string
 	OperatorAddr string
 	PeerAddr     string
+	// Cores is the processor time that the daemon may use, in cores. Zero means that it is not known.
+	Cores float64
 }
 
 // Peers configures how to find the other daemons.
@@ -114,6 +123,12 @@
 	ExtraWork float64
 }
 
+// Admission configures which requests are served when there are more than there is capacity for.
+type Admission struct {
+	// WorkspaceShares is SharesOff or SharesFair.
+	WorkspaceShares string
+}
+
 // Log configures what is logged and in which format.
 type Log struct {
 	Level  string
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -32,7 +32,9 @@
 	InFlight int
 	// Delay is how long the attempt has to wait for its turn, because the upstream limits the rate
 	// of requests. It is zero or at most Request.MaxDelay.
-	Delay  time.Duration
+	Delay time.Duration
+	// At is when the attempt's turn is: Delay after the choice.
+	At     time.Time
 	group  *group
 	member *member
 	start  attemptStart
@@ -115,6 +117,7 @@
 		Version:     m.host.Version,
 		InFlight:    m.inFlight,
 		Delay:       delay,
+		At:          st.at,
 		group:       g,
 		member:      m,
 		start:       st,
@@ -190,11 +193,11 @@
 }
 
 // pickByAffinity returns the member that the affinity hashes to (weighted rendezvous
-// hashing) among those whose load is within the bound. It skips members that are on
-// probation or stalled.
+// hashing) among those whose load is within the bound. Members that are faster for good attract more. It skips members
+// that are on probation or stalled.
 func (g *group) pickByAffinity(r *Request, now time.Time) *member {
 	bound := g.cfg.AffinityBound * (g.meanLoad(now) + 1)
-	maxWeight := r.maxWeight()
+	maxWeight := r.maxWeight() * g.maxSpeedWeight
 	var best *member
 	var rank float64
 	for i, hash := range g.hashes {
@@ -206,7 +209,7 @@
 		if !g.eligible(m, r, now) {
 			continue
 		}
-		h := weightedRank(u, r.weight(m.host.DataCentre))
+		h := weightedRank(u, r.weight(m.host.DataCentre)*m.speed.weight())
 		if best != nil && h <= rank {
 			continue
 		}
