--- a/internal/entryhost/resubmit_test.go
+++ b/internal/entryhost/resubmit_test.go
@@ -75,7 +75,7 @@
 	})
 	require.NoError(t, err)
 	owner := &droppingOwner{}
-	d.submitter.addPlatformAddresses([]string{serveOwner(t, d, owner)})
+	d.submitter.addPlatformAddresses(peerAddresses([]string{serveOwner(t, d, owner)}))
 	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
 	defer cancel()
 	submitted, err := d.submitter.Submit(ctx, job("r"))
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -20,6 +20,9 @@
 // errHedgeNotNeeded ends an attempt that was started since another upstream was silent.
 var errHedgeNotNeeded = errors.New("the silent upstream has gone on")
 
+// errSecondFaster ends an attempt whose hedge has responded first.
+var errSecondFaster = errors.New("the second attempt has responded first")
+
 // silenceError reports an attempt that was replaced because its upstream was silent.
 type silenceError struct {
 	// silent is the time since the attempt's last event, or since its start.
@@ -62,6 +65,8 @@
 	// rerun is the run of the stages that a second attempt waits for, or nil. Its retry has been
 	// withdrawn from the budget already. Without a current attempt, the next one waits for it.
 	rerun *stageRerun
+	// budgeted decides about a hedge within the budget of work, which takes the place of hedge too.
+	budgeted *hedging
 	// silence fires when nothing has been received for too long.
 	silence *time.Timer
 }
@@ -72,6 +77,7 @@
 	defer cancel()
 	s := &streamRun{
 		execution: x,
+		budgeted:  x.newHedging(),
 		silence:   time.NewTimer(0),
 	}
 	defer s.stop()
@@ -102,6 +108,8 @@
 		return s.onRerun(ctx, r)
 	case <-s.silence.C:
 		s.onSilence(ctx)
+	case <-s.budgeted.due():
+		s.onHedgeDue(ctx)
 	}
 	return nil
 }
@@ -113,6 +121,7 @@
 		return s.failureOutcome(ctx, err)
 	}
 	s.current = s.attemptStream(ctx, choice)
+	s.budgeted.begin(choice)
 	s.silence.Reset(choice.Delay + s.firstEventTimeout())
 	return nil
 }
@@ -128,6 +137,7 @@
 	if s.current != nil {
 		s.current.cancel(nil)
 	}
+	s.budgeted.close()
 }
 
 // firstEventTimeout returns how long an attempt may take for its first event before another upstream is tried.
@@ -173,6 +183,7 @@
 	if a.firstEvent == 0 {
 		a.firstEvent = max(time.Since(a.began), 1)
 		a.choice.ResponseStarted()
+		s.budgeted.firstWon(a.firstEvent)
 		s.forwarder.times.Observe(s.route.Name, a.firstEvent)
 	}
 	if !a.settled && hasSettled(a.began, a.firstEvent) {
@@ -224,52 +235,6 @@
 	return s.withoutResponse(outcome.CodeCallerGone, "the caller no longer receives events", 0)
 }
 
-// keep makes an attempt that has received an event the only one.
-func (s *streamRun) keep(a *streamAttempt) {
-	s.abandonRerun()
-	s.releaseJob()
-	switch {
-	case s.hedge == nil:
-	case a == s.current:
-		s.abandonHedge()
-	default:
-		s.replaceCurrent()
-	}
-}
-
-// abandonHedge ends the second attempt.
-func (s *streamRun) abandonHedge() {
-	a := s.hedge
-	s.hedge = nil
-	a.cancel(errHedgeNotNeeded)
-	failure := &pipeline.CallError{
-		Addr:      a.choice.Addr,
-		Execution: callError(a.choice, <-a.ended).Execution,
-		Err:       errHedgeNotNeeded,
-	}
-	if failure.Execution == pipeline.NotSent {
-		s.retryBudget().Return()
-	}
-	s.countFailure(failure)
-	s.report(a, failure)
-}
-
-// replaceCurrent ends the silent attempt, and goes on with the second one.
-func (s *streamRun) replaceCurrent() {
-	a := s.current
-	s.current = s.hedge
-	s.hedge = nil
-	failure := mayHaveRun(a.choice, &silenceError{
-		silent: time.Since(a.lastReceived),
-		events: a.firstEvent > 0,
-	})
-	failure.TimedOut = true
-	a.cancel(failure)
-	s.countFailure(failure)
-	s.report(a, failure)
-	s.logContinued()
-}
-
 // logContinued logs that another upstream serves the request from now on.
 func (s *streamRun) logContinued() {
 	s.forwarder.cfg.Logger.Info("stream continues at another upstream",
@@ -308,6 +273,7 @@
 	if complete && s.responseStarted && !empty {
 		s.keep(a)
 		s.report(a, nil)
+		s.budgeted.answered(time.Since(a.began))
 		return s.answered()
 	}
 	if complete {
@@ -333,8 +299,12 @@
 func (s *streamRun) onFailure(ctx context.Context, a *streamAttempt, failure *pipeline.CallError, load *upstream.Load) outcome.Outcome {
 	a.cancel(nil)
 	s.reportResult(a.choice, a.began, a.firstEvent, a.firstEvent > 0, failure, load)
+	if a == s.current {
+		s.budgeted.firstFailed()
+	}
 	switch {
 	case a == s.hedge:
+		s.budgeted.secondEnded()
 		s.countFailure(failure)
 		s.hedge = nil
 		s.silence.Reset(s.gapTimeout())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,7 @@
 	Drain     Drain
 	Keys      IdempotencyKeys
 	Retry     Retry
+	Hedge     Hedge
 	Admission Admission
 	Log       Log
 }
@@ -116,6 +117,12 @@
 	Burst int64
 }
 
+// Hedge configures second attempts at requests that are slow for their kind.
+type Hedge struct {
+	// ExtraWork is the limit of their work as a share of the work of a pool. At zero there are none.
+	ExtraWork float64
+}
+
 // Admission configures which requests are served when there are more than there is capacity for.
 type Admission struct {
 	// WorkspaceShares is SharesOff or SharesFair.
--- a/internal/topic/panic_test.go
+++ b/internal/topic/panic_test.go
@@ -44,7 +44,9 @@
 }
 
 // ReadNewest implements Peers.
-func (noPeers) ReadNewest(context.Context, string) (Snapshot, error) { return Snapshot{}, &OwnReadError{} }
+func (noPeers) ReadNewest(context.Context, string) (Snapshot, error) {
+	return Snapshot{}, &OwnReadError{}
+}
 
 // TestPanicOnARecordDoesNotEndTheFollower guards against a record that ends all daemons, also those that start later.
 func TestPanicOnARecordDoesNotEndTheFollower(t *testing.T) {
