--- a/internal/entryhost/coldstart.go
+++ b/internal/entryhost/coldstart.go
@@ -78,12 +78,14 @@
 	}
 	owner := self
 	found := false
+	members := d.members.Members()
+	largest := membership.LargestHost(members)
 	listed := make(map[string]bool)
-	for _, addr := range d.submitter.addresses() {
-		listed[addr] = true
-		census.Learn(addr, now)
+	for _, p := range d.submitter.addresses() {
+		listed[p.Addr] = true
+		census.Learn(p.Addr, now)
 	}
-	for _, m := range d.members.Members() {
+	for _, m := range members {
 		if m.State == membership.Dead {
 			listed[m.PeerAddr] = true
 			census.Learn(m.PeerAddr, now)
@@ -91,7 +93,7 @@
 		}
 		census.Alive(m.PeerAddr, now)
 		v.Living = append(v.Living, m.Incarnation)
-		if m.State == membership.Alive && m.Revision > 0 && (!found || takesPrecedence(m, owner)) {
+		if m.State == membership.Alive && m.Revision > 0 && (!found || takesPrecedence(m, owner, largest)) {
 			owner, found = m, true
 		}
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -133,7 +133,7 @@
 	return out
 }
 
-func tableOf(t *testing.T, opts map[string]string) func() *routing.Table {
+func tableOf(t testing.TB, opts map[string]string) func() *routing.Table {
 	if opts["tables"] == "no" {
 		return func() *routing.Table { return nil }
 	}
@@ -225,7 +225,7 @@
 	}
 }
 
-func durationOf(t *testing.T, text string) time.Duration {
+func durationOf(t testing.TB, text string) time.Duration {
 	t.Helper()
 	d, err := time.ParseDuration(text)
 	if err != nil {
@@ -234,7 +234,7 @@
 	return d
 }
 
-func numberOf(t *testing.T, text string) int {
+func numberOf(t testing.TB, text string) int {
 	t.Helper()
 	n, err := strconv.Atoi(text)
 	if err != nil {
@@ -336,12 +336,16 @@
 }
 
 // eventsOf returns a stream of the events from one ID to another. The third word is how it
-// ends: whole (complete), cut (aborted between events), torn (aborted within an event) or
-// hang. The fourth, if any, is the time before each event.
+// ends: whole (complete), cut (aborted between events), torn (aborted within an event), hang,
+// after a comment (commented), or without an end with the parts of an event, blank lines or comments of trickles. The fourth,
+// if any, is the time before each event.
 func eventsOf(ctx context.Context, words []string) io.ReadCloser {
 	from, _ := strconv.Atoi(words[0])
 	to, _ := strconv.Atoi(words[1])
 	var text strings.Builder
+	if words[2] == "commented" {
+		text.WriteString(": begin\n\n")
+	}
 	for i := from; i <= to; i++ {
 		fmt.Fprintf(&text, "id: %d\ndata: t%d\n\n", i, i)
 	}
@@ -349,7 +353,7 @@
 		err: io.ErrUnexpectedEOF,
 	}
 	switch words[2] {
-	case "whole":
+	case "whole", "commented":
 		end = strings.NewReader("")
 	case "torn":
 		fmt.Fprintf(&text, "id: %d\nda", to+1)
@@ -357,6 +361,11 @@
 		end = hangingReader{
 			ctx: ctx,
 		}
+	case "parts", "blanks", "comments":
+		end = trickleReader{
+			ctx:  ctx,
+			text: trickles[words[2]],
+		}
 	}
 	var events io.Reader = strings.NewReader(text.String())
 	if len(words) > 3 {
@@ -370,6 +379,26 @@
 	return io.NopCloser(io.MultiReader(events, end))
 }
 
+// trickles are what a stalled upstream may send now and then.
+var trickles = map[string]string{
+	"parts":    "a",
+	"blanks":   "\n",
+	"comments": ": c\n\n",
+}
+
+// trickleReader returns the same text every 450 ms until ctx ends.
+type trickleReader struct {
+	ctx  context.Context
+	text string
+}
+
+func (r trickleReader) Read(buf []byte) (int, error) {
+	if err := sleepFor(r.ctx, 450*time.Millisecond); err != nil {
+		return 0, err
+	}
+	return copy(buf, r.text), nil
+}
+
 // pacedReader returns one event after another, each after a time.
 type pacedReader struct {
 	ctx    context.Context
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"sequoiafork/internal/budget"
 	"sequoiafork/internal/eventstream"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/pipeline"
@@ -21,6 +20,9 @@
 // errHedgeNotNeeded ends an attempt that was started since another upstream was silent.
 var errHedgeNotNeeded = errors.New("the silent upstream has gone on")
 
+// errSecondFaster ends an attempt whose hedge has responded first.
+var errSecondFaster = errors.New("the second attempt has responded first")
+
 // silenceError reports an attempt that was replaced because its upstream was silent.
 type silenceError struct {
 	// silent is the time since the attempt's last event, or since its start.
@@ -63,6 +65,8 @@
 	// rerun is the run of the stages that a second attempt waits for, or nil. Its retry has been
 	// withdrawn from the budget already. Without a current attempt, the next one waits for it.
 	rerun *stageRerun
+	// budgeted decides about a hedge within the budget of work, which takes the place of hedge too.
+	budgeted *hedging
 	// silence fires when nothing has been received for too long.
 	silence *time.Timer
 }
@@ -73,6 +77,7 @@
 	defer cancel()
 	s := &streamRun{
 		execution: x,
+		budgeted:  x.newHedging(),
 		silence:   time.NewTimer(0),
 	}
 	defer s.stop()
@@ -103,6 +108,8 @@
 		return s.onRerun(ctx, r)
 	case <-s.silence.C:
 		s.onSilence(ctx)
+	case <-s.budgeted.due():
+		s.onHedgeDue(ctx)
 	}
 	return nil
 }
@@ -114,6 +121,7 @@
 		return s.failureOutcome(ctx, err)
 	}
 	s.current = s.attemptStream(ctx, choice)
+	s.budgeted.begin(choice)
 	s.silence.Reset(choice.Delay + s.firstEventTimeout())
 	return nil
 }
@@ -129,6 +137,7 @@
 	if s.current != nil {
 		s.current.cancel(nil)
 	}
+	s.budgeted.close()
 }
 
 // firstEventTimeout returns how long an attempt may take for its first event before another upstream is tried.
@@ -153,6 +162,9 @@
 		a.choice.Observe(r.response.Notice)
 		s.releaseJob()
 	case streamEvent:
+		if !r.event.HasFields {
+			return s.onComment(a, r.event)
+		}
 		return s.onEvent(a, r.event)
 	case otherResponse:
 		a.choice.Observe(r.response.Notice)
@@ -171,6 +183,7 @@
 	if a.firstEvent == 0 {
 		a.firstEvent = max(time.Since(a.began), 1)
 		a.choice.ResponseStarted()
+		s.budgeted.firstWon(a.firstEvent)
 		s.forwarder.times.Observe(s.route.Name, a.firstEvent)
 	}
 	if !a.settled && hasSettled(a.began, a.firstEvent) {
@@ -185,11 +198,12 @@
 		s.setOrigin(a.choice)
 		s.writer.BeginStream(a.response.Status, a.response.Header)
 	}
-	if err := s.writer.WriteEvent(e.Raw); err != nil {
-		failure := mayHaveRun(a.choice, context.Canceled)
-		s.countFailure(failure)
-		s.report(a, failure)
-		return s.withoutResponse(outcome.CodeCallerGone, "the caller no longer receives events", 0)
+	if len(a.leading) > 0 && !s.hasLastID {
+		e.Raw = append(a.leading, e.Raw...)
+	}
+	a.leading = nil
+	if gone := s.write(a, e); gone != nil {
+		return gone
 	}
 	s.lastEventAt = a.lastReceived
 	if e.HasID {
@@ -198,50 +212,27 @@
 	return nil
 }
 
-// keep makes an attempt that has received an event the only one.
-func (s *streamRun) keep(a *streamAttempt) {
-	s.abandonRerun()
-	s.releaseJob()
+// onComment forwards what is no event for the caller. An upstream that sends nothing else is silent, and does not
+// begin the response: what precedes its first event is forwarded with that.
+func (s *streamRun) onComment(a *streamAttempt, e eventstream.Event) outcome.Outcome {
 	switch {
-	case s.hedge == nil:
-	case a == s.current:
-		s.abandonHedge()
-	default:
-		s.replaceCurrent()
+	case a.firstEvent == 0 && len(a.leading)+len(e.Raw) <= maxLeadingBytes:
+		a.leading = append(a.leading, e.Raw...)
+	case a.firstEvent > 0 && a == s.current && s.responseStarted:
+		return s.write(a, e)
 	}
+	return nil
 }
 
-// abandonHedge ends the second attempt.
-func (s *streamRun) abandonHedge() {
-	a := s.hedge
-	s.hedge = nil
-	a.cancel(errHedgeNotNeeded)
-	failure := &pipeline.CallError{
-		Addr:      a.choice.Addr,
-		Execution: callError(a.choice, <-a.ended).Execution,
-		Err:       errHedgeNotNeeded,
-	}
-	if failure.Execution == pipeline.NotSent {
-		s.retryBudget().Return()
+// write writes to the caller. It returns the outcome if the caller is gone, otherwise nil.
+func (s *streamRun) write(a *streamAttempt, e eventstream.Event) outcome.Outcome {
+	if err := s.writer.WriteEvent(e.Raw); err == nil {
+		return nil
 	}
+	failure := mayHaveRun(a.choice, context.Canceled)
 	s.countFailure(failure)
 	s.report(a, failure)
-}
-
-// replaceCurrent ends the silent attempt, and goes on with the second one.
-func (s *streamRun) replaceCurrent() {
-	a := s.current
-	s.current = s.hedge
-	s.hedge = nil
-	failure := mayHaveRun(a.choice, &silenceError{
-		silent: time.Since(a.lastReceived),
-		events: a.firstEvent > 0,
-	})
-	failure.TimedOut = true
-	a.cancel(failure)
-	s.countFailure(failure)
-	s.report(a, failure)
-	s.logContinued()
+	return s.withoutResponse(outcome.CodeCallerGone, "the caller no longer receives events", 0)
 }
 
 // logContinued logs that another upstream serves the request from now on.
@@ -282,6 +273,7 @@
 	if complete && s.responseStarted && !empty {
 		s.keep(a)
 		s.report(a, nil)
+		s.budgeted.answered(time.Since(a.began))
 		return s.answered()
 	}
 	if complete {
@@ -307,8 +299,12 @@
 func (s *streamRun) onFailure(ctx context.Context, a *streamAttempt, failure *pipeline.CallError, load *upstream.Load) outcome.Outcome {
 	a.cancel(nil)
 	s.reportResult(a.choice, a.began, a.firstEvent, a.firstEvent > 0, failure, load)
+	if a == s.current {
+		s.budgeted.firstFailed()
+	}
 	switch {
 	case a == s.hedge:
+		s.budgeted.secondEnded()
 		s.countFailure(failure)
 		s.hedge = nil
 		s.silence.Reset(s.gapTimeout())
@@ -340,76 +336,3 @@
 	}
 	return x.runStages(ctx)
 }
-
-// onSilence starts a second attempt, after the stages if they have to run again. The retry is withdrawn from
-// the budget first, so that stages run only for attempts that will be made.
-func (s *streamRun) onSilence(ctx context.Context) {
-	if !s.route.Kind.Retryable() {
-		return
-	}
-	s.silence.Reset(s.gapTimeout())
-	if s.hedge != nil || s.rerun != nil || s.attempts+1 >= s.route.MaxAttempts || s.rejections > maxRejections {
-		return
-	}
-	if !s.retryBudget().Withdraw() {
-		return
-	}
-	if s.inputs != nil && s.job == nil {
-		s.rerun = s.startRerun(ctx)
-		return
-	}
-	s.startHedge(ctx)
-}
-
-// retryBudget returns the budget of the request's service.
-func (x *execution) retryBudget() *budget.Budget { return x.forwarder.budget(x.service.Name) }
-
-// startHedge starts the second attempt if there is an upstream for it. Otherwise the first continues alone.
-func (s *streamRun) startHedge(ctx context.Context) {
-	choice, err := s.pickUpstream(0)
-	if err != nil {
-		s.retryBudget().Return()
-		return
-	}
-	s.forwarder.cfg.Logger.Info("upstream is silent, trying another one as well",
-		zap.String("request_id", s.req.ID), zap.String("upstream", s.current.choice.Incarnation), zap.String("second", choice.Incarnation),
-		zap.Duration("silent_ms", time.Since(s.current.lastReceived)), zap.Bool("begun", s.responseStarted))
-	s.hedge = s.attemptStream(ctx, choice)
-	s.silence.Reset(s.firstEventTimeout())
-}
-
-// onRerun starts the attempt that has waited for the stages.
-func (s *streamRun) onRerun(ctx context.Context, r rerunResult) outcome.Outcome {
-	s.rerun = nil
-	if r.err != nil {
-		s.retryBudget().Return()
-		return s.onRerunFailure(ctx, r.err)
-	}
-	s.job, s.inputs = r.job, r.inputs
-	if s.current == nil {
-		s.logContinued()
-		return s.start(ctx)
-	}
-	s.startHedge(ctx)
-	return nil
-}
-
-// onRerunFailure ends the request if there is no attempt that goes on.
-func (s *streamRun) onRerunFailure(ctx context.Context, err error) outcome.Outcome {
-	if s.current == nil {
-		return s.stageFailure(ctx, err)
-	}
-	s.forwarder.cfg.Logger.Info("no second attempt while the upstream is silent, since the stages can't run again",
-		zap.String("request_id", s.req.ID), zap.Error(err))
-	return nil
-}
-
-// abandonRerun ends the run of the stages that nothing waits for any more.
-func (s *streamRun) abandonRerun() {
-	if s.rerun == nil {
-		return
-	}
-	s.rerun.abandon()
-	s.rerun = nil
-	s.retryBudget().Return()
-}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -1,9 +1,11 @@
 package membership
 
 import (
+	"math"
 	"net/netip"
 	"strings"
 
+	"sequoiafork/internal/hostcapacity"
 	"sequoiafork/internal/wire/peerpb"
 )
 
@@ -50,6 +52,8 @@
 	// Term is the term in which the incarnation became the owner of the stage work, or
 	// zero if it never did. The living member with the highest term is the owner.
 	Term uint64 `json:"term,omitempty"`
+	// Capacity is that of the daemon's host.
+	Capacity hostcapacity.Capacity `json:"capacity"`
 	// NextOffset and Revision are the member's last known progress: the offset of the
 	// next log record to apply, and the configuration revision applied.
 	NextOffset uint64 `json:"next_offset"`
@@ -111,9 +115,14 @@
 	r.DataCentre = m.DataCentre
 	r.Revision = m.Revision
 	r.Term = m.Term
+	r.MilliCores = m.Capacity.MilliCores
 	return r
 }
 
+// maxNumber is the highest version and term of a rumor that is used. Both go on from the highest one that is known,
+// and would begin at zero again after the highest possible number.
+const maxNumber = math.MaxInt64
+
 // memberFromRumor decodes a rumor. It reports false if the rumor is malformed.
 func memberFromRumor(r *peerpb.MemberRumor) (Member, bool) {
 	addr, _, ok := strings.Cut(r.GetIncarnation(), "/")
@@ -121,7 +130,7 @@
 		return Member{}, false
 	}
 	st := State(r.GetState())
-	if st < Alive || st > Dead {
+	if st < Alive || st > Dead || r.GetVersion() > maxNumber || r.GetTerm() > maxNumber {
 		return Member{}, false
 	}
 	return Member{
@@ -135,6 +144,9 @@
 		NextOffset:   r.GetNextOffset(),
 		Revision:     r.GetRevision(),
 		Term:         r.GetTerm(),
+		Capacity: hostcapacity.Capacity{
+			MilliCores: r.GetMilliCores(),
+		},
 	}, true
 }
 
--- a/internal/peer/stagework.go
+++ b/internal/peer/stagework.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	"sequoiafork/internal/membership"
+	"sequoiafork/internal/panics"
 	"sequoiafork/internal/stagework"
 	"sequoiafork/internal/wire/peerpb"
 )
@@ -180,7 +181,10 @@
 	if err != nil {
 		return err
 	}
-	job, err := s.node.cfg.StageWorker.Submit(stageJob(req, time.Now()))
+	// A job on which the scheduler panics fails. Its submitter would submit it to the next owner otherwise.
+	job, err := panics.Value(s.node.cfg.Logger, "submit", func() (*stagework.SubmittedJob, error) {
+		return s.node.cfg.StageWorker.Submit(stageJob(req, time.Now()))
+	})
 	if err != nil {
 		return st.Send(stageWorkResponse(nil, err))
 	}
@@ -320,6 +324,7 @@
 		DataCentre:  j.DataCentre,
 		Made:        stageResults(j.Results),
 		Resubmitted: j.Resubmitted,
+		Workspace:   j.Workspace,
 	}
 	if !j.Patience.IsZero() {
 		req.PatienceMs = j.Patience.Sub(now).Milliseconds()
@@ -343,6 +348,7 @@
 	j := stagework.Job{
 		RequestID:       req.GetRequestId(),
 		InputKey:        req.GetKey(),
+		Workspace:       req.GetWorkspace(),
 		Priority:        int(req.GetPriority()),
 		SoftDeadline:    now.Add(time.Duration(req.GetObjectiveMs()) * time.Millisecond),
 		Deadline:        now.Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,12 @@
 	PlatformKindKeyedLog = "keyed_log"
 )
 
+// Values of workspace_shares: whether the capacity for stages is shared between workspaces when it is exceeded.
+const (
+	SharesOff  = "off"
+	SharesFair = "fair"
+)
+
 // Settings holds all settings of a daemon.
 type Settings struct {
 	Daemon    Daemon
@@ -34,6 +40,8 @@
 	Keys      IdempotencyKeys
 	Retry     Retry
 	Upstreams Upstreams
+	Hedge     Hedge
+	Admission Admission
 	Log       Log
 }
 
@@ -43,6 +51,8 @@
 	CallerAddr   string
 	OperatorAddr string
 	PeerAddr     string
+	// Cores is the processor time that the daemon may use, in cores. Zero means that it is not known.
+	Cores float64
 }
 
 // Peers configures how to find the other daemons.
@@ -116,6 +126,18 @@
 	ColdSlack float64
 }
 
+// Hedge configures second attempts at requests that are slow for their kind.
+type Hedge struct {
+	// ExtraWork is the limit of their work as a share of the work of a pool. At zero there are none.
+	ExtraWork float64
+}
+
+// Admission configures which requests are served when there are more than there is capacity for.
+type Admission struct {
+	// WorkspaceShares is SharesOff or SharesFair.
+	WorkspaceShares string
+}
+
 // Log configures what is logged and in which format.
 type Log struct {
 	Level  string
--- a/internal/stagework/stagework.go
+++ b/internal/stagework/stagework.go
@@ -107,6 +107,8 @@
 type Job struct {
 	RequestID string
 	InputKey  string
+	// Workspace is the workspace of the request. Jobs without one count as those of one workspace.
+	Workspace string
 	// Priority orders jobs; zero is the most urgent.
 	Priority int
 	// SoftDeadline is when the response should start, Deadline when the caller
@@ -126,6 +128,8 @@
 	// Resubmitted reports that the job was submitted before by a submitter that lost its
 	// connection. If the scheduler still has the job, Submit returns it.
 	Resubmitted bool
+	// share is set by the scheduler if workspaces have shares.
+	share jobShare
 }
 
 // PieceResult is the result of one piece.
@@ -173,6 +177,9 @@
 	Self string
 	// Cold are the rights of this daemon at cold upstreams. Nil means that no upstream is cold.
 	Cold *coldstart.Rights
+	// FairShares shares the upstreams between workspaces when there is more work than they can do: among jobs of the
+	// same lateness and priority, those of workspaces over their share go last.
+	FairShares bool
 	// Logger may be nil.
 	Logger *zap.Logger
 }
--- a/internal/upstream/eligible.go
+++ b/internal/upstream/eligible.go
@@ -7,7 +7,7 @@
 )
 
 func (g *group) eligible(m *member, r *Request, now time.Time) bool {
-	return m.usable(now) && m.hasTurn(now) && r.allows(m)
+	return m.usable(now) && m.hasTurn(now) && r.allows(m) && (!r.Spare || g.hasSpare(m, r, now))
 }
 
 // allows reports whether m has the version that r asks for and is not excluded.
--- a/internal/upstream/host.go
+++ b/internal/upstream/host.go
@@ -80,6 +80,9 @@
 	// Version is the software version that the upstream must have. It is valid if PinVersion is set.
 	Version    string
 	PinVersion bool
+	// Spare asks for an upstream with a free slot that takes work as usual, on another host than those in Exclude, since
+	// the attempt is not necessary. There may be none although upstreams take work.
+	Spare bool
 	// MaxDelay is how long the request may wait for an upstream that limits its rate, if no other
 	// upstream can take it.
 	MaxDelay time.Duration
--- a/internal/upstream/member.go
+++ b/internal/upstream/member.go
@@ -45,12 +45,15 @@
 	startSum time.Duration
 	// reportedOtherWork is the work of other daemons on the upstream, sampled at reportedAt.
 	reportedOtherWork float64
+	reportedQueue     int
+	reportedPace      float64
 	capacity          int
 	reportedAt        time.Time
 
 	// latency is the moving mean of attempt latencies in nanoseconds, corrected
 	// for queueing.
 	latency float64
+	speed   speed
 	// failures and slow are the recent rates of failed and of slow attempts,
 	// from 0 to 1.
 	failures float64
@@ -192,6 +195,8 @@
 
 func (m *member) observeLoad(l *Load, now time.Time) {
 	m.reportedOtherWork = float64(max(l.InFlight+l.Queued-m.inFlight, 0))
+	m.reportedQueue = l.Queued
+	m.reportedPace = l.Pace
 	m.capacity = l.Capacity
 	m.reportedAt = now.Add(-l.Age)
 }
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -22,7 +22,9 @@
 	InFlight int
 	// Delay is how long the attempt has to wait for its turn, because the upstream limits the rate
 	// of requests or is cold. An attempt that has waited asks BeginTurn. It is zero or at most Request.MaxDelay.
-	Delay  time.Duration
+	Delay time.Duration
+	// At is when the attempt's turn is: Delay after the choice.
+	At     time.Time
 	group  *group
 	member *member
 	start  attemptStart
@@ -75,11 +77,11 @@
 		g.rebuildSubset(now)
 	}
 	m := g.choose(r, now)
-	if m == nil {
+	if m == nil && !r.Spare {
 		m = g.chooseOfVersion(r, now)
 	}
 	delay := time.Duration(0)
-	if m == nil {
+	if m == nil && !r.Spare {
 		m, delay = g.chooseLater(r, now)
 	}
 	if m == nil {
@@ -108,6 +110,7 @@
 		Version:     m.host.Version,
 		InFlight:    m.inFlight,
 		Delay:       delay,
+		At:          st.at,
 		group:       g,
 		member:      m,
 		start:       st,
