--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -32,10 +32,12 @@
 	}
 	late := time.Since(choice.At)
 	switch {
-	case ctx.Err() != nil || !choice.TakesWork():
+	case ctx.Err() != nil:
 		return noTurn(choice, errNoTurn)
 	case late > maxTurnDelay:
 		return noTurn(choice, fmt.Errorf("%w: it was %v ago", errNoTurn, late.Round(time.Millisecond)))
+	case !choice.BeginTurn():
+		return noTurn(choice, errNoTurn)
 	}
 	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,7 @@
 	Drain     Drain
 	Keys      IdempotencyKeys
 	Retry     Retry
+	Upstreams Upstreams
 	Hedge     Hedge
 	Admission Admission
 	Log       Log
@@ -117,6 +118,14 @@
 	Burst int64
 }
 
+// Upstreams configures how much cold upstreams get. It is used only for services with a cold rate.
+type Upstreams struct {
+	// ColdOver and ColdSlack bound the requests that a cold upstream gets in any second from all daemons
+	// together: ColdOver times its cold rate, and ColdSlack more.
+	ColdOver  float64
+	ColdSlack float64
+}
+
 // Hedge configures second attempts at requests that are slow for their kind.
 type Hedge struct {
 	// ExtraWork is the limit of their work as a share of the work of a pool. At zero there are none.
--- a/internal/stagework/stagework.go
+++ b/internal/stagework/stagework.go
@@ -24,6 +24,7 @@
 
 	"go.uber.org/zap"
 
+	"sequoiafork/internal/coldstart"
 	"sequoiafork/internal/routing"
 )
 
@@ -34,6 +35,8 @@
 	Addr        string
 	DataCentre  string
 	Service     string
+	// Cold is what is known of the upstream being cold. Without a limit it never is.
+	Cold coldstart.Mark
 }
 
 // Item is one piece of a stage in a call.
@@ -172,6 +175,8 @@
 	Invoker Invoker
 	// Self is the incarnation of the daemon of the scheduler. It may be empty if there is only one.
 	Self string
+	// Cold are the rights of this daemon at cold upstreams. Nil means that no upstream is cold.
+	Cold *coldstart.Rights
 	// FairShares shares the upstreams between workspaces when there is more work than they can do: among jobs of the
 	// same lateness and priority, those of workspaces over their share go last.
 	FairShares bool
--- a/internal/upstream/group.go
+++ b/internal/upstream/group.go
@@ -79,6 +79,7 @@
 			m.override = stateOverride{}
 		}
 		m.host = h
+		g.updateCold(m, now)
 		members[h.key()] = m
 	}
 	g.members = members
@@ -135,6 +136,7 @@
 	}
 	g.reinstate(now)
 	g.refreshLimits(now)
+	g.logWarmed(now)
 	g.compareSpeeds()
 }
 
--- a/internal/upstream/pick.go
+++ b/internal/upstream/pick.go
@@ -1,24 +1,14 @@
 package upstream
 
 import (
-	"math"
-	"slices"
-	"strconv"
 	"time"
-)
 
-const (
-	// maxDraws is the number of random draws before the subset is searched in
-	// order.
-	maxDraws = 3
-	// meanLoadTTL is how long a computed mean load is cached.
-	meanLoadTTL = 5 * time.Millisecond
+	"sequoiafork/internal/coldstart"
 )
 
-type cachedMean struct {
-	load   float64
-	expiry time.Time
-}
+// maxDraws is the number of random draws before the subset is searched in
+// order.
+const maxDraws = 3
 
 // Choice is the upstream chosen for one attempt.
 type Choice struct {
@@ -31,13 +21,15 @@
 	// including this one.
 	InFlight int
 	// Delay is how long the attempt has to wait for its turn, because the upstream limits the rate
-	// of requests. It is zero or at most Request.MaxDelay.
+	// of requests or is cold. An attempt that has waited asks BeginTurn. It is zero or at most Request.MaxDelay.
 	Delay time.Duration
 	// At is when the attempt's turn is: Delay after the choice.
 	At     time.Time
 	group  *group
 	member *member
 	start  attemptStart
+	// turn is the turn at an upstream that is cold.
+	turn coldstart.Turn
 }
 
 // attemptStart is the state recorded when an attempt starts.
@@ -107,6 +99,7 @@
 		m.sentUnderLimit++
 		limitedRequestsTotal.Inc()
 	}
+	turn := m.takeColdTurn(st.at, now)
 	m.inFlight++
 	m.waiting++
 	m.startSum += st.at.Sub(g.epoch)
@@ -121,6 +114,7 @@
 		group:       g,
 		member:      m,
 		start:       st,
+		turn:        turn,
 	}, nil
 }
 
@@ -191,215 +185,3 @@
 	}
 	return best
 }
-
-// pickByAffinity returns the member that the affinity hashes to (weighted rendezvous
-// hashing) among those whose load is within the bound. Members that are faster for good attract more. It skips members
-// that are on probation or stalled.
-func (g *group) pickByAffinity(r *Request, now time.Time) *member {
-	bound := g.cfg.AffinityBound * (g.meanLoad(now) + 1)
-	maxWeight := r.maxWeight() * g.maxSpeedWeight
-	var best *member
-	var rank float64
-	for i, hash := range g.hashes {
-		u := uniform(mix(hash ^ r.Affinity))
-		if best != nil && maxRank(u, maxWeight) <= rank {
-			continue
-		}
-		m := g.subset[i]
-		if !g.eligible(m, r, now) {
-			continue
-		}
-		h := weightedRank(u, r.weight(m.host.DataCentre)*m.speed.weight())
-		if best != nil && h <= rank {
-			continue
-		}
-		if g.load(m, now) <= min(bound, float64(m.slots(r.Pool.Concurrency)-1)) && !m.probation && !g.stalled(m, r, now) {
-			best, rank = m, h
-		}
-	}
-	return best
-}
-
-func (r *Request) weight(dataCentre string) float64 {
-	if w, ok := r.DataCentreWeights[dataCentre]; ok {
-		return w
-	}
-	return 1
-}
-
-// maxWeight returns the highest weight that a data centre may have.
-func (r *Request) maxWeight() float64 {
-	highest := 1.0
-	for _, w := range r.DataCentreWeights {
-		highest = max(highest, w)
-	}
-	return highest
-}
-
-// uniform turns a hash into a number above 0, and 1 at most.
-func uniform(hash uint64) float64 {
-	return (float64(hash>>11) + 0.5) / (1 << 53)
-}
-
-// weightedRank turns a uniform number into a rank, so that the member with the highest rank is
-// chosen in proportion to its weight. Without weights it keeps the order of the numbers.
-func weightedRank(uniform, weight float64) float64 {
-	if weight <= 0 {
-		return math.Inf(-1)
-	}
-	return math.Log(uniform) / weight
-}
-
-// maxRank returns an upper bound of weightedRank for all weights up to maxWeight, without a logarithm: log(x)
-// is at most x-1. High ranks, which decide, are close to it.
-func maxRank(uniform, maxWeight float64) float64 {
-	return (uniform - 1) / maxWeight
-}
-
-// meanLoad returns the mean load of the usable members, cached for meanLoadTTL.
-func (g *group) meanLoad(now time.Time) float64 {
-	if now.Before(g.mean.expiry) {
-		return g.mean.load
-	}
-	sum, n := 0.0, 0
-	for _, m := range g.subset {
-		if m.usable(now) {
-			sum += g.load(m, now)
-			n++
-		}
-	}
-	g.mean = cachedMean{
-		load:   sum / float64(max(n, 1)),
-		expiry: now.Add(meanLoadTTL),
-	}
-	return g.mean.load
-}
-
-func (g *group) eligible(m *member, r *Request, now time.Time) bool {
-	return m.usable(now) && m.pacer.Ready(now) && r.allows(m) && (!r.Spare || g.hasSpare(m, r, now))
-}
-
-// allows reports whether m has the version that r asks for and is not excluded.
-func (r *Request) allows(m *member) bool {
-	return r.wantsVersion(m) && !slices.Contains(r.Exclude, m.host.Addr)
-}
-
-// wantsVersion reports whether m has the version that r asks for, if it asks for one.
-func (r *Request) wantsVersion(m *member) bool {
-	return !r.PinVersion || m.host.Version == r.Version
-}
-
-// chooseOfVersion returns the best member for a request that only upstreams of one version can take, when there is no
-// eligible one. It may be ejected, on probation or outside of the subset, or have refused a connection.
-func (g *group) chooseOfVersion(r *Request, now time.Time) *member {
-	if !r.PinVersion {
-		return nil
-	}
-	var best *member
-	for _, m := range g.order {
-		if m.state(now) == Leaving || now.Before(m.pausedUntil) || !m.pacer.Ready(now) || !r.allows(m) {
-			continue
-		}
-		if best == nil || m.betterLastResort(best, now) {
-			best = m
-		}
-	}
-	return best
-}
-
-// betterLastResort reports whether m is live and o is not or, if that is the same, has fewer attempts in flight.
-func (m *member) betterLastResort(o *member, now time.Time) bool {
-	live, otherLive := m.state(now) == Live, o.state(now) == Live
-	if live != otherLive {
-		return live
-	}
-	return m.inFlight < o.inFlight
-}
-
-// chooseLater returns the member that is the first to take a request when all that could are waiting
-// for the rate to which they limit requests, and how long that takes. It returns nil if it takes
-// longer than the request may wait.
-func (g *group) chooseLater(r *Request, now time.Time) (*member, time.Duration) {
-	var best *member
-	var least time.Duration
-	for _, m := range g.subset {
-		wait, ok := m.pacer.Wait(now)
-		if ok && m.usable(now) && wait <= r.MaxDelay && r.allows(m) && (best == nil || wait < least) {
-			best, least = m, wait
-		}
-	}
-	return best, least
-}
-
-// stalled reports whether the attempts that wait on m have run for much longer than
-// usual. It detects a slow upstream before any of them ends.
-func (g *group) stalled(m *member, r *Request, now time.Time) bool {
-	const minWaiting = 2
-	factor := slowFactor
-	if m.waiting >= minWaiting {
-		factor = stalledFactor
-	}
-	return g.latency > 0 && float64(m.meanAge(g.epoch, now)) > factor*g.latency*g.loadFactor(m, r, now)
-}
-
-func (g *group) loadFactor(m *member, r *Request, now time.Time) float64 {
-	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now) + 1
-	return max(work/float64(m.slots(r.Pool.Concurrency)), 1)
-}
-
-// load returns the work on m, scaled up while m ramps up after an ejection.
-func (g *group) load(m *member, now time.Time) float64 {
-	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now)
-	return work / m.rampUpShare(g.cfg.RampUpTime, now)
-}
-
-// score returns m's load relative to its slots, scaled by its relative speed, its
-// failures and its distance. Lower is better.
-func (g *group) score(m *member, r *Request, now time.Time) float64 {
-	share := m.rampUpShare(g.cfg.RampUpTime, now)
-	work := float64(m.inFlight) + m.otherWork(g.cfg.LoadHalfLife, now)
-	score := (work + 1) / (share * float64(m.slots(r.Pool.Concurrency)))
-	score *= m.slowness(g.latency, now)
-	if g.stalled(m, r, now) {
-		score *= maxSlowness
-	}
-	if m.host.DataCentre != g.cfg.DataCentre {
-		score *= g.cfg.RemotePenalty
-	}
-	return score
-}
-
-// noUpstreamError reports that no member can be chosen, and when the next probe or
-// the end of an ejection is due.
-func (g *group) noUpstreamError(r *Request, now time.Time) *NoUpstreamError {
-	e := &NoUpstreamError{
-		Pool:   r.Pool.Name,
-		Reason: "no upstream of service " + g.service + " takes work",
-	}
-	limited := func(m *member) bool { return r.wantsVersion(m) && m.usable(now) && m.pacer.Limit().Limited }
-	switch {
-	case slices.ContainsFunc(g.subset, limited):
-		e.Reason = "the upstreams of service " + g.service + " that take work limit their rate"
-	case r.PinVersion:
-		e.Reason = "no upstream of service " + g.service + " with version " + strconv.Quote(r.Version) + " takes work"
-	}
-	for _, m := range g.subset {
-		if !r.wantsVersion(m) {
-			continue
-		}
-		at := m.ejectedUntil
-		if m.pausedUntil.After(at) {
-			at = m.pausedUntil
-		}
-		if m.state(now) == Dead {
-			at = m.probeAt
-		}
-		if m.usable(now) {
-			at = now.Add(m.pacer.RetryAfter(g.rng, now))
-		}
-		if wait := at.Sub(now); wait > 0 && (e.RetryAfter == 0 || wait < e.RetryAfter) {
-			e.RetryAfter = wait
-		}
-	}
-	return e
-}
--- a/internal/upstream/spare.go
+++ b/internal/upstream/spare.go
@@ -54,10 +54,10 @@
 	return max(beyond, m.reportedQueue)
 }
 
-// hasSpare reports whether m may take an attempt that is not necessary: it takes work as usual and has a free slot, and
+// hasSpare reports whether m may take an attempt that is not necessary: it takes work as usual, is not cold and has a free slot, and
 // no excluded address is on the same host.
 func (g *group) hasSpare(m *member, r *Request, now time.Time) bool {
-	if m.state(now) != Live || m.probation || m.rampUpShare(g.cfg.RampUpTime, now) < 1 {
+	if m.state(now) != Live || m.probation || m.cold(now) || m.rampUpShare(g.cfg.RampUpTime, now) < 1 {
 		return false
 	}
 	if g.work(m, now) >= m.slots(r.Pool.Concurrency) || g.queued(m, r.Pool.Concurrency, now) > 0 {
