Move the choice of the owner, the pace of reads and held pieces out of entryhost

The view of cold upstreams uses the same choice instead of a second one. Behaviour is unchanged.

The test of the pace of reads moved with its code.

--- a/internal/entryhost/coldstart.go
+++ b/internal/entryhost/coldstart.go
@@ -8,6 +8,7 @@
 
 	"sequoiafork/internal/coldstart"
 	"sequoiafork/internal/membership"
+	"sequoiafork/internal/stageowner"
 	"sequoiafork/internal/upstream"
 )
 
@@ -76,10 +77,8 @@
 	v := coldstart.View{
 		Self: self.Incarnation,
 	}
-	owner := self
-	found := false
 	members := d.members.Members()
-	largest := membership.LargestHost(members)
+	var candidates []membership.Member
 	listed := make(map[string]bool)
 	for _, p := range d.submitter.addresses() {
 		listed[p.Addr] = true
@@ -93,12 +92,15 @@
 		}
 		census.Alive(m.PeerAddr, now)
 		v.Living = append(v.Living, m.Incarnation)
-		if m.State == membership.Alive && m.Revision > 0 && (!found || takesPrecedence(m, owner, largest)) {
-			owner, found = m, true
+		if stageowner.Eligible(m) {
+			candidates = append(candidates, m)
 		}
 	}
 	census.Forget(listed, now)
 	v.Known = census.Known(now)
-	v.Owner = owner.Incarnation
+	v.Owner = self.Incarnation
+	if owner, ok := stageowner.First(candidates, membership.LargestHost(members)); ok {
+		v.Owner = owner.Incarnation
+	}
 	return v
 }
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -36,6 +36,8 @@
 	"sequoiafork/internal/peer"
 	"sequoiafork/internal/routing"
 	"sequoiafork/internal/settings"
+	"sequoiafork/internal/stageowner"
+	"sequoiafork/internal/stagequarantine"
 	"sequoiafork/internal/stagework"
 	"sequoiafork/internal/streamorigin"
 	"sequoiafork/internal/suspension"
@@ -163,7 +165,7 @@
 			CallerAddr:   cfg.Settings.Daemon.CallerAddr,
 			OperatorAddr: cfg.Settings.Daemon.OperatorAddr,
 			DataCentre:   cfg.Settings.Daemon.DataCentre,
-			Capacity:     capacityOf(cfg.Settings.Daemon),
+			Capacity:     hostcapacity.FromCores(cfg.Settings.Daemon.Cores),
 		},
 		Seeds:             cfg.Settings.Peers.Seeds,
 		RandSeed:          ident.Hash(incarnation),
@@ -191,9 +193,9 @@
 		Logger:        d.logger,
 	})
 	d.scheduler = stagework.New(stagework.Config{
-		Invoker: quarantineInvoker{
+		Invoker: stagequarantine.Invoker{
 			Invoker:    cfg.Invoker,
-			quarantine: d.quarantine,
+			Quarantine: d.quarantine,
 		},
 		Self:       incarnation,
 		FairShares: cfg.Settings.Admission.WorkspaceShares == settings.SharesFair,
@@ -220,7 +222,7 @@
 	d.submitter = &submitter{
 		daemon: d,
 	}
-	d.submitter.addAddresses(peerAddresses(cfg.Settings.Peers.Seeds))
+	d.submitter.addAddresses(stageowner.Addresses(cfg.Settings.Peers.Seeds))
 	d.readers = d.newReaders()
 	d.forwarder = forward.New(forward.Config{
 		Client:     cfg.Client,
@@ -322,11 +324,11 @@
 
 // AddPeers adds addresses of peers, read from the platform.
 func (d *Daemon) AddPeers(addrs []string) {
-	d.AddListedPeers(peerAddresses(addrs))
+	d.AddListedPeers(stageowner.Addresses(addrs))
 }
 
 // AddListedPeers adds peers that the platform lists.
-func (d *Daemon) AddListedPeers(list []PeerAddress) {
+func (d *Daemon) AddListedPeers(list []stageowner.Address) {
 	addrs := make([]string, len(list))
 	for i, p := range list {
 		addrs[i] = p.Addr
@@ -336,7 +338,9 @@
 }
 
 // Capacity returns the capacity of this daemon's host, as the settings state it.
-func (d *Daemon) Capacity() hostcapacity.Capacity { return capacityOf(d.cfg.Settings.Daemon) }
+func (d *Daemon) Capacity() hostcapacity.Capacity {
+	return hostcapacity.FromCores(d.cfg.Settings.Daemon.Cores)
+}
 
 // PeerAddr returns the address on which this daemon listens for peers.
 func (d *Daemon) PeerAddr() string { return d.listener.Addr().String() }
--- a/internal/entryhost/jobhandle.go
+++ b/internal/entryhost/jobhandle.go
@@ -12,6 +12,7 @@
 	"sequoiafork/internal/membership"
 	"sequoiafork/internal/panics"
 	"sequoiafork/internal/peer"
+	"sequoiafork/internal/stageowner"
 	"sequoiafork/internal/stagework"
 )
 
@@ -143,7 +144,7 @@
 
 // ownerDead reports whether the remote owner of a job is dead or no longer a member.
 func (s *submitter) ownerDead(place jobPlace) bool {
-	if place.remote == nil || knownByAddress(place.owner) {
+	if place.remote == nil || stageowner.KnownByAddress(place.owner) {
 		return false // Membership does not know it; the call itself fails if it dies.
 	}
 	m, ok := s.daemon.members.Lookup(place.owner.Incarnation)
--- a/internal/entryhost/ownerhost_test.go
+++ b/internal/entryhost/ownerhost_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"sequoiafork/internal/hostcapacity"
+	"sequoiafork/internal/stageowner"
 )
 
 // TestLargestHostOwnsStageWork guards against an owner on a host that is too small for the stage work of a deployment
@@ -54,9 +55,9 @@
 // have started again, when each knows only the addresses and capacities that the platform lists.
 func TestFirstOwnerAfterTotalRestart(t *testing.T) {
 	h := idleOn(t, 0.144, noCaller{}, &invoker{})
-	var list []PeerAddress
+	var list []stageowner.Address
 	for i, milliCores := range []uint32{144, 144, 800, 144, 0} {
-		list = append(list, PeerAddress{
+		list = append(list, stageowner.Address{
 			Addr: fmt.Sprintf("192.0.2.%d:1", i),
 			Capacity: hostcapacity.Capacity{
 				MilliCores: milliCores,
--- a/internal/entryhost/reader.go
+++ b/internal/entryhost/reader.go
@@ -7,6 +7,7 @@
 	"sequoiafork/internal/era"
 	"sequoiafork/internal/membership"
 	"sequoiafork/internal/peer"
+	"sequoiafork/internal/pollpace"
 	"sequoiafork/internal/topic"
 )
 
@@ -26,7 +27,7 @@
 		ReadNewest: func(ctx context.Context, m membership.Member, name string) (topic.Snapshot, error) {
 			return d.node.ReadNewest(ctx, m, name)
 		},
-		Backoff: probeBackoff,
+		Backoff: pollpace.ProbeBackoff,
 	})
 }
 
--- a/internal/entryhost/reader_test.go
+++ b/internal/entryhost/reader_test.go
@@ -58,7 +58,7 @@
 	f := r.Follow(topic.Config{
 		Name:         "t",
 		Store:        store,
-		PollInterval: func() time.Duration { return minPollInterval },
+		PollInterval: func() time.Duration { return 200 * time.Millisecond },
 		PollTimeout:  r.UpstreamsPollTimeout,
 		Backoff:      r.RetryBackoff,
 		OnRecords:    func([]topic.Record) {},
--- a/internal/entryhost/resubmit_test.go
+++ b/internal/entryhost/resubmit_test.go
@@ -16,6 +16,7 @@
 
 	"sequoiafork/internal/ident"
 	"sequoiafork/internal/settings"
+	"sequoiafork/internal/stageowner"
 	"sequoiafork/internal/wire/peerpb"
 )
 
@@ -75,7 +76,7 @@
 	})
 	require.NoError(t, err)
 	owner := &droppingOwner{}
-	d.submitter.addPlatformAddresses(peerAddresses([]string{serveOwner(t, d, owner)}))
+	d.submitter.addPlatformAddresses(stageowner.Addresses([]string{serveOwner(t, d, owner)}))
 	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
 	defer cancel()
 	submitted, err := d.submitter.Submit(ctx, job("r"))
--- a/internal/entryhost/startup_test.go
+++ b/internal/entryhost/startup_test.go
@@ -10,6 +10,7 @@
 
 	"sequoiafork/internal/forward"
 	"sequoiafork/internal/ident"
+	"sequoiafork/internal/stageowner"
 )
 
 // lateStart is the delay of the last start. It is shorter than startupWindow.
@@ -90,7 +91,7 @@
 	v := &invoker{}
 	hosts := cluster(t, v)
 	owner := agreed(t, hosts)
-	time.Sleep(joinPeriod) // All are past their joinPeriod.
+	time.Sleep(stageowner.JoinPeriod) // All are past their joinPeriod.
 	rest := without(hosts, owner)
 	var seeds []string
 	for _, h := range rest {
@@ -114,11 +115,11 @@
 		}
 		return true
 	}, waitTimeout, checkInterval)
-	require.Less(t, time.Since(late.started), joinPeriod, "the daemons took too long to learn of each other for this test")
+	require.Less(t, time.Since(late.started), stageowner.JoinPeriod, "the daemons took too long to learn of each other for this test")
 	require.Len(t, owners(live), 1)
 }
 
-// While no daemon has read the list of upstreams, which takes longer than joinPeriod if many read a long list from the
+// While no daemon has read the list of upstreams, which takes longer than stageowner.JoinPeriod if many read a long list from the
 // store at once, none knows an owner among the others. Each must not take itself for the owner then, or as many
 // owners as daemons begin to schedule the stage work.
 func TestNoOwnershipWithoutUpstreams(t *testing.T) {
@@ -133,7 +134,7 @@
 	for _, h := range hosts {
 		h.AddPeers(seeds)
 	}
-	time.Sleep(joinPeriod + 3*syncInterval)
+	time.Sleep(stageowner.JoinPeriod + 3*syncInterval)
 	for i, h := range hosts {
 		require.Zero(t, h.members.Self().Term, "term of daemon %d", i)
 	}
--- a/internal/entryhost/submitter.go
+++ b/internal/entryhost/submitter.go
@@ -11,6 +11,7 @@
 	"sequoiafork/internal/forward"
 	"sequoiafork/internal/hostcapacity"
 	"sequoiafork/internal/membership"
+	"sequoiafork/internal/stageowner"
 	"sequoiafork/internal/stagework"
 )
 
@@ -44,7 +45,7 @@
 }
 
 // addAddresses adds addresses of daemons. A capacity that is known stays known.
-func (s *submitter) addAddresses(list []PeerAddress) {
+func (s *submitter) addAddresses(list []stageowner.Address) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.knownAddresses == nil {
@@ -58,7 +59,7 @@
 }
 
 // addPlatformAddresses adds addresses that were read from the platform.
-func (s *submitter) addPlatformAddresses(list []PeerAddress) {
+func (s *submitter) addPlatformAddresses(list []stageowner.Address) {
 	s.addAddresses(list)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,12 +90,12 @@
 	}
 }
 
-func (s *submitter) addresses() []PeerAddress {
+func (s *submitter) addresses() []stageowner.Address {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := make([]PeerAddress, 0, len(s.knownAddresses))
+	list := make([]stageowner.Address, 0, len(s.knownAddresses))
 	for addr, capacity := range s.knownAddresses {
-		list = append(list, PeerAddress{
+		list = append(list, stageowner.Address{
 			Addr:     addr,
 			Capacity: capacity,
 		})
@@ -134,7 +135,7 @@
 		if errors.As(err, &rejected) || ctx.Err() != nil {
 			return jobPlace{}, err
 		}
-		if knownByAddress(owner) && time.Since(s.daemon.started) < startupWindow {
+		if stageowner.KnownByAddress(owner) && time.Since(s.daemon.started) < startupWindow {
 			sleep(ctx, startupRetryInterval) // The daemon may be about to start.
 			continue
 		}
@@ -152,12 +153,9 @@
 	}, nil
 }
 
-// knownByAddress reports whether only the address of a member is known.
-func knownByAddress(m membership.Member) bool { return m.Version == 0 }
-
 // maxTries returns how many owners may be tried, given the current one.
 func maxTries(owner membership.Member) int {
-	if knownByAddress(owner) {
+	if stageowner.KnownByAddress(owner) {
 		return maxAddressTries
 	}
 	return maxSubmitTries
--- a/internal/hostcapacity/hostcapacity.go
+++ b/internal/hostcapacity/hostcapacity.go
@@ -16,6 +16,16 @@
 	MilliCores uint32
 }
 
+// milliCoresPerCore is the number of thousandths in a core.
+const milliCoresPerCore = 1000
+
+// FromCores returns the capacity of a host on which a daemon may use a number of cores.
+func FromCores(cores float64) Capacity {
+	return Capacity{
+		MilliCores: uint32(cores * milliCoresPerCore),
+	}
+}
+
 // Known reports whether the capacity is known.
 func (c Capacity) Known() bool { return c.MilliCores > 0 }
 
--- a/internal/entryhost/polling_test.go
+++ b/internal/pollpace/pollpace_test.go
@@ -1,4 +1,4 @@
-package entryhost
+package pollpace
 
 import (
 	"testing"
@@ -7,31 +7,30 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Up to 40 daemons together read the routes at most 1.2 times per routesPollSpacing on
+// Up to 40 daemons together read the routes at most 1.2 times per routesSpacing on
 // average. Up to 6 daemons read them often enough to notice a change within two seconds if
 // no read is woken.
-func TestRoutesPollTimeout(t *testing.T) {
+func TestRoutesTimeout(t *testing.T) {
 	const draws = 2000
 	for daemonCount := 1; daemonCount <= 40; daemonCount++ {
 		var sum time.Duration
 		for range draws {
-			wait := routesPollTimeout(daemonCount)
-			require.GreaterOrEqual(t, wait, minPollTimeout)
-			require.LessOrEqual(t, wait, maxRoutesPollTimeout)
+			wait := RoutesTimeout(daemonCount)
+			require.GreaterOrEqual(t, wait, MinTimeout)
+			require.LessOrEqual(t, wait, maxRoutesTimeout)
 			sum += wait
 		}
 		perSecond := float64(daemonCount) * draws / sum.Seconds()
-		require.LessOrEqual(t, perSecond, 1.2/routesPollSpacing.Seconds(), "%d daemons", daemonCount)
+		require.LessOrEqual(t, perSecond, 1.2/routesSpacing.Seconds(), "%d daemons", daemonCount)
 	}
 	for daemonCount := 1; daemonCount <= 6; daemonCount++ {
-		require.Equal(t, minPollTimeout, routesPollTimeout(daemonCount))
+		require.Equal(t, MinTimeout, RoutesTimeout(daemonCount))
 	}
 }
 
 func TestRetryBackoff(t *testing.T) {
-	var h Daemon
 	for failures := range 100 {
-		backoff := h.RetryBackoff(failures)
+		backoff := RetryBackoff(failures)
 		require.GreaterOrEqual(t, backoff, initialBackoff/2)
 		require.LessOrEqual(t, backoff, maxBackoff)
 	}
@@ -43,7 +42,7 @@
 func TestUpstreamsKnownInTime(t *testing.T) {
 	const bound = 2 * time.Second
 	for readerCount := 1; readerCount <= 341; readerCount++ {
-		longest := minPollTimeout + upstreamsPollInterval(readerCount, true) + upstreamsPollInterval(readerCount, false)
+		longest := MinTimeout + UpstreamsInterval(readerCount, true) + UpstreamsInterval(readerCount, false)
 		require.Less(t, longest, bound, "%d data centres", readerCount)
 	}
 }
--- a/internal/entryhost/quarantineinvoker.go
+++ b/internal/stagequarantine/invoker.go
@@ -1,4 +1,5 @@
-package entryhost
+// Package stagequarantine keeps pieces of stages from upstreams that pieces with the same input have ended.
+package stagequarantine
 
 import (
 	"context"
@@ -10,14 +11,26 @@
 	"sequoiafork/internal/tcp"
 )
 
-// quarantineInvoker keeps pieces of stages from upstreams that pieces with the same input have ended.
-type quarantineInvoker struct {
+// Quarantine knows which inputs are held. Its methods behave like those of quarantine.Registry and of
+// forward.Quarantine.
+type Quarantine interface {
+	Active() bool
+	Blocked(req quarantine.Request) bool
+	DecisionIn(req quarantine.Request) time.Duration
+	Broke(list ...forward.BrokenAttempt)
+	Succeeded(req quarantine.Request)
+	NoteSuccess(k quarantine.Key)
+}
+
+// Invoker is a stagework.Invoker that runs only pieces whose input is not held. Both fields are required. It is safe for
+// concurrent use.
+type Invoker struct {
 	stagework.Invoker
-	quarantine *sharedQuarantine
+	Quarantine Quarantine
 }
 
 // Run implements stagework.Invoker. Pieces that are held fail, and the others are run.
-func (v quarantineInvoker) Run(ctx context.Context, u stagework.Upstream, items []stagework.Item) ([]stagework.ItemResult, error) {
+func (v Invoker) Run(ctx context.Context, u stagework.Upstream, items []stagework.Item) ([]stagework.ItemResult, error) {
 	admitted := v.admitted(u, items)
 	if len(admitted) == 0 {
 		return failedItems(len(items)), nil
@@ -47,11 +60,11 @@
 
 // admitted returns the indexes of the items that may be sent. It waits for decisions that are due. The daemon of a
 // request decides whether it is a trial.
-func (v quarantineInvoker) admitted(u stagework.Upstream, items []stagework.Item) []int {
+func (v Invoker) admitted(u stagework.Upstream, items []stagework.Item) []int {
 	var list []int
 	for i, it := range items {
-		time.Sleep(v.quarantine.DecisionIn(stageRequest(u, it)))
-		if !v.quarantine.Blocked(stageRequest(u, it)) {
+		time.Sleep(v.Quarantine.DecisionIn(stageRequest(u, it)))
+		if !v.Quarantine.Blocked(stageRequest(u, it)) {
 			list = append(list, i)
 		}
 	}
@@ -68,7 +81,7 @@
 }
 
 // recordBroken records a call whose connection broke.
-func (v quarantineInvoker) recordBroken(u stagework.Upstream, items []stagework.Item, began time.Time) {
+func (v Invoker) recordBroken(u stagework.Upstream, items []stagework.Item, began time.Time) {
 	var attempts []forward.BrokenAttempt
 	for _, it := range items {
 		attempts = append(attempts, forward.BrokenAttempt{
@@ -78,22 +91,22 @@
 			Began:       began,
 		})
 	}
-	v.quarantine.Broke(attempts...)
+	v.Quarantine.Broke(attempts...)
 }
 
 // recordSuccesses records the pieces that have not ended the upstream.
-func (v quarantineInvoker) recordSuccesses(u stagework.Upstream, items []stagework.Item, results []stagework.ItemResult) {
+func (v Invoker) recordSuccesses(u stagework.Upstream, items []stagework.Item, results []stagework.ItemResult) {
 	for i, r := range results {
 		if r.Status != stagework.Done {
 			continue
 		}
 		req := stageRequest(u, items[i])
-		if v.quarantine.Active() {
-			v.quarantine.Succeeded(req)
+		if v.Quarantine.Active() {
+			v.Quarantine.Succeeded(req)
 			continue
 		}
 		for _, k := range req.Keys {
-			v.quarantine.NoteSuccess(k)
+			v.Quarantine.NoteSuccess(k)
 		}
 	}
 }
