Stop naming a draining daemon before it says that it is not ready

Cause: TestGracefulStop of platform failed once beside other work (load 20): the readiness check failed and the directory of the same daemon still named it. Drain set the flag of readiness first and told the membership after it had announced the origins of streams. Change: the membership is told first. Ruled out: the directory of other daemons, which the test does not ask.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -304,13 +304,14 @@
 // Draining reports whether the daemon is draining.
 func (d *Daemon) Draining() bool { return d.draining.Load() }
 
-// Drain begins to drain the daemon: no daemon returns its address from Resolve any more.
+// Drain begins to drain the daemon: no daemon returns its address from Resolve any more. This one stops that before it
+// says that it is not ready, so that nobody is sent to a daemon that has said so.
 func (d *Daemon) Drain() {
+	d.members.SetLeaving()
 	if d.draining.Swap(true) {
 		return
 	}
 	d.origins.AnnounceAll()
-	d.members.SetLeaving()
 	d.logger.Info("draining", zap.Int("in_flight", d.forwarder.InFlight()))
 }
 
