--- a/internal/hostcapacity/hostcapacity.go
+++ b/internal/hostcapacity/hostcapacity.go
@@ -13,7 +13,7 @@
 // Capacity is what a host has. Its zero value means that it is not known. It is an immutable value.
 type Capacity struct {
 	// MilliCores is the processor time that the daemon may use, in thousandths of a core.
-	MilliCores uint32
+	MilliCores uint32 `json:"milli_cores"`
 }
 
 // milliCoresPerCore is the number of thousandths in a core.
