Close idle connections at once when a daemon stops

Cause: while a long response lasted, the new stop of HTTP servers kept idle connections open, where http.Server.Shutdown closes them. Ruled out: the accept queue (both requests came on connections that were open before).

Change: while it waits, the listener closes connections on which no request arrives or runs.

TestIdleConnectionsEndWhileAResponseLasts fails without the change. TestStopDoesNotWaitForIdleConnections wanted both connections open after the stop; it now wants the used one closed.

--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -9,12 +9,13 @@
 )
 
 // Phases of a connection: nothing has been received on a fresh one; a request is arriving, or being served;
-// an idle one has served its last request.
+// an idle one has served its last request; a closed one was idle while the server stops.
 const (
 	fresh int32 = iota
 	arriving
 	serving
 	idle
+	closed
 )
 
 // conn is a connection whose phase is known.
@@ -43,6 +44,8 @@
 // busy reports whether a request is arriving, is expected to, or is being served.
 func (c *conn) busy(now time.Time) bool {
 	switch c.phase.Load() {
+	case closed:
+		return false
 	case idle:
 		return c.waiting()
 	case fresh:
@@ -51,6 +54,14 @@
 	return true
 }
 
+// closeUnused closes a connection that is not busy, so that no further request is sent on it.
+func (c *conn) closeUnused(now time.Time) {
+	phase := c.phase.Load()
+	if !c.busy(now) && phase != closed && c.phase.CompareAndSwap(phase, closed) {
+		_ = c.Close() // The server sees a connection that its caller has closed.
+	}
+}
+
 // waiting reports whether bytes have arrived that were not read yet.
 func (c *conn) waiting() bool {
 	raw, err := c.SyscallConn()
--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -93,8 +93,8 @@
 	}
 }
 
-// Stop accepts the connections that wait, and no others. It returns when no request is being received or
-// served, or with the error of ctx.
+// Stop accepts the connections that wait, and no others, and closes those on which no request is being received or
+// served. It returns when there are no others, or with the error of ctx.
 func (l *Listener) Stop(ctx context.Context) error {
 	l.stopping.Store(true)
 	_ = l.SetDeadline(time.Now().Add(acceptTime)) // Fails only on a closed listener.
@@ -106,6 +106,7 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for l.busy(time.Now()) {
+		l.closeUnused(time.Now())
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -115,6 +116,16 @@
 	return nil
 }
 
+// closeUnused closes the connections on which no request is being received or served. A caller that reuses one while a long
+// response keeps the server from stopping would have its request cut off at the end.
+func (l *Listener) closeUnused(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.closeUnused(now)
+	}
+}
+
 // busy reports whether a request is being received or served on a connection.
 func (l *Listener) busy(now time.Time) bool {
 	l.mu.Lock()
