--- a/review/standin/crashevidence.go
+++ b/review/standin/crashevidence.go
@@ -12,6 +12,7 @@
 
 // The course of the case: each crashInterval, crashShare of the model servers crash and are down for crashDown.
 const (
+	entryHosts    = 2
 	modelServers  = 40
 	crashInterval = 2400 * time.Millisecond
 	crashDown     = time.Second
@@ -100,9 +101,20 @@
 		servers = append(servers, s)
 	}
 	st.put(topicOperator, "config", []byte(modelManifest))
-	d, err := w.start("edge-1", "be-south-a", st)
-	if err != nil {
-		return nil, err
+	var fronts []string
+	ended := make(chan error, entryHosts)
+	for n := range entryHosts {
+		name := fmt.Sprintf("edge-%d", n+1)
+		d, err := w.start(name, "be-south-a", st)
+		if err != nil {
+			return nil, err
+		}
+		fronts = append(fronts, d.front)
+		go func() {
+			err := <-d.exited
+			w.line("the daemon %s has ended by itself: %v", name, err)
+			ended <- err
+		}()
 	}
 	end := time.Now().Add(crashTime)
 	if w.trouble {
@@ -117,9 +129,9 @@
 			MaxIdleConnsPerHost: 256,
 		},
 	}
-	send := func(id, prompt string) {
+	send := func(front, id, prompt string) {
 		defer wg.Done()
-		status, err := draft(client, d.front, id, prompt)
+		status, err := draft(client, front, id, prompt)
 		mu.Lock()
 		defer mu.Unlock()
 		if err == nil {
@@ -133,25 +145,17 @@
 			lost = append(lost, fmt.Sprintf("LOST: request %s was passed on to a sound server, and its connection ends without an answer: %v", id, err))
 		}
 	}
-	ended := false
-	var exit error
-	for n := 0; time.Now().Before(end) && !ended; n++ {
+	for n := 0; time.Now().Before(end) && len(ended) < entryHosts; n++ {
 		prompt := fmt.Sprintf("%08x", n)
+		front := fronts[n%entryHosts]
 		wg.Add(2)
-		go send(fmt.Sprintf("a%06x", n), prompt)
-		go send(fmt.Sprintf("b%06x", n), prompt)
-		select {
-		case exit = <-d.exited:
-			ended = true
-		case <-time.After(pairInterval):
-		}
+		go send(front, fmt.Sprintf("a%06x", n), prompt)
+		go send(front, fmt.Sprintf("b%06x", n), prompt)
+		time.Sleep(pairInterval)
 	}
 	wg.Wait()
 	w.line("answers: %v", counts)
-	if ended {
-		w.line("the daemon has ended by itself: %v", exit)
-		fmt.Println("the daemon has ended by itself:", exit)
-	}
+	fmt.Printf("%d of %d daemons have ended by themselves\n", len(ended), entryHosts)
 	if len(lost) <= lostAllowed {
 		return nil, nil
 	}
--- a/review/standin/largebodies.go
+++ b/review/standin/largebodies.go
@@ -23,7 +23,7 @@
 	burstBegin  = 6 * time.Second
 	burstEnd    = 13 * time.Second
 	bodiesTime  = 20 * time.Second
-	bodyWork    = 2500 * time.Millisecond
+	bodyWork    = 4 * time.Second
 )
 
 // residentKiB returns the memory of a process.
@@ -61,7 +61,7 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	counts := make(map[string]int)
-	most := 0
+	var lost []string
 	send := func(id string) {
 		defer wg.Done()
 		req, _ := http.NewRequest(http.MethodPost, "http://"+d.front+"/log/1", bytes.NewReader(body))
@@ -75,15 +75,19 @@
 			res.Body.Close()
 			text = res.Status
 		}
+		mu.Lock()
+		defer mu.Unlock()
 		if err != nil {
 			text = "no answer"
+			w.line("request %s: no answer: %v", id, err)
+			lost = append(lost, fmt.Sprintf("LOST: the connection of request %s ends without an answer: %v", id, err))
 		}
-		mu.Lock()
-		defer mu.Unlock()
 		counts[text]++
 	}
+	most := 0
+	killed := false
 	began := time.Now()
-	for n := 0; time.Since(began) < bodiesTime; n++ {
+	for n := 0; time.Since(began) < bodiesTime && !killed; n++ {
 		wg.Add(1)
 		go send(fmt.Sprintf("a%04x", n))
 		gap := usualGap
@@ -91,16 +95,21 @@
 			gap = time.Duration(float64(usualGap) / burstFactor)
 		}
 		time.Sleep(gap)
-		if now := residentKiB(d.cmd.Process.Pid); now > most {
+		now := residentKiB(d.cmd.Process.Pid)
+		if now > most {
 			most = now
 			w.line("the daemon uses %d KiB", now)
 		}
+		if now > memoryLimit {
+			killed = true
+			w.line("the platform kills the daemon, which exceeds its memory of %d KiB", memoryLimit)
+			d.kill()
+		}
 	}
 	wg.Wait()
 	w.line("answers: %v, most memory %d KiB of %d", counts, most, memoryLimit)
-	fmt.Println(counts, most, memoryLimit)
-	if most <= memoryLimit {
+	if len(lost) <= lostAllowed {
 		return nil, nil
 	}
-	return []string{fmt.Sprintf("memory: %d KiB, over the limit of %d KiB", most, memoryLimit)}, nil
+	return lost, nil
 }
