--- a/review/standin/stagecopies.go
+++ b/review/standin/stagecopies.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,7 +18,8 @@
 	stageClump    = 4
 	stageClumpGap = 700 * time.Millisecond
 	stageUserGap  = 30 * time.Millisecond
-	stagePieces   = 2
+	// stagePieces is the number of pieces of each of the three stages.
+	stagePieces = "1,1,1"
 	// stageCopyEvery is the number of answers of the faulty server of which one is sent twice: fewer than 3 in 100.
 	stageCopyEvery = 35
 	stageCallTime  = 200 * time.Millisecond
@@ -28,13 +28,13 @@
 	stageQueue     = 2
 	handleLifetime = 4 * time.Second
 	// firstTokenTime is how long a model server takes for the prompt.
-	firstTokenTime = 150 * time.Millisecond
+	firstTokenTime = 1500 * time.Millisecond
 )
 
 // result is a result of a stage that its server keeps.
 type result struct {
 	owner string
-	piece int
+	stage int
 	until time.Time
 }
 
@@ -45,12 +45,12 @@
 	gone map[string]bool   // those that were freed
 }
 
-func (r *results) make(handle, owner string, piece int) {
+func (r *results) make(handle, owner string, stage int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.made[handle] = result{
 		owner: owner,
-		piece: piece,
+		stage: stage,
 		until: time.Now().Add(handleLifetime),
 	}
 }
@@ -73,17 +73,18 @@
 
 // stageItem is an item of a call.
 type stageItem struct {
-	ID    string `json:"id"`
-	Piece int    `json:"piece"`
-	Key   string `json:"key"`
+	ID     string   `json:"id"`
+	Stage  int      `json:"stage"`
+	Piece  int      `json:"piece"`
+	Inputs []string `json:"inputs"`
 }
 
-// stageServer is a server of the stage's service.
-func stageServer(w *world, id string, all *results, faulty bool) *server {
+// stageServer is a server of a service of stages.
+func stageServer(w *world, service, id string, all *results, faulty bool, broke func(string)) *server {
 	places := newSlots(stageSlots, stageQueue)
 	var made, answers atomic.Int64
 	s := &server{
-		service: "portal",
+		service: service,
 		zone:    "be-south-a",
 		id:      id,
 	}
@@ -121,12 +122,18 @@
 		time.Sleep(stageCallTime + time.Duration(len(call.Items))*stageItemTime)
 		var items []map[string]string
 		for _, it := range call.Items {
+			if reason := checkInputs(w, id, it, all, broke); reason != "" {
+				items = append(items, map[string]string{
+					"reason": reason,
+				})
+				continue
+			}
 			handle := fmt.Sprintf("%s/%s%x", s.addr, id, made.Add(1))
-			all.make(handle, it.ID, it.Piece)
+			all.make(handle, it.ID, it.Stage)
 			items = append(items, map[string]string{
 				"handle": handle,
 			})
-			w.line("%s made %s for piece %d of request %s", id, handle, it.Piece, it.ID)
+			w.line("%s made %s for stage %d of request %s", id, handle, it.Stage, it.ID)
 		}
 		return jsonAnswer(map[string]any{
 			"items": items,
@@ -147,6 +154,23 @@
 	return s
 }
 
+// checkInputs returns the reason for which a piece is not made, empty if it is. It notes inputs of other requests.
+func checkInputs(w *world, id string, it stageItem, all *results, broke func(string)) string {
+	reason := ""
+	for _, handle := range it.Inputs {
+		found, there := all.find(handle)
+		if found.owner != it.ID {
+			broke(fmt.Sprintf("MIXED: the piece of stage %d of request %s is sent to server %s with input %s, which was made for request %q (still there: %v)",
+				it.Stage, it.ID, id, handle, found.owner, there))
+		}
+		if !there {
+			w.line("%s: an input of stage %d of request %s is gone", id, it.Stage, it.ID)
+			reason = "gone"
+		}
+	}
+	return reason
+}
+
 func jsonAnswer(v any) answer {
 	body, _ := json.Marshal(v)
 	return answer{
@@ -206,15 +230,18 @@
 }
 
 const stageManifest = `{"version":7,"routes":[{"name":"r-digest","host":"hut.example","path-prefix":"/digest/","type":"stream",` +
-	`"timeout-ms":8000,"goal-ms":1600,"priority":1,"service":"pool","attempts":1,"stages":[{"service":"portal","after":[],"bytes":8000}],` +
+	`"timeout-ms":8000,"goal-ms":1600,"priority":1,"service":"pool","attempts":1,"stages":[{"service":"portal","after":[],"bytes":8000},` +
+	`{"service":"desk","after":[0],"bytes":8000},{"service":"portal","after":[],"bytes":8000}],` +
 	`"public":true,"sticky":true,"resumable":false,"gap-goal-ms":400}],` +
 	`"services":[{"name":"pool","health-path":"/healthz","max-conns":620,"engine":{"slots":128,"kv-capacity":270909}},` +
 	`{"name":"portal","health-path":"/healthz","max-conns":620,"pieces":{"slots":2,"queue":2,"batch":8,"call-ms":200.0,"item-ms":20.0,` +
+	`"room-mb":18.0,"handle-s":4.0,"link-mbps":10000}},` +
+	`{"name":"desk","health-path":"/healthz","max-conns":620,"pieces":{"slots":2,"queue":2,"batch":8,"call-ms":200.0,"item-ms":20.0,` +
 	`"room-mb":18.0,"handle-s":4.0,"link-mbps":10000}}],` +
 	`"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}}`
 
-// stageCopies plays a server of a stage that sends a second copy of some of its answers, late, where the next answer on
-// the connection is expected.
+// stageCopies plays a server of two stages that sends a second copy of some of its answers, late, where the next answer
+// on the connection is expected.
 func stageCopies(w *world) ([]string, error) {
 	st, err := newStore()
 	if err != nil {
@@ -233,8 +260,10 @@
 		gone: make(map[string]bool),
 	}
 	servers := []*server{
-		stageServer(w, "p1", all, w.trouble),
-		stageServer(w, "p2", all, false),
+		stageServer(w, "portal", "p1", all, w.trouble, broke),
+		stageServer(w, "portal", "p2", all, false, broke),
+		stageServer(w, "desk", "d1", all, false, broke),
+		stageServer(w, "desk", "d2", all, false, broke),
 		engineServer(w, "m1", all, broke),
 		engineServer(w, "m2", all, broke),
 	}
@@ -260,7 +289,7 @@
 		}
 		served.Add(1)
 		w.line("request %s is answered: %q", id, text)
-		if !strings.Contains(text, id) {
+		if text != fmt.Sprintf("token 1 from inputs of %s %s", id, id) {
 			broke(fmt.Sprintf("MIXED: the answer to request %s was made from the inputs of another: %q", id, text))
 		}
 	}
@@ -288,7 +317,7 @@
 	req.Host = "hut.example"
 	req.Header.Set(headerID, id)
 	req.Header.Set(headerDeadline, "8000")
-	req.Header.Set(headerPieces, strconv.Itoa(stagePieces))
+	req.Header.Set(headerPieces, stagePieces)
 	req.Header.Set(headerPieceKey, "k"+id)
 	req.Header.Set("X-Sequoiafork-Model", "m")
 	req.Header.Set("X-Sequoiafork-Tokens", "400,9")
