--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -15,6 +15,7 @@
 	front, ready, directory, operator, peer string
 
 	program string
+	path    string
 	cmd     *exec.Cmd
 	log     *os.File
 	exited  chan error
@@ -95,15 +96,25 @@
 	if d.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
 		return nil, err
 	}
-	d.cmd = exec.Command(program, "-config", path)
-	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
-	if err := d.cmd.Start(); err != nil {
+	d.path = path
+	if err := d.run(); err != nil {
 		return nil, err
 	}
-	go func() { d.exited <- d.cmd.Wait() }()
 	return d, d.awaitReady()
 }
 
+// run starts the process, for the first time or again after it has ended.
+func (d *daemon) run() error {
+	d.cmd = exec.Command(d.program, "-config", d.path)
+	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
+	if err := d.cmd.Start(); err != nil {
+		return err
+	}
+	cmd := d.cmd
+	go func() { d.exited <- cmd.Wait() }()
+	return nil
+}
+
 func (d *daemon) awaitReady() error {
 	client := &http.Client{
 		Timeout: time.Second,
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,11 +29,12 @@
 
 // cases are the cases by name. Each returns what broke the rule, one line each.
 var cases = map[string]func(*world) ([]string, error){
-	"crash-evidence": crashEvidence,
-	"large-bodies":   largeBodies,
-	"last-key":       lastKey,
-	"reload-in-stop": reloadInStop,
-	"stage-copies":   stageCopies,
+	"crash-evidence":  crashEvidence,
+	"large-bodies":    largeBodies,
+	"last-key":        lastKey,
+	"rush-after-kill": rushAfterKill,
+	"reload-in-stop":  reloadInStop,
+	"stage-copies":    stageCopies,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,6 +25,7 @@
 	headerInputs   = "X-Sequoiafork-Inputs"
 	headerPieces   = "X-Sequoiafork-Pieces"
 	headerPieceKey = "X-Sequoiafork-Piece-Key"
+	headerLoad     = "X-Sequoiafork-Load"
 	headerKey      = "Api-Key"
 )
 
@@ -61,6 +63,9 @@
 	// repeat reports whether a second copy of an answer is sent where the next answer on its connection is expected.
 	// Nil means that there are none.
 	repeat func(r *http.Request, a answer) bool
+	// closeEvery is the number of answers of which one ends its connection. Zero means none.
+	closeEvery int64
+	answered   atomic.Int64
 	// repeated is called when the copy is sent, since the request r arrives. It may be nil.
 	repeated func(r *http.Request)
 
@@ -156,9 +161,16 @@
 			}
 		}
 		a := s.answer(r, body)
+		last := s.closeEvery > 0 && s.answered.Add(1)%s.closeEvery == 0
+		if last {
+			a.header.Set("Connection", "close")
+		}
 		if _, err := c.Write(a.bytes()); err != nil {
 			return
 		}
+		if last {
+			return
+		}
 		if s.repeat != nil && s.repeat(r, a) {
 			late = a.bytes()
 		}
@@ -197,6 +209,12 @@
 	}
 }
 
+// load returns the load that a server reports: the calls that run, those that wait and the slots.
+func (s *slots) load() string {
+	running := len(s.running)
+	return fmt.Sprintf("%d,%d,%d", running, max(len(s.queue)-running, 0), cap(s.running))
+}
+
 // take waits for a slot. It reports false if the server is full.
 func (s *slots) take() bool {
 	select {
