sequoiaforkd: receive signals until the process has exited

The part that reloads the settings received SIGHUP only until SIGTERM; after that its default action ended the process, with the exit status "signal: hangup" and without the line "daemon stopped", which rules out a failed reload. On a platform of kind log nothing received SIGHUP at any time.

All signals are now received by the first call of main, and nothing releases them, so that none gets its default action. SIGTERM is logged on both kinds of platform.

The soak sends signals to daemons that stop.

--- a/cmd/sequoiaforkd/keyedlog.go
+++ b/cmd/sequoiaforkd/keyedlog.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,23 +16,18 @@
 
 // serveKeyedLog runs the daemon on the users' platform, settings.PlatformKindKeyedLog, until
 // SIGTERM or SIGINT.
-func serveKeyedLog(cmd settings.CommandLine, logger *zap.Logger) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+func serveKeyedLog(cmd settings.CommandLine, sig signals, logger *zap.Logger) error {
 	r := &reloader{
 		path:    cmd.Path,
 		logger:  logger,
 		changed: make(chan settings.Settings, 1),
 	}
-	go r.run(ctx)
-	dump := make(chan os.Signal, 1)
-	signal.Notify(dump, syscall.SIGUSR1)
-	defer signal.Stop(dump)
-	return platform.Run(ctx, platform.Config{
+	go r.run(sig.reload)
+	return platform.Run(sig.stopContext(logger), platform.Config{
 		Settings: cmd.Settings,
 		Logger:   logger,
 		Reload:   r.changed,
-		Dump:     dump,
+		Dump:     sig.dump,
 		DumpTo:   os.Stderr,
 	})
 }
@@ -49,17 +41,13 @@
 	lastModified time.Time
 }
 
-func (r *reloader) run(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// run reloads until the process exits.
+func (r *reloader) run(hup <-chan os.Signal) {
 	r.checkModified()
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ctx.Done():
-			return
 		case <-hup:
 			r.reload()
 		case <-ticker.C:
--- a/cmd/sequoiaforkd/main.go
+++ b/cmd/sequoiaforkd/main.go
@@ -7,8 +7,9 @@
 // The kind of platform in the settings decides whether the daemon runs the pipelines that
 // operators define in tables or forwards the opaque requests of the users' platform.
 //
-// SIGTERM and SIGINT start a graceful stop; a second signal has no effect. SIGUSR1 writes a state
-// dump to standard error. On a platform of kind "keyed_log", SIGHUP reloads the settings file.
+// SIGTERM and SIGINT start a graceful stop; a second one has no effect. SIGUSR1 writes a state dump
+// to standard error. SIGHUP reloads the settings file on a platform of kind "keyed_log" and has no
+// effect on the other one. All of them are received until the process has exited.
 package main
 
 import (
@@ -17,9 +18,7 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"go.uber.org/zap"
 
@@ -43,16 +42,17 @@
 const memoryLimit = 192 << 20
 
 func main() {
+	sig := receiveSignals()
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(memoryLimit)
 	}
-	os.Exit(run())
+	os.Exit(run(sig))
 }
 
-func run() int {
+func run(sig signals) int {
 	cmd, err := settings.ParseCommandLine(os.Args[1:], settings.EnvPrefix, os.Stderr)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
@@ -67,14 +67,14 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
-	if err := serve(cmd); err != nil {
+	if err := serve(cmd, sig); err != nil {
 		fmt.Fprintln(os.Stderr, "sequoiaforkd:", err)
 		return exitFailure
 	}
 	return 0
 }
 
-func serve(cmd settings.CommandLine) error {
+func serve(cmd settings.CommandLine, sig signals) error {
 	s := cmd.Settings
 	logger, err := logging.New(logging.Config{
 		Level:  s.Log.Level,
@@ -85,7 +85,7 @@
 	}
 	defer func() { _ = logger.Sync() }()
 	if s.Platform.Kind == settings.PlatformKindKeyedLog {
-		return serveKeyedLog(cmd, logger)
+		return serveKeyedLog(cmd, sig, logger)
 	}
 	d, err := daemon.New(daemon.Config{
 		Settings: s,
@@ -94,23 +94,21 @@
 	if err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	dump := make(chan os.Signal, 1)
-	signal.Notify(dump, syscall.SIGUSR1)
-	go handleSignals(d, logger, stop, dump)
+	go handleSignals(d, logger, sig)
 	return d.Run(context.Background())
 }
 
-// handleSignals starts a drain of d on a signal from stop and writes a state dump on one
-// from dump.
-func handleSignals(d *daemon.Daemon, logger *zap.Logger, stop, dump <-chan os.Signal) {
+// handleSignals starts a drain of d on a signal to stop and writes a state dump on one to dump. The settings of d
+// are read once.
+func handleSignals(d *daemon.Daemon, logger *zap.Logger, sig signals) {
 	for {
 		select {
-		case sig := <-stop:
-			logger.Info("signal received", zap.String("signal", sig.String()))
+		case stop := <-sig.stop:
+			logger.Info("signal received", zap.String("signal", stop.String()))
 			d.Drain()
-		case <-dump:
+		case <-sig.reload:
+			logger.Warn("settings are not reloaded on this kind of platform")
+		case <-sig.dump:
 			if err := d.WriteDump(os.Stderr); err != nil {
 				logger.Error("state dump failed", zap.Error(err))
 			}
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -146,11 +146,12 @@
 		}
 		late = append(late, c.startCall(t.Context(), req))
 		time.Sleep(time.Until(began.Add(addressTTL + time.Duration(i+1)*300*time.Millisecond)))
-		d.signal(t, []syscall.Signal{syscall.SIGTERM, syscall.SIGINT}[i%2])
+		d.signal(t, []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGUSR1}[i%4])
 	}
 	time.Sleep(time.Until(began.Add(addressTTL + drainNotice + 300*time.Millisecond)))
 	refused := c.do(t.Context(), dispatchCall("after", "after"))
 	require.Contains(t, []string{notRun, connectionLost}, refused.outcome, refused)
+	d.signal(t, syscall.SIGHUP)
 	d.signal(t, syscall.SIGTERM)
 	for _, ch := range late {
 		r := <-ch
