--- a/cmd/sequoiaforkd/signals.go
+++ b/cmd/sequoiaforkd/signals.go
@@ -16,7 +16,8 @@
 	stop, reload, dump chan os.Signal
 }
 
-// receiveSignals returns the signals of the process from now on. It is the first call of main.
+// receiveSignals returns the signals of the process from now on. It is the first call of main; see startsignals.go
+// for what comes before.
 func receiveSignals() signals {
 	s := signals{
 		stop:   make(chan os.Signal, 1),
