sequoiaforkd: outlive the process that reads its log

A write to the standard output or error whose reader has ended raises SIGPIPE, whose action in Go ends the process: the next log line ended the daemon with "signal: broken pipe" and cut its requests.

SIGPIPE is ignored, so that such a write fails with an error, which the log's queue drops already.

--- a/cmd/sequoiaforkd/signals.go
+++ b/cmd/sequoiaforkd/signals.go
@@ -27,6 +27,7 @@
 	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
 	signal.Notify(s.dump, syscall.SIGUSR1)
+	signal.Ignore(syscall.SIGPIPE) // Otherwise, a write to a log that nobody reads any more ends the process.
 	return s
 }
 
