--- a/cmd/sequoiaforkd/main.go
+++ b/cmd/sequoiaforkd/main.go
@@ -95,11 +95,11 @@
 		return err
 	}
 	go handleSignals(d, logger, sig)
+	go dumpOnSignal(d, logger, sig)
 	return d.Run(context.Background())
 }
 
-// handleSignals starts a drain of d on a signal to stop and writes a state dump on one to dump. The settings of d
-// are read once.
+// handleSignals starts a drain of d on a signal to stop. The settings of d are read once.
 func handleSignals(d *daemon.Daemon, logger *zap.Logger, sig signals) {
 	for {
 		select {
@@ -108,10 +108,16 @@
 			d.Drain()
 		case <-sig.reload:
 			logger.Warn("settings are not reloaded on this kind of platform")
-		case <-sig.dump:
-			if err := d.WriteDump(os.Stderr); err != nil {
-				logger.Error("state dump failed", zap.Error(err))
-			}
+		}
+	}
+}
+
+// dumpOnSignal writes state dumps of d. A write may last for as long as nobody reads the standard error, so nothing
+// waits for it.
+func dumpOnSignal(d *daemon.Daemon, logger *zap.Logger, sig signals) {
+	for range sig.dump {
+		if err := d.WriteDump(os.Stderr); err != nil {
+			logger.Error("state dump failed", zap.Error(err))
 		}
 	}
 }
