Read the settings again at the start

A settings file that changed without a signal between the moment at which a starting daemon read it and its first look at the file's time was not read until its next change. The first look now comes with a reload.

--- a/cmd/sequoiaforkd/keyedlog.go
+++ b/cmd/sequoiaforkd/keyedlog.go
@@ -41,9 +41,11 @@
 	lastModified time.Time
 }
 
-// run reloads until the process exits.
+// run reloads until the process exits. It begins with a reload, since the file may have changed after it was read at
+// the start.
 func (r *reloader) run(hup <-chan os.Signal) {
 	r.checkModified()
+	r.reload()
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
--- a/cmd/sequoiaforkd/keyedlog_test.go
+++ b/cmd/sequoiaforkd/keyedlog_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -24,6 +25,25 @@
 [peers]
 seeds = `
 
+// TestReloadAtStart guards against settings that changed, without a signal, after the process has read them and
+// before it has looked at the time of the file for the first time.
+func TestReloadAtStart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "daemon.ini")
+	require.NoError(t, os.WriteFile(path, []byte(validSettings+"192.0.2.1:1\n"), 0o600))
+	r := &reloader{
+		path:    path,
+		logger:  zap.NewNop(),
+		changed: make(chan settings.Settings, 1),
+	}
+	go r.run(nil)
+	select {
+	case got := <-r.changed:
+		require.Equal(t, []string{"192.0.2.1:1"}, got.Peers.Seeds)
+	case <-time.After(5 * settingsPollInterval):
+		require.Fail(t, "the settings are not read again")
+	}
+}
+
 // TestReloadKeepsNewestSettings guards against a reload that is dropped because the settings of the
 // one before have not been received yet.
 func TestReloadKeepsNewestSettings(t *testing.T) {
