quarantine: drop an end with several attempts of one key once

The goroutine that probes upstreams has no recover, and all daemons have the same evidence.

A suspect that another attempt has dropped is passed over. Room is made before an end is added, so that a new one can't be dropped between its record and the list of those to be decided, whose attempts have no suspects then.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -127,9 +127,9 @@
 		return false
 	}
 	if !ok {
+		r.dropOldEnds()
 		r.ends[e.Incarnation] = known
 		r.oldest = append(r.oldest, e.Incarnation)
-		r.dropOldEnds()
 	}
 	r.active.Store(true)
 	r.recordHeldEnds(known)
@@ -167,11 +167,11 @@
 	return added
 }
 
-// dropOldEnds drops ends over the bounds. The caller holds mu.
+// dropOldEnds drops the ends that are over the bounds if another one is added. The caller holds mu.
 func (r *Registry) dropOldEnds() {
 	for len(r.oldest) > 0 {
 		e := r.ends[r.oldest[0]]
-		if len(r.oldest) <= r.cfg.MaxEnds && time.Since(e.At) < r.cfg.EvidenceTTL {
+		if len(r.oldest) < r.cfg.MaxEnds && time.Since(e.At) < r.cfg.EvidenceTTL {
 			return
 		}
 		r.oldest = r.oldest[1:]
@@ -183,9 +183,13 @@
 	}
 }
 
-// dropSuspectEnd drops an end of a suspect, and the suspect with its last one. The caller holds mu.
+// dropSuspectEnd drops an end of a suspect, and the suspect with its last one. Several attempts of the end may have had
+// the key: the first one has then dropped it. The caller holds mu.
 func (r *Registry) dropSuspectEnd(key uint64, e *knownEnd) {
-	s := r.suspects[key]
+	s, ok := r.suspects[key]
+	if !ok {
+		return
+	}
 	s.ends = slices.DeleteFunc(s.ends, func(own *knownEnd) bool { return own == e })
 	if len(s.ends) == 0 {
 		delete(r.suspects, key)
