quarantine: count a failed trial beside other attempts with its key

An end with a held key was recorded by its first attempt with the key only, at this daemon or any other. If that one had begun before the hold, a trial that failed at the same end was not seen: the hold stayed due, a further trial was sent after 30 s instead of 4 minutes, and could end another upstream. The others were told the failure once an attempt with the key, or not at all if another daemon had told of the end first, since the times of both had to be equal.

Each attempt is looked at, and what follows from it is returned and told once.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -53,22 +53,28 @@
 	}
 }
 
-// recordHeldEnds records an end with held keys. After the end of a hold it is a trial that has failed. The caller
-// holds mu.
-func (r *Registry) recordHeldEnds(e *knownEnd) {
+// recordHeldEnds records an end with held keys. An attempt that began after the end of a hold is a trial that has failed,
+// also if the end was known already by another attempt with the key. It returns the holds that follow such failures. The
+// caller holds mu.
+func (r *Registry) recordHeldEnds(e *knownEnd) []Hold {
+	var failed []Hold
 	for _, a := range e.Attempts {
 		h, ok := r.holds[a.Key.Hash]
-		if !ok || !e.At.After(h.lastEnd) {
+		if !ok {
 			continue
 		}
-		h.lastEnd = e.At
-		h.Ends++
+		if e.At.After(h.lastEnd) {
+			h.lastEnd = e.At
+			h.Ends++
+		}
 		if a.Began.After(h.until()) {
 			h.Hold = h.WithFailure(e.At)
 			h.trial = trial{}
 			r.logHeld(h.Hold, "a trial failed")
+			failed = append(failed, h.Hold)
 		}
 	}
+	return failed
 }
 
 // bestCandidates returns the candidates among the keys of an end that explain the most ends. Other keys have no new
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -51,16 +51,15 @@
 	for i, a := range e.Attempts {
 		e.Attempts[i].Succeeded = r.succeeded.has(a.Key.Hash)
 	}
-	if len(e.Attempts) == 0 || !r.mergeEnd(e) {
+	isNew, failed := r.mergeEnd(e)
+	if !isNew {
 		return nil
 	}
 	list := []Observation{
 		e,
 	}
-	for _, a := range e.Attempts {
-		if h, ok := r.holds[a.Key.Hash]; ok && h.Failures > 0 && h.Since.Equal(e.At) {
-			list = append(list, h.Hold) // The others may take the trial for one that began before the end of the hold.
-		}
+	for _, h := range failed {
+		list = append(list, h) // The others may take the trial for one that began before the end of the hold.
 	}
 	return list
 }
@@ -99,7 +98,8 @@
 	r.decideDue()
 	switch o := o.(type) {
 	case End:
-		return r.mergeEnd(o)
+		isNew, _ := r.mergeEnd(o)
+		return isNew
 	case Success:
 		return r.mergeSuccess(o)
 	case Hold:
@@ -108,10 +108,11 @@
 	return false
 }
 
-// mergeEnd adds the attempts of an end and reports whether any was new. The caller holds mu.
-func (r *Registry) mergeEnd(e End) bool {
+// mergeEnd adds the attempts of an end and reports whether any was new. It returns the holds that follow trials which
+// have failed. The caller holds mu.
+func (r *Registry) mergeEnd(e End) (isNew bool, failed []Hold) {
 	if time.Since(e.At) >= r.cfg.EvidenceTTL {
-		return false
+		return false, nil
 	}
 	known, ok := r.ends[e.Incarnation]
 	if !ok {
@@ -124,7 +125,7 @@
 	}
 	added := r.addAttempts(known, e.Attempts)
 	if !added {
-		return false
+		return false, nil
 	}
 	if !ok {
 		r.dropOldEnds()
@@ -132,12 +133,12 @@
 		r.oldest = append(r.oldest, e.Incarnation)
 	}
 	r.active.Store(true)
-	r.recordHeldEnds(known)
+	failed = r.recordHeldEnds(known)
 	if !slices.Contains(r.undecided, known) {
 		known.decideAt = time.Now().Add(decisionDelay)
 		r.undecided = append(r.undecided, known)
 	}
-	return true
+	return true, failed
 }
 
 // addAttempts adds new attempts to an end and reports whether there were any. The caller holds mu.
