Contain a panic on evidence of ended upstreams

Requests' keys and what peers have observed come from outside, and the registry releases its lock by defer, as package panics asks. Admission, success and end are contained now: a panic loses what was to be recorded or decided, is logged and counted, and no request ends.

TestPanicOnEvidence failed before (the test's process ended) and passes.

--- a/internal/entryhost/quarantine.go
+++ b/internal/entryhost/quarantine.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"sequoiafork/internal/forward"
+	"sequoiafork/internal/panics"
 	"sequoiafork/internal/quarantine"
 	"sequoiafork/internal/tcp"
 )
@@ -67,13 +68,23 @@
 
 // Admit implements forward.Quarantine. It waits for a decision that is due.
 func (q *sharedQuarantine) Admit(req quarantine.Request) error {
-	time.Sleep(q.DecisionIn(req))
-	return q.Registry.Admit(req)
+	var held error
+	q.contain(func() {
+		time.Sleep(q.DecisionIn(req))
+		held = q.Registry.Admit(req)
+	})
+	return held
 }
 
 // Succeeded implements forward.Quarantine.
 func (q *sharedQuarantine) Succeeded(req quarantine.Request) {
-	q.daemon.members.ReportEvidence(q.Registry.Succeeded(req))
+	q.contain(func() { q.daemon.members.ReportEvidence(q.Registry.Succeeded(req)) })
+}
+
+// contain calls f, which handles evidence. A panic loses what f was to record or decide, and no other request: all
+// daemons have the same evidence, so that it would end all of them.
+func (q *sharedQuarantine) contain(f func()) {
+	_ = panics.Call(q.daemon.logger, "quarantine", func() error { f(); return nil }) // The panic has been logged.
 }
 
 // Broke implements forward.Quarantine, for attempts at one upstream. It returns when it is known whether the upstream
@@ -122,11 +133,13 @@
 		return
 	}
 	upstreamEndsTotal.Inc()
-	q.daemon.members.ReportEvidence(q.Ended(quarantine.End{
-		Incarnation: incarnation,
-		At:          p.at,
-		Attempts:    attempts,
-	}))
+	q.contain(func() {
+		q.daemon.members.ReportEvidence(q.Ended(quarantine.End{
+			Incarnation: incarnation,
+			At:          p.at,
+			Attempts:    attempts,
+		}))
+	})
 }
 
 // hasEnded reports whether no process listens at an address any more. A host that does not respond is no sign of it.
