Require API keys also when no workspace has one left

The table asked for a key only if some workspace had one. The log shows that the version without keys had been applied, and the route had asked for a key before, which rules out a rejected manifest and a public route.

The manifest's field decides: with tenants, however few keys they have, requests need a key. routing.Config.KeysOptional is set only if the field is missing. A tenant without the field api-keys made daemons reject the whole manifest and accept the keys of the version before; it has no keys now.

--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -74,7 +74,8 @@
 
 func tableOf(version uint64) *routing.Table {
 	return routing.New(routing.Config{
-		Version: version,
+		Version:      version,
+		KeysOptional: true,
 		Routes: []routing.Route{
 			{
 				Name:             "streams",
--- a/internal/entryhost/evacuation_test.go
+++ b/internal/entryhost/evacuation_test.go
@@ -31,7 +31,8 @@
 // evacuationTable has an idempotent route, one of streams, and one of streams with a stage.
 func evacuationTable() *routing.Table {
 	cfg := routing.Config{
-		Version: 1,
+		Version:      1,
+		KeysOptional: true,
 		Services: []routing.Service{
 			{
 				Name: "s",
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -161,9 +161,10 @@
 		})
 	}
 	return routing.New(routing.Config{
-		Version:  1,
-		Routes:   []routing.Route{route},
-		Services: services,
+		Version:      1,
+		KeysOptional: true,
+		Routes:       []routing.Route{route},
+		Services:     services,
 	})
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -172,26 +172,32 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
-	Limits     Limits
+	// KeysOptional reports that requests need no API key on any route. Otherwise those on routes that are not public need
+	// one, and none is accepted while no workspace has any.
+	KeysOptional bool
+	Limits       Limits
 }
 
 // Table is one version of all routes. It is safe for concurrent use.
 type Table struct {
-	version    uint64
-	limits     Limits
-	byHost     map[string][]Route
-	services   map[string]Service
-	workspaces map[string]Workspace
+	version  uint64
+	limits   Limits
+	byHost   map[string][]Route
+	services map[string]Service
+	// workspaces are those that have keys, by key.
+	workspaces   map[string]Workspace
+	keysOptional bool
 }
 
 // New returns a Table with the content of cfg.
 func New(cfg Config) *Table {
 	t := &Table{
-		version:    cfg.Version,
-		limits:     cfg.Limits,
-		byHost:     make(map[string][]Route),
-		services:   make(map[string]Service, len(cfg.Services)),
-		workspaces: make(map[string]Workspace),
+		version:      cfg.Version,
+		limits:       cfg.Limits,
+		byHost:       make(map[string][]Route),
+		services:     make(map[string]Service, len(cfg.Services)),
+		workspaces:   make(map[string]Workspace),
+		keysOptional: cfg.KeysOptional,
 	}
 	for _, r := range cfg.Routes {
 		r.MaxAttempts = min(max(r.MaxAttempts, 0), maxAttempts)
@@ -264,4 +270,4 @@
 }
 
 // RequiresKey reports whether requests on routes that are not public need an API key.
-func (t *Table) RequiresKey() bool { return len(t.workspaces) > 0 }
+func (t *Table) RequiresKey() bool { return !t.keysOptional }
--- a/internal/wire/keyedlogapi/oas_json_gen.go
+++ b/internal/wire/keyedlogapi/oas_json_gen.go
@@ -1582,12 +1582,14 @@
 		e.Str(s.Name)
 	}
 	{
-		e.FieldStart("api-keys")
-		e.ArrStart()
-		for _, elem := range s.APIMinusKeys {
-			e.Str(elem)
+		if s.APIMinusKeys != nil {
+			e.FieldStart("api-keys")
+			e.ArrStart()
+			for _, elem := range s.APIMinusKeys {
+				e.Str(elem)
+			}
+			e.ArrEnd()
 		}
-		e.ArrEnd()
 	}
 	{
 		if s.Priority.Set {
@@ -1625,7 +1627,6 @@
 				return errors.Wrap(err, "decode field \"name\"")
 			}
 		case "api-keys":
-			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				s.APIMinusKeys = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1664,7 +1665,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b00000001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/internal/wire/keyedlogapi/oas_validators_gen.go
+++ b/internal/wire/keyedlogapi/oas_validators_gen.go
@@ -129,31 +129,6 @@
 			Error: err,
 		})
 	}
-	if err := func() error {
-		var failures []validate.FieldError
-		for i, elem := range s.Tenants {
-			if err := func() error {
-				if err := elem.Validate(); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				failures = append(failures, validate.FieldError{
-					Name:  fmt.Sprintf("[%d]", i),
-					Error: err,
-				})
-			}
-		}
-		if len(failures) > 0 {
-			return &validate.Error{Fields: failures}
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "tenants",
-			Error: err,
-		})
-	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
@@ -451,29 +426,6 @@
 	return nil
 }
 
-func (s *ManifestTenant) Validate() error {
-	if s == nil {
-		return validate.ErrNilPointer
-	}
-
-	var failures []validate.FieldError
-	if err := func() error {
-		if s.APIMinusKeys == nil {
-			return errors.New("nil is invalid value")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "api-keys",
-			Error: err,
-		})
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-	return nil
-}
-
 func (s *NewestPage) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
