Accept no request without an API key by an empty key of a workspace

The empty key belongs to no workspace. A new case of TestLastKeyTakenAway failed before (the request without a key got 200) and passes.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -263,10 +263,10 @@
 	return list
 }
 
-// Workspace returns the workspace of an API key.
+// Workspace returns the workspace of an API key. No key is none, also if a workspace lists the empty one.
 func (t *Table) Workspace(key string) (Workspace, bool) {
 	w, ok := t.workspaces[key]
-	return w, ok
+	return w, ok && key != ""
 }
 
 // RequiresKey reports whether requests on routes that are not public need an API key.
