Forget no stream origins when the last resumable route is taken away

Without a resumable route the retention of origins shrinks to 10 s. When a route is added again within the longer retention, versions and entries of before are forgotten, but the daemon counted as one that had observed all of it: a stream whose version was gone could go on at another one. A route without a timeout counted as one of no time, with the same effect.

What lies further back than the retention so far counts as not observed when the retention grows, and a route without a timeout has the default one.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -21,8 +21,6 @@
 const (
 	// notReadyRetryAfter is the Retry-After delay of a daemon that knows no routes yet.
 	notReadyRetryAfter = 300 * time.Millisecond
-	// defaultTimeout applies if neither the caller nor the route sets a limit.
-	defaultTimeout = time.Minute
 	// noUpstreamRetryAfter is the Retry-After delay unless an upstream is expected to be
 	// available sooner.
 	noUpstreamRetryAfter = 500 * time.Millisecond
@@ -109,7 +107,7 @@
 		limit = x.req.TimeLimit
 	}
 	if limit <= 0 {
-		limit = defaultTimeout
+		limit = routing.DefaultTimeout
 	}
 	x.deadline = x.req.Received.Add(limit)
 	if !time.Now().Before(x.deadline) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -68,6 +68,9 @@
 	ResultBytes int64
 }
 
+// DefaultTimeout is the timeout of requests for which neither their caller nor their route sets one.
+const DefaultTimeout = time.Minute
+
 // maxAttempts bounds Route.MaxAttempts, since each request reserves memory for its attempts.
 const maxAttempts = 64
 
@@ -235,19 +238,28 @@
 	return Route{}, false
 }
 
-// LongestTimeout returns the longest timeout of the routes of a kind, zero if there is none.
+// LongestTimeout returns the longest timeout of the routes of a kind, zero if there is no such route. A route without a
+// timeout has the default one.
 func (t *Table) LongestTimeout(k Kind) time.Duration {
 	longest := time.Duration(0)
 	for _, routes := range t.byHost {
 		for _, r := range routes {
 			if r.Kind == k {
-				longest = max(longest, r.Timeout)
+				longest = max(longest, r.timeout())
 			}
 		}
 	}
 	return longest
 }
 
+// timeout returns the timeout of requests of callers without one.
+func (r Route) timeout() time.Duration {
+	if r.Timeout <= 0 {
+		return DefaultTimeout
+	}
+	return r.Timeout
+}
+
 // Service returns the service with a name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -104,10 +104,14 @@
 	}
 }
 
-// SetRetention changes the time for which callers may come back.
+// SetRetention changes the time for which callers may come back. What lies further back than the retention until now
+// has been forgotten, so that a longer one counts from there.
 func (t *Table) SetRetention(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if since := time.Now().Add(-t.retention); d > t.retention && since.After(t.observedSince) && !t.observedSince.IsZero() {
+		t.observedSince = since
+	}
 	t.retention = d
 }
 
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -38,3 +40,30 @@
 		require.Subset(t, append(AskOf(id, asker, living), asker), told)
 	}
 }
+
+// TestRetentionThatGrows guards against a stream that goes on at another version after its route was taken away, with which
+// the retention shrinks, and added again: the version that began it is forgotten meanwhile.
+func TestRetentionThatGrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const short = 10 * time.Second
+		table := newTestTable()
+		observe := func(version string, length time.Duration) {
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(observeInterval) {
+				table.ObserveUpstreams([]Origin{
+					{
+						Service: "s",
+						Version: version,
+					},
+				})
+			}
+		}
+		observe("v1", testRetention+time.Second)
+		require.True(t, table.Ask("r1", "s").Complete)
+		table.SetRetention(short)
+		observe("v2", short+time.Second)
+		table.SetRetention(testRetention)
+		require.False(t, table.Ask("r1", "s").Complete)
+		observe("v2", testRetention-short)
+		require.True(t, table.Ask("r1", "s").Complete)
+	})
+}
