Move the shared freshness check into a package of its own

The check that several callers share, if it begins after they asked, stood in package daemon. The other daemon needs it for what is recorded of streams.

--- a/internal/daemon/current.go
+++ b/internal/daemon/current.go
@@ -18,67 +18,6 @@
 // errNotReady means that this daemon has not built the complete state from the log yet.
 var errNotReady = errors.New("the state built from the log is not complete")
 
-// freshnessChecker runs checks that the applied state is up to date. Callers that arrive
-// while a check runs share the next one, because a check covers only the keys that were
-// claimed before it started.
-type freshnessChecker struct {
-	check func(ctx context.Context) error
-
-	mu      sync.Mutex
-	running *freshnessCheck
-	next    *freshnessCheck
-}
-
-// freshnessCheck is one check; done is closed when err is set.
-type freshnessCheck struct {
-	done chan struct{}
-	err  error
-}
-
-// wait returns the result of a check that starts after the call.
-func (c *freshnessChecker) wait(ctx context.Context) error {
-	run := c.join()
-	select {
-	case <-run.done:
-		return run.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// join returns the check to wait for: a new one, started at once if none runs.
-func (c *freshnessChecker) join() *freshnessCheck {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.next == nil {
-		c.next = &freshnessCheck{
-			done: make(chan struct{}),
-		}
-		if c.running == nil {
-			run := c.next
-			c.running, c.next = run, nil
-			go c.runChecks(run)
-			return run
-		}
-	}
-	return c.next
-}
-
-// runChecks runs run and then further checks, one at a time, until no caller waits for
-// another one.
-func (c *freshnessChecker) runChecks(run *freshnessCheck) {
-	for run != nil {
-		ctx, stop := context.WithTimeout(context.Background(), checkTimeout)
-		run.err = c.check(ctx)
-		stop()
-		close(run.done)
-		c.mu.Lock()
-		run = c.next
-		c.running, c.next = run, nil
-		c.mu.Unlock()
-	}
-}
-
 // checkFresh returns nil once this daemon has applied every record that any daemon can have
 // acted on before the call: all that the log holds, or, while the log can't be read, all
 // that any known daemon has applied.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"sequoiafork/internal/completion"
 	"sequoiafork/internal/confsync"
 	"sequoiafork/internal/fold"
+	"sequoiafork/internal/freshness"
 	"sequoiafork/internal/hostlist"
 	"sequoiafork/internal/idempotency"
 	"sequoiafork/internal/ident"
@@ -236,10 +237,11 @@
 		Daemons: func() int { return int(d.daemonCount.Load()) },
 	})
 	d.placer = newPlacer(d, engines)
-	freshness := &freshnessChecker{
-		check: d.checkFresh,
-	}
-	d.claimer = idempotency.NewLogClaimer(d.incarnation, d.log, d.machine, freshness.wait)
+	fresh := freshness.New(freshness.Config{
+		Check:   d.checkFresh,
+		Timeout: checkTimeout,
+	})
+	d.claimer = idempotency.NewLogClaimer(d.incarnation, d.log, d.machine, fresh.Wait)
 	d.registry = idempotency.New(idempotency.Config{
 		Self:         d.incarnation,
 		Claims:       d.claimer,
