--- a/internal/entryhost/configuration.go
+++ b/internal/entryhost/configuration.go
@@ -22,6 +22,7 @@
 	d.raw = raw
 	d.table.Store(t)
 	d.origins.SetRetention(retentionOf(t))
+	d.origins.SetServices(streamServices(t))
 	d.scheduler.SetServices(t.Services())
 	d.applyUpstreams()
 	d.reportProgress()
--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -78,7 +78,7 @@
 	syncInterval = 100 * time.Millisecond
 )
 
-// Config configures a Daemon. All fields but Memory and AwaitEvacuations are required.
+// Config configures a Daemon. All fields but Memory, AwaitEvacuations and StreamLog are required.
 type Config struct {
 	Settings settings.Settings
 	Logger   *zap.Logger
@@ -91,6 +91,8 @@
 	DecodeTable func(raw []byte) (*routing.Table, error)
 	// AwaitEvacuations keeps all work from the upstreams until SetEvacuationsKnown is called.
 	AwaitEvacuations bool
+	// StreamLog keeps what is known of streams beyond the loss of all daemons. Nil means that nothing does.
+	StreamLog StreamLog
 }
 
 // Daemon is the daemon of an entry host. It is safe for concurrent use.
@@ -202,9 +204,11 @@
 		Cold:       d.rights,
 		Logger:     d.logger,
 	})
+	streams := streamorigin.New(streamorigin.Config{})
 	d.origins = origins{
-		Table:  streamorigin.New(streamorigin.Config{}),
+		Table:  streams,
 		daemon: d,
+		log:    newOriginLog(d, streams, cfg.StreamLog),
 	}
 	d.node = peer.New(peer.Config{
 		Listener: listener,
@@ -353,6 +357,7 @@
 	g.Go(func() error { return d.syncLoop(ctx) })
 	g.Go(func() error { return d.coldLoop(ctx) })
 	g.Go(func() error { return d.origins.announceLoop(ctx) })
+	g.Go(func() error { return d.origins.log.run(ctx) })
 	err := g.Wait()
 	if errors.Is(err, context.Canceled) {
 		return nil
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -171,6 +171,12 @@
 
 // idleOn returns an idle daemon on a host with a number of cores.
 func idleOn(t *testing.T, cores float64, client forward.UpstreamClient, v *invoker, seeds ...string) *running {
+	t.Helper()
+	return idleWithLog(t, nil, cores, client, v, seeds...)
+}
+
+// idleWithLog returns an idle daemon with a StreamLog, which may be nil.
+func idleWithLog(t *testing.T, log StreamLog, cores float64, client forward.UpstreamClient, v *invoker, seeds ...string) *running {
 	t.Helper()
 	s := settings.Default()
 	s.Daemon.Cores = cores
@@ -185,6 +191,7 @@
 		Client:      client,
 		Invoker:     v,
 		DecodeTable: decodeVersion,
+		StreamLog:   log,
 	})
 	require.NoError(t, err)
 	return &running{
--- a/internal/entryhost/origins.go
+++ b/internal/entryhost/origins.go
@@ -38,32 +38,58 @@
 type origins struct {
 	*streamorigin.Table
 	daemon *Daemon
+	// log is nil if nothing outlasts the daemons.
+	log *originLog
 }
 
-// Find implements forward.StreamOrigins. It asks peers unless this daemon knows the stream, and remembers what they
-// say for the next try of the caller. An empty ID means that the caller doesn't name the request.
+// Find implements forward.StreamOrigins. It asks peers unless this daemon knows the stream, then reads what outlasts all
+// daemons, and remembers the origin for the next try of the caller. An empty ID means that the caller doesn't name the
+// request, so that nobody can know the stream.
 func (o origins) Find(ctx context.Context, requestID, service string) (streamorigin.Origin, error) {
 	own := o.Ask(requestID, service)
-	if requestID == "" {
-		return streamorigin.DecideUnnamed(service, own)
-	}
 	if own.Known {
 		o.Begin(requestID, own.Origin)
 		return own.Origin, nil
 	}
-	peers := o.queryPeers(ctx, requestID, service)
-	origin, err := streamorigin.Decide(service, own, peers)
-	if err == nil {
+	peers, unanswered := o.queryPeers(ctx, requestID, service)
+	origin, known := streamorigin.FindKnown(peers)
+	var err error
+	switch {
+	case known:
+	case o.log != nil:
+		origin, err = o.findRecorded(ctx, requestID, service, peers)
+	default:
+		origin, err = streamorigin.DecideByPeers(service, own, peers, unanswered)
+	}
+	if err == nil && requestID != "" {
 		o.Begin(requestID, origin)
 	}
 	o.daemon.logger.Info("origin of a stream asked for", zap.String("begun_by", requestID), zap.String("service", service),
-		zap.Int("answers", len(peers)), zap.String("version", origin.Version), zap.Error(err))
+		zap.Int("answers", len(peers)), zap.Int("unanswered", unanswered), zap.Bool("known_by_peer", known),
+		zap.String("version", origin.Version), zap.Error(err))
 	return origin, err
 }
 
-// queryPeers returns the answers of the peers to which a stream may have been announced. It ends early
-// when one of them knows the stream.
-func (o origins) queryPeers(ctx context.Context, requestID, service string) []streamorigin.Answer {
+// findRecorded returns the origin of a stream that neither this daemon nor its peers know, after it has read all that was
+// recorded and listed until now: this daemon may have been cut off from the others, or have stood still, while they
+// learned of a version.
+func (o origins) findRecorded(ctx context.Context, requestID, service string, peers []streamorigin.Answer) (streamorigin.Origin, error) {
+	origin, ok, err := o.log.find(ctx, requestID)
+	if err != nil {
+		return streamorigin.Origin{}, &streamorigin.UnknownError{
+			Service: service,
+			Cause:   err,
+		}
+	}
+	if ok {
+		return origin, nil
+	}
+	return streamorigin.DecideByRecords(service, o.Ask(requestID, service), peers)
+}
+
+// queryPeers returns the answers of the peers to which a stream may have been announced, and the number of those that
+// did not answer. It ends early when one of them knows the stream.
+func (o origins) queryPeers(ctx context.Context, requestID, service string) (answers []streamorigin.Answer, unanswered int) {
 	ctx, cancel := context.WithTimeout(ctx, queryOriginTimeout)
 	defer cancel()
 	living := o.daemon.living()
@@ -74,10 +100,10 @@
 			go func() { results <- o.query(ctx, m, requestID, service) }()
 		}
 	}
-	var answers []streamorigin.Answer
 	for range asked {
 		r := <-results
 		if r.err != nil {
+			unanswered++
 			o.daemon.logger.Info("peer not asked for the origin of a stream", zap.String("begun_by", requestID), zap.Error(r.err))
 			continue
 		}
@@ -86,7 +112,7 @@
 			break
 		}
 	}
-	return answers
+	return answers, unanswered
 }
 
 // queryResult is the answer of a peer, or why there is none.
--- a/internal/entryhost/versions_test.go
+++ b/internal/entryhost/versions_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +17,7 @@
 
 	"sequoiafork/internal/forward"
 	"sequoiafork/internal/outcome"
+	"sequoiafork/internal/streamorigin"
 	"sequoiafork/internal/upstream"
 )
 
@@ -24,6 +27,9 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			p := &versionPlay{
 				cutBy: map[string]int{},
+				store: &recordStore{
+					versions: make(map[streamorigin.Origin]bool),
+				},
 			}
 			d.ScanArgs(t, "streams", &p.streams)
 			d.ScanArgs(t, "versions", &p.versions)
@@ -31,6 +37,9 @@
 			p.cutByUpstream = d.HasArg("cut_by_upstream")
 			p.unnamed = d.HasArg("unnamed")
 			p.restarts = d.HasArg("daemons_restart")
+			p.lost = d.HasArg("daemons_lost")
+			p.cutOff = d.HasArg("cut_off")
+			d.MaybeScanArgs(t, "left", &p.left)
 			return p.play(t)
 		})
 	})
@@ -58,12 +67,27 @@
 	ended int
 	// restarts reports that all daemons are replaced in turn before the callers come back.
 	restarts bool
+	// lost reports that all daemons end at once and others start before the callers come back, and cutOff that
+	// they come back at a daemon that reaches no other one and has been told of the first version only.
+	lost   bool
+	cutOff bool
+	// left is the number of versions, the first ones, whose upstreams have left before the callers come back.
+	left  int
+	gone  int // Of left, those that have.
+	store *recordStore
 
 	mu    sync.Mutex
 	cutBy map[string]int
+	// started are all daemons. They end with the play, so that none of a later one gets an address that they look for.
+	started []*running
 }
 
 func (p *versionPlay) play(t *testing.T) string {
+	defer func() {
+		for _, r := range p.started {
+			r.end()
+		}
+	}()
 	v := &invoker{}
 	var daemons []*running
 	var seeds []string
@@ -73,11 +97,21 @@
 		seeds = append(seeds, r.PeerAddr())
 	}
 	agreed(t, daemons)
+	var alone *running
+	if p.cutOff {
+		alone = p.start(t, v)
+		alone.SetUpstreams(slices.DeleteFunc(p.upstreams(), func(h upstream.Host) bool { return h.Version != "v1" }))
+	}
+	time.Sleep(settleTime)
 	callers := p.beginAll(t, daemons)
 	time.Sleep(settleTime)
 	for _, r := range daemons[:p.ended] {
 		r.end()
 	}
+	p.gone = p.left
+	if p.lost {
+		daemons = p.replaceAll(t, v, daemons)
+	}
 	for i := range daemons {
 		if p.restarts {
 			daemons[i].end()
@@ -90,8 +124,11 @@
 	mixed, whole, refused := 0, 0, 0
 	for i, c := range callers {
 		if c.events < streamEvents {
-			next := p.ended + (i+1)%(len(daemons)-p.ended)
-			c.takeUp(t, daemons[next], p.unnamed)
+			next := daemons[p.ended+(i+1)%(len(daemons)-p.ended)]
+			if alone != nil {
+				next = alone
+			}
+			c.takeUp(t, next, p.unnamed)
 		}
 		switch {
 		case len(c.versions()) > 1:
@@ -102,18 +139,77 @@
 			refused++
 		}
 	}
+	if p.cutOff {
+		return fmt.Sprintf("of two versions: %d, whole: %s\n", mixed, wholeByVersion(callers))
+	}
 	return fmt.Sprintf("of two versions: %d, whole: %d, refused: %d\n", mixed, whole, refused)
 }
 
+// wholeByVersion returns whether all, none or some of the streams that began at each version are whole.
+func wholeByVersion(callers []*streamCaller) string {
+	whole, all := make(map[string]int), make(map[string]int)
+	for _, c := range callers {
+		all[c.seen[0]]++
+		if c.events == streamEvents {
+			whole[c.seen[0]]++
+		}
+	}
+	var list []string
+	for _, version := range slices.Sorted(maps.Keys(all)) {
+		share := "some"
+		switch whole[version] {
+		case 0:
+			share = "none"
+		case all[version]:
+			share = "all"
+		}
+		list = append(list, share+" of "+version)
+	}
+	return strings.Join(list, ", ")
+}
+
 // start starts a daemon that knows routes and upstreams.
 func (p *versionPlay) start(t *testing.T, v *invoker, seeds ...string) *running {
-	r := idleWith(t, p, v, seeds...)
+	p.store.listed = versionsOf(p.upstreams())
+	r := idleWithLog(t, &recordReader{
+		store: p.store,
+	}, hostOfUnknownSize, p, v, seeds...)
 	r.run(t)
+	p.started = append(p.started, r)
+	p.store.join(r.Daemon)
 	r.SetTable(tableOf(1), []byte("1"), "test")
 	r.SetUpstreams(p.upstreams())
 	return r
 }
 
+// replaceAll ends all daemons at once, and then starts as many others.
+func (p *versionPlay) replaceAll(t *testing.T, v *invoker, daemons []*running) []*running {
+	for _, r := range daemons {
+		r.end()
+	}
+	var others []*running
+	var seeds []string
+	for range daemons {
+		r := p.start(t, v, seeds...)
+		others = append(others, r)
+		seeds = append(seeds, r.PeerAddr())
+	}
+	agreed(t, others)
+	return others
+}
+
+// versionsOf returns the versions of upstreams.
+func versionsOf(hosts []upstream.Host) []streamorigin.Origin {
+	var list []streamorigin.Origin
+	for _, h := range hosts {
+		list = append(list, streamorigin.Origin{
+			Service: h.Service,
+			Version: h.Version,
+		})
+	}
+	return list
+}
+
 func (p *versionPlay) beginAll(t *testing.T, daemons []*running) []*streamCaller {
 	var callers []*streamCaller
 	for i := range p.streams {
@@ -130,7 +226,12 @@
 	return callers
 }
 
+// upstreams returns the upstreams that serve now.
 func (p *versionPlay) upstreams() []upstream.Host {
+	return slices.DeleteFunc(p.allUpstreams(), func(h upstream.Host) bool { return h.Version <= fmt.Sprintf("v%d", p.gone) })
+}
+
+func (p *versionPlay) allUpstreams() []upstream.Host {
 	var hosts []upstream.Host
 	for i := range upstreamsPerVersion * p.versions {
 		hosts = append(hosts, upstream.Host{
@@ -146,7 +247,7 @@
 // Call implements forward.UpstreamClient. Each event names the version that made it.
 func (p *versionPlay) Call(_ context.Context, call forward.Call) (*forward.Response, error) {
 	version := ""
-	for _, h := range p.upstreams() {
+	for _, h := range p.allUpstreams() {
 		if h.Addr == call.Addr {
 			version = h.Version
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -119,6 +119,17 @@
 	return ""
 }
 
+// Splits reports whether requests of the route go to more than one service.
+func (r Route) Splits() bool {
+	services := make(map[string]bool)
+	for _, t := range r.Targets {
+		if t.Weight > 0 {
+			services[t.Service] = true
+		}
+	}
+	return len(services) > 1
+}
+
 // EngineSpec is the capacity of one model engine.
 type EngineSpec struct {
 	Slots       int
@@ -238,6 +249,15 @@
 	return Route{}, false
 }
 
+// Routes returns the routes, in no particular order.
+func (t *Table) Routes() []Route {
+	var list []Route
+	for _, routes := range t.byHost {
+		list = append(list, routes...)
+	}
+	return list
+}
+
 // LongestTimeout returns the longest timeout of the routes of a kind, zero if there is no such route. A route without a
 // timeout has the default one.
 func (t *Table) LongestTimeout(k Kind) time.Duration {
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -76,6 +76,8 @@
 	}, func(s *Settings) *string { return &s.Platform.Kind })
 	g.requiredAddr(PlatformKindKeyedLog, "store_addr", "Address of the log with keyed topics.", "192.0.2.20:7102",
 		func(s *Settings) *string { return &s.Platform.StoreAddr })
+	g.number("store_writes_per_second", "Writes that the log with keyed topics takes from all daemons together. They use a tenth of them to record streams.", "writes a second", 400, 1, 1_000_000,
+		func(s *Settings) *float64 { return &s.Platform.StoreWritesPerSecond })
 	g.requiredAddr(PlatformKindKeyedLog, "ready_addr", "Address of this daemon for the platform's readiness checks.", "192.0.2.10:7004",
 		func(s *Settings) *string { return &s.Platform.ReadyAddr })
 	g.requiredAddr(PlatformKindKeyedLog, "directory_addr", "Address of this daemon at which callers resolve where to connect.", "192.0.2.10:7005",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,8 +65,10 @@
 type Platform struct {
 	// Kind is PlatformKindLog or PlatformKindKeyedLog. It decides which of the addresses
 	// are required.
-	Kind                 string
-	StoreAddr            string
+	Kind      string
+	StoreAddr string
+	// StoreWritesPerSecond is the number of writes that the store takes from all daemons together.
+	StoreWritesPerSecond float64
 	ReadyAddr            string
 	DirectoryAddr        string
 	LogAddr              string
--- a/internal/streamorigin/model_test.go
+++ b/internal/streamorigin/model_test.go
@@ -11,7 +11,8 @@
 )
 
 // TestNoStreamChangesItsVersion guards against a daemon that lets a stream go on at another version than the one that
-// began it, whatever daemons die, freeze, lose each other or can't read the list of upstreams.
+// began it, whatever daemons die, also all at once, stand still, lose each other, learn late of a version or can't read
+// the list of upstreams.
 func TestNoStreamChangesItsVersion(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var violation error // Rapid can't fail within the bubble.
@@ -21,12 +22,15 @@
 				listedAt: make(map[string]time.Time),
 			}
 			m.cluster.list([]string{"v1"})
+			m.cluster.record()
 			m.noteListed()
 			rt.Repeat(map[string]func(*rapid.T){
 				"list":     m.list,
 				"begin":    m.begin,
 				"announce": func(*rapid.T) { m.cluster.announce() },
+				"record":   func(*rapid.T) { m.cluster.record() },
 				"disturb":  m.disturb,
+				"lose all": m.loseAll,
 				"cut":      m.cut,
 				"advance":  m.advance,
 				"resume":   m.resume,
@@ -62,13 +66,38 @@
 	begunAt time.Time
 }
 
+// list changes the list of upstreams. Some daemons learn of it at once, and one of them records the versions.
 func (m *model) list(t *rapid.T) {
 	versions := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1", "v2", "v3"}), 1, 2, rapid.ID).Draw(t, "versions")
+	first := m.running(t)
+	if first.blind {
+		t.Skip("no daemon learns of it")
+	}
 	m.noteListed()
-	m.cluster.list(versions)
+	m.cluster.setListed(versions)
+	m.cluster.observe(first)
+	for _, d := range m.cluster.daemons {
+		if rapid.Bool().Draw(t, "learns") {
+			m.cluster.observe(d)
+		}
+	}
+	m.cluster.record()
 	m.noteListed()
 }
 
+// loseAll ends all daemons at once and starts them again.
+func (m *model) loseAll(t *rapid.T) {
+	for _, d := range m.cluster.daemons {
+		d.down, d.frozen, d.blind = true, false, false
+	}
+	m.cluster.advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+	for _, d := range m.cluster.daemons {
+		d.down = false
+		m.cluster.restart(d)
+		m.cluster.observe(d)
+	}
+}
+
 func (m *model) noteListed() {
 	for _, o := range m.cluster.listed {
 		m.listedAt[o.Version] = time.Now()
@@ -117,12 +146,10 @@
 	case "kill":
 		d.down = !d.down
 		d.frozen, d.blind = false, false
-		d.table = newTestTable()
+		m.cluster.restart(d)
 	case "freeze":
-		if d.frozen {
-			m.cluster.advance(maxObserveGap + observeInterval)
-		}
 		d.frozen = !d.frozen
+		return // It goes on with what it knew.
 	case "blind":
 		d.blind = !d.blind
 		d.table.SetReadable(!d.blind)
@@ -151,7 +178,11 @@
 	}
 	s := rapid.SampledFrom(m.streams).Draw(t, "stream")
 	d := m.running(t)
-	o, err := m.cluster.resume(d.name, s.id)
+	id := s.id
+	if rapid.IntRange(0, 4).Draw(t, "named") == 0 {
+		id = ""
+	}
+	o, err := m.cluster.resume(d.name, id)
 	if err == nil && o.Version != s.version {
 		m.violation = fmt.Errorf("the stream %s began at %s and goes on at %s", s.id, s.version, o.Version)
 	}
--- a/internal/streamorigin/script_test.go
+++ b/internal/streamorigin/script_test.go
@@ -1,7 +1,9 @@
 package streamorigin
 
 import (
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -28,11 +30,14 @@
 	observeInterval = 500 * time.Millisecond
 )
 
-// cluster is a number of daemons that read one list of upstreams.
+// cluster is a number of daemons that read one list of upstreams, and a store that outlasts them.
 type cluster struct {
 	daemons []*testDaemon
 	listed  []Origin
 	cuts    []cut
+	// origins and versions are what is recorded in the store.
+	origins  []Record
+	versions map[Origin]bool
 }
 
 // cut is a broken connection between two daemons.
@@ -46,24 +51,71 @@
 	// down daemons neither answer nor observe; frozen ones keep their table. blind ones can't read the list.
 	down, frozen, blind bool
 	seen                []Origin
+	// journal holds the first read of the recorded origins.
+	journal *Journal
+	read    int
 }
 
 func newCluster(names ...string) *cluster {
-	c := &cluster{}
+	c := &cluster{
+		versions: make(map[Origin]bool),
+	}
 	for _, name := range names {
 		c.daemons = append(c.daemons, &testDaemon{
-			name:  name,
-			table: newTestTable(),
+			name:    name,
+			table:   newTestTable(),
+			journal: NewJournal(JournalConfig{}),
 		})
 	}
 	return c
 }
 
+// restart gives a daemon an empty state. It reads which versions are recorded.
+func (c *cluster) restart(m *testDaemon) {
+	m.table = newTestTable()
+	m.journal, m.read = NewJournal(JournalConfig{}), 0
+	m.seen = nil
+	c.learn(m)
+}
+
+// learn tells a daemon which versions are recorded, unless it can't read the store.
+func (c *cluster) learn(m *testDaemon) {
+	if m.down || m.frozen || m.blind || len(c.versions) == 0 {
+		return
+	}
+	m.table.SetRecorded(slices.Collect(maps.Keys(c.versions)))
+}
+
+// record records what daemons that reach the store have to record.
+func (c *cluster) record() {
+	for _, m := range c.daemons {
+		if m.down || m.frozen || m.blind {
+			continue
+		}
+		m.table.SetRecorded(slices.Collect(maps.Keys(c.versions)))
+		for _, e := range m.table.TakeUnrecorded() {
+			c.origins = append(c.origins, RecordOf(e))
+		}
+		changes := m.table.Changes()
+		for _, o := range changes.Record {
+			c.versions[o] = true
+		}
+		for _, o := range changes.Drop {
+			delete(c.versions, o)
+		}
+	}
+	for _, m := range c.daemons {
+		c.learn(m)
+	}
+}
+
 func newTestTable() *Table {
-	return New(Config{
+	table := New(Config{
 		Retention:  testRetention,
 		MaxEntries: 1000,
 	})
+	table.SetServices([]string{"s"})
+	return table
 }
 
 func (c *cluster) run(t *testing.T, d *datadriven.TestData) string {
@@ -87,6 +139,14 @@
 		})
 	case "announce":
 		return fmt.Sprintf("messages: %d\n", c.announce())
+	case "record":
+		c.record()
+		return fmt.Sprintf("recorded: %d versions, %d origins\n", len(c.versions), len(c.origins))
+	case "relist": // A change of the list that only some daemons learn of.
+		c.setListed(strings.Fields(d.Input))
+		for _, arg := range d.CmdArgs {
+			c.observe(c.daemon(arg.Key))
+		}
 	case "resume":
 		var at, id string
 		d.ScanArgs(t, "at", &at)
@@ -109,7 +169,7 @@
 			m.down = true
 		case "restart":
 			m.down = false
-			m.table = newTestTable()
+			c.restart(m)
 			c.observe(m)
 			c.welcome(m)
 		case "stop":
@@ -131,8 +191,13 @@
 	return c.daemons[i]
 }
 
-// list replaces the versions of the upstreams of service s.
+// list replaces the versions of the upstreams of service s, which all daemons learn at once.
 func (c *cluster) list(versions []string) {
+	c.setListed(versions)
+	c.observeAll()
+}
+
+func (c *cluster) setListed(versions []string) {
 	c.listed = nil
 	for _, v := range versions {
 		c.listed = append(c.listed, Origin{
@@ -140,7 +205,6 @@
 			Version: v,
 		})
 	}
-	c.observeAll()
 }
 
 func (c *cluster) observeAll() {
@@ -225,25 +289,56 @@
 	}
 }
 
-// resume returns where a stream goes on that its caller takes up at a daemon.
+// resume returns where a stream goes on that its caller takes up at a daemon. Without an ID the caller does not name it.
 func (c *cluster) resume(at, id string) (Origin, error) {
 	m := c.daemon(at)
-	if id == "" {
-		return DecideUnnamed("s", m.table.Ask(id, "s"))
-	}
+	own := m.table.Ask(id, "s")
 	var answers []Answer
+	unanswered := 0
 	for _, name := range AskOf(id, at, c.living()) {
 		if peer := c.daemon(name); c.reach(m, peer) {
 			answers = append(answers, peer.table.Ask(id, "s"))
+		} else {
+			unanswered++
+		}
+	}
+	o, known := FindKnown(append(answers, own))
+	var err error
+	switch {
+	case known:
+	case len(c.versions) == 0:
+		o, err = DecideByPeers("s", own, answers, unanswered)
+	case m.blind:
+		err = &UnknownError{
+			Service: "s",
+			Cause:   errors.New("the store can't be read"),
 		}
+	default:
+		o, err = c.findRecorded(m, id, answers)
 	}
-	o, err := Decide("s", m.table.Ask(id, "s"), answers)
-	if err == nil {
+	if err == nil && id != "" {
 		m.table.Begin(id, o)
 	}
 	return o, err
 }
 
+// findRecorded reads what is recorded and listed now.
+func (c *cluster) findRecorded(m *testDaemon, id string, answers []Answer) (Origin, error) {
+	m.journal.Add(c.origins[m.read:], testRetention)
+	m.read = len(c.origins)
+	unread := slices.Clone(c.listed)
+	for o := range c.versions {
+		if !m.table.isRecorded(o) {
+			unread = append(unread, o)
+		}
+	}
+	m.table.NoteVersions(unread)
+	if o, ok := m.journal.Find(id); ok {
+		return o, nil
+	}
+	return DecideByRecords("s", m.table.Ask(id, "s"), answers)
+}
+
 func (c *cluster) describe(at, id string) string {
 	o, err := c.resume(at, id)
 	if err != nil {
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -77,6 +77,9 @@
 	// announceAll reports that all origins are announced.
 	announceAll bool
 	wake        chan struct{}
+	recorded    recorded
+	// unrecorded are the streams whose origins are to be recorded.
+	unrecorded []string
 }
 
 type entry struct {
@@ -84,7 +87,9 @@
 	// own reports that this daemon has served the stream, and announced that its peers were told.
 	own       bool
 	announced bool
-	usedAt    time.Time
+	// recorded reports that it was to be recorded.
+	recorded bool
+	usedAt   time.Time
 }
 
 // queued is an entry and when it was used as it was queued.
@@ -115,6 +120,13 @@
 	t.retention = d
 }
 
+// Retention returns the time for which callers may come back.
+func (t *Table) Retention() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.retention
+}
+
 // Begin records that this daemon serves a stream that began at an origin: it has forwarded the first event, or its
 // caller has taken the stream up here.
 func (t *Table) Begin(requestID string, o Origin) {
@@ -180,10 +192,15 @@
 }
 
 // announceIfUncertain makes TakeUnannounced return an entry if its service may have several versions, or if all
-// are announced.
+// are announced, and TakeUnrecorded in the first case.
 func (t *Table) announceIfUncertain(requestID string, now time.Time) {
 	e := t.entries[requestID]
-	if e.announced || !t.announceAll && !t.uncertain(e.origin.Service, now) {
+	uncertain := t.uncertain(e.origin.Service, now)
+	if uncertain && !e.recorded {
+		e.recorded = true
+		t.unrecorded = append(t.unrecorded, requestID)
+	}
+	if e.announced || !t.announceAll && !uncertain {
 		return
 	}
 	e.announced = true
@@ -194,8 +211,12 @@
 	}
 }
 
-// uncertain reports whether a stream of a service can have begun at more than one version.
+// uncertain reports whether a stream of a service can have begun at more than one version, or at one that a daemon which
+// has just started would not know of.
 func (t *Table) uncertain(service string, now time.Time) bool {
+	if t.recorded.known {
+		return !t.onlyRecorded(service, now)
+	}
 	return !t.complete(now) || len(t.seen(service, now)) > 1
 }
 
@@ -294,9 +315,16 @@
 func (t *Table) TakeUnannounced() []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	list := t.take(t.unannounced)
+	t.unannounced = nil
+	return list
+}
+
+// take returns the entries of some streams that have not been dropped. The caller holds mu.
+func (t *Table) take(ids []string) []Entry {
 	now := time.Now()
 	var list []Entry
-	for _, id := range t.unannounced {
+	for _, id := range ids {
 		e, ok := t.entries[id]
 		if !ok {
 			continue
@@ -307,10 +335,27 @@
 			Age:       now.Sub(e.usedAt),
 		})
 	}
-	t.unannounced = nil
 	return list
 }
 
+// TakeUnrecorded returns the entries that are to be recorded where they outlast all daemons, once.
+func (t *Table) TakeUnrecorded() []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.take(t.unrecorded)
+	t.unrecorded = nil
+	return list
+}
+
+// RetryUnrecorded makes TakeUnrecorded return entries again that could not be recorded.
+func (t *Table) RetryUnrecorded(list []Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range list {
+		t.unrecorded = append(t.unrecorded, e.RequestID)
+	}
+}
+
 // EntriesFor returns the entries that self has to tell a daemon that has just joined, since daemons that were told before may end:
 // those of the streams that it has served, and its part of the others.
 func (t *Table) EntriesFor(newcomer, self string, living []string) []Entry {
@@ -342,8 +387,9 @@
 	now := time.Now()
 	t.expire(now, 0)
 	a := Answer{
-		Versions: t.seen(service, now),
+		Versions: t.candidates(service, now),
 		Complete: t.complete(now),
+		Recorded: t.recorded.known,
 	}
 	if e, ok := t.entries[requestID]; ok {
 		e.usedAt = now
--- a/internal/topic/follower.go
+++ b/internal/topic/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -47,11 +48,13 @@
 
 // Follower follows one topic. Its methods are safe for concurrent use.
 type Follower struct {
-	cfg      Config
-	tail     *tail
-	newest   *newest
-	values   map[string][]byte // the last value of each key that was read with it
-	next     era.Position      // to read from; the offset is negative before the first read
+	cfg    Config
+	tail   *tail
+	newest *newest
+	values map[string][]byte // the last value of each key that was read with it
+	next   era.Position      // to read from; the offset is negative before the first read
+	// applied is next after the records before it were passed on.
+	applied  atomic.Pointer[era.Position]
 	failures int
 	// unreachable reports that OnUnreachable was called and OnReachable was not called since.
 	unreachable bool
@@ -98,6 +101,21 @@
 	return ctx.Err()
 }
 
+// Applied returns the position before which all records have been passed on, and false before the first ones.
+func (f *Follower) Applied() (era.Position, bool) {
+	at := f.applied.Load()
+	if at == nil {
+		return era.Position{}, false
+	}
+	return *at, true
+}
+
+// setApplied records that all records before f.next have been passed on.
+func (f *Follower) setApplied() {
+	at := f.next
+	f.applied.Store(&at)
+}
+
 // ReadTopic returns the records from an offset on to another daemon, while this one reads them
 // from the store. It waits for up to wait for the first one. The error is a *NotCurrentError or
 // an *ExpiredError, or that of ctx.
@@ -176,6 +194,7 @@
 	f.markUnreachable(cause)
 	f.startAt(&s)
 	f.cfg.OnNewest(s)
+	f.setApplied()
 	return true
 }
 
@@ -264,6 +283,7 @@
 	f.startAt(&s)
 	f.reportStore(began, nil)
 	f.cfg.OnNewest(s)
+	f.setApplied()
 	return nil
 }
 
@@ -312,6 +332,7 @@
 	if len(changed) > 0 {
 		f.cfg.OnRecords(changed)
 	}
+	f.setApplied()
 }
 
 // observe records the value of a key and reports whether it says the same as the one before.
--- a/internal/topic/topic.go
+++ b/internal/topic/topic.go
@@ -91,6 +91,8 @@
 type ExpiredError struct {
 	Topic string
 	From  era.Position
+	// First is the offset of the first record that is kept, if that is known: it is beyond that of From then.
+	First int64
 }
 
 // Error returns a message with the topic and the position.
--- a/internal/wire/keyedlogapi/oas_client_gen.go
+++ b/internal/wire/keyedlogapi/oas_client_gen.go
@@ -88,6 +88,10 @@
 	//
 	// GET /daemons/entry
 	DaemonEntry(ctx context.Context, options ...RequestOption) (*DaemonEntry, error)
+	// Expired invokes expired operation.
+	//
+	// GET /log-read/gone
+	Expired(ctx context.Context, options ...RequestOption) (*Expired, error)
 	// Manifest invokes manifest operation.
 	//
 	// GET /op/config
@@ -96,6 +100,10 @@
 	//
 	// GET /log-newest
 	Newest(ctx context.Context, params NewestParams, options ...RequestOption) (*NewestPage, error)
+	// RecordedVersion invokes recordedVersion operation.
+	//
+	// GET /daemons/version
+	RecordedVersion(ctx context.Context, options ...RequestOption) (*RecordedVersion, error)
 	// Report invokes report operation.
 	//
 	// GET /report
@@ -116,6 +124,10 @@
 	//
 	// POST /stage-run
 	StageRun(ctx context.Context, request *StageRunRequest, options ...RequestOption) (*StageRunResponse, error)
+	// StreamOrigins invokes streamOrigins operation.
+	//
+	// GET /streams/origins
+	StreamOrigins(ctx context.Context, options ...RequestOption) (*StreamOrigins, error)
 }
 
 // Client implements OAS client.
@@ -260,6 +272,65 @@
 	return result, nil
 }
 
+// Expired invokes expired operation.
+//
+// GET /log-read/gone
+func (c *Client) Expired(ctx context.Context, options ...RequestOption) (*Expired, error) {
+	res, err := c.sendExpired(ctx, options...)
+	return res, err
+}
+
+func (c *Client) sendExpired(ctx context.Context, requestOptions ...RequestOption) (res *Expired, err error) {
+
+	var reqCfg requestConfig
+	reqCfg.setDefaults(c.baseClient)
+	for _, o := range requestOptions {
+		o(&reqCfg)
+	}
+
+	u := c.serverURL
+	if override := reqCfg.ServerURL; override != nil {
+		u = override
+	}
+	u = uri.Clone(u)
+	var pathParts [1]string
+	pathParts[0] = "/log-read/gone"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	if err := reqCfg.onRequest(r); err != nil {
+		return res, errors.Wrap(err, "edit request")
+	}
+
+	resp, err := reqCfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	if err := reqCfg.onResponse(resp); err != nil {
+		return res, errors.Wrap(err, "edit response")
+	}
+
+	result, err := decodeExpiredResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // Manifest invokes manifest operation.
 //
 // GET /op/config
@@ -426,6 +497,65 @@
 	return result, nil
 }
 
+// RecordedVersion invokes recordedVersion operation.
+//
+// GET /daemons/version
+func (c *Client) RecordedVersion(ctx context.Context, options ...RequestOption) (*RecordedVersion, error) {
+	res, err := c.sendRecordedVersion(ctx, options...)
+	return res, err
+}
+
+func (c *Client) sendRecordedVersion(ctx context.Context, requestOptions ...RequestOption) (res *RecordedVersion, err error) {
+
+	var reqCfg requestConfig
+	reqCfg.setDefaults(c.baseClient)
+	for _, o := range requestOptions {
+		o(&reqCfg)
+	}
+
+	u := c.serverURL
+	if override := reqCfg.ServerURL; override != nil {
+		u = override
+	}
+	u = uri.Clone(u)
+	var pathParts [1]string
+	pathParts[0] = "/daemons/version"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	if err := reqCfg.onRequest(r); err != nil {
+		return res, errors.Wrap(err, "edit request")
+	}
+
+	resp, err := reqCfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	if err := reqCfg.onResponse(resp); err != nil {
+		return res, errors.Wrap(err, "edit response")
+	}
+
+	result, err := decodeRecordedVersionResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // Report invokes report operation.
 //
 // GET /report
@@ -726,3 +856,62 @@
 
 	return result, nil
 }
+
+// StreamOrigins invokes streamOrigins operation.
+//
+// GET /streams/origins
+func (c *Client) StreamOrigins(ctx context.Context, options ...RequestOption) (*StreamOrigins, error) {
+	res, err := c.sendStreamOrigins(ctx, options...)
+	return res, err
+}
+
+func (c *Client) sendStreamOrigins(ctx context.Context, requestOptions ...RequestOption) (res *StreamOrigins, err error) {
+
+	var reqCfg requestConfig
+	reqCfg.setDefaults(c.baseClient)
+	for _, o := range requestOptions {
+		o(&reqCfg)
+	}
+
+	u := c.serverURL
+	if override := reqCfg.ServerURL; override != nil {
+		u = override
+	}
+	u = uri.Clone(u)
+	var pathParts [1]string
+	pathParts[0] = "/streams/origins"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	if err := reqCfg.onRequest(r); err != nil {
+		return res, errors.Wrap(err, "edit request")
+	}
+
+	resp, err := reqCfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	if err := reqCfg.onResponse(resp); err != nil {
+		return res, errors.Wrap(err, "edit response")
+	}
+
+	result, err := decodeStreamOriginsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
--- a/internal/wire/keyedlogapi/oas_handlers_gen.go
+++ b/internal/wire/keyedlogapi/oas_handlers_gen.go
@@ -154,6 +154,69 @@
 	}
 }
 
+// handleExpiredRequest handles expired operation.
+//
+// GET /log-read/gone
+func (s *Server) handleExpiredRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *Expired
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ExpiredOperation,
+			OperationSummary: "",
+			OperationID:      "expired",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *Expired
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.Expired(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.Expired(ctx)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	if err := encodeExpiredResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleManifestRequest handles manifest operation.
 //
 // GET /op/config
@@ -307,6 +370,69 @@
 	}
 }
 
+// handleRecordedVersionRequest handles recordedVersion operation.
+//
+// GET /daemons/version
+func (s *Server) handleRecordedVersionRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *RecordedVersion
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    RecordedVersionOperation,
+			OperationSummary: "",
+			OperationID:      "recordedVersion",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *RecordedVersion
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.RecordedVersion(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.RecordedVersion(ctx)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	if err := encodeRecordedVersionResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleReportRequest handles report operation.
 //
 // GET /report
@@ -659,3 +785,66 @@
 		return
 	}
 }
+
+// handleStreamOriginsRequest handles streamOrigins operation.
+//
+// GET /streams/origins
+func (s *Server) handleStreamOriginsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *StreamOrigins
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    StreamOriginsOperation,
+			OperationSummary: "",
+			OperationID:      "streamOrigins",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *StreamOrigins
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.StreamOrigins(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.StreamOrigins(ctx)
+	}
+	if err != nil {
+		defer recordError("Internal", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	if err := encodeStreamOriginsResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
--- a/internal/wire/keyedlogapi/oas_json_gen.go
+++ b/internal/wire/keyedlogapi/oas_json_gen.go
@@ -187,6 +187,69 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Expired) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Expired) encodeFields(e *jx.Encoder) {
+	{
+		if s.First.Set {
+			e.FieldStart("first")
+			s.First.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfExpired = [1]string{
+	0: "first",
+}
+
+// Decode decodes Expired from json.
+func (s *Expired) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Expired to nil")
+	}
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "first":
+			if err := func() error {
+				s.First.Reset()
+				if err := s.First.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"first\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Expired")
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Expired) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Expired) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Manifest) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2255,6 +2318,119 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *RecordedVersion) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *RecordedVersion) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("version")
+		e.Str(s.Version)
+	}
+}
+
+var jsonFieldsNameOfRecordedVersion = [2]string{
+	0: "service",
+	1: "version",
+}
+
+// Decode decodes RecordedVersion from json.
+func (s *RecordedVersion) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode RecordedVersion to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "service":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "version":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Version = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode RecordedVersion")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfRecordedVersion) {
+					name = jsonFieldsNameOfRecordedVersion[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *RecordedVersion) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *RecordedVersion) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Report) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -3251,3 +3427,251 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *StreamOrigins) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *StreamOrigins) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("origins")
+		e.ArrStart()
+		for _, elem := range s.Origins {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfStreamOrigins = [1]string{
+	0: "origins",
+}
+
+// Decode decodes StreamOrigins from json.
+func (s *StreamOrigins) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode StreamOrigins to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "origins":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Origins = make([]StreamsOfOrigin, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem StreamsOfOrigin
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Origins = append(s.Origins, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"origins\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode StreamOrigins")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfStreamOrigins) {
+					name = jsonFieldsNameOfStreamOrigins[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *StreamOrigins) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *StreamOrigins) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *StreamsOfOrigin) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *StreamsOfOrigin) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("version")
+		e.Str(s.Version)
+	}
+	{
+		e.FieldStart("streams")
+		e.ArrStart()
+		for _, elem := range s.Streams {
+			e.Str(elem)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfStreamsOfOrigin = [3]string{
+	0: "service",
+	1: "version",
+	2: "streams",
+}
+
+// Decode decodes StreamsOfOrigin from json.
+func (s *StreamsOfOrigin) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode StreamsOfOrigin to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "service":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "version":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Version = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "streams":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				s.Streams = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Streams = append(s.Streams, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"streams\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode StreamsOfOrigin")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfStreamsOfOrigin) {
+					name = jsonFieldsNameOfStreamsOfOrigin[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *StreamsOfOrigin) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *StreamsOfOrigin) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/internal/wire/keyedlogapi/oas_operations_gen.go
+++ b/internal/wire/keyedlogapi/oas_operations_gen.go
@@ -6,13 +6,16 @@
 type OperationName = string
 
 const (
-	AppendOperation      OperationName = "Append"
-	DaemonEntryOperation OperationName = "DaemonEntry"
-	ManifestOperation    OperationName = "Manifest"
-	NewestOperation      OperationName = "Newest"
-	ReportOperation      OperationName = "Report"
-	ResolveOperation     OperationName = "Resolve"
-	ServerEntryOperation OperationName = "ServerEntry"
-	StageFreeOperation   OperationName = "StageFree"
-	StageRunOperation    OperationName = "StageRun"
+	AppendOperation          OperationName = "Append"
+	DaemonEntryOperation     OperationName = "DaemonEntry"
+	ExpiredOperation         OperationName = "Expired"
+	ManifestOperation        OperationName = "Manifest"
+	NewestOperation          OperationName = "Newest"
+	RecordedVersionOperation OperationName = "RecordedVersion"
+	ReportOperation          OperationName = "Report"
+	ResolveOperation         OperationName = "Resolve"
+	ServerEntryOperation     OperationName = "ServerEntry"
+	StageFreeOperation       OperationName = "StageFree"
+	StageRunOperation        OperationName = "StageRun"
+	StreamOriginsOperation   OperationName = "StreamOrigins"
 )
--- a/internal/wire/keyedlogapi/oas_response_decoders_gen.go
+++ b/internal/wire/keyedlogapi/oas_response_decoders_gen.go
@@ -104,6 +104,47 @@
 	return res, validate.UnexpectedStatusCodeWithResponse(resp)
 }
 
+func decodeExpiredResponse(resp *http.Response) (res *Expired, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Expired
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	return res, validate.UnexpectedStatusCodeWithResponse(resp)
+}
+
 func decodeManifestResponse(resp *http.Response) (res *Manifest, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -204,6 +245,47 @@
 	return res, validate.UnexpectedStatusCodeWithResponse(resp)
 }
 
+func decodeRecordedVersionResponse(resp *http.Response) (res *RecordedVersion, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response RecordedVersion
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	return res, validate.UnexpectedStatusCodeWithResponse(resp)
+}
+
 func decodeReportResponse(resp *http.Response) (res *Report, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -412,3 +494,53 @@
 	}
 	return res, validate.UnexpectedStatusCodeWithResponse(resp)
 }
+
+func decodeStreamOriginsResponse(resp *http.Response) (res *StreamOrigins, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response StreamOrigins
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	return res, validate.UnexpectedStatusCodeWithResponse(resp)
+}
--- a/internal/wire/keyedlogapi/oas_response_encoders_gen.go
+++ b/internal/wire/keyedlogapi/oas_response_encoders_gen.go
@@ -43,6 +43,19 @@
 	return nil
 }
 
+func encodeExpiredResponse(response *Expired, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeManifestResponse(response *Manifest, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
@@ -85,6 +98,19 @@
 	return nil
 }
 
+func encodeRecordedVersionResponse(response *RecordedVersion, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeReportResponse(response *Report, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
@@ -174,3 +200,24 @@
 
 	return nil
 }
+
+func encodeStreamOriginsResponse(response *StreamOrigins, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
--- a/internal/wire/keyedlogapi/oas_router_gen.go
+++ b/internal/wire/keyedlogapi/oas_router_gen.go
@@ -11,10 +11,10 @@
 )
 
 var (
-	rn12AllowedHeaders = map[string]string{
+	rn15AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
-	rn14AllowedHeaders = map[string]string{
+	rn17AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 )
@@ -69,29 +69,68 @@
 				break
 			}
 			switch elem[0] {
-			case 'd': // Prefix: "daemons/entry"
+			case 'd': // Prefix: "daemons/"
 
-				if l := len("daemons/entry"); len(elem) >= l && elem[0:l] == "daemons/entry" {
+				if l := len("daemons/"); len(elem) >= l && elem[0:l] == "daemons/" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
-					switch r.Method {
-					case "GET":
-						s.handleDaemonEntryRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "GET",
-							allowedHeaders: nil,
-							acceptPost:     "",
-							acceptPatch:    "",
-						})
+					break
+				}
+				switch elem[0] {
+				case 'e': // Prefix: "entry"
+
+					if l := len("entry"); len(elem) >= l && elem[0:l] == "entry" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleDaemonEntryRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: nil,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				case 'v': // Prefix: "version"
+
+					if l := len("version"); len(elem) >= l && elem[0:l] == "version" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleRecordedVersionRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: nil,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
 					}
 
-					return
 				}
 
 			case 'l': // Prefix: "log-"
@@ -156,6 +195,31 @@
 						return
 					}
 
+				case 'r': // Prefix: "read/gone"
+
+					if l := len("read/gone"); len(elem) >= l && elem[0:l] == "read/gone" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleExpiredRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: nil,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
 				}
 
 			case 'o': // Prefix: "op/config"
@@ -284,9 +348,9 @@
 						return
 					}
 
-				case 't': // Prefix: "tage-"
+				case 't': // Prefix: "t"
 
-					if l := len("tage-"); len(elem) >= l && elem[0:l] == "tage-" {
+					if l := len("t"); len(elem) >= l && elem[0:l] == "t" {
 						elem = elem[l:]
 					} else {
 						break
@@ -296,34 +360,73 @@
 						break
 					}
 					switch elem[0] {
-					case 'f': // Prefix: "free"
+					case 'a': // Prefix: "age-"
 
-						if l := len("free"); len(elem) >= l && elem[0:l] == "free" {
+						if l := len("age-"); len(elem) >= l && elem[0:l] == "age-" {
 							elem = elem[l:]
 						} else {
 							break
 						}
 
 						if len(elem) == 0 {
-							// Leaf node.
-							switch r.Method {
-							case "POST":
-								s.handleStageFreeRequest([0]string{}, elemIsEscaped, w, r)
-							default:
-								s.notAllowed(w, r, notAllowedParams{
-									allowedMethods: "POST",
-									allowedHeaders: rn12AllowedHeaders,
-									acceptPost:     "application/json",
-									acceptPatch:    "",
-								})
+							break
+						}
+						switch elem[0] {
+						case 'f': // Prefix: "free"
+
+							if l := len("free"); len(elem) >= l && elem[0:l] == "free" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch r.Method {
+								case "POST":
+									s.handleStageFreeRequest([0]string{}, elemIsEscaped, w, r)
+								default:
+									s.notAllowed(w, r, notAllowedParams{
+										allowedMethods: "POST",
+										allowedHeaders: rn15AllowedHeaders,
+										acceptPost:     "application/json",
+										acceptPatch:    "",
+									})
+								}
+
+								return
+							}
+
+						case 'r': // Prefix: "run"
+
+							if l := len("run"); len(elem) >= l && elem[0:l] == "run" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch r.Method {
+								case "POST":
+									s.handleStageRunRequest([0]string{}, elemIsEscaped, w, r)
+								default:
+									s.notAllowed(w, r, notAllowedParams{
+										allowedMethods: "POST",
+										allowedHeaders: rn17AllowedHeaders,
+										acceptPost:     "application/json",
+										acceptPatch:    "",
+									})
+								}
+
+								return
 							}
 
-							return
 						}
 
-					case 'r': // Prefix: "run"
+					case 'r': // Prefix: "reams/origins"
 
-						if l := len("run"); len(elem) >= l && elem[0:l] == "run" {
+						if l := len("reams/origins"); len(elem) >= l && elem[0:l] == "reams/origins" {
 							elem = elem[l:]
 						} else {
 							break
@@ -332,13 +435,13 @@
 						if len(elem) == 0 {
 							// Leaf node.
 							switch r.Method {
-							case "POST":
-								s.handleStageRunRequest([0]string{}, elemIsEscaped, w, r)
+							case "GET":
+								s.handleStreamOriginsRequest([0]string{}, elemIsEscaped, w, r)
 							default:
 								s.notAllowed(w, r, notAllowedParams{
-									allowedMethods: "POST",
-									allowedHeaders: rn14AllowedHeaders,
-									acceptPost:     "application/json",
+									allowedMethods: "GET",
+									allowedHeaders: nil,
+									acceptPost:     "",
 									acceptPatch:    "",
 								})
 							}
@@ -450,29 +553,68 @@
 				break
 			}
 			switch elem[0] {
-			case 'd': // Prefix: "daemons/entry"
+			case 'd': // Prefix: "daemons/"
 
-				if l := len("daemons/entry"); len(elem) >= l && elem[0:l] == "daemons/entry" {
+				if l := len("daemons/"); len(elem) >= l && elem[0:l] == "daemons/" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
-					switch method {
-					case "GET":
-						r.name = DaemonEntryOperation
-						r.summary = ""
-						r.operationID = "daemonEntry"
-						r.operationGroup = ""
-						r.pathPattern = "/daemons/entry"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
+					break
+				}
+				switch elem[0] {
+				case 'e': // Prefix: "entry"
+
+					if l := len("entry"); len(elem) >= l && elem[0:l] == "entry" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = DaemonEntryOperation
+							r.summary = ""
+							r.operationID = "daemonEntry"
+							r.operationGroup = ""
+							r.pathPattern = "/daemons/entry"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
+				case 'v': // Prefix: "version"
+
+					if l := len("version"); len(elem) >= l && elem[0:l] == "version" {
+						elem = elem[l:]
+					} else {
+						break
 					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = RecordedVersionOperation
+							r.summary = ""
+							r.operationID = "recordedVersion"
+							r.operationGroup = ""
+							r.pathPattern = "/daemons/version"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
 				}
 
 			case 'l': // Prefix: "log-"
@@ -537,6 +679,31 @@
 						}
 					}
 
+				case 'r': // Prefix: "read/gone"
+
+					if l := len("read/gone"); len(elem) >= l && elem[0:l] == "read/gone" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = ExpiredOperation
+							r.summary = ""
+							r.operationID = "expired"
+							r.operationGroup = ""
+							r.pathPattern = "/log-read/gone"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
 				}
 
 			case 'o': // Prefix: "op/config"
@@ -665,9 +832,9 @@
 						}
 					}
 
-				case 't': // Prefix: "tage-"
+				case 't': // Prefix: "t"
 
-					if l := len("tage-"); len(elem) >= l && elem[0:l] == "tage-" {
+					if l := len("t"); len(elem) >= l && elem[0:l] == "t" {
 						elem = elem[l:]
 					} else {
 						break
@@ -677,34 +844,73 @@
 						break
 					}
 					switch elem[0] {
-					case 'f': // Prefix: "free"
+					case 'a': // Prefix: "age-"
 
-						if l := len("free"); len(elem) >= l && elem[0:l] == "free" {
+						if l := len("age-"); len(elem) >= l && elem[0:l] == "age-" {
 							elem = elem[l:]
 						} else {
 							break
 						}
 
 						if len(elem) == 0 {
-							// Leaf node.
-							switch method {
-							case "POST":
-								r.name = StageFreeOperation
-								r.summary = ""
-								r.operationID = "stageFree"
-								r.operationGroup = ""
-								r.pathPattern = "/stage-free"
-								r.args = args
-								r.count = 0
-								return r, true
-							default:
-								return
+							break
+						}
+						switch elem[0] {
+						case 'f': // Prefix: "free"
+
+							if l := len("free"); len(elem) >= l && elem[0:l] == "free" {
+								elem = elem[l:]
+							} else {
+								break
 							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch method {
+								case "POST":
+									r.name = StageFreeOperation
+									r.summary = ""
+									r.operationID = "stageFree"
+									r.operationGroup = ""
+									r.pathPattern = "/stage-free"
+									r.args = args
+									r.count = 0
+									return r, true
+								default:
+									return
+								}
+							}
+
+						case 'r': // Prefix: "run"
+
+							if l := len("run"); len(elem) >= l && elem[0:l] == "run" {
+								elem = elem[l:]
+							} else {
+								break
+							}
+
+							if len(elem) == 0 {
+								// Leaf node.
+								switch method {
+								case "POST":
+									r.name = StageRunOperation
+									r.summary = ""
+									r.operationID = "stageRun"
+									r.operationGroup = ""
+									r.pathPattern = "/stage-run"
+									r.args = args
+									r.count = 0
+									return r, true
+								default:
+									return
+								}
+							}
+
 						}
 
-					case 'r': // Prefix: "run"
+					case 'r': // Prefix: "reams/origins"
 
-						if l := len("run"); len(elem) >= l && elem[0:l] == "run" {
+						if l := len("reams/origins"); len(elem) >= l && elem[0:l] == "reams/origins" {
 							elem = elem[l:]
 						} else {
 							break
@@ -713,12 +919,12 @@
 						if len(elem) == 0 {
 							// Leaf node.
 							switch method {
-							case "POST":
-								r.name = StageRunOperation
+							case "GET":
+								r.name = StreamOriginsOperation
 								r.summary = ""
-								r.operationID = "stageRun"
+								r.operationID = "streamOrigins"
 								r.operationGroup = ""
-								r.pathPattern = "/stage-run"
+								r.pathPattern = "/streams/origins"
 								r.args = args
 								r.count = 0
 								return r, true
--- a/internal/wire/keyedlogapi/oas_schemas_gen.go
+++ b/internal/wire/keyedlogapi/oas_schemas_gen.go
@@ -43,6 +43,21 @@
 	s.MilliMinusCores = val
 }
 
+// Ref: #/components/schemas/Expired
+type Expired struct {
+	First OptInt64 `json:"first"`
+}
+
+// GetFirst returns the value of First.
+func (s *Expired) GetFirst() OptInt64 {
+	return s.First
+}
+
+// SetFirst sets the value of First.
+func (s *Expired) SetFirst(val OptInt64) {
+	s.First = val
+}
+
 // Ref: #/components/schemas/Manifest
 type Manifest struct {
 	Version  int64             `json:"version"`
@@ -1038,6 +1053,32 @@
 	return d
 }
 
+// Ref: #/components/schemas/RecordedVersion
+type RecordedVersion struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+}
+
+// GetService returns the value of Service.
+func (s *RecordedVersion) GetService() string {
+	return s.Service
+}
+
+// GetVersion returns the value of Version.
+func (s *RecordedVersion) GetVersion() string {
+	return s.Version
+}
+
+// SetService sets the value of Service.
+func (s *RecordedVersion) SetService(val string) {
+	s.Service = val
+}
+
+// SetVersion sets the value of Version.
+func (s *RecordedVersion) SetVersion(val string) {
+	s.Version = val
+}
+
 // Ref: #/components/schemas/Report
 type Report struct {
 	FreeMinusMB OptFloat64 `json:"free-mb"`
@@ -1314,3 +1355,55 @@
 func (s *StageRunResponse) SetItems(val []StageItemResult) {
 	s.Items = val
 }
+
+// Ref: #/components/schemas/StreamOrigins
+type StreamOrigins struct {
+	Origins []StreamsOfOrigin `json:"origins"`
+}
+
+// GetOrigins returns the value of Origins.
+func (s *StreamOrigins) GetOrigins() []StreamsOfOrigin {
+	return s.Origins
+}
+
+// SetOrigins sets the value of Origins.
+func (s *StreamOrigins) SetOrigins(val []StreamsOfOrigin) {
+	s.Origins = val
+}
+
+// Ref: #/components/schemas/StreamsOfOrigin
+type StreamsOfOrigin struct {
+	Service string   `json:"service"`
+	Version string   `json:"version"`
+	Streams []string `json:"streams"`
+}
+
+// GetService returns the value of Service.
+func (s *StreamsOfOrigin) GetService() string {
+	return s.Service
+}
+
+// GetVersion returns the value of Version.
+func (s *StreamsOfOrigin) GetVersion() string {
+	return s.Version
+}
+
+// GetStreams returns the value of Streams.
+func (s *StreamsOfOrigin) GetStreams() []string {
+	return s.Streams
+}
+
+// SetService sets the value of Service.
+func (s *StreamsOfOrigin) SetService(val string) {
+	s.Service = val
+}
+
+// SetVersion sets the value of Version.
+func (s *StreamsOfOrigin) SetVersion(val string) {
+	s.Version = val
+}
+
+// SetStreams sets the value of Streams.
+func (s *StreamsOfOrigin) SetStreams(val []string) {
+	s.Streams = val
+}
--- a/internal/wire/keyedlogapi/oas_server_gen.go
+++ b/internal/wire/keyedlogapi/oas_server_gen.go
@@ -16,6 +16,10 @@
 	//
 	// GET /daemons/entry
 	DaemonEntry(ctx context.Context) (*DaemonEntry, error)
+	// Expired implements expired operation.
+	//
+	// GET /log-read/gone
+	Expired(ctx context.Context) (*Expired, error)
 	// Manifest implements manifest operation.
 	//
 	// GET /op/config
@@ -24,6 +28,10 @@
 	//
 	// GET /log-newest
 	Newest(ctx context.Context, params NewestParams) (*NewestPage, error)
+	// RecordedVersion implements recordedVersion operation.
+	//
+	// GET /daemons/version
+	RecordedVersion(ctx context.Context) (*RecordedVersion, error)
 	// Report implements report operation.
 	//
 	// GET /report
@@ -44,6 +52,10 @@
 	//
 	// POST /stage-run
 	StageRun(ctx context.Context, req *StageRunRequest) (*StageRunResponse, error)
+	// StreamOrigins implements streamOrigins operation.
+	//
+	// GET /streams/origins
+	StreamOrigins(ctx context.Context) (*StreamOrigins, error)
 }
 
 // Server implements http server based on OpenAPI v3 specification and
--- a/internal/wire/keyedlogapi/oas_validators_gen.go
+++ b/internal/wire/keyedlogapi/oas_validators_gen.go
@@ -611,3 +611,66 @@
 	}
 	return nil
 }
+
+func (s *StreamOrigins) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Origins == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Origins {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "origins",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *StreamsOfOrigin) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Streams == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "streams",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
