Refuse streams of unknown service on split routes

A caller that took up a stream without naming the request that began it came to the service that the hash of its own request drew on a split route, so that the rest of the stream could come from another service than its beginning. Nobody can know the service, so the request is refused as not run.

--- a/internal/forward/origin.go
+++ b/internal/forward/origin.go
@@ -44,7 +44,7 @@
 	if x.route.Kind != routing.ResumableStream || !x.req.resumes() || x.forwarder.cfg.Origins == nil {
 		return nil
 	}
-	o, err := x.forwarder.cfg.Origins.Find(ctx, x.req.Resumes, x.service.Name)
+	o, err := x.lookUpOrigin(ctx)
 	if err == nil {
 		err = x.useService(o.Service)
 	}
@@ -61,6 +61,21 @@
 	return nil
 }
 
+// lookUpOrigin returns the origin of the stream that the request takes up. On a split route, nobody can tell the service of
+// a stream whose caller does not name the request that began it.
+func (x *execution) lookUpOrigin(ctx context.Context) (streamorigin.Origin, error) {
+	if x.req.Resumes == "" && x.route.Splits() {
+		return streamorigin.Origin{}, &streamorigin.UnknownError{
+			Service: x.service.Name,
+			Cause:   errSplitRoute,
+		}
+	}
+	return x.forwarder.cfg.Origins.Find(ctx, x.req.Resumes, x.service.Name)
+}
+
+// errSplitRoute reports a stream whose service is not known.
+var errSplitRoute = errors.New("its route leads to several services, and the request that began it is not named")
+
 // retryAfterOrigin returns the Retry-After delay of a stream that can't go on where it began.
 func retryAfterOrigin(err error) time.Duration {
 	var unknown *streamorigin.UnknownError
--- a/internal/forward/origin_test.go
+++ b/internal/forward/origin_test.go
@@ -28,6 +28,7 @@
 			targets: words(d, "targets"),
 			hosts:   words(d, "upstreams"),
 			began:   strings.Join(words(d, "began"), ""),
+			unnamed: d.HasArg("unnamed"),
 		}
 		synctest.Test(t, func(t *testing.T) { p.play(t, d.Cmd == "silent") })
 		return p.String()
@@ -50,6 +51,8 @@
 	hosts   []string
 	// began is the origin of the streams that are taken up, empty if nobody knows it.
 	began string
+	// unnamed callers don't say which request began their stream.
+	unnamed bool
 
 	mu       sync.Mutex
 	stages   scriptedStages
@@ -87,7 +90,9 @@
 			PieceCounts: []int{1},
 		}
 		if !silent {
-			req.Resumes = fmt.Sprint("before", i)
+			if !p.unnamed {
+				req.Resumes = fmt.Sprint("before", i)
+			}
 			req.LastEventID = pauseAfter
 			req.HasLastEvent = true
 		}
