Pass keys and request IDs between daemons as bytes

A key that is not valid text could not be sent to a peer (a text field of the message): the daemons that read the list from another one got an error for the whole page, and one that the store turned away at its start never got a list. In the same way, the request ID of one caller kept all origins of a batch from being announced.

Both are bytes now, which has the same encoding, so that daemons of both builds understand each other. TestReadTopic, TestReadNewest and the test of origins failed before with such keys ("string field contains invalid UTF-8") and pass.

--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -135,7 +135,7 @@
 		&peerpb.ReadTopicResponse{
 			Records: []*peerpb.TopicRecord{
 				{
-					Key:       "k",
+					Key:       []byte("k"),
 					Unchanged: true,
 				},
 				{
@@ -146,7 +146,7 @@
 		&peerpb.AnnounceOriginsRequest{
 			Origins: []*peerpb.StreamOrigin{
 				{
-					RequestId: "r",
+					RequestId: []byte("r"),
 					AgeMs:     math.MaxInt64,
 				},
 			},
--- a/internal/peer/origin.go
+++ b/internal/peer/origin.go
@@ -28,7 +28,7 @@
 	req := &peerpb.AnnounceOriginsRequest{}
 	for _, e := range list {
 		req.Origins = append(req.Origins, &peerpb.StreamOrigin{
-			RequestId: e.RequestID,
+			RequestId: []byte(e.RequestID),
 			Service:   e.Origin.Service,
 			Version:   e.Origin.Version,
 			AgeMs:     e.Age.Milliseconds(),
@@ -46,7 +46,7 @@
 	list := make([]streamorigin.Entry, 0, len(req.GetOrigins()))
 	for _, o := range req.GetOrigins() {
 		list = append(list, streamorigin.Entry{
-			RequestID: o.GetRequestId(),
+			RequestID: string(o.GetRequestId()),
 			Origin:    originFrom(o),
 			Age:       time.Duration(min(max(o.GetAgeMs(), 0), maxOriginAge.Milliseconds())) * time.Millisecond,
 		})
@@ -59,7 +59,7 @@
 // *CallError.
 func (n *Node) QueryOrigin(ctx context.Context, m membership.Member, requestID, service string) (streamorigin.Answer, error) {
 	resp, err := call(ctx, n, m.PeerAddr, peerpb.PeerClient.QueryOrigin, &peerpb.QueryOriginRequest{
-		RequestId: requestID,
+		RequestId: []byte(requestID),
 		Service:   service,
 	})
 	if err != nil {
@@ -78,7 +78,7 @@
 	if s.node.cfg.Origins == nil {
 		return nil, status.Error(codes.Unavailable, "no origins of streams here")
 	}
-	a := s.node.cfg.Origins.Ask(req.GetRequestId(), req.GetService())
+	a := s.node.cfg.Origins.Ask(string(req.GetRequestId()), req.GetService())
 	resp := &peerpb.QueryOriginResponse{
 		Versions: a.Versions,
 		Complete: a.Complete,
--- a/internal/peer/origin_test.go
+++ b/internal/peer/origin_test.go
@@ -27,6 +27,10 @@
 			Origin:    origin,
 			Age:       time.Second,
 		},
+		{
+			RequestID: "no text\xff", // It must not keep the others from being announced.
+			Origin:    origin,
+		},
 		{
 			RequestID: "old",
 			Origin:    origin,
--- a/internal/peer/topic.go
+++ b/internal/peer/topic.go
@@ -80,7 +80,7 @@
 	}
 	for _, r := range page.Records {
 		resp.Records = append(resp.Records, &peerpb.TopicRecord{
-			Key:       r.Key,
+			Key:       []byte(r.Key),
 			Value:     r.Value,
 			Deleted:   r.Value == nil && !r.Unchanged,
 			Unchanged: r.Unchanged,
@@ -127,7 +127,7 @@
 	}
 	for _, r := range resp.GetRecords() {
 		s.Records = append(s.Records, topic.Record{
-			Key:   r.GetKey(),
+			Key:   string(r.GetKey()),
 			Value: append([]byte{}, r.GetValue()...), // Never nil.
 			At:    s.End.WithOffset(r.GetOffset()),
 		})
@@ -150,7 +150,7 @@
 	}
 	for _, r := range snapshot.Records {
 		resp.Records = append(resp.Records, &peerpb.TopicRecord{
-			Key:    r.Key,
+			Key:    []byte(r.Key),
 			Value:  r.Value,
 			Offset: r.At.Offset,
 		})
@@ -163,7 +163,7 @@
 	records := make([]topic.Record, len(list))
 	for i, r := range list {
 		records[i] = topic.Record{
-			Key:       r.GetKey(),
+			Key:       string(r.GetKey()),
 			At:        from.WithOffset(from.Offset + int64(i)),
 			Unchanged: r.GetUnchanged(),
 		}
--- a/internal/peer/topic_test.go
+++ b/internal/peer/topic_test.go
@@ -48,7 +48,7 @@
 	want := topic.Page{
 		Records: []topic.Record{
 			{
-				Key:   "set",
+				Key:   "set\xff", // Keys of other writers need not be text.
 				Value: []byte("v"),
 				At:    position(7),
 			},
@@ -97,7 +97,7 @@
 	want := topic.Snapshot{
 		Records: []topic.Record{
 			{
-				Key:   "a",
+				Key:   "a\xff",
 				Value: []byte("v"),
 				At:    position(3),
 			},
