--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"go.uber.org/zap"
 
@@ -200,27 +201,42 @@
 	return l.status
 }
 
-// convertHosts returns the hosts of a list without those whose address is not IP:port.
+// convertHosts returns the hosts of a list without the entries that name none: one of another writer must not keep the
+// others from being used.
 func convertHosts(list *platformapi.HostList) []upstream.Host {
 	hosts := make([]upstream.Host, 0, len(list.Hosts))
-	for _, h := range list.Hosts {
-		if _, err := netip.ParseAddrPort(h.Addr); err != nil {
+	for _, raw := range list.Hosts {
+		var h platformapi.Host
+		if err := h.UnmarshalJSON(raw); err != nil || upstream.CheckAddr(h.Addr) != nil || h.Service == "" || !isName(h.DataCentre) || !isName(h.Service) {
 			continue
 		}
-		st := upstream.Live
-		if h.State == platformapi.HostStateLeaving {
-			st = upstream.Leaving
-		}
-		hosts = append(hosts, upstream.Host{
+		host := upstream.Host{
 			Addr:       h.Addr,
 			DataCentre: h.DataCentre,
 			Service:    h.Service,
-			State:      st,
-		})
+		}
+		switch h.State {
+		case platformapi.HostStateLive:
+			host.State = upstream.Live
+		case platformapi.HostStateLeaving:
+			host.State = upstream.Leaving
+		default:
+			continue
+		}
+		hosts = append(hosts, host)
 	}
 	return hosts
 }
 
+// maxNameBytes bounds the names of data centres and services.
+const maxNameBytes = 256
+
+// isName reports whether a text can be the name of a data centre or a service. Names go to peers in messages that hold
+// only valid text.
+func isName(text string) bool {
+	return len(text) <= maxNameBytes && utf8.ValidString(text)
+}
+
 // Seeds returns the peer addresses of the daemons on the list.
 func Seeds(hosts []upstream.Host) []string {
 	var addrs []string
--- a/internal/standin/hostlist/hostlist.go
+++ b/internal/standin/hostlist/hostlist.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/jx"
+
 	"sequoiafork/internal/standin/control"
 	"sequoiafork/internal/standin/unserved"
 	"sequoiafork/internal/wire/platformapi"
@@ -59,14 +61,22 @@
 	defer l.mu.Unlock()
 	list := &platformapi.HostList{
 		Version: 0,
-		Hosts:   []platformapi.Host{},
+		Hosts:   []jx.Raw{},
 	}
+	var hosts []platformapi.Host
 	for i, v := range l.versions {
 		if v.setAt.After(cutoff) {
 			break
 		}
 		list.Version = int64(i + 1)
-		list.Hosts = v.hosts
+		hosts = v.hosts
+	}
+	for _, h := range hosts {
+		raw, err := h.MarshalJSON()
+		if err != nil {
+			return nil, err
+		}
+		list.Hosts = append(list.Hosts, raw)
 	}
 	return list, nil
 }
--- a/internal/standin/unserved/unserved.go
+++ b/internal/standin/unserved/unserved.go
@@ -33,6 +33,11 @@
 	return nil, PlatformError(http.StatusNotFound, "not_found", notServed)
 }
 
+// HostEntry rejects the call.
+func (Platform) HostEntry(context.Context) (*platformapi.Host, error) {
+	return nil, PlatformError(http.StatusNotFound, "not_found", notServed)
+}
+
 // ReadRecords rejects the call.
 func (Platform) ReadRecords(context.Context, platformapi.ReadRecordsParams) (*platformapi.ReadResult, error) {
 	return nil, PlatformError(http.StatusNotFound, "not_found", notServed)
--- a/internal/wire/platformapi/oas_client_gen.go
+++ b/internal/wire/platformapi/oas_client_gen.go
@@ -88,6 +88,10 @@
 	//
 	// GET /v1/weights/{model}
 	FetchWeights(ctx context.Context, params FetchWeightsParams, options ...RequestOption) (*Weights, error)
+	// HostEntry invokes hostEntry operation.
+	//
+	// GET /v1/hosts/entry
+	HostEntry(ctx context.Context, options ...RequestOption) (*Host, error)
 	// ReadHosts invokes readHosts operation.
 	//
 	// GET /v1/hosts
@@ -280,6 +284,65 @@
 	return result, nil
 }
 
+// HostEntry invokes hostEntry operation.
+//
+// GET /v1/hosts/entry
+func (c *Client) HostEntry(ctx context.Context, options ...RequestOption) (*Host, error) {
+	res, err := c.sendHostEntry(ctx, options...)
+	return res, err
+}
+
+func (c *Client) sendHostEntry(ctx context.Context, requestOptions ...RequestOption) (res *Host, err error) {
+
+	var reqCfg requestConfig
+	reqCfg.setDefaults(c.baseClient)
+	for _, o := range requestOptions {
+		o(&reqCfg)
+	}
+
+	u := c.serverURL
+	if override := reqCfg.ServerURL; override != nil {
+		u = override
+	}
+	u = uri.Clone(u)
+	var pathParts [1]string
+	pathParts[0] = "/v1/hosts/entry"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	if err := reqCfg.onRequest(r); err != nil {
+		return res, errors.Wrap(err, "edit request")
+	}
+
+	resp, err := reqCfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	if err := reqCfg.onResponse(resp); err != nil {
+		return res, errors.Wrap(err, "edit response")
+	}
+
+	result, err := decodeHostEntryResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ReadHosts invokes readHosts operation.
 //
 // GET /v1/hosts
--- a/internal/wire/platformapi/oas_handlers_gen.go
+++ b/internal/wire/platformapi/oas_handlers_gen.go
@@ -229,6 +229,80 @@
 	}
 }
 
+// handleHostEntryRequest handles hostEntry operation.
+//
+// GET /v1/hosts/entry
+func (s *Server) handleHostEntryRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *Host
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    HostEntryOperation,
+			OperationSummary: "",
+			OperationID:      "hostEntry",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *Host
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.HostEntry(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.HostEntry(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ErrorStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeHostEntryResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleReadHostsRequest handles readHosts operation.
 //
 // GET /v1/hosts
--- a/internal/wire/platformapi/oas_json_gen.go
+++ b/internal/wire/platformapi/oas_json_gen.go
@@ -512,7 +512,9 @@
 		e.FieldStart("hosts")
 		e.ArrStart()
 		for _, elem := range s.Hosts {
-			elem.Encode(e)
+			if len(elem) != 0 {
+				e.Raw(elem)
+			}
 		}
 		e.ArrEnd()
 	}
@@ -547,10 +549,12 @@
 		case "hosts":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				s.Hosts = make([]Host, 0)
+				s.Hosts = make([]jx.Raw, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem Host
-					if err := elem.Decode(d); err != nil {
+					var elem jx.Raw
+					v, err := d.RawAppend(nil)
+					elem = jx.Raw(v)
+					if err != nil {
 						return err
 					}
 					s.Hosts = append(s.Hosts, elem)
--- a/internal/wire/platformapi/oas_operations_gen.go
+++ b/internal/wire/platformapi/oas_operations_gen.go
@@ -8,6 +8,7 @@
 const (
 	AppendRecordOperation OperationName = "AppendRecord"
 	FetchWeightsOperation OperationName = "FetchWeights"
+	HostEntryOperation    OperationName = "HostEntry"
 	ReadHostsOperation    OperationName = "ReadHosts"
 	ReadRecordsOperation  OperationName = "ReadRecords"
 )
--- a/internal/wire/platformapi/oas_response_decoders_gen.go
+++ b/internal/wire/platformapi/oas_response_decoders_gen.go
@@ -179,6 +179,98 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeHostEntryResponse(resp *http.Response) (res *Host, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Host
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ErrorStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Error
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeReadHostsResponse(resp *http.Response) (res *HostList, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/wire/platformapi/oas_response_encoders_gen.go
+++ b/internal/wire/platformapi/oas_response_encoders_gen.go
@@ -36,6 +36,27 @@
 	return nil
 }
 
+func encodeHostEntryResponse(response *Host, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeReadHostsResponse(response *HostList, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
--- a/internal/wire/platformapi/oas_router_gen.go
+++ b/internal/wire/platformapi/oas_router_gen.go
@@ -76,7 +76,6 @@
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
 					switch r.Method {
 					case "GET":
 						s.handleReadHostsRequest([0]string{}, elemIsEscaped, w, r)
@@ -91,6 +90,33 @@
 
 					return
 				}
+				switch elem[0] {
+				case '/': // Prefix: "/entry"
+
+					if l := len("/entry"); len(elem) >= l && elem[0:l] == "/entry" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleHostEntryRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: nil,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				}
 
 			case 's': // Prefix: "streams/"
 
@@ -291,7 +317,6 @@
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
 					switch method {
 					case "GET":
 						r.name = ReadHostsOperation
@@ -306,6 +331,33 @@
 						return
 					}
 				}
+				switch elem[0] {
+				case '/': // Prefix: "/entry"
+
+					if l := len("/entry"); len(elem) >= l && elem[0:l] == "/entry" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = HostEntryOperation
+							r.summary = ""
+							r.operationID = "hostEntry"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/hosts/entry"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
+				}
 
 			case 's': // Prefix: "streams/"
 
--- a/internal/wire/platformapi/oas_schemas_gen.go
+++ b/internal/wire/platformapi/oas_schemas_gen.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"github.com/go-faster/errors"
+	"github.com/go-faster/jx"
 )
 
 func (s *ErrorStatusCode) Error() string {
@@ -167,8 +168,9 @@
 
 // Ref: #/components/schemas/HostList
 type HostList struct {
-	Version int64  `json:"version"`
-	Hosts   []Host `json:"hosts"`
+	Version int64 `json:"version"`
+	// Each is a Host. One that cannot be read leaves the others.
+	Hosts []jx.Raw `json:"hosts"`
 }
 
 // GetVersion returns the value of Version.
@@ -177,7 +179,7 @@
 }
 
 // GetHosts returns the value of Hosts.
-func (s *HostList) GetHosts() []Host {
+func (s *HostList) GetHosts() []jx.Raw {
 	return s.Hosts
 }
 
@@ -187,7 +189,7 @@
 }
 
 // SetHosts sets the value of Hosts.
-func (s *HostList) SetHosts(val []Host) {
+func (s *HostList) SetHosts(val []jx.Raw) {
 	s.Hosts = val
 }
 
--- a/internal/wire/platformapi/oas_server_gen.go
+++ b/internal/wire/platformapi/oas_server_gen.go
@@ -16,6 +16,10 @@
 	//
 	// GET /v1/weights/{model}
 	FetchWeights(ctx context.Context, params FetchWeightsParams) (*Weights, error)
+	// HostEntry implements hostEntry operation.
+	//
+	// GET /v1/hosts/entry
+	HostEntry(ctx context.Context) (*Host, error)
 	// ReadHosts implements readHosts operation.
 	//
 	// GET /v1/hosts
--- a/internal/wire/platformapi/oas_validators_gen.go
+++ b/internal/wire/platformapi/oas_validators_gen.go
@@ -3,8 +3,6 @@
 package platformapi
 
 import (
-	"fmt"
-
 	"github.com/go-faster/errors"
 	"github.com/ogen-go/ogen/validate"
 )
@@ -42,23 +40,6 @@
 		if s.Hosts == nil {
 			return errors.New("nil is invalid value")
 		}
-		var failures []validate.FieldError
-		for i, elem := range s.Hosts {
-			if err := func() error {
-				if err := elem.Validate(); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				failures = append(failures, validate.FieldError{
-					Name:  fmt.Sprintf("[%d]", i),
-					Error: err,
-				})
-			}
-		}
-		if len(failures) > 0 {
-			return &validate.Error{Fields: failures}
-		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
