Tell a connection that was reset during an upload from one that ended

The caller got that part as a complete answer.

Cause: the kernel reports a reset once. If the write of the upload gets ECONNRESET, the next read returns io.EOF, which upstreamhttp and net/http take for the end of a body without a length. Ruled out: the ends of bodies with a length and in chunks (io.ErrUnexpectedEOF already), and a reset after the upload was written (the read gets it).

--- a/internal/callerclient/callerclient.go
+++ b/internal/callerclient/callerclient.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"time"
 
+	"sequoiafork/internal/http1"
 	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/outcome"
 	"sequoiafork/internal/wire/callerapi"
@@ -60,10 +61,12 @@
 		http: &http.Client{
 			Transport: httplimit.New(httplimit.Config{
 				// On a reused connection, http.Transport may itself send a request twice.
-				Base: &http.Transport{
-					DisableKeepAlives:      true,
-					MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
-				},
+				Base: http1.New(http1.Config{
+					Base: &http.Transport{
+						DisableKeepAlives:      true,
+						MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+					},
+				}),
 				MaxBodyBytes: cmp.Or(config.MaxResponseBytes, DefaultMaxResponseBytes),
 			}),
 		},
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -17,6 +17,7 @@
 
 	"go.uber.org/zap"
 
+	"sequoiafork/internal/http1"
 	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/upstream"
 	"sequoiafork/internal/wire/platformapi"
@@ -104,7 +105,9 @@
 	}
 	transport := &countingTransport{
 		base: httplimit.New(httplimit.Config{
-			Base:         http.DefaultTransport,
+			Base: http1.New(http1.Config{
+				Base: http.DefaultTransport.(*http.Transport).Clone(),
+			}),
 			MaxBodyBytes: cfg.MaxListBytes,
 		}),
 	}
--- /dev/null
+++ b/internal/http1/conn.go
@@ -0,0 +1,92 @@
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// BrokenError reports a connection that has broken although reading from it returned io.EOF.
+type BrokenError struct {
+	// Addr is the address of the peer.
+	Addr string
+	// Err is the error that a write returned.
+	Err error
+}
+
+// Error returns the address and the error of the write.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("connection to %s broke while a request was written: %v", e.Addr, e.Err)
+}
+
+// Unwrap returns the error of the write.
+func (e *BrokenError) Unwrap() error { return e.Err }
+
+// Conn is a connection to an HTTP/1.1 server. One goroutine may read while another one writes.
+type Conn struct {
+	net.Conn
+
+	// writing is held during a write. It guards writeErr, the first error of one.
+	writing  sync.Mutex
+	writeErr error
+}
+
+// NewConn returns a Conn on a new connection.
+func NewConn(c net.Conn) *Conn {
+	return &Conn{
+		Conn: c,
+	}
+}
+
+// SyscallConn implements syscall.Conn. It fails if the connection has no descriptor.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
+
+// Read implements net.Conn. Its error is io.EOF only if the peer has ended the connection in order, and a *BrokenError
+// if a write has found it broken.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err == io.EOF { //nolint:errorlint // net.Conn returns it as it is.
+		err = c.endOfInput()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// endOfInput returns io.EOF if the peer has ended the connection in order, and otherwise why it has broken. The kernel
+// reports that a connection broke once, to a read or a write, and io.EOF to all reads after that. So a write in progress
+// is ended first: its error tells. It is syscall.EPIPE if the peer's orderly end came before the reset.
+func (c *Conn) endOfInput() error {
+	if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return err // The connection was closed here.
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, os.ErrDeadlineExceeded) || errors.Is(c.writeErr, syscall.EPIPE) {
+		return io.EOF
+	}
+	return &BrokenError{
+		Addr: c.RemoteAddr().String(),
+		Err:  c.writeErr,
+	}
+}
--- a/internal/httplimit/httplimit.go
+++ b/internal/httplimit/httplimit.go
@@ -3,7 +3,9 @@
 //
 //	client := &http.Client{
 //		Transport: httplimit.New(httplimit.Config{
-//			Base:         &http.Transport{},
+//			Base: http1.New(http1.Config{
+//				Base: &http.Transport{},
+//			}),
 //			MaxBodyBytes: 1 << 20,
 //		}),
 //	}
--- a/internal/invoke/invoke.go
+++ b/internal/invoke/invoke.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sequoiafork/internal/bytequota"
+	"sequoiafork/internal/http1"
 	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/pipeline"
 	"sequoiafork/internal/upstream"
@@ -93,14 +94,16 @@
 		Timeout: cfg.DialTimeout,
 	}
 	return httplimit.New(httplimit.Config{
-		Base: &http.Transport{
-			DialContext:            dialer.DialContext,
-			DisableCompression:     true,
-			DisableKeepAlives:      disableKeepAlives,
-			MaxIdleConnsPerHost:    cfg.MaxIdleConnsPerHost,
-			IdleConnTimeout:        idleTimeout,
-			MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
-		},
+		Base: http1.New(http1.Config{
+			Base: &http.Transport{
+				DialContext:            dialer.DialContext,
+				DisableCompression:     true,
+				DisableKeepAlives:      disableKeepAlives,
+				MaxIdleConnsPerHost:    cfg.MaxIdleConnsPerHost,
+				IdleConnTimeout:        idleTimeout,
+				MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+			},
+		}),
 		MaxBodyBytes: cfg.MaxResponseBytes,
 		Memory:       cfg.Memory,
 	})
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/time/rate"
 
+	"sequoiafork/internal/http1"
 	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/wire/platformapi"
 )
@@ -73,11 +74,13 @@
 	}
 	api, err := platformapi.NewClient("http://"+c.Addr, platformapi.WithClient(&http.Client{
 		Transport: httplimit.New(httplimit.Config{
-			Base: &http.Transport{
-				DisableCompression:     true,
-				IdleConnTimeout:        time.Minute,
-				MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
-			},
+			Base: http1.New(http1.Config{
+				Base: &http.Transport{
+					DisableCompression:     true,
+					IdleConnTimeout:        time.Minute,
+					MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+				},
+			}),
 			MaxBodyBytes: c.MaxResponseBytes,
 		}),
 	}))
--- a/internal/operatorclient/operatorclient.go
+++ b/internal/operatorclient/operatorclient.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"time"
 
+	"sequoiafork/internal/http1"
 	"sequoiafork/internal/httplimit"
 	"sequoiafork/internal/wire/operatorapi"
 )
@@ -74,10 +75,12 @@
 	return httplimit.New(httplimit.Config{
 		// On a reused connection net/http may retry a request on its own, which could send
 		// an edit twice.
-		Base: &http.Transport{
-			DisableKeepAlives:      true,
-			MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
-		},
+		Base: http1.New(http1.Config{
+			Base: &http.Transport{
+				DisableKeepAlives:      true,
+				MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+			},
+		}),
 		MaxBodyBytes: cmp.Or(config.MaxResponseBytes, DefaultMaxResponseBytes),
 	})
 }
--- a/internal/replay/playhttp.go
+++ b/internal/replay/playhttp.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"sequoiafork/internal/http1"
 	"sequoiafork/internal/wire/callerapi"
 )
 
@@ -17,7 +18,11 @@
 func PlayHTTP(ctx context.Context, trace []Arrival, addrs []string) (*Run, error) {
 	clients := make([]*callerapi.Client, len(addrs))
 	for i, addr := range addrs {
-		c, err := callerapi.NewClient("http://"+addr, callerapi.WithClient(&http.Client{}))
+		c, err := callerapi.NewClient("http://"+addr, callerapi.WithClient(&http.Client{
+			Transport: http1.New(http1.Config{
+				Base: http.DefaultTransport.(*http.Transport).Clone(),
+			}),
+		}))
 		if err != nil {
 			return nil, fmt.Errorf("entry %s: %w", addr, err)
 		}
--- a/internal/upstreamhttp/conn.go
+++ b/internal/upstreamhttp/conn.go
@@ -2,17 +2,18 @@
 
 import (
 	"bufio"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"sequoiafork/internal/http1"
 )
 
 // conn is a connection to an upstream. idleSince is zero until its first exchange is over.
 type conn struct {
-	net.Conn
+	*http1.Conn
 	endpoint  Endpoint
 	limited   *limitedReader
 	reader    *bufio.Reader // reads from limited
@@ -22,7 +23,7 @@
 	last http.Header
 }
 
-func newConn(nc net.Conn, endpoint Endpoint, idle time.Duration) *conn {
+func newConn(nc *http1.Conn, endpoint Endpoint, idle time.Duration) *conn {
 	limited := &limitedReader{
 		r: nc,
 	}
@@ -61,11 +62,7 @@
 // idleAndOpen reports, without blocking, whether the upstream has neither sent bytes nor
 // closed the connection.
 func (c *conn) idleAndOpen() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/upstreamhttp/pool.go
+++ b/internal/upstreamhttp/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"sequoiafork/internal/http1"
 	"sequoiafork/internal/tcp"
 )
 
@@ -138,7 +139,7 @@
 	if p.cfg.OnDial != nil {
 		p.cfg.OnDial(endpoint)
 	}
-	return newConn(nc, endpoint, p.cfg.IdleTimeout), nil
+	return newConn(http1.NewConn(nc), endpoint, p.cfg.IdleTimeout), nil
 }
 
 // CloseExpired closes connections that have been idle for too long to be reused. Call it
--- a/internal/upstreamhttp/silence_test.go
+++ b/internal/upstreamhttp/silence_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 	defer resp.Body.Close()
 	_, err = io.ReadFull(resp.Body, make([]byte, 2))
 	require.NoError(t, err)
-	conn := resp.Body.(*exchange).conn.Conn.(*net.TCPConn)
+	conn := resp.Body.(*exchange).conn.Conn
 	dropReceived(t, conn, true)
 	close(begun)
 	time.AfterFunc(silence, func() { dropReceived(t, conn, false) })
@@ -41,7 +42,7 @@
 }
 
 // dropReceived makes the kernel drop all packets that arrive for a connection, or stop doing so.
-func dropReceived(t *testing.T, conn *net.TCPConn, drop bool) {
+func dropReceived(t *testing.T, conn syscall.Conn, drop bool) {
 	raw, err := conn.SyscallConn()
 	require.NoError(t, err)
 	rejectAll := []unix.SockFilter{
