Take no answer whose status line is not one of HTTP/1.1

Cause: net/http reads any three characters that strconv takes for a number as a status, and any two digits as a version. upstreamhttp skipped what is below 200 as an interim response, so that an answer after a 000, a 099 or a 101 was taken, and a 000 with no body kept the request until its deadline. 600 and 999 were passed on with the upstream's stamp. Through net/http's client (store, invoke, host list, log service, callers' and operators' clients) status 0 arrived as an answer.

Change: http1.Conn checks the lines of each head as they are read, without another buffer; a read after a malformed line is a *HeadError. The pool and http1.Transport tell it where a response begins. A status is 100 to 599 and not 101, which nobody asks for; the version is HTTP/1 and one digit. Interim answers, a missing reason and HTTP/1.0 still pass.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -27,13 +28,19 @@
 // Unwrap returns the error of the write.
 func (e *BrokenError) Unwrap() error { return e.Err }
 
-// Conn is a connection to an HTTP/1.1 server. One goroutine may read while another one writes.
+// Conn is a connection to an HTTP/1.1 server. One goroutine may read while another one writes. What is read first is the
+// head of a response.
 type Conn struct {
 	net.Conn
 
 	// writing is held during a write. It guards writeErr, the first error of one.
 	writing  sync.Mutex
 	writeErr error
+
+	mu   sync.Mutex
+	head head
+	// malformed is the error of all reads after a malformed head, nil before.
+	malformed atomic.Pointer[HeadError]
 }
 
 // NewConn returns a Conn on a new connection.
@@ -52,10 +59,43 @@
 	return sc.SyscallConn()
 }
 
-// Read implements net.Conn. Its error is io.EOF only if the peer has ended the connection in order, and a *BrokenError
-// if a write has found it broken.
+// BeginResponse says that the head of a response is expected next, of which some bytes may have been read already. It
+// returns a *HeadError if these are malformed. It does nothing while a head is being read.
+func (c *Conn) BeginResponse(read []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.part != outside {
+		return nil
+	}
+	c.head = head{}
+	if _, malformed := c.head.check(read); malformed != nil {
+		c.malformed.Store(malformed)
+		return malformed
+	}
+	return nil
+}
+
+// checkHead checks bytes that were read. It returns how many of them may be used.
+func (c *Conn) checkHead(b []byte) (int, *HeadError) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, malformed := c.head.check(b)
+	if malformed != nil {
+		c.malformed.Store(malformed)
+	}
+	return n, malformed
+}
+
+// Read implements net.Conn. Its error is io.EOF only if the peer has ended the connection in order, a *BrokenError if a
+// write has found it broken, and a *HeadError after a malformed head.
 func (c *Conn) Read(b []byte) (int, error) {
+	if malformed := c.malformed.Load(); malformed != nil {
+		return 0, malformed
+	}
 	n, err := c.Conn.Read(b)
+	if n, malformed := c.checkHead(b[:n]); malformed != nil {
+		return n, malformed
+	}
 	if err == io.EOF { //nolint:errorlint // net.Conn returns it as it is.
 		err = c.endOfInput()
 	}
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Config configures a Transport.
@@ -38,7 +39,14 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(req)
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*Conn); ok {
+				_ = c.BeginResponse(nil) // Nothing was read that could be malformed.
+			}
+		},
+	})
+	return t.base.RoundTrip(req.WithContext(ctx))
 }
 
 // CloseIdleConnections closes the connections that no request uses, as http.Client.CloseIdleConnections does.
--- a/internal/upstreamhttp/conn.go
+++ b/internal/upstreamhttp/conn.go
@@ -36,6 +36,16 @@
 	}
 }
 
+// beginResponse says that the next bytes are the head of a response. Some of them may have arrived with the response
+// before.
+func (c *conn) beginResponse() error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.BeginResponse(buffered)
+}
+
 func (c *conn) close() { _ = c.Conn.Close() }
 
 // idleWithin reports whether c has been idle for less than a fraction of its idle limit.
--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -169,6 +169,12 @@
 // readFinalHead reads the next header of a final response. It skips interim (1xx)
 // responses, whose headers count towards the limit.
 func (x *exchange) readFinalHead(method string) (*http.Response, error) {
+	if err := x.conn.beginResponse(); err != nil {
+		return nil, &HeadError{
+			Addr: x.conn.endpoint.Addr,
+			Err:  err,
+		}
+	}
 	x.conn.limited.setLimit(maxHeadBytes)
 	defer x.conn.limited.removeLimit()
 	for {
