Take no answer whose head has names or lengths that HTTP/1.1 does not allow

Cause: net/http takes a blank in a name, and then does not know the field: with "Content-Length : 9" or "Transfer-Encoding : chunked" the body is all that comes until the connection ends. It joins a line that begins with a blank to the value before it (the stamp, in the test), and ignores chunks in HTTP/1.0 and a length beside chunks. A control byte in a name or a value it refuses, and two different lengths; those were handled before.

Change: http1.Conn checks each field's name and that the fields agree about where the body ends, for all clients. Unusual names, empty values, the same length twice, and trailers still pass. net/http goes on to check the values.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -14,7 +16,7 @@
 
 // HeadError reports a head that is no head of a response in HTTP/1.1.
 type HeadError struct {
-	// Line is the start of the malformed line.
+	// Line is the start of the malformed line, or the name of a field that must not be there.
 	Line string
 	// Reason says what is wrong with it.
 	Reason string
@@ -48,8 +50,11 @@
 type head struct {
 	part headPart
 	line []byte
-	// status is that of the head whose fields are read.
+	// status and minor, the second digit of the version, are those of the head whose fields are read.
 	status int
+	minor  byte
+	// hasLength and hasEncoding report that it has the fields that say where the body ends.
+	hasLength, hasEncoding bool
 }
 
 // check checks the next bytes. If a line is malformed, it returns how many of the bytes precede the end of the line.
@@ -83,13 +88,14 @@
 	case h.part == inStatusLine:
 		h.part = inFields
 		return h.checkStatusLine(line)
-	case len(line) == 0:
-		h.part = outside
-		if isInterim(h.status) {
-			h.part = inStatusLine
-		}
+	case len(line) > 0:
+		return h.checkField(line)
 	}
-	return nil
+	h.part = outside
+	if isInterim(h.status) {
+		h.part = inStatusLine
+	}
+	return h.checkEnd()
 }
 
 const (
@@ -113,7 +119,7 @@
 	if len(line) < reasonAt || string(line[:len(versionPrefix)]) != versionPrefix || !isDigit(line[len(versionPrefix)]) || line[statusAt-1] != ' ' {
 		return newHeadError(line, "no status line of HTTP/1.1")
 	}
-	h.status = 0
+	h.status, h.minor, h.hasLength, h.hasEncoding = 0, line[len(versionPrefix)], false, false
 	for _, c := range line[statusAt:reasonAt] {
 		if !isDigit(c) {
 			return newHeadError(line, "the status is no number")
@@ -133,6 +139,40 @@
 	return nil
 }
 
+// Names of the fields that say where the body ends.
+var (
+	lengthName   = []byte("Content-Length")
+	encodingName = []byte("Transfer-Encoding")
+)
+
+// checkField checks the line of a field, except for its value, which net/http checks. A line that continues the one before
+// it, as older versions allowed, is malformed.
+func (h *head) checkField(line []byte) *HeadError {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || len(name) == 0 {
+		return newHeadError(line, "the field has no name")
+	}
+	for _, c := range name {
+		if !httpguts.IsTokenRune(rune(c)) {
+			return newHeadError(line, "the name of the field has a character that names don't have")
+		}
+	}
+	h.hasLength = h.hasLength || bytes.EqualFold(name, lengthName)
+	h.hasEncoding = h.hasEncoding || bytes.EqualFold(name, encodingName)
+	return nil
+}
+
+// checkEnd checks that the fields do not contradict each other about where the body ends.
+func (h *head) checkEnd() *HeadError {
+	switch {
+	case h.hasEncoding && h.minor == '0':
+		return newHeadError(encodingName, "a response of HTTP/1.0 has no chunks")
+	case h.hasEncoding && h.hasLength:
+		return newHeadError(encodingName, "the response has a length, too")
+	}
+	return nil
+}
+
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
 // isControl reports whether a character may stand in no part of a head.
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -31,7 +31,7 @@
 		early: d.HasArg("early"),
 		ends:  []string{"keep"},
 	}
-	p.text = strings.NewReplacer(`\t`, "\t", `\x01`, "\x01", `\s`, " ").Replace(p.text)
+	p.text = strings.NewReplacer(`\r`, "\r", `\n`, "\n", `\t`, "\t", `\x01`, "\x01", `\s`, " ").Replace(p.text)
 	if arg, ok := d.Arg("end"); ok {
 		p.ends = arg.Vals
 	}
