--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -127,9 +127,19 @@
 	once        sync.Once
 }
 
+// writers holds *bufio.Writer values, so that a request needs no buffer of its own.
+var writers = sync.Pool{
+	New: func() any { return bufio.NewWriter(nil) },
+}
+
 // write sends the complete request.
 func (x *exchange) write(req Request) error {
-	w := bufio.NewWriter(x.conn)
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(x.conn)
+	defer func() {
+		w.Reset(nil)
+		writers.Put(w)
+	}()
 	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.Target, req.Host)
 	if err := req.Header.Write(w); err != nil {
 		return err
