Keep responses without end within the memory of small hosts

Here: heads (16 KiB), events (1 MiB) and bodies (64 MiB together) were bounded, and the heap from which the collector runs as often as needed was 192 MiB, on every host. The smallest host in force has 144 MB.

Nothing changes from 403 MB on.

Not bounded by it: the newest records of a topic (64 MiB), if the store itself sends ever new keys.

--- a/cmd/sequoiaforkd/main.go
+++ b/cmd/sequoiaforkd/main.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"sequoiafork/internal/daemon"
+	"sequoiafork/internal/hostcapacity"
 	"sequoiafork/internal/logging"
 	"sequoiafork/internal/settings"
 )
@@ -37,18 +38,11 @@
 // megabytes, so the garbage collector would otherwise run many times a second.
 const gcPercent = 400
 
-// memoryLimit is the size in bytes from which on the garbage collector runs more often than
-// gcPercent asks for. Buffers of responses may make the live heap many times larger than usual.
-const memoryLimit = 192 << 20
-
 func main() {
 	sig := receiveSignals()
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimit)
-	}
 	os.Exit(run(sig))
 }
 
@@ -76,6 +70,10 @@
 
 func serve(cmd settings.CommandLine, sig signals) error {
 	s := cmd.Settings
+	if os.Getenv("GOMEMLIMIT") == "" {
+		// Buffers of responses may make the live heap many times larger than usual.
+		debug.SetMemoryLimit(hostcapacity.DivideMemory(s.Daemon.MemoryMB).Heap)
+	}
 	logger, err := logging.New(logging.Config{
 		Level:  s.Log.Level,
 		Format: s.Log.Format,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"sequoiafork/internal/confsync"
 	"sequoiafork/internal/fold"
 	"sequoiafork/internal/freshness"
+	"sequoiafork/internal/hostcapacity"
 	"sequoiafork/internal/hostlist"
 	"sequoiafork/internal/idempotency"
 	"sequoiafork/internal/ident"
@@ -207,7 +208,9 @@
 
 func (d *Daemon) buildService() error {
 	responses := invoke.Config{
-		Memory: bytequota.New(bytequota.Config{}),
+		Memory: bytequota.New(bytequota.Config{
+			Bytes: hostcapacity.DivideMemory(d.settings.Daemon.MemoryMB).Responses,
+		}),
 	}
 	services, err := invoke.New(responses)
 	if err != nil {
--- a/internal/hostcapacity/hostcapacity_test.go
+++ b/internal/hostcapacity/hostcapacity_test.go
@@ -12,19 +12,20 @@
 
 // TestScripts runs the scripts of testdata. Each line of "classes" and "least" is a list of hosts, in thousandths
 // of a core or N*CAPACITY; "classes" prints the class of each beside the largest, and "least" the capacity below which
-// hosts are left out, with the share of the capacity that remains. It guards against choices that move for a slightly larger
+// hosts are left out, with the share of the capacity that remains. "divide" divides memory in megabytes. It guards against choices that move for a slightly larger
 // host, and against leaving out so many hosts that the others can't carry the callers.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var out strings.Builder
 			for line := range strings.Lines(d.Input) {
-				hosts := parseHosts(t, line)
 				switch d.Cmd {
 				case "classes":
-					fmt.Fprintln(&out, classes(hosts))
+					fmt.Fprintln(&out, classes(parseHosts(t, line)))
+				case "divide":
+					fmt.Fprintln(&out, formatMemory(t, line))
 				case "least":
-					fmt.Fprintln(&out, formatLeast(hosts))
+					fmt.Fprintln(&out, formatLeast(parseHosts(t, line)))
 				default:
 					t.Fatalf("unknown command %q", d.Cmd)
 				}
@@ -77,3 +78,11 @@
 	}
 	return fmt.Sprintf("from %d, %d of %d remain", least.MilliCores, kept, sum)
 }
+
+// formatMemory returns how a host's memory is divided, in megabytes.
+func formatMemory(t *testing.T, line string) string {
+	megabytes, err := strconv.ParseFloat(strings.TrimSpace(line), 64)
+	require.NoError(t, err)
+	m := DivideMemory(megabytes)
+	return fmt.Sprintf("heap %d, responses %d, store pages %d", m.Heap/bytesPerMB, m.Responses/bytesPerMB, m.StorePages/bytesPerMB)
+}
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -49,6 +49,8 @@
 		func(s *Settings) *string { return &s.Daemon.PeerAddr })
 	g.number("cores", "Processor time that the daemon may use. Work that one daemon does for all goes to hosts with much. 0: not known.", "cores", 0, 0, 1024,
 		func(s *Settings) *float64 { return &s.Daemon.Cores })
+	g.number("memory_mb", "Memory that the daemon may use. With little of it, it keeps less of what upstreams send. 0: not known.", "megabytes", 0, 0, 1_048_576,
+		func(s *Settings) *float64 { return &s.Daemon.MemoryMB })
 	return g.fields
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,6 +53,8 @@
 	PeerAddr     string
 	// Cores is the processor time that the daemon may use, in cores. Zero means that it is not known.
 	Cores float64
+	// MemoryMB is the memory that the daemon may use, in megabytes. Zero means that it is not known.
+	MemoryMB float64
 }
 
 // Peers configures how to find the other daemons.
