End an attempt whose upstream sends only comments and blank lines

Change: an attempt fails when more than 4 KiB have come before its first event. A comment each second takes minutes for that. TestBrokenAnswers/endless: the same requests get 502 or another upstream at once.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -15,7 +15,11 @@
 	"sequoiafork/internal/upstream"
 )
 
-var errNoEvents = errors.New("the stream ended before its first event")
+var (
+	errNoEvents = errors.New("the stream ended before its first event")
+	// errNoFirstEvent ends an attempt whose upstream sends blank lines and comments only.
+	errNoFirstEvent = fmt.Errorf("more than %d bytes before the first event", maxLeadingBytes)
+)
 
 // errHedgeNotNeeded ends an attempt that was started since another upstream was silent.
 var errHedgeNotNeeded = errors.New("the silent upstream has gone on")
@@ -163,7 +167,7 @@
 		s.releaseJob()
 	case streamEvent:
 		if !r.event.HasFields {
-			return s.onComment(a, r.event)
+			return s.onComment(ctx, a, r.event)
 		}
 		return s.onEvent(a, r.event)
 	case otherResponse:
@@ -213,10 +217,12 @@
 }
 
 // onComment forwards what is no event for the caller. An upstream that sends nothing else is silent, and does not
-// begin the response: what precedes its first event is forwarded with that.
-func (s *streamRun) onComment(a *streamAttempt, e eventstream.Event) outcome.Outcome {
+// begin the response: what precedes its first event is forwarded with that. An attempt fails if that is too much.
+func (s *streamRun) onComment(ctx context.Context, a *streamAttempt, e eventstream.Event) outcome.Outcome {
 	switch {
-	case a.firstEvent == 0 && len(a.leading)+len(e.Raw) <= maxLeadingBytes:
+	case a.firstEvent == 0 && len(a.leading)+len(e.Raw) > maxLeadingBytes:
+		return s.onFailure(ctx, a, mayHaveRun(a.choice, errNoFirstEvent), a.load())
+	case a.firstEvent == 0:
 		a.leading = append(a.leading, e.Raw...)
 	case a.firstEvent > 0 && a == s.current && s.responseStarted:
 		return s.write(a, e)
--- a/internal/forward/streamattempt.go
+++ b/internal/forward/streamattempt.go
@@ -11,8 +11,8 @@
 	"sequoiafork/internal/upstream"
 )
 
-// maxLeadingBytes bounds what is kept of the blank lines and comments before the first event of a response. They are
-// part of a complete body, but no event.
+// maxLeadingBytes bounds the blank lines and comments before the first event of a response. They are part of a complete
+// body, but no event.
 const maxLeadingBytes = 4 << 10
 
 // streamAttempt is one attempt at a request whose response is a stream. It runs in its own goroutine.
