Reject requests that come late in a stop and can't end in time

Cause: after SIGTERM a daemon serves for three times the time that callers may keep its address, since they still come, and then stops accepting. Its listener goes on as long as a connection arrives each 50 ms, and whatever arrives got the deadline of its caller, though all requests end 0.7 s before the grace period does.

Change: forward.Stop tells when the requests end and from when on callers know other addresses, less 0.2 s for a busy daemon to notice the signal.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -309,9 +309,10 @@
 func (d *Daemon) Draining() bool { return d.draining.Load() }
 
 // Drain begins to drain the daemon: no daemon returns its address from Resolve any more. This one stops that before it
-// says that it is not ready, so that nobody is sent to a daemon that has said so.
-func (d *Daemon) Drain() {
+// says that it is not ready, so that nobody is sent to a daemon that has said so. stop says when the requests end.
+func (d *Daemon) Drain(stop forward.Stop) {
 	d.members.SetLeaving()
+	d.forwarder.StopAt(stop)
 	if d.draining.Swap(true) {
 		return
 	}
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -305,7 +305,7 @@
 	rest := without(hosts, owner)
 	handle, err := rest[0].submitter.Submit(t.Context(), job("j"))
 	require.NoError(t, err)
-	owner.Drain()
+	owner.Drain(forward.Stop{})
 	handles, err := handle.Wait(t.Context())
 	require.NoError(t, err)
 	require.Len(t, handles, 3)
@@ -361,7 +361,7 @@
 func TestDrainingDaemonNotResolved(t *testing.T) {
 	hosts := cluster(t, &invoker{})
 	agreed(t, hosts)
-	hosts[1].Drain()
+	hosts[1].Drain(forward.Stop{})
 	require.False(t, hosts[1].Ready())
 	for _, h := range hosts {
 		require.Eventually(t, func() bool { addrs, _ := h.Resolve("c", "a"); return len(addrs) == 2 }, waitTimeout, checkInterval)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -227,6 +227,8 @@
 	// context.CancelCauseFunc for each *execution in progress.
 	stopping atomic.Bool
 	running  sync.Map
+	// stop is nil before StopAt.
+	stop atomic.Pointer[Stop]
 }
 
 // New returns a Forwarder.
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -113,6 +113,9 @@
 	if !time.Now().Before(x.deadline) {
 		return x.notRun(outcome.CodeDeadlinePast, "the deadline has passed", 0)
 	}
+	if x.forwarder.stop.Load().rejects(time.Now(), x.deadline) {
+		return x.notRun(outcome.CodeDraining, "the daemon stops before the deadline of the request", notReadyRetryAfter)
+	}
 	x.lastID, x.hasLastID = x.req.LastEventID, x.req.HasLastEvent
 	return nil
 }
