Send no call of the product's own interface on a connection that brought a failure

On a kept connection, as idempotent calls use, a second copy of an earlier rejection passed for the promise that the next call has not run, which the upstream ran. Ruled out: calls that are not idempotent, and the clients of callers and operators, which keep no connections; daemons among themselves, whose streams are numbered.

Evidence: TestCopiedRejection: the second call was "overloaded" and ran. Now it gets its response.

Change: http1.Conn refuses to write a request after a response with a status from 400 on. net/http sends a request of which nothing was written on another connection.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -28,6 +28,10 @@
 // Unwrap returns the error of the write.
 func (e *BrokenError) Unwrap() error { return e.Err }
 
+// errUsedUp is the error of writes on a connection that must not be used again. net/http sends a request of which nothing
+// was written on another connection.
+var errUsedUp = errors.New("the connection has brought a failure, of which a second copy may follow")
+
 // Conn is a connection to an HTTP/1.1 server. One goroutine may read while another one writes. What is read first is the
 // head of a response.
 type Conn struct {
@@ -41,6 +45,8 @@
 	head head
 	// malformed is the error of all reads after a malformed head, nil before.
 	malformed atomic.Pointer[HeadError]
+	// usedUp reports that no further request may be written.
+	usedUp atomic.Bool
 }
 
 // NewConn returns a Conn on a new connection.
@@ -75,6 +81,19 @@
 	return nil
 }
 
+// beginUnmatched begins a request of which nothing tells whether a response belongs to it. The request can't be written if
+// the last response was a failure: a second copy of that would pass for the failure of this request.
+func (c *Conn) beginUnmatched() {
+	c.mu.Lock()
+	failed := c.head.part == outside && c.head.status >= minFailureStatus
+	c.mu.Unlock()
+	if failed {
+		c.usedUp.Store(true)
+		return
+	}
+	_ = c.BeginResponse(nil) // Nothing was read that could be malformed.
+}
+
 // checkHead checks bytes that were read. It returns how many of them may be used.
 func (c *Conn) checkHead(b []byte) (int, *HeadError) {
 	c.mu.Lock()
@@ -104,6 +123,9 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
+	if c.usedUp.Load() {
+		return 0, errUsedUp
+	}
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -103,10 +103,12 @@
 	// statusAt is where the status begins, after a digit and a blank, and reasonAt the blank before the reason.
 	statusAt = len(versionPrefix) + 2
 	reasonAt = statusAt + 3
-	// minStatus, minFinalStatus and maxStatus bound the statuses that HTTP defines.
-	minStatus      = 100
-	minFinalStatus = 200
-	maxStatus      = 599
+	// minStatus and maxStatus bound the statuses that HTTP defines. Those from minFinalStatus on end an exchange, and those
+	// from minFailureStatus on are failures.
+	minStatus        = 100
+	minFinalStatus   = 200
+	minFailureStatus = 400
+	maxStatus        = 599
 	// switchingProtocols is the status of a connection that no longer speaks HTTP/1.1, which nobody asks for.
 	switchingProtocols = 101
 )
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -14,7 +14,8 @@
 	Base *http.Transport
 }
 
-// Transport makes exchanges over HTTP/1.1. It is safe for concurrent use.
+// Transport makes exchanges over HTTP/1.1. A connection serves no request after a failure, since nothing tells a second
+// copy of it from the response to the next request. It is safe for concurrent use.
 type Transport struct {
 	base *http.Transport
 }
@@ -42,7 +43,7 @@
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*Conn); ok {
-				_ = c.BeginResponse(nil) // Nothing was read that could be malformed.
+				c.beginUnmatched()
 			}
 		},
 	})
