Keep no connection to a stage upstream after a response that names no call

Cause: the response to a call of a stage names no call, only a handle tells. After a rejection, a failure, or a response with a reason for each item and no handle, the connection went back to the pool, so that a copy passed for the next response, and that for the one after.

--- a/internal/upstreamhttp/exchange.go
+++ b/internal/upstreamhttp/exchange.go
@@ -30,8 +30,9 @@
 	Header http.Header
 	Body   []byte
 	// MatchResponse reports whether a response is to this request. Responses before it that
-	// don't match are dropped. Nil matches any. A connection is not reused for a request that
-	// the last response on it matches too, since a second copy of that may follow.
+	// don't match are dropped. Nil matches any; the connection is then not reused after a failure.
+	// A connection is not reused for a request that the last response on it matches too, since a
+	// second copy of that may follow.
 	MatchResponse func(header http.Header) bool
 	// Retryable means that the request is idempotent, so that it may be sent on a
 	// connection that was idle for longer.
@@ -83,9 +84,10 @@
 	}
 	reused := !c.idleSince.IsZero()
 	x := &exchange{
-		pool:    p,
-		conn:    c,
-		written: make(chan error, 1),
+		pool:      p,
+		conn:      c,
+		written:   make(chan error, 1),
+		unmatched: req.MatchResponse == nil,
 	}
 	x.cancelAbort = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if len(req.Body) <= maxSyncWriteBody {
@@ -122,9 +124,11 @@
 	// if the context has ended already.
 	cancelAbort func() bool
 	written     chan error
-	res         *http.Response
-	complete    bool
-	once        sync.Once
+	// unmatched reports that any response would be taken for the one to the request.
+	unmatched bool
+	res       *http.Response
+	complete  bool
+	once      sync.Once
 }
 
 // writers holds *bufio.Writer values, so that a request needs no buffer of its own.
@@ -250,7 +254,7 @@
 
 // discardRest reads the rest of the body and reports whether it is complete.
 func (x *exchange) discardRest() bool {
-	if x.complete || x.endsWithConnection() {
+	if x.complete || x.lastOnConnection() {
 		return x.complete
 	}
 	if err := x.conn.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
@@ -274,9 +278,16 @@
 	return x.res.Close || x.res.ContentLength < 0 && len(x.res.TransferEncoding) == 0
 }
 
+// lastOnConnection reports whether the connection serves no request after this one. If nothing tells to which request a
+// response is, a second copy of a failure would pass for the failure of the next request, and the response to that for the
+// one to the request after it.
+func (x *exchange) lastOnConnection() bool {
+	return x.endsWithConnection() || x.unmatched && x.res.StatusCode >= http.StatusBadRequest
+}
+
 // reusable reports whether the connection may be reused after a complete response.
 func (x *exchange) reusable() bool {
-	if x.endsWithConnection() {
+	if x.lastOnConnection() {
 		return false
 	}
 	select {
