--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -115,7 +115,7 @@
 	if n, malformed := c.checkHead(b[:n]); malformed != nil {
 		return n, malformed
 	}
-	if err == io.EOF { //nolint:errorlint // net.Conn returns it as it is.
+	if err == io.EOF { // A net.Conn returns it as it is.
 		err = c.endOfInput()
 	}
 	return n, err
