--- a/internal/hostcapacity/hostcapacity.go
+++ b/internal/hostcapacity/hostcapacity.go
@@ -6,6 +6,8 @@
 //	if a.Class(largest) < b.Class(largest) {
 //		// a is at least twice as large as b.
 //	}
+//
+// DivideMemory says how much a daemon may keep of what upstreams and the store send.
 package hostcapacity
 
 import "math/bits"
